Start: libraries, schema, checks

Cause: there is nothing yet; parts are to be built side by side. Conclusion: the parts can be built against these headers.

--- /dev/null
+++ b/include/anvilscale/residency.h
@@ -0,0 +1,201 @@
+// Residency library: every decision of a sidecar, as one state machine without I/O. A sidecar is the only process
+// that talks to its endpoint, so pins, evictions, at-most-once, drain and fencing are decided here, by one thread.
+// Events go in by the on...() functions; what is to be done comes out of takeActions().
+#pragma once
+
+#include "wire.pb.h"
+
+#include "anvilscale/base.h"
+#include "anvilscale/platform.h"
+#include "anvilscale/state.h"
+
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace anvilscale {
+
+enum class EndpointKind : std::uint8_t {
+    Engine,
+    Service,
+    Count
+};
+template<>
+struct EnumNames<EndpointKind>
+{
+    static constexpr std::array<std::string_view, enumCount<EndpointKind>> table{"engine", "service"};
+};
+
+enum class OrderKind : std::uint8_t {
+    Load,
+    Unload,
+    Fence, ///< makes a checking endpoint refuse all orders with an older fencing number
+    List, ///< read what is loaded, what runs, and the engine's incarnation
+    Count
+};
+template<>
+struct EnumNames<OrderKind>
+{
+    static constexpr std::array<std::string_view, enumCount<OrderKind>> table{"load", "unload", "fence", "list"};
+};
+
+/// A message to another process.
+struct SendMessage
+{
+    PeerHandle to;
+    wire::Envelope message;
+};
+/// Send the call to the endpoint now. Its frames go to `to` under `request.id()`.
+struct StartExecution
+{
+    ExecutionHandle execution;
+    PeerHandle to;
+    wire::CallRequest request;
+    bool keepAnswer = false; ///< the body is handed back with onExecutionEnded
+};
+/// A repeat listens to a running execution, from its first byte.
+struct AttachListener
+{
+    ExecutionHandle execution;
+    PeerHandle to;
+    wire::AttemptId id;
+    std::uint64_t creditBytes = 0;
+};
+struct DetachListener
+{
+    ExecutionHandle execution;
+    wire::AttemptId id;
+};
+/// Close the connection to the endpoint and report when the end is confirmed.
+struct CancelExecution
+{
+    ExecutionHandle execution;
+};
+/// Send a finished answer as frames and an end frame.
+struct ReplayAnswer
+{
+    PeerHandle to;
+    wire::AttemptId id;
+    std::shared_ptr<const KeptAnswer> answer;
+};
+struct SendOrder
+{
+    OrderHandle order;
+    OrderKind kind = OrderKind::List;
+    AdapterVersion which;
+    std::string weights;
+    std::uint64_t fence = 0;
+    Duration timeout{};
+};
+struct SubmitKv
+{
+    KvRequest request;
+};
+/// All work is done after a drain: the process may exit.
+struct Drained
+{
+};
+using SidecarAction = std::variant<SendMessage, StartExecution, AttachListener, DetachListener, CancelExecution,
+                                   ReplayAnswer, SendOrder, SubmitKv, Drained>;
+
+/// What an engine says of itself, on List or in a report. A hint but for the incarnation and the adapters of a List.
+struct EngineList
+{
+    std::uint64_t incarnation = 0;
+    std::vector<AdapterVersion> loaded;
+    std::vector<std::pair<AdapterVersion, std::uint32_t>> running; ///< calls running by adapter
+    std::uint64_t highestFence = 0;
+};
+
+struct EngineReport
+{
+    std::uint64_t incarnation = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t stepFillPermille = 0;
+    std::vector<std::uint64_t> prefixes; ///< newly cached, late and with gaps
+};
+
+struct SidecarInit
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    std::string dataCentre;
+    EndpointKind kind = EndpointKind::Engine;
+    std::string baseModel;
+    std::vector<std::string> services;
+    std::string keyPrefix = "/anvilscale/";
+    std::uint32_t slots = 4; ///< adapter slots of the engine
+    std::uint32_t batchLimit = 16; ///< calls given to the endpoint at a time
+    bool endpointChecksFence = true;
+    Duration orderTimeout = Seconds(60); ///< longest time an order may take effect after it was sent
+    SeenKeys::Limits seenKeys;
+    Timing timing;
+    const ConfigStore *config = nullptr;
+    TimerService *timers = nullptr;
+    std::uint64_t seed = 1;
+};
+
+/// Read by /metrics and `anvilctl status`. Counters only grow; the others are as of now.
+struct SidecarStats
+{
+    Counters<RefusalReason> refusals;
+    Counters<OrderOutcome> orders;
+    std::uint64_t executions = 0; ///< started at the endpoint
+    std::uint64_t attached = 0;
+    std::uint64_t replayed = 0;
+    std::uint64_t loads = 0;
+    std::uint64_t reloads = 0; ///< loads of a version that had been evicted before
+    std::uint64_t evictions = 0;
+    std::uint64_t stalledCalls = 0; ///< calls that waited for their adapter
+    Duration stallTotal{};
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t resident = 0;
+    std::uint64_t droppedMessages = 0;
+};
+
+class SidecarDecisions
+{
+public:
+    explicit SidecarDecisions(SidecarInit init);
+    ~SidecarDecisions();
+    SidecarDecisions(const SidecarDecisions &) = delete;
+    SidecarDecisions &operator=(const SidecarDecisions &) = delete;
+
+    /// Reads the engine's list, fences predecessors, asks for its slots. No call is admitted before recovery ends.
+    void start(Now now);
+    /// Any message from another process.
+    void onMessage(PeerHandle from, const wire::Envelope &message, Now now);
+    void onPeerLost(PeerHandle peer, Now now);
+    /// The first byte of the endpoint's answer was seen.
+    void onExecutionStarted(ExecutionHandle execution, Now now);
+    /// Bytes may have been sent in every outcome but EndpointUnreachable, which proves that none were.
+    void onExecutionEnded(ExecutionHandle execution, KeptAnswer answer, std::uint32_t generatedTokens, Now now);
+    void onOrderDone(OrderHandle order, OrderOutcome outcome, Now now);
+    void onEngineList(OrderHandle order, const EngineList &list, Now now);
+    void onEngineReport(const EngineReport &report, Now now);
+    /// The endpoint cannot be reached.
+    void onEngineLost(Now now);
+    /// The configuration has moved to a higher revision.
+    void onConfigChanged(Now now);
+    void onKvReply(const KvReply &reply, Now now);
+    /// Live sidecars by service or base model, from the membership.
+    void onMembers(const std::vector<Member> &members, Now now);
+    /// SIGTERM, a drain order or the VM list. Final.
+    void drain(Now now);
+    void onConfigStale(bool stale, Now now);
+
+    std::vector<SidecarAction> takeActions();
+    const SidecarStats &stats() const;
+    /// For `anvilctl adapters`: each adapter known with its state, pins and waiting calls.
+    std::vector<wire::AdapterState> adapters() const;
+    bool leaving() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/include/anvilscale/state.h
@@ -0,0 +1,377 @@
+// State library: what the processes agree on and remember. Configuration by revision, leases, at-most-once slots
+// with their seen keys, and membership. State machines without I/O: requests to the key-value service come out as
+// KvRequest, replies go in. One control thread; nothing here is shared between threads.
+#pragma once
+
+#include "anvilscale/base.h"
+#include "anvilscale/platform.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace anvilscale::config {
+class Change;
+class Delta;
+class Head;
+class SlotTable;
+class Snapshot;
+}
+namespace anvilscale::wire {
+class ConfigFetch;
+class ConfigPush;
+class DrainOrder;
+class Heartbeat;
+class ProcessId;
+class SlotHandover;
+class SlotHandoverAck;
+}
+
+namespace anvilscale {
+
+// ---- configuration
+
+enum class ConfigErrorKind : std::uint8_t {
+    BadJson,
+    UnknownField,
+    UnknownSchemaVersion,
+    MissingField,
+    OutOfRange,
+    UnknownReference, ///< a route names an adapter or version that is not there
+    Conflict, ///< another writer was first; `revision` is the current one
+    NotNext, ///< a delta that does not follow the present revision
+    DigestMismatch,
+    TooLarge,
+    Unavailable, ///< the key-value service could not be asked: nothing was changed
+    OutcomeUnknown, ///< the write's reply was lost and could not be read back
+    Count
+};
+template<>
+struct EnumNames<ConfigErrorKind>
+{
+    static constexpr std::array<std::string_view, enumCount<ConfigErrorKind>> table{
+        "bad_json", "unknown_field", "unknown_schema_version", "missing_field", "out_of_range", "unknown_reference",
+        "conflict", "not_next",      "digest_mismatch",        "too_large",     "unavailable",  "outcome_unknown"};
+};
+
+struct ConfigError
+{
+    ConfigErrorKind kind = ConfigErrorKind::BadJson;
+    std::string path; ///< record and field, e.g. "route/lounge-mn.deadlineMs"
+    std::string detail; ///< for people
+    std::uint64_t revision = 0;
+};
+
+/// The operators' weights and limits. Defaults suit both deployments; `policy` records override.
+struct Policy
+{
+    double stallWeight = 1.0; ///< per second of load stall
+    double batchWeight = 1.0; ///< per unit of step fill
+    double loadRate = 4.0; ///< loads a second that the weight store allows, all sidecars together
+    std::uint32_t parallelLoads = 1;
+    std::uint32_t reservedSlots = 0; ///< adapter slots of an engine kept for CallClass::Urgent
+    double retryBudget = 0.1; ///< executions created by retries over first executions
+    std::array<double, enumCount<CallClass>> classWeights{4.0, 2.0, 1.0};
+    Duration cancelDelay = Seconds(10); ///< a cancel waits this long for a repeat to attach
+    std::uint32_t queueLimit = 256; ///< calls waiting at one sidecar
+    Duration defaultDeadline = Seconds(30);
+    double hedgeQuantile = 0.0; ///< 0: no hedging
+};
+
+struct RouteView
+{
+    AdapterVersion target;
+    std::string nextVersion; ///< to be loaded ahead of a switch; empty if none
+    std::string_view baseModel;
+    Duration deadline{};
+    CallClass callClass = CallClass::Normal;
+};
+
+struct ServiceView
+{
+    bool idempotent = false;
+    Duration deadline{};
+    CallClass callClass = CallClass::Normal;
+    std::uint32_t slots = 1024;
+    Duration window = std::chrono::minutes(10); ///< W: how long a seen key is kept
+    Duration skew = Seconds(1); ///< largest difference between two wall clocks
+    Duration margin = Seconds(10); ///< added to an owner's take-over time
+};
+
+/// The configuration at one revision, and the only way to move to a higher one. Invariants: revision() never falls;
+/// digest() is a function of the records alone, so that two processes at one revision compare equal.
+class ConfigStore
+{
+public:
+    ConfigStore();
+    ~ConfigStore();
+    ConfigStore(const ConfigStore &) = delete;
+    ConfigStore &operator=(const ConfigStore &) = delete;
+
+    std::uint64_t revision() const;
+    std::uint64_t digest() const;
+    std::optional<RouteView> route(std::string_view name) const;
+    std::optional<ServiceView> service(std::string_view name) const;
+    const Policy &policy() const;
+    /// Where the endpoint finds the weights of a version; empty if the adapter or version is not configured.
+    std::string weights(const AdapterVersion &which) const;
+    std::size_t adapterCount() const;
+
+    /// Applies the delta that makes revision()+1; anything else is NotNext and changes nothing.
+    tl::expected<void, ConfigError> apply(const config::Delta &delta);
+    /// Replaces everything, if the snapshot is whole and of a higher revision.
+    tl::expected<void, ConfigError> restore(std::span<const config::Snapshot> chunks);
+    /// What a peer at `have` lacks: kept deltas, or a snapshot if they do not reach back that far.
+    wire::ConfigPush pushSince(std::uint64_t have) const;
+    /// All records as they were written, for `anvilctl config get` and snapshots.
+    std::vector<config::Change> records() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// Parses and checks one record as an operator wrote it, either schema version.
+tl::expected<config::Change, ConfigError> parseRecord(std::string_view json);
+
+// ---- at most once
+
+/// Validity of an Idempotency-Key: a UUIDv7 (RFC 9562), whose first 48 bits are milliseconds since 1970.
+std::optional<WallTime> keyTime(std::string_view key);
+std::string makeKey(WallTime now, Random &random);
+std::uint32_t slotOf(std::string_view key, std::uint32_t slots);
+
+/// The finished answer of an execution, kept for repeats.
+struct KeptAnswer
+{
+    CallOutcome outcome = CallOutcome::Unknown;
+    FailureReason failure = FailureReason::None;
+    std::uint32_t status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+enum class KeyDecisionKind : std::uint8_t {
+    Run, ///< new: registered as running
+    Attach, ///< running now
+    Replay, ///< finished within the window
+    Refuse,
+    Count
+};
+template<>
+struct EnumNames<KeyDecisionKind>
+{
+    static constexpr std::array<std::string_view, enumCount<KeyDecisionKind>> table{"run", "attach", "replay",
+                                                                                    "refuse"};
+};
+
+struct KeyDecision
+{
+    KeyDecisionKind kind = KeyDecisionKind::Refuse;
+    ExecutionHandle execution; ///< Attach
+    std::shared_ptr<const KeptAnswer> answer; ///< Replay
+    RefusalReason reason = RefusalReason::None; ///< Refuse
+    bool provedNotRun = false; ///< Refuse
+};
+
+/// The keys seen by the owner of some slots of one service. Invariants: a key that was registered is kept until
+/// its stamp is older than the window, whatever happens; a full table refuses and forgets nothing early.
+class SeenKeys
+{
+public:
+    struct Limits
+    {
+        std::size_t keys = 100'000;
+        std::size_t answerBytes = 16U << 20;
+    };
+    explicit SeenKeys(Limits limits);
+    ~SeenKeys();
+
+    /// Decides on a call with this key. `fingerprint` is a hash of method, path and body: a key that comes back with
+    /// another one is KeyReused. `takenAt` is the take-over time of the owner's slot, including the margin; keys
+    /// stamped before it are refused as unknown. With Run the key is registered under `execution`.
+    KeyDecision admit(std::string_view key, std::uint64_t fingerprint, const ServiceView &service, WallTime takenAt,
+                      ExecutionHandle execution, Now now);
+    /// The execution did certainly not reach the endpoint: the key is free again.
+    void release(std::string_view key);
+    /// The execution ended. Answers over the memory limit are dropped, the key is kept: a repeat is told "unknown".
+    void finish(std::string_view key, KeptAnswer answer, Now now);
+    /// Forgets keys that are out of the window.
+    void expire(const ServiceView &service, Now now);
+    std::size_t size() const;
+    std::size_t answerBytes() const;
+
+    /// For the hand-over: all keys of a slot, running ones as outcome unknown.
+    void exportSlot(std::uint32_t slot, std::uint32_t slots, Now now, wire::SlotHandover &into) const;
+    void importPart(const wire::SlotHandover &part, Now now);
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+// ---- times of leases and membership, from the settings
+
+struct Timing
+{
+    Duration heartbeat = Milliseconds(500);
+    Duration suspect = Milliseconds(2500);
+    Duration lease = Seconds(10);
+    Duration leaseMargin = Seconds(2); ///< a holder stops acting this long before its lease ends
+    Duration vmList = Seconds(2);
+    Duration configPoll = Seconds(5);
+    Duration leave = Seconds(3); ///< a leaving endpoint gets no new work after this
+};
+
+enum class LeaseState : std::uint8_t {
+    None,
+    Asking,
+    Held,
+    Lost,
+    Count
+};
+template<>
+struct EnumNames<LeaseState>
+{
+    static constexpr std::array<std::string_view, enumCount<LeaseState>> table{"none", "asking", "held", "lost"};
+};
+
+/// Holds one key in the key-value service under a lease, with a fencing number that grows at each take-over.
+/// mayAct() is asked directly before each effect: a holder that was paused sees by its own monotonic clock that
+/// its lease is over, because the time is counted from before the last successful keep-alive was sent.
+class LeaseKeeper
+{
+public:
+    struct Init
+    {
+        std::string key;
+        std::string holder; ///< text kept under the key, with the fence
+        std::uint64_t incarnation = 0;
+        std::string address;
+        Timing timing;
+        TimerService *timers = nullptr;
+        std::uint64_t seed = 1;
+    };
+    /// `submit` is given each request; its reply comes to onReply with the same handle.
+    LeaseKeeper(Init init, std::function<void(KvRequest)> submit);
+    ~LeaseKeeper();
+    void start(Now now);
+    /// Gives the lease back.
+    void stop(Now now);
+    /// True if the reply was one of this keeper's.
+    bool onReply(const KvReply &reply, Now now);
+    bool mayAct(TimePoint now) const;
+    std::uint64_t fence() const; ///< 0 if not held
+    LeaseState state() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// Whether, and since when, this sidecar owns a slot of a service.
+struct SlotOwnership
+{
+    bool owned = false;
+    std::uint64_t fence = 0;
+    WallTime takenAt; ///< including the margin; keys stamped before it are refused as unknown
+};
+
+/// Takes and keeps this sidecar's share of a service's slots in the one table of that service.
+class SlotOwner
+{
+public:
+    struct Init
+    {
+        std::string service;
+        std::string keyPrefix; ///< the table is kept at keyPrefix + "slots/" + service
+        std::string self;
+        std::uint64_t incarnation = 0;
+        Timing timing;
+        const ConfigStore *config = nullptr;
+        TimerService *timers = nullptr;
+        std::uint64_t seed = 1;
+    };
+    SlotOwner(Init init, std::function<void(KvRequest)> submit);
+    ~SlotOwner();
+    void start(Now now);
+    /// Sidecars of the service that are alive and not leaving, this one included: the table is shared out evenly.
+    void onMembers(const std::vector<std::string> &names, Now now);
+    bool onReply(const KvReply &reply, Now now);
+    /// Asked directly before each effect.
+    SlotOwnership owns(std::uint32_t slot, Now now) const;
+    /// Starts to give all slots away; parts go out through `handover` and the table names the receiver last.
+    void drain(Now now);
+    bool drained() const;
+    bool onHandover(const wire::SlotHandover &part, Now now);
+    std::vector<std::uint32_t> slots() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// The slot table as an entry knows it: where to send a call that must run at most once.
+struct SlotTarget
+{
+    std::string owner;
+    std::uint64_t ownerIncarnation = 0;
+    std::uint64_t fence = 0;
+};
+
+// ---- membership
+
+enum class MemberState : std::uint8_t {
+    Live,
+    Suspect, ///< silent for a while: gets no new work, keeps its calls
+    Leaving, ///< final for the incarnation
+    Gone,
+    Count
+};
+template<>
+struct EnumNames<MemberState>
+{
+    static constexpr std::array<std::string_view, enumCount<MemberState>> table{"live", "suspect", "leaving", "gone"};
+};
+
+struct Member
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    MemberState state = MemberState::Suspect;
+    VmRole role = VmRole::Sidecar;
+    std::string dataCentre;
+    std::string region;
+    std::string address;
+};
+
+/// Who is there, from the lagging list of VMs and from direct heartbeats. A heartbeat goes before the list, except
+/// that leaving is final. Invariant: an incarnation never returns from Leaving or Gone.
+class Membership
+{
+public:
+    struct Init
+    {
+        Timing timing;
+        TimerService *timers = nullptr;
+    };
+    /// `changed` is called after each change of a member.
+    Membership(Init init, std::function<void(const Member &)> changed);
+    ~Membership();
+    void onVmList(const std::vector<VmInfo> &list, Now now);
+    void onHeartbeat(const wire::Heartbeat &heartbeat, Now now);
+    void onDrain(const wire::DrainOrder &order, Now now);
+    void onUnreachable(const std::string &name, Now now);
+    const Member *find(std::string_view name) const;
+    std::vector<Member> members() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/include/anvilscale/telemetry.h
@@ -0,0 +1,144 @@
+// Telemetry library: numbered log events, counters and histograms. Events and metrics are declared in tables, so
+// that the catalogue in docs/events.md can be checked against the code.
+#pragma once
+
+#include "anvilscale/base.h"
+
+#include <initializer_list>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace anvilscale {
+
+enum class LogLevel : std::uint8_t {
+    Debug,
+    Info,
+    Warn,
+    Error,
+    Count
+};
+template<>
+struct EnumNames<LogLevel>
+{
+    static constexpr std::array<std::string_view, enumCount<LogLevel>> table{"debug", "info", "warn", "error"};
+};
+
+/// Every line that a process can log. The number in eventTable is for ever; the text may be improved.
+enum class Event : std::uint16_t {
+    ProcessStarted,
+    ProcessStopped,
+    SettingsRejected,
+    ListenFailed,
+    DrainStarted,
+    DrainFinished,
+    ConfigMoved,
+    ConfigRejected,
+    ConfigStale,
+    ConfigFresh,
+    MemberChanged,
+    PeerLost,
+    SchedulerTaken,
+    SchedulerLost,
+    SlotsChanged,
+    EndpointLost,
+    EndpointBack,
+    EndpointRestarted,
+    LoadDone,
+    LoadFailed,
+    EvictDone,
+    VersionQuarantined,
+    CallFailed,
+    CallRefused,
+    AnswerBroken,
+    SlowReaderCut,
+    FrameDropped,
+    KeyValueDown,
+    KeyValueBack,
+    VmListDown,
+    UnexpectedError,
+    Count
+};
+
+struct EventInfo
+{
+    std::uint16_t number;
+    LogLevel level;
+    std::string_view name;
+    std::string_view text;
+};
+
+/// Indexed by Event.
+extern const std::array<EventInfo, enumCount<Event>> eventTable;
+
+struct LogField
+{
+    std::string_view name;
+    std::variant<std::string, std::int64_t, std::uint64_t, double, bool> value;
+};
+
+struct LogInit
+{
+    LogLevel level = LogLevel::Info;
+    std::string file; ///< empty: standard error
+    std::string process; ///< put into every line
+};
+
+/// Sets up log4cxx with one JSON object a line. Call once, before other threads start.
+void initLog(const LogInit &init);
+void shutdownLog();
+/// Logs one event. Any thread.
+void logEvent(Event event, std::initializer_list<LogField> fields = {});
+/// The line as it is written, without the time; for tests.
+std::string formatEvent(Event event, std::initializer_list<LogField> fields);
+
+/// A histogram of Boost.Histogram with fixed bounds, in the unit that the metric's name ends in. Any thread.
+class HistogramMetric
+{
+public:
+    HistogramMetric(std::string name, std::string help, const std::vector<double> &bounds);
+    ~HistogramMetric();
+    HistogramMetric(const HistogramMetric &) = delete;
+    HistogramMetric &operator=(const HistogramMetric &) = delete;
+    void record(double value, double weight = 1.0);
+    /// Appends the metric in the Prometheus text format.
+    void render(std::string &out) const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// Writes metrics in the Prometheus text format, in the order of the calls.
+class MetricsText
+{
+public:
+    void counter(std::string_view name, std::string_view help, std::uint64_t value);
+    void gauge(std::string_view name, std::string_view help, double value);
+    /// One line for each value of the enumeration, also for those never counted.
+    template<class E>
+    void counters(std::string_view name, std::string_view help, std::string_view label, const Counters<E> &values)
+    {
+        head(name, help, "counter");
+        for (std::size_t i = 0; i < enumCount<E>; ++i) {
+            const auto value = static_cast<E>(i);
+            labelled(name, label, toString(value), values.of(value));
+        }
+    }
+    void add(const HistogramMetric &histogram);
+    const std::string &text() const
+    {
+        return text_;
+    }
+
+private:
+    void head(std::string_view name, std::string_view help, std::string_view type);
+    void labelled(std::string_view name, std::string_view label, std::string_view labelValue, std::uint64_t value);
+
+    std::string text_;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/ctl/placeholder.cpp
@@ -0,0 +1,1 @@
+#include "anvilscale/base.h"
--- /dev/null
+++ b/src/platform/placeholder.cpp
@@ -0,0 +1,2 @@
+// placeholder until the first part of the library lands
+#include "anvilscale/platform.h"
--- /dev/null
+++ b/src/settings/placeholder.cpp
@@ -0,0 +1,1 @@
+#include "anvilscale/settings.h"
