--- a/include/anvilscale/settings.h
+++ b/include/anvilscale/settings.h
@@ -1,4 +1,6 @@
-// Settings library: reads a daemon's JSON settings and checks them whole before anything starts.
+// Settings library: reads a daemon's JSON settings and checks them whole before anything starts. The fields are
+// those of schema/settings.proto; defaults and ranges stand in one table (src/settings/rules.cpp), from which
+// docs/settings.md is made as well.
 #pragma once
 
 #include "settings.pb.h"
@@ -37,7 +39,9 @@
 /// Checks the text and fills in defaults. The result is complete: no part of the daemon knows a default of its own.
 tl::expected<settings::Settings, SettingsError> parseSettings(std::string_view json);
 tl::expected<settings::Settings, SettingsError> readSettings(const std::string &file);
-/// Settings of a role with every default, as JSON.
+/// Settings of a role ("entry" or "sidecar") with every default, as JSON.
 std::string printDefaults(std::string_view role);
+/// The table of all fields, with default, range and meaning, in Markdown.
+std::string settingsPage();
 
 } // namespace anvilscale
--- a/src/settings/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "anvilscale/settings.h"
--- /dev/null
+++ b/src/settings/rules.cpp
@@ -0,0 +1,213 @@
+// The table of settings: every number, text and flag with its default, its range and its meaning.
+#include "rules.h"
+
+#include "anvilscale/telemetry.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+#include <string>
+
+namespace anvilscale::settings_rules {
+
+namespace {
+
+constexpr std::array numberTable{
+    NumberRule{"control.port", Scope::Both, 0, 0, 65535, "port for our own processes; 0: given by the system"},
+    NumberRule{"http.port", Scope::Both, 0, 0, 65535, "port for callers, health and metrics; 0: given by the system"},
+    NumberRule{"platform.requestTimeoutMs", Scope::Both, 2000, 10, 60000,
+               "time after which a request to the platform counts as unanswered"},
+    NumberRule{"platform.callBudget", Scope::Both, 10, 0.1, 1000,
+               "calls a second that this process may make on the key-value service"},
+    NumberRule{"entry.headerLimitBytes", Scope::Entry, 16384, 1024, 1048576, "largest header of a call"},
+    NumberRule{"entry.bodyLimitBytes", Scope::Entry, 4194304, 1024, 268435456, "largest body of a call"},
+    NumberRule{"entry.connectionLimit", Scope::Entry, 4096, 1, 100000, "open connections of callers"},
+    NumberRule{"entry.headerTimeoutMs", Scope::Entry, 10000, 100, 600000, "time for a caller to send the header"},
+    NumberRule{"entry.bodyTimeoutMs", Scope::Entry, 30000, 100, 600000, "time for a caller to send the body"},
+    NumberRule{"entry.writeTimeoutMs", Scope::Entry, 20000, 100, 600000,
+               "a caller that takes nothing for this long is cut"},
+    NumberRule{"entry.streamBufferBytes", Scope::Entry, 262144, 4096, 67108864,
+               "bytes of one answer that may wait for a slow caller"},
+    NumberRule{"entry.trafficThreads", Scope::Entry, 2, 1, 64, "threads that read from and write to callers"},
+    NumberRule{"entry.jsonDepthLimit", Scope::Entry, 32, 2, 1000, "deepest nesting of a call's JSON"},
+    NumberRule{"sidecar.slots", Scope::Sidecar, 4, 1, 1024, "adapter slots of the engine"},
+    NumberRule{"sidecar.batchLimit", Scope::Sidecar, 16, 1, 4096, "calls given to the endpoint at a time"},
+    NumberRule{"sidecar.lock.port", Scope::Sidecar, 0, 0, 65535,
+               "loopback port that only one sidecar of a VM can hold; 0: no lock, for tests only"},
+    NumberRule{"sidecar.orderTimeoutMs", Scope::Sidecar, 60000, 100, 3600000,
+               "longest time an order may take effect after it was sent"},
+    NumberRule{"sidecar.answerMemoryBytes", Scope::Sidecar, 8388608, 0, 1073741824,
+               "memory for finished answers that a repeat may get"},
+    NumberRule{"sidecar.seenKeyLimit", Scope::Sidecar, 100000, 1, 10000000,
+               "idempotency keys remembered; more are refused, none is forgotten early"},
+    NumberRule{"timing.heartbeatMs", Scope::Both, 500, 20, 60000, "interval of heartbeats between processes"},
+    NumberRule{"timing.suspectMs", Scope::Both, 2500, 60, 600000, "silence after which a process gets no new work"},
+    NumberRule{"timing.leaseMs", Scope::Both, 10000, 200, 600000, "time of a lease in the key-value service"},
+    NumberRule{"timing.leaseMarginMs", Scope::Both, 2000, 20, 300000,
+               "a holder stops acting this long before its lease ends"},
+    NumberRule{"timing.vmListMs", Scope::Both, 2000, 50, 600000, "interval of reading the list of VMs"},
+    NumberRule{"timing.configPollMs", Scope::Both, 5000, 50, 600000,
+               "interval of reading the configuration's head where no watch tells"},
+    NumberRule{"timing.leaveMs", Scope::Both, 3000, 100, 600000,
+               "time after which a leaving endpoint gets no new work"},
+};
+
+constexpr std::array textTable{
+    TextRule{"role", Scope::Both, TextForm::Role, true, "", "entry or sidecar"},
+    TextRule{"name", Scope::Both, TextForm::Name, true, "", "name of the VM, unique in the deployment"},
+    TextRule{"dataCentre", Scope::Both, TextForm::Name, true, "", "the data centre it stands in"},
+    TextRule{"region", Scope::Both, TextForm::Name, false, "default", "the region of the data centre"},
+    TextRule{"control.address", Scope::Both, TextForm::IpNumber, false, "127.0.0.1", "IP number to listen on"},
+    TextRule{"control.portFile", Scope::Both, TextForm::Any, false, "", "file that the port is written to"},
+    TextRule{"http.address", Scope::Both, TextForm::IpNumber, false, "127.0.0.1", "IP number to listen on"},
+    TextRule{"http.portFile", Scope::Both, TextForm::Any, false, "", "file that the port is written to"},
+    TextRule{"platform.keyValue", Scope::Both, TextForm::Url, true, "", "gateways of the key-value service"},
+    TextRule{"platform.prefix", Scope::Both, TextForm::Any, false, "/anvilscale/", "prefix of all keys"},
+    TextRule{"platform.vmList", Scope::Both, TextForm::Url, true, "", "where the list of VMs is read"},
+    TextRule{"sidecar.endpoint", Scope::Sidecar, TextForm::LoopbackUrl, true, "", "the endpoint beside it"},
+    TextRule{"sidecar.endpointKind", Scope::Sidecar, TextForm::EndpointKind, true, "", "engine or service"},
+    TextRule{"sidecar.baseModel", Scope::Sidecar, TextForm::Any, false, "", "base model of an engine"},
+    TextRule{"sidecar.services", Scope::Sidecar, TextForm::Name, false, "", "plain services that the endpoint gives"},
+    TextRule{"sidecar.lock.address", Scope::Sidecar, TextForm::LoopbackNumber, false, "127.0.0.1",
+             "loopback number of the lock"},
+    TextRule{"log.level", Scope::Both, TextForm::LogLevel, false, "info", "least level that is written"},
+    TextRule{"log.file", Scope::Both, TextForm::Any, false, "", "log file; empty: standard error"},
+};
+
+constexpr std::array flagTable{
+    FlagRule{"entry.schedulerCandidate", Scope::Entry, true, "may hold the load scheduler's lease"},
+    FlagRule{"sidecar.endpointChecksFence", Scope::Sidecar, false,
+             "the endpoint refuses orders with an old fencing number"},
+};
+
+bool isIpNumber(std::string_view text)
+{
+    in_addr v4{};
+    in6_addr v6{};
+    const std::string copy(text);
+    return inet_pton(AF_INET, copy.c_str(), &v4) == 1 || inet_pton(AF_INET6, copy.c_str(), &v6) == 1;
+}
+
+bool isLoopback(std::string_view address)
+{
+    return isIpNumber(address) && (address.starts_with("127.") || address == "::1");
+}
+
+bool isPort(std::string_view text)
+{
+    unsigned port = 0;
+    const auto end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, port);
+    return parsed.ec == std::errc() && parsed.ptr == end && port >= 1 && port <= 65535;
+}
+
+/// The address of "http://ADDRESS:PORT/...", or empty.
+std::string_view addressOf(std::string_view url)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!url.starts_with(scheme)) {
+        return {};
+    }
+    const std::string_view host = url.substr(scheme.size(), url.find('/', scheme.size()) - scheme.size());
+    const auto colon = host.rfind(':');
+    if (colon == std::string_view::npos || !isPort(host.substr(colon + 1))) {
+        return {};
+    }
+    std::string_view address = host.substr(0, colon);
+    if (address.starts_with('[') && address.ends_with(']')) {
+        address = address.substr(1, address.size() - 2);
+    }
+    return isIpNumber(address) ? address : std::string_view{};
+}
+
+bool isName(std::string_view text)
+{
+    constexpr std::size_t longestName = 128;
+    const auto allowed = [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.'; };
+    return !text.empty() && text.size() <= longestName && std::all_of(text.begin(), text.end(), allowed);
+}
+
+} // namespace
+
+std::span<const NumberRule> numbers()
+{
+    return numberTable;
+}
+
+std::span<const TextRule> texts()
+{
+    return textTable;
+}
+
+std::span<const FlagRule> flags()
+{
+    return flagTable;
+}
+
+bool matches(TextForm form, std::string_view text)
+{
+    switch (form) {
+    case TextForm::Any:
+        return true;
+    case TextForm::Name:
+        return isName(text);
+    case TextForm::IpNumber:
+        return isIpNumber(text);
+    case TextForm::LoopbackNumber:
+        return isLoopback(text);
+    case TextForm::Url:
+        return !addressOf(text).empty();
+    case TextForm::LoopbackUrl:
+        return isLoopback(addressOf(text));
+    case TextForm::Role:
+        return text == "entry" || text == "sidecar";
+    case TextForm::EndpointKind:
+        return text == "engine" || text == "service";
+    case TextForm::LogLevel:
+        return fromString<LogLevel>(text).has_value();
+    }
+    return false;
+}
+
+std::string_view describe(TextForm form)
+{
+    switch (form) {
+    case TextForm::Any:
+        return "text";
+    case TextForm::Name:
+        return "letters, digits, - _ .";
+    case TextForm::IpNumber:
+        return "IP number";
+    case TextForm::LoopbackNumber:
+        return "loopback IP number";
+    case TextForm::Url:
+        return "http://IP:PORT[/path]";
+    case TextForm::LoopbackUrl:
+        return "http://LOOPBACK-IP:PORT";
+    case TextForm::Role:
+        return "entry, sidecar";
+    case TextForm::EndpointKind:
+        return "engine, service";
+    case TextForm::LogLevel:
+        return "debug, info, warn, error";
+    }
+    return "";
+}
+
+std::string_view describe(Scope scope)
+{
+    switch (scope) {
+    case Scope::Both:
+        return "both";
+    case Scope::Entry:
+        return "entry";
+    case Scope::Sidecar:
+        return "sidecar";
+    }
+    return "";
+}
+
+} // namespace anvilscale::settings_rules
--- /dev/null
+++ b/src/settings/rules.h
@@ -0,0 +1,64 @@
+// The rules that settings are checked by: one line a field, with default, range and meaning.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace anvilscale::settings_rules {
+
+/// Which role's settings a field belongs to.
+enum class Scope : std::uint8_t {
+    Both,
+    Entry,
+    Sidecar
+};
+
+struct NumberRule
+{
+    std::string_view path;
+    Scope scope;
+    double initial;
+    double least;
+    double most;
+    std::string_view meaning;
+};
+
+enum class TextForm : std::uint8_t {
+    Any,
+    Name, ///< letters, digits, '-', '_', '.'
+    IpNumber,
+    LoopbackNumber,
+    Url, ///< http://IP:PORT with an optional path
+    LoopbackUrl,
+    Role,
+    EndpointKind,
+    LogLevel
+};
+
+struct TextRule
+{
+    std::string_view path;
+    Scope scope;
+    TextForm form;
+    bool required;
+    std::string_view initial;
+    std::string_view meaning;
+};
+
+struct FlagRule
+{
+    std::string_view path;
+    Scope scope;
+    bool initial;
+    std::string_view meaning;
+};
+
+std::span<const NumberRule> numbers();
+std::span<const TextRule> texts();
+std::span<const FlagRule> flags();
+bool matches(TextForm form, std::string_view text);
+std::string_view describe(TextForm form);
+std::string_view describe(Scope scope);
+
+} // namespace anvilscale::settings_rules
