--- a/src/settings/schema_check.cpp
+++ b/src/settings/schema_check.cpp
@@ -75,7 +75,7 @@
         return wrongType(path, "a list");
     }
     for (int i = 0; i < value.list_value().values_size(); ++i) {
-        const auto error = checkValue(value.list_value().values(i), field, path + "[" + std::to_string(i) + "]");
+        auto error = checkValue(value.list_value().values(i), field, path + "[" + std::to_string(i) + "]");
         if (error) {
             return error;
         }
@@ -108,7 +108,7 @@
         if (field == nullptr) {
             return SettingsError{SettingsErrorKind::UnknownField, prefix + name, "no such field"};
         }
-        const auto error = checkField(tree.fields().at(name), *field, prefix + name);
+        auto error = checkField(tree.fields().at(name), *field, prefix + name);
         if (error) {
             return error;
         }
