Platform: key-value gateway, VM list, and the stand-ins

Cause: nothing spoke with the platform, and nothing took its place in tests.

Change: EtcdGateway speaks the subset of the etcd v3 JSON gateway (range, txn, leases, watch) with a timeout for each call, fail-over between endpoints, a call budget with a share kept for leases, bounded queues and watches that resume after the last revision seen. A write is Unavailable only where it certainly had no effect. HttpVmList reads the list of VMs. The program standins has a key-value service, a model engine, a plain service, a weight store and a VM list, with the faults that tests ask for.

--- a/include/anvilscale/platform.h
+++ b/include/anvilscale/platform.h
@@ -6,6 +6,8 @@
 #include "anvilscale/base.h"
 
 #include <concepts>
+#include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -87,7 +89,7 @@
     KvHandle id;
     KvStatus status = KvStatus::Ok;
     bool event = false;
-    std::vector<KvEntry> entries;
+    std::vector<KvEntry> entries = {};
     std::int64_t storeRevision = 0;
     std::uint64_t lease = 0;
     Duration ttl{};
@@ -150,4 +152,97 @@
         } -> std::same_as<void>;
 };
 
+/// What the key-value adapter did, for the metrics.
+struct KvStats
+{
+    std::array<Counters<KvStatus>, enumCount<KvOp>> replies; ///< answers given, by operation and status
+    Counters<KvOp> calls; ///< calls made to the service, each attempt and each watch connection as one
+    std::uint64_t overBudget = 0; ///< requests turned away by the call budget
+    std::uint64_t queueFull = 0; ///< requests turned away by the bounded queue
+    std::uint64_t failovers = 0; ///< attempts that went on to another endpoint
+    std::uint64_t watchReconnects = 0;
+
+    std::uint64_t of(KvOp op, KvStatus status) const
+    {
+        return replies[static_cast<std::size_t>(op)].of(status);
+    }
+};
+
+/// The key-value service through the etcd v3 JSON gateway (HTTP). Each request is answered once, within twice the
+/// timeout; a watch that once stood is taken up again by itself after a lost connection, from the last revision seen.
+/// Callbacks come from the adapter's own threads, and none after shutdown() has returned.
+class EtcdGateway
+{
+public:
+    struct Init
+    {
+        std::vector<std::string> endpoints; ///< "http://IP:PORT"; one that fails is followed by the next
+        Duration timeout = Seconds(2); ///< of one request, from submit
+        double callBudget = 50.0; ///< calls a second; a second's worth may be saved up
+    };
+    using Stats = KvStats;
+
+    EtcdGateway(Init init, std::function<void(KvReply)> reply);
+    ~EtcdGateway();
+    EtcdGateway(const EtcdGateway &) = delete;
+    EtcdGateway &operator=(const EtcdGateway &) = delete;
+
+    /// Any thread. Returns at once.
+    void submit(KvRequest request);
+    /// Ends all connections and threads. Requests without an answer get none.
+    void shutdown();
+    Stats stats() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+enum class VmListError : std::uint8_t {
+    Unreachable, ///< no connection, or none of the answer came in time
+    BadStatus, ///< the platform answered with something other than 200
+    TooLarge,
+    BadForm, ///< not JSON, or not the form of a list of VMs
+    Count
+};
+template<>
+struct EnumNames<VmListError>
+{
+    static constexpr std::array<std::string_view, enumCount<VmListError>> table{"unreachable", "bad_status",
+                                                                                "too_large", "bad_form"};
+};
+
+/// Reads the form {"vms":[{"name","role","state","dataCentre","region","address"}]}. Unknown fields are passed over:
+/// the platform may add some. A list with one bad line is refused whole, so that no VM seems to be gone.
+tl::expected<std::vector<VmInfo>, VmListError> parseVmList(const std::string &json);
+
+/// The platform's list of VMs, read by HTTP GET on an interval and on request. The callback comes from its own thread.
+class HttpVmList
+{
+public:
+    struct Init
+    {
+        std::string url; ///< "http://IP:PORT/path"
+        Duration interval = Seconds(2);
+        Duration timeout = Seconds(2);
+    };
+    using Result = tl::expected<std::vector<VmInfo>, VmListError>;
+
+    HttpVmList(Init init, std::function<void(Result)> callback);
+    ~HttpVmList();
+    HttpVmList(const HttpVmList &) = delete;
+    HttpVmList &operator=(const HttpVmList &) = delete;
+
+    /// Any thread. Reads at once instead of at the next interval.
+    void requestRefresh();
+    void shutdown();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// One reading of the list, for tools.
+HttpVmList::Result readVmList(const std::string &url, Duration timeout);
+
 } // namespace anvilscale
--- /dev/null
+++ b/tests/standins/http_host.cpp
@@ -0,0 +1,204 @@
+// The HTTP server and helpers that all stand-ins share.
+#include "http_host.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Parser.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/StreamCopier.h>
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace standins {
+
+namespace {
+constexpr int connectionLimit = 2048;
+constexpr int keepAliveSeconds = 300;
+
+class CallHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit CallHandler(const Handler &handler)
+        : handler_(handler)
+    {
+    }
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        try {
+            handler_(request, response);
+        } catch (const Poco::Net::NetException &) {
+            cut(request);
+        } catch (const Poco::Exception &error) {
+            if (!response.sent()) {
+                sendText(response, HTTPServerResponse::HTTP_BAD_REQUEST, "text/plain", error.displayText());
+            }
+        }
+    }
+
+private:
+    const Handler &handler_;
+};
+
+class HandlerFactory : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit HandlerFactory(Handler handler)
+        : handler_(std::move(handler))
+    {
+    }
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
+    {
+        return new CallHandler(handler_);
+    }
+
+private:
+    Handler handler_;
+};
+
+Poco::Net::StreamSocket &socketOf(HTTPServerRequest &request)
+{
+    return static_cast<Poco::Net::HTTPServerRequestImpl &>(request).socket();
+}
+
+// A reader that waits for the file must never find a part of the number.
+void writePort(const std::string &file, unsigned port)
+{
+    const std::string part = file + ".part";
+    {
+        std::ofstream out(part);
+        out << port << "\n";
+    }
+    std::rename(part.c_str(), file.c_str());
+}
+
+sigset_t stopSignals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    return set;
+}
+} // namespace
+
+HttpHost::HttpHost(Handler handler, unsigned port)
+    : pool_(2, connectionLimit)
+    , socket_(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(port)), connectionLimit)
+{
+    auto params = Poco::makeAuto<Poco::Net::HTTPServerParams>();
+    params->setMaxThreads(connectionLimit);
+    params->setMaxQueued(connectionLimit);
+    params->setKeepAlive(true);
+    params->setMaxKeepAliveRequests(0);
+    params->setKeepAliveTimeout(Poco::Timespan(keepAliveSeconds, 0));
+    params->setTimeout(Poco::Timespan(keepAliveSeconds, 0));
+    server_ = std::make_unique<Poco::Net::HTTPServer>(new HandlerFactory(std::move(handler)), pool_, socket_, params);
+    server_->start();
+}
+
+HttpHost::~HttpHost()
+{
+    server_->stopAll(true);
+}
+
+unsigned HttpHost::port() const
+{
+    return socket_.address().port();
+}
+
+void blockStopSignals()
+{
+    const sigset_t set = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+int serveUntilStopped(const Handler &handler, const cxxopts::ParseResult &options)
+{
+    const HttpHost host(handler, options["port"].as<unsigned>());
+    const auto file = options["port-file"].as<std::string>();
+    if (file.empty()) {
+        std::cout << host.port() << std::endl;
+    } else {
+        writePort(file, host.port());
+    }
+    const sigset_t set = stopSignals();
+    int signal = 0;
+    sigwait(&set, &signal);
+    std::cout.flush();
+    // Handlers may still wait for slow work; a stand-in keeps nothing, so it need not wait for them.
+    std::_Exit(0);
+}
+
+std::string readBody(HTTPServerRequest &request)
+{
+    std::string body;
+    Poco::StreamCopier::copyToString(request.stream(), body);
+    return body;
+}
+
+JsonObject::Ptr readJson(HTTPServerRequest &request)
+{
+    const std::string body = readBody(request);
+    if (body.empty()) {
+        return new JsonObject;
+    }
+    try {
+        Poco::JSON::Parser parser;
+        return parser.parse(body).extract<JsonObject::Ptr>();
+    } catch (const Poco::Exception &) {
+        return new JsonObject;
+    }
+}
+
+std::string print(const JsonObject &object)
+{
+    std::ostringstream out;
+    object.stringify(out);
+    return out.str();
+}
+
+void sendJson(HTTPServerResponse &response, int status, const JsonObject &body)
+{
+    sendText(response, status, "application/json", print(body));
+}
+
+void sendText(HTTPServerResponse &response, int status, const std::string &type, const std::string &body)
+{
+    response.setStatusAndReason(static_cast<HTTPServerResponse::HTTPStatus>(status));
+    response.setContentType(type);
+    response.sendBuffer(body.data(), body.size());
+}
+
+bool clientGone(HTTPServerRequest &request)
+{
+    try {
+        auto &socket = socketOf(request);
+        if (!socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
+            return false;
+        }
+        char byte = 0;
+        return socket.receiveBytes(&byte, 1, MSG_PEEK) == 0;
+    } catch (const Poco::Exception &) {
+        return true;
+    }
+}
+
+void cut(HTTPServerRequest &request)
+{
+    try {
+        socketOf(request).shutdown();
+    } catch (const Poco::Exception &) {
+        return; // it is closed already
+    }
+}
+
+} // namespace standins
--- /dev/null
+++ b/tests/standins/subcommands.h
@@ -0,0 +1,22 @@
+// The subcommands of the program `standins`. Each serves until SIGTERM and returns the exit code.
+#pragma once
+
+namespace cxxopts {
+class ParseResult;
+class Options;
+}
+
+namespace standins {
+
+void keyValueOptions(cxxopts::Options &options);
+int runKeyValue(const cxxopts::ParseResult &options);
+void engineOptions(cxxopts::Options &options);
+int runEngine(const cxxopts::ParseResult &options);
+void serviceOptions(cxxopts::Options &options);
+int runService(const cxxopts::ParseResult &options);
+void weightStoreOptions(cxxopts::Options &options);
+int runWeightStore(const cxxopts::ParseResult &options);
+void vmListOptions(cxxopts::Options &options);
+int runVmList(const cxxopts::ParseResult &options);
+
+} // namespace standins
