--- a/include/anvilscale/base.h
+++ b/include/anvilscale/base.h
@@ -38,7 +38,7 @@
 struct WallTime
 {
     std::int64_t ms = 0;
-    auto operator<=>(const WallTime &) const = default;
+    auto operator<=>(const WallTime &) const = default; // NOLINT(modernize-use-nullptr): not a pointer
 };
 
 /// Both clocks, read once for each event. Source: the daemon's loop, or a test's virtual clock.
--- a/include/anvilscale/state.h
+++ b/include/anvilscale/state.h
@@ -6,6 +6,7 @@
 #include "anvilscale/base.h"
 #include "anvilscale/platform.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -25,6 +26,7 @@
 class ConfigFetch;
 class ConfigPush;
 class DrainOrder;
+class Envelope;
 class Heartbeat;
 class ProcessId;
 class SlotHandover;
@@ -125,10 +127,20 @@
     tl::expected<void, ConfigError> apply(const config::Delta &delta);
     /// Replaces everything, if the snapshot is whole and of a higher revision.
     tl::expected<void, ConfigError> restore(std::span<const config::Snapshot> chunks);
-    /// What a peer at `have` lacks: kept deltas, or a snapshot if they do not reach back that far.
-    wire::ConfigPush pushSince(std::uint64_t have) const;
-    /// All records as they were written, for `anvilctl config get` and snapshots.
+    /// Takes the chunks of a snapshot one by one, in order; with the last one everything is replaced at once.
+    tl::expected<void, ConfigError> stage(const config::Snapshot &chunk);
+    /// Whether the changes would be accepted on top of this revision, and the digest after them.
+    tl::expected<std::uint64_t, ConfigError> validate(std::span<const config::Change> changes) const;
+    /// What a peer at `have` lacks: kept deltas, or a chunk of a snapshot if they do not reach back that far. A peer
+    /// that has begun to fetch a snapshot names its revision and the next chunk.
+    wire::ConfigPush pushSince(std::uint64_t have, std::uint64_t snapshotRevision = 0, std::uint32_t part = 0) const;
+    /// All records as they were written (adapters and routes in their canonical text), for `anvilctl config get`.
     std::vector<config::Change> records() const;
+    std::optional<std::string> recordText(std::string_view kind, std::string_view name) const;
+    /// Everything in chunks of about `chunkBytes`, for the key-value service.
+    std::vector<config::Snapshot> snapshot(std::size_t chunkBytes) const;
+    /// Bytes held for the records and for kept deltas.
+    std::size_t memoryBytes() const;
 
 private:
     struct Impl;
@@ -138,6 +150,194 @@
 /// Parses and checks one record as an operator wrote it, either schema version.
 tl::expected<config::Change, ConfigError> parseRecord(std::string_view json);
 
+// ---- times of leases and membership, from the settings
+
+struct Timing
+{
+    Duration heartbeat = Milliseconds(500);
+    Duration suspect = Milliseconds(2500);
+    Duration lease = Seconds(10);
+    Duration leaseMargin = Seconds(2); ///< a holder stops acting this long before its lease ends
+    Duration vmList = Seconds(2);
+    Duration configPoll = Seconds(5);
+    Duration leave = Seconds(3); ///< a leaving endpoint gets no new work after this
+};
+
+enum class LeaseState : std::uint8_t {
+    None,
+    Asking,
+    Held,
+    Lost,
+    Count
+};
+template<>
+struct EnumNames<LeaseState>
+{
+    static constexpr std::array<std::string_view, enumCount<LeaseState>> table{"none", "asking", "held", "lost"};
+};
+
+/// Holds one key in the key-value service under a lease, with a fencing number that grows at each take-over.
+/// mayAct() is asked directly before each effect: a holder that was paused sees by its own monotonic clock that
+/// its lease is over, because the time is counted from before the last successful keep-alive was sent.
+class LeaseKeeper
+{
+public:
+    struct Init
+    {
+        std::string key;
+        std::string holder; ///< text kept under the key, with the fence
+        std::uint64_t incarnation = 0;
+        std::string address;
+        Timing timing;
+        TimerService *timers = nullptr;
+        std::uint64_t seed = 1;
+    };
+    /// `submit` is given each request; its reply comes to onReply with the same handle.
+    LeaseKeeper(Init init, std::function<void(KvRequest)> submit);
+    ~LeaseKeeper();
+    void start(Now now);
+    /// Gives the lease back.
+    void stop(Now now);
+    /// True if the reply was one of this keeper's.
+    bool onReply(const KvReply &reply, Now now);
+    bool mayAct(TimePoint now) const;
+    std::uint64_t fence() const; ///< 0 if not held
+    LeaseState state() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+// ---- the configuration in the key-value service and between processes
+
+/// Follows one key, or all keys of a range: one full read, then a watch from the revision after it. A watch that
+/// breaks is resumed from the last revision seen; where the service no longer keeps it, all is read again.
+class KeyFollower
+{
+public:
+    struct Init
+    {
+        std::string key;
+        std::string rangeEnd; ///< empty: `key` alone
+        TimerService *timers = nullptr;
+        Duration longestWait = Seconds(10); ///< of the backoff while the service is out of reach
+        std::uint64_t seed = 1;
+    };
+    /// `changed` is given all entries after a full read (`full`), else the entries changed or deleted.
+    KeyFollower(Init init, std::function<void(KvRequest)> submit,
+                std::function<void(const std::vector<KvEntry> &, bool full, Now)> changed);
+    ~KeyFollower();
+    void start(Now now);
+    void stop();
+    bool onReply(const KvReply &reply, Now now);
+    /// Time of the last full read or event; empty before the first.
+    std::optional<TimePoint> lastAnswer() const;
+    /// Whether the watch stands.
+    bool watching() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// Keeps a ConfigStore up to date: from the key-value service in the few processes of a data centre that watch the
+/// head, and by pushes and digests of peers in all others. Invariant: the store only moves to a higher revision.
+class ConfigSpread
+{
+public:
+    struct Init
+    {
+        std::string self;
+        std::uint64_t incarnation = 0;
+        std::string dataCentre;
+        std::string keyPrefix = "/anvilscale/";
+        bool mayWatch = false; ///< entries may take one of the data centre's watcher leases
+        std::uint32_t watchers = 2; ///< watchers a data centre
+        Timing timing;
+        Duration staleAfter = Seconds(30);
+        ConfigStore *store = nullptr;
+        TimerService *timers = nullptr;
+        std::uint64_t seed = 1;
+    };
+    struct Callbacks
+    {
+        std::function<void(KvRequest)> submit;
+        std::function<void(const std::string &peer, wire::Envelope message)> sendToPeer;
+        std::function<void(Now)> changed; ///< the store has moved
+        std::function<void(const ConfigError &, Now)> refused = nullptr; ///< a change that cannot be taken
+    };
+    struct Stats
+    {
+        std::uint64_t pushesSent = 0;
+        std::uint64_t pushesTaken = 0;
+        std::uint64_t pushesRefused = 0;
+        std::uint64_t fetchesSent = 0;
+        std::uint64_t storeReads = 0; ///< reads of the key-value service
+        std::uint64_t readFailures = 0;
+        std::uint64_t applied = 0; ///< revisions taken
+        std::uint64_t digestMismatches = 0;
+        std::uint64_t staleSpells = 0; ///< times that stale() became true
+    };
+    ConfigSpread(Init init, Callbacks callbacks);
+    ~ConfigSpread();
+    void start(Now now);
+    bool onReply(const KvReply &reply, Now now);
+    /// What a peer's heartbeat or Hello says of its configuration. `age`: how long ago the peer knew its revision to
+    /// be the head's, by its age(); a chain of peers can so confirm a head, but never one another.
+    void onPeerRevision(const std::string &peer, std::uint64_t revision, std::uint64_t digest, Now now,
+                        std::optional<Duration> age = std::nullopt);
+    void onPeerLost(const std::string &peer);
+    void onPush(const wire::ConfigPush &push, Now now);
+    /// A peer asks for what it lacks.
+    void onFetch(const std::string &peer, const wire::ConfigFetch &fetch, Now now);
+    /// The head could not be confirmed for longer than staleAfter, neither by the service nor by a peer that could.
+    bool stale() const;
+    /// Time since the store was last known to be at the head; goes out with heartbeats and Hello.
+    Duration age(TimePoint now) const;
+    /// True from the start until a first configuration was had from the service or a peer.
+    bool empty() const;
+    bool watching() const; ///< holds one of the watcher leases
+    const Stats &stats() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// Appends one change to the configuration by compare-and-swap. The store is first brought to the head.
+class ConfigWriter
+{
+public:
+    struct Init
+    {
+        std::string keyPrefix = "/anvilscale/";
+        std::string author;
+        /// Newest schema version that every live process reads (Membership::schemaVersionOfAll); 0: not known.
+        std::uint32_t schemaVersionOfAll = 0;
+        std::uint32_t snapshotEvery = 100; ///< revisions between two snapshots
+        std::size_t chunkBytes = 900'000; ///< of a snapshot; values have at most a megabyte
+        ConfigStore *store = nullptr;
+        TimerService *timers = nullptr;
+        std::uint64_t seed = 1;
+    };
+    /// The revision that the change made, or why there is none.
+    using Result = tl::expected<std::uint64_t, ConfigError>;
+    ConfigWriter(Init init, std::function<void(KvRequest)> submit, std::function<void(const Result &, Now)> done);
+    ~ConfigWriter();
+    /// One change set at a time. `changeId` is unique for ever. With `expected`, any other head is a Conflict.
+    void apply(std::vector<config::Change> changes, std::string changeId, std::optional<std::uint64_t> expected,
+               Now now);
+    /// Writes a snapshot of the head if one is due, and drops deltas and snapshots that nobody needs any more.
+    /// `done` is called with the head's revision.
+    void compact(Now now);
+    bool onReply(const KvReply &reply, Now now);
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
 // ---- at most once
 
 /// Validity of an Idempotency-Key: a UUIDv7 (RFC 9562), whose first 48 bits are milliseconds since 1970.
@@ -207,66 +407,8 @@
 
     /// For the hand-over: all keys of a slot, running ones as outcome unknown.
     void exportSlot(std::uint32_t slot, std::uint32_t slots, Now now, wire::SlotHandover &into) const;
-    void importPart(const wire::SlotHandover &part, Now now);
-
-private:
-    struct Impl;
-    std::unique_ptr<Impl> impl_;
-};
-
-// ---- times of leases and membership, from the settings
-
-struct Timing
-{
-    Duration heartbeat = Milliseconds(500);
-    Duration suspect = Milliseconds(2500);
-    Duration lease = Seconds(10);
-    Duration leaseMargin = Seconds(2); ///< a holder stops acting this long before its lease ends
-    Duration vmList = Seconds(2);
-    Duration configPoll = Seconds(5);
-    Duration leave = Seconds(3); ///< a leaving endpoint gets no new work after this
-};
-
-enum class LeaseState : std::uint8_t {
-    None,
-    Asking,
-    Held,
-    Lost,
-    Count
-};
-template<>
-struct EnumNames<LeaseState>
-{
-    static constexpr std::array<std::string_view, enumCount<LeaseState>> table{"none", "asking", "held", "lost"};
-};
-
-/// Holds one key in the key-value service under a lease, with a fencing number that grows at each take-over.
-/// mayAct() is asked directly before each effect: a holder that was paused sees by its own monotonic clock that
-/// its lease is over, because the time is counted from before the last successful keep-alive was sent.
-class LeaseKeeper
-{
-public:
-    struct Init
-    {
-        std::string key;
-        std::string holder; ///< text kept under the key, with the fence
-        std::uint64_t incarnation = 0;
-        std::string address;
-        Timing timing;
-        TimerService *timers = nullptr;
-        std::uint64_t seed = 1;
-    };
-    /// `submit` is given each request; its reply comes to onReply with the same handle.
-    LeaseKeeper(Init init, std::function<void(KvRequest)> submit);
-    ~LeaseKeeper();
-    void start(Now now);
-    /// Gives the lease back.
-    void stop(Now now);
-    /// True if the reply was one of this keeper's.
-    bool onReply(const KvReply &reply, Now now);
-    bool mayAct(TimePoint now) const;
-    std::uint64_t fence() const; ///< 0 if not held
-    LeaseState state() const;
+    /// False if there is no room for the part: nothing was taken.
+    bool importPart(const wire::SlotHandover &part, Now now);
 
 private:
     struct Impl;
@@ -368,6 +510,8 @@
     void onUnreachable(const std::string &name, Now now);
     const Member *find(std::string_view name) const;
     std::vector<Member> members() const;
+    /// Newest schema version of configuration records that every member heard of can read; 0 if none has told.
+    std::uint32_t schemaVersionOfAll() const;
 
 private:
     struct Impl;
--- /dev/null
+++ b/src/state/byte_codec.h
@@ -0,0 +1,72 @@
+// The packed form's bytes: numbers of seven bits a byte, texts with their length before them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace anvilscale {
+
+class ByteWriter
+{
+public:
+    void number(std::uint64_t value)
+    {
+        while (value >= 0x80) {
+            bytes_ += static_cast<char>(value | 0x80);
+            value >>= 7;
+        }
+        bytes_ += static_cast<char>(value);
+    }
+    void text(std::string_view value)
+    {
+        number(value.size());
+        bytes_ += value;
+    }
+    std::string take()
+    {
+        return std::move(bytes_);
+    }
+
+private:
+    std::string bytes_;
+};
+
+/// Reads what a ByteWriter of this process wrote.
+class ByteReader
+{
+public:
+    explicit ByteReader(const char *at)
+        : at_(at)
+        , start_(at)
+    {
+    }
+    std::uint64_t number()
+    {
+        std::uint64_t value = 0;
+        for (unsigned shift = 0;; shift += 7) {
+            const auto byte = static_cast<unsigned char>(*at_++);
+            value |= static_cast<std::uint64_t>(byte & 0x7f) << shift;
+            if (byte < 0x80) {
+                return value;
+            }
+        }
+    }
+    std::string_view text()
+    {
+        const auto size = static_cast<std::size_t>(number());
+        const std::string_view value(at_, size);
+        at_ += size;
+        return value;
+    }
+    std::size_t consumed() const
+    {
+        return static_cast<std::size_t>(at_ - start_);
+    }
+
+private:
+    const char *at_;
+    const char *start_;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/state/config_reader.h
@@ -0,0 +1,69 @@
+// Brings a ConfigStore to the head in the key-value service: by deltas, or by a snapshot where it is too far behind.
+#pragma once
+
+#include "config.pb.h"
+#include "kv_ids.h"
+
+#include "anvilscale/state.h"
+
+namespace anvilscale {
+
+/// Keys of the configuration under a prefix.
+struct ConfigKeys
+{
+    std::string prefix;
+
+    std::string head() const;
+    std::string delta(std::uint64_t revision) const;
+    std::string chunk(std::uint64_t revision, std::uint32_t chunk) const;
+};
+
+/// The head as it was read, with the revision of its key that a compare-and-swap names.
+struct HeadRead
+{
+    config::Head head;
+    std::int64_t modRevision = 0; ///< 0: there is no head yet
+};
+
+class ConfigReader
+{
+public:
+    using Result = tl::expected<HeadRead, ConfigError>;
+
+    ConfigReader(std::string keyPrefix, ConfigStore *store, std::string_view part,
+                 std::function<void(KvRequest)> submit, std::function<void(const Result &, Now)> done);
+    /// One read at a time; a second start is ignored.
+    void read(Now now);
+    bool busy() const;
+    bool onReply(const KvReply &reply, Now now);
+
+private:
+    enum class Step : std::uint8_t {
+        Idle,
+        Head,
+        Deltas,
+        Chunk,
+    };
+    void send(Step step, std::string key, std::string rangeEnd);
+    void proceed(Now now);
+    void askDeltas();
+    void askChunk(std::uint32_t chunk);
+    void onHead(const KvReply &reply, Now now);
+    void onDeltas(const KvReply &reply, Now now);
+    void onChunk(const KvReply &reply, Now now);
+    void finish(const Result &result, Now now);
+
+    ConfigKeys keys_;
+    ConfigStore *store_;
+    std::function<void(KvRequest)> submit_;
+    std::function<void(const Result &, Now)> done_;
+    KvIds ids_;
+    Step step_ = Step::Idle;
+    KvHandle pending_;
+    HeadRead head_;
+    std::uint32_t chunk_ = 0;
+    bool useSnapshot_ = false;
+    std::uint32_t headReads_ = 0; // of this read: what it names may be compacted away before it is read
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/state/config_writer.cpp
@@ -0,0 +1,419 @@
+// Appends changes by compare-and-swap, and keeps the kept history short.
+#include "config_reader.h"
+#include "record.h"
+
+namespace anvilscale {
+namespace {
+
+constexpr std::uint32_t mostAttempts = 4;
+constexpr std::size_t deletesPerTxn = 100; // the service limits the operations of one transaction
+constexpr std::size_t largestDelta = 900'000;
+constexpr Duration firstWait = Milliseconds(100);
+constexpr Duration longestWait = Seconds(2);
+
+ConfigError makeError(ConfigErrorKind kind, std::string detail, std::uint64_t revision)
+{
+    return ConfigError{kind, "config", std::move(detail), revision};
+}
+
+} // namespace
+
+struct ConfigWriter::Impl
+{
+    enum class Step : std::uint8_t {
+        Idle,
+        Reading, ///< bringing the store to the head
+        Writing,
+        ReadingBack, ///< whether a delta carries our change id
+        WritingChunk,
+        MovingHead, ///< to name the new snapshot
+        Dropping,
+    };
+
+    Init init;
+    std::function<void(KvRequest)> submit;
+    std::function<void(const Result &, Now)> done;
+    ConfigKeys keys;
+    KvIds ids;
+    Random random;
+    Backoff backoff;
+    ConfigReader reader;
+
+    Step step = Step::Idle;
+    bool compacting = false;
+    KvHandle pending;
+    TimerHandle timer;
+    std::uint32_t attempts = 0;
+    bool ambiguous = false; // a write without a reply may have taken effect
+    bool overtaken = false; // another writer was first; the head is read only to tell its revision
+    std::optional<std::uint64_t> expected;
+    config::Delta delta; // revision 0: not yet built on a head
+    HeadRead head;
+    std::vector<config::Snapshot> chunks;
+    std::size_t nextChunk = 0;
+    std::vector<std::string> drops;
+
+    Impl(Init from, std::function<void(KvRequest)> to, std::function<void(const Result &, Now)> onDone)
+        : init(std::move(from))
+        , submit(std::move(to))
+        , done(std::move(onDone))
+        , keys{init.keyPrefix}
+        , ids("config-writer/" + init.author + std::to_string(init.seed))
+        , random(init.seed)
+        , backoff(firstWait, longestWait)
+        , reader(init.keyPrefix, init.store, "writer/" + init.author + std::to_string(init.seed), submit,
+                 [this](const ConfigReader::Result &result, Now now) { onHead(result, now); })
+    {
+    }
+
+    void send(Step next, KvRequest request);
+    void finish(const Result &result, Now now);
+    void fail(ConfigErrorKind kind, const char *detail, Now now);
+    void again(Step what, Now now);
+    void proceed(Now now);
+    void onHead(const ConfigReader::Result &result, Now now);
+    std::optional<ConfigError> build(Now now);
+    std::optional<ConfigError> checkSchemaVersions() const;
+    void write();
+    void onWritten(const KvReply &reply, Now now);
+    void onReadBack(const KvReply &reply, Now now);
+    void succeed(Now now);
+    void compactAt(Now now);
+    void writeChunk();
+    void moveHead();
+    void listDrops(const config::Head &before);
+    void dropNext(Now now);
+    void onCompactionReply(const KvReply &reply, Now now);
+};
+
+ConfigWriter::ConfigWriter(Init init, std::function<void(KvRequest)> submit,
+                           std::function<void(const Result &, Now)> done)
+    : impl_(std::make_unique<Impl>(std::move(init), std::move(submit), std::move(done)))
+{
+}
+
+ConfigWriter::~ConfigWriter()
+{
+    impl_->init.timers->cancel(impl_->timer);
+}
+
+void ConfigWriter::Impl::send(Step next, KvRequest request)
+{
+    step = next;
+    request.id = ids.next();
+    pending = request.id;
+    submit(std::move(request));
+}
+
+void ConfigWriter::Impl::finish(const Result &result, Now now)
+{
+    step = Step::Idle;
+    compacting = false;
+    chunks.clear();
+    done(result, now);
+}
+
+void ConfigWriter::Impl::fail(ConfigErrorKind kind, const char *detail, Now now)
+{
+    // Once a write went out without a reply, nothing but reading it back can say that it had no effect.
+    const auto told = ambiguous ? ConfigErrorKind::OutcomeUnknown : kind;
+    finish(tl::unexpected(makeError(told, detail, init.store->revision())), now);
+}
+
+void ConfigWriter::Impl::again(Step what, Now now)
+{
+    if (++attempts > mostAttempts) {
+        fail(ConfigErrorKind::Unavailable, "the key-value service does not answer", now);
+        return;
+    }
+    step = what;
+    timer = init.timers->subscribe(now.mono + backoff.next(random), [this, wall = now.wall](TimePoint at) {
+        timer = {};
+        proceed(Now{at, wall});
+    });
+}
+
+void ConfigWriter::Impl::proceed(Now now)
+{
+    if (step == Step::ReadingBack) {
+        KvRequest request;
+        request.key = keys.delta(delta.revision());
+        send(Step::ReadingBack, std::move(request));
+        return;
+    }
+    step = Step::Reading;
+    reader.read(now);
+}
+
+void ConfigWriter::Impl::onHead(const ConfigReader::Result &result, Now now)
+{
+    if (!result) {
+        if (result.error().kind == ConfigErrorKind::Unavailable) {
+            again(Step::Reading, now);
+        } else {
+            finish(tl::unexpected(result.error()), now);
+        }
+        return;
+    }
+    head = *result;
+    const std::uint64_t revision = head.head.revision();
+    if (revision != init.store->revision()) { // a stale read
+        again(Step::Reading, now);
+        return;
+    }
+    if (overtaken) {
+        finish(tl::unexpected(makeError(ConfigErrorKind::Conflict, "another change came first", revision)), now);
+        return;
+    }
+    if (compacting) {
+        compactAt(now);
+        return;
+    }
+    if (delta.revision() == 0) {
+        if (const auto error = build(now)) {
+            finish(tl::unexpected(*error), now);
+            return;
+        }
+    } else if (delta.revision() != revision + 1) {
+        step = Step::ReadingBack; // somebody made the revision that we wanted to make: perhaps we did
+        proceed(now);
+        return;
+    }
+    write();
+}
+
+std::optional<ConfigError> ConfigWriter::Impl::checkSchemaVersions() const
+{
+    for (const auto &change : delta.changes()) {
+        const auto form = change.removed() ? tl::expected<RecordForm, ConfigError>() : readRecord(change.json());
+        if (!form) {
+            return form.error();
+        }
+        // A process that cannot read the record would stay at the revision before it, for as long as it lives.
+        if (init.schemaVersionOfAll != 0 && !change.removed() && form->schemaVersion > init.schemaVersionOfAll) {
+            return ConfigError{ConfigErrorKind::UnknownSchemaVersion, change.kind() + "/" + change.name(),
+                               "a live process reads only up to version " + std::to_string(init.schemaVersionOfAll),
+                               head.head.revision()};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<ConfigError> ConfigWriter::Impl::build(Now now)
+{
+    const std::uint64_t revision = head.head.revision();
+    if (expected && *expected != revision) {
+        return makeError(ConfigErrorKind::Conflict, "the head has moved", revision);
+    }
+    if (auto error = checkSchemaVersions()) {
+        return error;
+    }
+    const std::vector<config::Change> changes(delta.changes().begin(), delta.changes().end());
+    const auto digest = init.store->validate(changes);
+    if (!digest) {
+        return digest.error();
+    }
+    delta.set_revision(revision + 1);
+    delta.set_digest(*digest);
+    delta.set_wall_ms(static_cast<std::uint64_t>(now.wall.ms));
+    if (delta.ByteSizeLong() > largestDelta) {
+        return makeError(ConfigErrorKind::TooLarge, "split the change", revision);
+    }
+    return std::nullopt;
+}
+
+void ConfigWriter::Impl::write()
+{
+    config::Head next = head.head;
+    next.set_revision(delta.revision());
+    next.set_change_id(delta.change_id());
+    next.set_digest(delta.digest());
+    KvRequest request;
+    request.op = KvOp::Txn;
+    request.compares.push_back({keys.head(), head.modRevision});
+    request.puts.push_back({keys.delta(delta.revision()), delta.SerializeAsString()});
+    request.puts.push_back({keys.head(), next.SerializeAsString()});
+    send(Step::Writing, std::move(request));
+}
+
+void ConfigWriter::Impl::onWritten(const KvReply &reply, Now now)
+{
+    if (reply.status == KvStatus::Ok) {
+        succeed(now);
+    } else if (reply.status == KvStatus::Unavailable) {
+        again(Step::Reading, now);
+    } else if (reply.status == KvStatus::Unknown) {
+        ambiguous = true;
+        again(Step::ReadingBack, now);
+    } else {
+        step = Step::ReadingBack;
+        proceed(now);
+    }
+}
+
+void ConfigWriter::Impl::onReadBack(const KvReply &reply, Now now)
+{
+    if (reply.status != KvStatus::Ok) {
+        again(Step::ReadingBack, now);
+        return;
+    }
+    config::Delta found;
+    if (reply.entries.empty() || !found.ParseFromString(reply.entries.front().value)) {
+        // Not there, and perhaps still under way. The same compare-and-swap again is safe: only one of the two can
+        // take effect, and both carry one change id.
+        again(Step::Reading, now);
+        return;
+    }
+    if (found.change_id() == delta.change_id()) {
+        succeed(now);
+        return;
+    }
+    ambiguous = false; // the revision is taken by another change, for good
+    overtaken = true;
+    again(Step::Reading, now);
+}
+
+void ConfigWriter::Impl::succeed(Now now)
+{
+    if (init.store->revision() + 1 == delta.revision()) {
+        // It was checked on this very revision; a failure would show with the next read.
+        (void)init.store->apply(delta);
+    }
+    finish(delta.revision(), now);
+}
+
+void ConfigWriter::Impl::compactAt(Now now)
+{
+    const std::uint64_t revision = head.head.revision();
+    if (revision - head.head.snapshot_revision() < init.snapshotEvery) {
+        finish(revision, now);
+        return;
+    }
+    chunks = init.store->snapshot(init.chunkBytes);
+    nextChunk = 0;
+    writeChunk();
+}
+
+/// Chunks of a snapshot that is never named by the head are harmless, so their writes need no reading back: the same
+/// revision always has the same chunks.
+void ConfigWriter::Impl::writeChunk()
+{
+    KvRequest request;
+    request.op = KvOp::Txn;
+    const auto &chunk = chunks[nextChunk];
+    request.puts.push_back({keys.chunk(chunk.revision(), chunk.chunk()), chunk.SerializeAsString()});
+    send(Step::WritingChunk, std::move(request));
+}
+
+void ConfigWriter::Impl::moveHead()
+{
+    config::Head next = head.head;
+    next.set_snapshot_revision(next.revision());
+    next.set_snapshot_chunks(static_cast<std::uint32_t>(chunks.size()));
+    KvRequest request;
+    request.op = KvOp::Txn;
+    request.compares.push_back({keys.head(), head.modRevision});
+    request.puts.push_back({keys.head(), next.SerializeAsString()});
+    send(Step::MovingHead, std::move(request));
+}
+
+/// Deltas since the snapshot before are kept for processes that are a little behind.
+void ConfigWriter::Impl::listDrops(const config::Head &before)
+{
+    drops.clear();
+    const std::uint64_t last = before.snapshot_revision();
+    const std::uint64_t first = last > 2ULL * init.snapshotEvery ? last - 2ULL * init.snapshotEvery : 1;
+    for (std::uint64_t revision = first; revision <= last; ++revision) {
+        drops.push_back(keys.delta(revision));
+    }
+    for (std::uint32_t chunk = 0; chunk < before.snapshot_chunks(); ++chunk) {
+        drops.push_back(keys.chunk(last, chunk));
+    }
+}
+
+void ConfigWriter::Impl::dropNext(Now now)
+{
+    if (drops.empty()) {
+        finish(head.head.revision(), now);
+        return;
+    }
+    KvRequest request;
+    request.op = KvOp::Txn;
+    while (!drops.empty() && request.deletes.size() < deletesPerTxn) {
+        request.deletes.push_back(std::move(drops.back()));
+        drops.pop_back();
+    }
+    send(Step::Dropping, std::move(request));
+}
+
+void ConfigWriter::Impl::onCompactionReply(const KvReply &reply, Now now)
+{
+    if (reply.status != KvStatus::Ok) {
+        // Left for the next compaction. A head that moved, moved to a newer revision or to this very snapshot.
+        finish(head.head.revision(), now);
+        return;
+    }
+    if (step == Step::WritingChunk) {
+        if (++nextChunk < chunks.size()) {
+            writeChunk();
+        } else {
+            moveHead();
+        }
+        return;
+    }
+    if (step == Step::MovingHead) {
+        listDrops(head.head);
+    }
+    dropNext(now);
+}
+
+void ConfigWriter::apply(std::vector<config::Change> changes, std::string changeId,
+                         std::optional<std::uint64_t> expected, Now now)
+{
+    impl_->delta.Clear();
+    impl_->delta.set_change_id(std::move(changeId));
+    impl_->delta.set_author(impl_->init.author);
+    for (auto &change : changes) {
+        *impl_->delta.add_changes() = std::move(change);
+    }
+    impl_->expected = expected;
+    impl_->attempts = 0;
+    impl_->ambiguous = false;
+    impl_->overtaken = false;
+    impl_->compacting = false;
+    impl_->backoff.reset();
+    impl_->step = Impl::Step::Reading;
+    impl_->proceed(now);
+}
+
+void ConfigWriter::compact(Now now)
+{
+    impl_->attempts = 0;
+    impl_->ambiguous = false;
+    impl_->overtaken = false;
+    impl_->compacting = true;
+    impl_->backoff.reset();
+    impl_->step = Impl::Step::Reading;
+    impl_->proceed(now);
+}
+
+bool ConfigWriter::onReply(const KvReply &reply, Now now)
+{
+    if (impl_->reader.onReply(reply, now)) {
+        return true;
+    }
+    if (impl_->step == Impl::Step::Idle || reply.id != impl_->pending) {
+        return false;
+    }
+    impl_->pending = {};
+    if (impl_->step == Impl::Step::Writing) {
+        impl_->onWritten(reply, now);
+    } else if (impl_->step == Impl::Step::ReadingBack) {
+        impl_->onReadBack(reply, now);
+    } else {
+        impl_->onCompactionReply(reply, now);
+    }
+    return true;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/state/idempotency_key.cpp
@@ -0,0 +1,92 @@
+// Idempotency keys: UUIDv7 (RFC 9562), whose first 48 bits are the milliseconds since 1970 at which it was made.
+#include "anvilscale/state.h"
+
+namespace anvilscale {
+namespace {
+
+constexpr std::size_t keyLength = 36;
+constexpr std::array<std::size_t, 4> dashes{8, 13, 18, 23};
+constexpr std::size_t versionDigit = 14;
+constexpr std::size_t variantDigit = 19;
+constexpr std::string_view hexDigits = "0123456789abcdef";
+constexpr unsigned stampDigits = 12;
+constexpr std::uint64_t stampMask = (std::uint64_t(1) << 48) - 1;
+
+std::optional<std::uint64_t> hexValue(char c)
+{
+    const char lower = c >= 'A' && c <= 'F' ? static_cast<char>(c - 'A' + 'a') : c;
+    const auto at = hexDigits.find(lower);
+    return at == std::string_view::npos ? std::nullopt : std::optional<std::uint64_t>(at);
+}
+
+bool isDash(std::size_t at)
+{
+    return at == dashes[0] || at == dashes[1] || at == dashes[2] || at == dashes[3];
+}
+
+/// The low `digits` hex digits of `value`, the highest first.
+void appendHex(std::string &out, std::uint64_t value, unsigned digits)
+{
+    for (unsigned i = digits; i-- > 0;) {
+        out += hexDigits[(value >> (4 * i)) & 0xf];
+    }
+}
+
+} // namespace
+
+std::optional<WallTime> keyTime(std::string_view key)
+{
+    if (key.size() != keyLength || key[versionDigit] != '7') {
+        return std::nullopt;
+    }
+    std::uint64_t stamp = 0;
+    unsigned digits = 0;
+    for (std::size_t i = 0; i < keyLength; ++i) {
+        if (isDash(i)) {
+            if (key[i] != '-') {
+                return std::nullopt;
+            }
+            continue;
+        }
+        const auto value = hexValue(key[i]);
+        if (!value || (i == variantDigit && (*value >> 2) != 2)) {
+            return std::nullopt;
+        }
+        if (digits++ < stampDigits) {
+            stamp = stamp << 4 | *value;
+        }
+    }
+    return WallTime{static_cast<std::int64_t>(stamp)};
+}
+
+std::string makeKey(WallTime now, Random &random)
+{
+    const std::uint64_t stamp = static_cast<std::uint64_t>(now.ms) & stampMask;
+    const std::uint64_t a = random.next();
+    const std::uint64_t b = random.next();
+    std::string key;
+    key.reserve(keyLength);
+    appendHex(key, stamp >> 16, 8);
+    key += '-';
+    appendHex(key, stamp, 4);
+    key += "-7";
+    appendHex(key, a, 3);
+    key += '-';
+    appendHex(key, 0x8 | (a >> 12 & 0x3), 1);
+    appendHex(key, a >> 16, 3);
+    key += '-';
+    appendHex(key, b, 12);
+    return key;
+}
+
+std::uint32_t slotOf(std::string_view key, std::uint32_t slots)
+{
+    // Two spellings of one UUID are one key: letters count in lower case.
+    std::string lower(key);
+    for (char &c : lower) {
+        c = c >= 'A' && c <= 'F' ? static_cast<char>(c - 'A' + 'a') : c;
+    }
+    return slots == 0 ? 0 : static_cast<std::uint32_t>(hash64(lower) % slots);
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/state/membership.cpp
@@ -0,0 +1,258 @@
+// Who is there. Direct heartbeats go before the lagging list, but leaving is final for an incarnation.
+#include "wire.pb.h"
+
+#include "anvilscale/state.h"
+
+#include <map>
+#include <set>
+
+namespace anvilscale {
+namespace {
+
+// A member that the list has dropped and that is silent is gone after this many suspect times.
+constexpr int goneAfterSuspects = 4;
+// A member that was suspected again and again must be heard this many times more before it gets new work.
+constexpr std::uint32_t mostExtraHeartbeats = 4;
+// A member that was steady for this many suspect times is trusted as at first.
+constexpr int steadySuspects = 20;
+
+} // namespace
+
+struct Membership::Impl
+{
+    struct Known
+    {
+        Member member;
+        std::optional<TimePoint> heardAt; // last heartbeat of this incarnation
+        TimePoint listedAt; // last time the list held it
+        bool listed = false;
+        bool listLeaving = false; // the list says that this VM is leaving, whatever runs there
+        std::uint32_t suspicions = 0; // lately
+        std::uint32_t heardSinceSuspect = 0;
+        TimePoint suspectedAt;
+        std::uint64_t refusedIncarnation = 0; // this incarnation and all before are Leaving or Gone
+        std::uint32_t schemaVersion = 0; // 0: not told yet
+    };
+
+    Init init;
+    std::function<void(const Member &)> changed;
+    std::map<std::string, Known, std::less<>> known;
+    TimerHandle timer;
+    TimePoint checkDue;
+
+    void suspect(Known &entry, Now now);
+    void arm(Now now);
+    void check(Now now);
+    void move(Known &entry, MemberState state);
+    Known &entryOf(const std::string &name);
+};
+
+Membership::Membership(Init init, std::function<void(const Member &)> changed)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->init = init;
+    impl_->changed = std::move(changed);
+}
+
+Membership::~Membership()
+{
+    if (impl_->init.timers != nullptr) {
+        impl_->init.timers->cancel(impl_->timer);
+    }
+}
+
+void Membership::Impl::move(Known &entry, MemberState state)
+{
+    if (entry.member.state == state) {
+        return;
+    }
+    entry.member.state = state;
+    if (state == MemberState::Leaving || state == MemberState::Gone) {
+        entry.refusedIncarnation = std::max(entry.refusedIncarnation, entry.member.incarnation);
+    }
+    changed(entry.member);
+}
+
+Membership::Impl::Known &Membership::Impl::entryOf(const std::string &name)
+{
+    const auto [it, added] = known.try_emplace(name);
+    if (added) {
+        it->second.member.name = name;
+    }
+    return it->second;
+}
+
+/// One timer for all: suspicion is a matter of seconds, so it is looked at every half of its time.
+void Membership::Impl::arm(Now now)
+{
+    if (timer || init.timers == nullptr) {
+        return;
+    }
+    checkDue = now.mono + init.timing.suspect / 2;
+    timer = init.timers->subscribe(checkDue, [this, wall = now.wall](TimePoint at) {
+        timer = {};
+        const Now later{at, wall};
+        check(later);
+        arm(later);
+    });
+}
+
+void Membership::Impl::suspect(Known &entry, Now now)
+{
+    const bool steady = now.mono - entry.suspectedAt >= steadySuspects * init.timing.suspect;
+    entry.suspicions = steady ? 1 : std::min(entry.suspicions + 1, mostExtraHeartbeats + 1);
+    entry.suspectedAt = now.mono;
+    entry.heardSinceSuspect = 0;
+    move(entry, MemberState::Suspect);
+}
+
+void Membership::Impl::check(Now now)
+{
+    // This process was paused: the heartbeats of that time are still unread, so silence proves nothing yet.
+    if (now.mono - checkDue >= init.timing.suspect / 2) {
+        return;
+    }
+    std::vector<std::string> forgotten;
+    for (auto &[name, entry] : known) {
+        const TimePoint heard = entry.heardAt.value_or(entry.listedAt);
+        const Duration silent = now.mono - heard;
+        if (entry.member.state == MemberState::Live && silent >= init.timing.suspect) {
+            suspect(entry, now);
+        }
+        const bool dropped = !entry.listed && now.mono - entry.listedAt >= init.timing.suspect;
+        if (dropped && silent >= goneAfterSuspects * init.timing.suspect) {
+            move(entry, MemberState::Gone);
+            forgotten.push_back(name);
+        }
+    }
+    // Names of VMs are not used again soon; without this the map would grow with every replaced VM.
+    for (const auto &name : forgotten) {
+        known.erase(name);
+    }
+}
+
+void Membership::onVmList(const std::vector<VmInfo> &list, Now now)
+{
+    std::set<std::string_view> listed;
+    for (const auto &vm : list) {
+        listed.insert(vm.name);
+        auto &entry = impl_->entryOf(vm.name);
+        Member &member = entry.member;
+        const bool moved = !member.address.empty() && member.address != vm.address;
+        const bool isNew = member.address.empty();
+        member.role = vm.role;
+        member.dataCentre = vm.dataCentre;
+        member.region = vm.region;
+        member.address = vm.address;
+        entry.listed = true;
+        entry.listedAt = now.mono;
+        entry.listLeaving = vm.state == VmState::Leaving;
+        if (vm.state == VmState::Leaving && member.state != MemberState::Gone) {
+            // The list names a VM, not an incarnation: whatever runs there now is leaving.
+            impl_->move(entry, MemberState::Leaving);
+        } else if (isNew || moved) {
+            impl_->changed(member);
+        }
+    }
+    for (auto &[name, entry] : impl_->known) {
+        if (!listed.contains(name)) {
+            entry.listed = false;
+        }
+    }
+    impl_->arm(now);
+}
+
+void Membership::onHeartbeat(const wire::Heartbeat &heartbeat, Now now)
+{
+    auto &entry = impl_->entryOf(heartbeat.from().name());
+    Member &member = entry.member;
+    const auto incarnation = heartbeat.from().incarnation();
+    // A heartbeat of an earlier start, late on its way, must not bring back what that start held.
+    if (incarnation < member.incarnation) {
+        return;
+    }
+    const bool restarted = incarnation > member.incarnation;
+    if (incarnation <= entry.refusedIncarnation) {
+        return;
+    }
+    member.incarnation = incarnation;
+    entry.heardAt = now.mono;
+    entry.schemaVersion = heartbeat.schema_version();
+    if (member.dataCentre.empty()) {
+        member.dataCentre = heartbeat.data_centre();
+    }
+    impl_->arm(now);
+    if (heartbeat.leaving() || entry.listLeaving) {
+        entry.refusedIncarnation = incarnation;
+        impl_->move(entry, MemberState::Leaving);
+        return;
+    }
+    if (member.state == MemberState::Live) {
+        if (restarted) {
+            impl_->changed(member); // the same state, but of another start
+        }
+        return;
+    }
+    // A member on the edge of the suspect time would change state with every second heartbeat, and each change moves
+    // calls about: it has to show itself steady first.
+    ++entry.heardSinceSuspect;
+    if (restarted || entry.heardSinceSuspect >= entry.suspicions) {
+        impl_->move(entry, MemberState::Live);
+    }
+}
+
+void Membership::onDrain(const wire::DrainOrder &order, Now now)
+{
+    auto &entry = impl_->entryOf(order.target().name());
+    impl_->arm(now);
+    const auto incarnation = order.target().incarnation();
+    entry.refusedIncarnation = std::max(entry.refusedIncarnation, incarnation);
+    // An order without an incarnation is meant for the start that is known now.
+    if (incarnation == 0 || incarnation >= entry.member.incarnation) {
+        entry.member.incarnation = std::max(entry.member.incarnation, incarnation);
+        impl_->move(entry, MemberState::Leaving);
+    }
+}
+
+void Membership::onUnreachable(const std::string &name, Now now)
+{
+    const auto found = impl_->known.find(name);
+    if (found == impl_->known.end()) {
+        return;
+    }
+    // One broken connection is no proof of a dead process: no new work until the next heartbeat, nothing more.
+    if (found->second.member.state == MemberState::Live) {
+        impl_->suspect(found->second, now);
+    }
+    impl_->arm(now);
+}
+
+const Member *Membership::find(std::string_view name) const
+{
+    const auto found = impl_->known.find(name);
+    return found == impl_->known.end() ? nullptr : &found->second.member;
+}
+
+std::vector<Member> Membership::members() const
+{
+    std::vector<Member> all;
+    all.reserve(impl_->known.size());
+    for (const auto &[name, entry] : impl_->known) {
+        all.push_back(entry.member);
+    }
+    return all;
+}
+
+std::uint32_t Membership::schemaVersionOfAll() const
+{
+    std::uint32_t lowest = 0;
+    for (const auto &[name, entry] : impl_->known) {
+        const bool alive = entry.member.state == MemberState::Live || entry.member.state == MemberState::Suspect;
+        if (alive && entry.schemaVersion != 0) {
+            lowest = lowest == 0 ? entry.schemaVersion : std::min(lowest, entry.schemaVersion);
+        }
+    }
+    return lowest;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/state/record.cpp
@@ -0,0 +1,405 @@
+// Reads configuration records. protobuf's JSON reader refuses unknown fields; its messages become typed errors with
+// the path of the field.
+#include "record.h"
+
+#include <google/protobuf/struct.pb.h>
+#include <google/protobuf/util/json_util.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvilscale {
+namespace {
+
+constexpr std::size_t longestName = 256;
+constexpr std::size_t longestWeights = 2048;
+constexpr std::size_t largestRecord = 64U << 10;
+constexpr std::size_t mostVersions = 256;
+constexpr std::uint32_t longestDeadlineMs = 24U * 3600 * 1000;
+constexpr std::uint32_t mostSlots = 4096;
+constexpr std::uint32_t longestWindowS = 24U * 3600;
+constexpr std::uint32_t largestSkewMs = 10U * 60 * 1000;
+constexpr std::uint32_t largestMarginMs = 10U * largestSkewMs;
+
+ConfigError makeError(ConfigErrorKind kind, std::string path, std::string detail)
+{
+    return ConfigError{kind, std::move(path), std::move(detail), 0};
+}
+
+/// protobuf reports "(path.of.parent) field: Cannot find field." or "(path): invalid value ...".
+ConfigError fromReader(std::string_view message)
+{
+    std::string path;
+    std::string_view rest = message;
+    if (rest.starts_with('(')) {
+        const auto close = rest.find(')');
+        path = std::string(rest.substr(1, close - 1));
+        rest.remove_prefix(std::min(rest.size(), close + 1));
+    }
+    constexpr std::string_view missing = ": Cannot find field";
+    if (const auto at = rest.find(missing); at != std::string_view::npos) {
+        std::string_view field = rest.substr(0, at);
+        field.remove_prefix(std::min(field.size(), field.find_first_not_of(' ')));
+        path += (path.empty() ? "" : ".") + std::string(field);
+        return makeError(ConfigErrorKind::UnknownField, path, std::string(message));
+    }
+    const bool range = rest.find("invalid value") != std::string_view::npos;
+    return makeError(range ? ConfigErrorKind::OutOfRange : ConfigErrorKind::BadJson, path, std::string(message));
+}
+
+template<class Record>
+tl::expected<Record, ConfigError> readJson(std::string_view json)
+{
+    Record record;
+    const auto status = google::protobuf::util::JsonStringToMessage(std::string(json), &record);
+    if (!status.ok()) {
+        return tl::unexpected(fromReader(std::string_view(status.message().data(), status.message().size())));
+    }
+    return record;
+}
+
+/// The schema version that a text names, whatever else stands in it.
+tl::expected<std::uint32_t, ConfigError> schemaVersionOf(std::string_view json)
+{
+    const auto any = readJson<google::protobuf::Struct>(json);
+    if (!any) {
+        return tl::unexpected(any.error());
+    }
+    for (const char *name : {"schemaVersion", "schema_version"}) {
+        const auto field = any->fields().find(name);
+        if (field != any->fields().end()) {
+            return static_cast<std::uint32_t>(field->second.number_value());
+        }
+    }
+    return tl::unexpected(makeError(ConfigErrorKind::MissingField, "schemaVersion", "every record names its version"));
+}
+
+bool isPlainText(std::string_view text, std::size_t longest)
+{
+    return text.size() <= longest
+           && std::none_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; });
+}
+
+/// Collects the first fault of a record.
+class Checker
+{
+public:
+    explicit Checker(std::string record)
+        : record_(std::move(record))
+    {
+    }
+    void fail(ConfigErrorKind kind, const std::string &field, std::string detail)
+    {
+        if (!error_) {
+            error_ = makeError(kind, record_ + "." + field, std::move(detail));
+        }
+    }
+    void name(const std::string &field, std::string_view value)
+    {
+        if (value.empty()) {
+            fail(ConfigErrorKind::MissingField, field, "must not be empty");
+        } else if (!isPlainText(value, longestName) || value.find('@') != std::string_view::npos) {
+            fail(ConfigErrorKind::OutOfRange, field, "at most 256 characters, no control characters, no '@'");
+        }
+    }
+    void text(const std::string &field, std::string_view value)
+    {
+        if (!isPlainText(value, longestWeights)) {
+            fail(ConfigErrorKind::OutOfRange, field, "too long, or a control character");
+        }
+    }
+    void atMost(const std::string &field, std::uint64_t value, std::uint64_t limit)
+    {
+        if (value > limit) {
+            fail(ConfigErrorKind::OutOfRange, field, "at most " + std::to_string(limit));
+        }
+    }
+    void number(const std::string &field, double value)
+    {
+        if (!std::isfinite(value) || value < 0) {
+            fail(ConfigErrorKind::OutOfRange, field, "a finite number, not negative");
+        }
+    }
+    std::optional<CallClass> callClass(const std::string &field, const std::string &value)
+    {
+        if (value.empty()) {
+            return std::nullopt;
+        }
+        const auto known = fromString<CallClass>(value);
+        if (!known) {
+            fail(ConfigErrorKind::OutOfRange, field, "urgent, normal or bulk");
+        }
+        return known;
+    }
+    tl::expected<RecordForm, ConfigError> result(RecordForm form)
+    {
+        if (error_) {
+            return tl::unexpected(*error_);
+        }
+        return form;
+    }
+
+private:
+    std::string record_;
+    std::optional<ConfigError> error_;
+};
+
+void checkVersions(Checker &check, const RecordForm &form)
+{
+    check.name("baseModel", form.baseModel);
+    if (form.versions.empty()) {
+        check.fail(ConfigErrorKind::MissingField, "versions", "at least one");
+    }
+    check.atMost("versions", form.versions.size(), mostVersions);
+    std::vector<std::string_view> names;
+    for (std::size_t i = 0; i < form.versions.size(); ++i) {
+        const std::string field = "versions[" + std::to_string(i) + "]";
+        check.name(field + ".name", form.versions[i].name);
+        check.text(field + ".weights", form.versions[i].weights);
+        names.push_back(form.versions[i].name);
+    }
+    std::sort(names.begin(), names.end());
+    if (std::adjacent_find(names.begin(), names.end()) != names.end()) {
+        check.fail(ConfigErrorKind::OutOfRange, "versions", "a version stands twice");
+    }
+}
+
+void checkRoute(Checker &check, const RecordForm &form)
+{
+    check.name("adapter", form.adapter);
+    check.name("version", form.version);
+    if (!form.nextVersion.empty()) {
+        check.name("nextVersion", form.nextVersion);
+    }
+    check.atMost("deadlineMs", form.deadlineMs, longestDeadlineMs);
+}
+
+tl::expected<RecordForm, ConfigError> finish(Checker &check, RecordForm form)
+{
+    check.name("name", form.name);
+    check.atMost("deadlineMs", form.deadlineMs, longestDeadlineMs);
+    if (form.kind == RecordKind::Adapter) {
+        checkVersions(check, form);
+    } else if (form.kind == RecordKind::Route) {
+        checkRoute(check, form);
+    } else if (form.kind == RecordKind::Service) {
+        form.service.callClass = form.callClass.value_or(CallClass::Normal);
+        form.service.deadline = Milliseconds(form.deadlineMs);
+        if (const auto good = checkService("service/" + form.name, form.service); !good) {
+            return tl::unexpected(good.error());
+        }
+    } else if (form.name != "default") {
+        check.fail(ConfigErrorKind::OutOfRange, "name", "the one policy record is named \"default\"");
+    }
+    return check.result(std::move(form));
+}
+
+tl::expected<RecordForm, ConfigError> fromV1(const config::RecordV1 &record)
+{
+    RecordForm form;
+    form.schemaVersion = 1;
+    form.name = record.name();
+    const auto kind = fromString<RecordKind>(record.kind());
+    if (!kind || *kind == RecordKind::Policy) {
+        return tl::unexpected(makeError(ConfigErrorKind::OutOfRange, "kind", "adapter, route or service"));
+    }
+    form.kind = *kind;
+    Checker check(record.kind() + "/" + record.name());
+    const bool adapter = form.kind == RecordKind::Adapter;
+    const bool route = form.kind == RecordKind::Route;
+    if (!adapter && (!record.base_model().empty() || record.versions_size() != 0 || !record.weights().empty())) {
+        check.fail(ConfigErrorKind::UnknownField, "versions", "only an adapter has base model, versions and weights");
+    }
+    if (!route && (!record.adapter().empty() || !record.version().empty())) {
+        check.fail(ConfigErrorKind::UnknownField, "adapter", "only a route names an adapter and a version");
+    }
+    if (form.kind != RecordKind::Service && record.repeatable()) {
+        check.fail(ConfigErrorKind::UnknownField, "repeatable", "only a service may be repeatable");
+    }
+    if (adapter && (record.deadline_ms() != 0 || !record.priority().empty())) {
+        check.fail(ConfigErrorKind::UnknownField, "deadlineMs", "an adapter has no deadline and no priority");
+    }
+    form.baseModel = record.base_model();
+    for (const auto &version : record.versions()) {
+        form.versions.push_back({version, record.weights()});
+    }
+    form.adapter = record.adapter();
+    form.version = record.version();
+    form.deadlineMs = record.deadline_ms();
+    form.callClass = check.callClass("priority", record.priority());
+    form.service.idempotent = record.repeatable();
+    return finish(check, std::move(form));
+}
+
+void readService(Checker &check, const config::ServiceV2 &service, RecordForm &form)
+{
+    form.deadlineMs = service.deadline_ms();
+    form.callClass = check.callClass("callClass", service.call_class());
+    form.service.idempotent = service.idempotent();
+    if (service.slots() != 0) {
+        form.service.slots = service.slots();
+    }
+    check.atMost("slots", service.slots(), mostSlots);
+    check.atMost("windowS", service.window_s(), longestWindowS);
+    check.atMost("skewMs", service.skew_ms(), largestSkewMs);
+    check.atMost("marginMs", service.margin_ms(), largestMarginMs);
+    if (service.window_s() != 0) {
+        form.service.window = Seconds(service.window_s());
+    }
+    if (service.skew_ms() != 0) {
+        form.service.skew = Milliseconds(service.skew_ms());
+    }
+    if (service.margin_ms() != 0) {
+        form.service.margin = Milliseconds(service.margin_ms());
+    }
+}
+
+/// A number that is not given (zero) keeps the default, but for weights and limits where zero has a meaning.
+void readPolicy(Checker &check, const config::PolicyV2 &policy, RecordForm &form)
+{
+    Policy &to = form.policy;
+    const auto take = [&check](const char *field, double value, double &into) {
+        check.number(field, value);
+        if (value != 0) {
+            into = value;
+        }
+    };
+    take("stallWeight", policy.stall_weight(), to.stallWeight);
+    take("batchWeight", policy.batch_weight(), to.batchWeight);
+    take("loadRate", policy.load_rate(), to.loadRate);
+    take("retryBudget", policy.retry_budget(), to.retryBudget);
+    take("hedgeQuantile", policy.hedge_quantile(), to.hedgeQuantile);
+    if (policy.hedge_quantile() > 1) {
+        check.fail(ConfigErrorKind::OutOfRange, "hedgeQuantile", "from 0 to 1");
+    }
+    if (policy.parallel_loads() != 0) {
+        to.parallelLoads = policy.parallel_loads();
+    }
+    to.reservedSlots = policy.reserved_slots();
+    if (policy.class_weights_size() != 0 && policy.class_weights_size() != static_cast<int>(to.classWeights.size())) {
+        check.fail(ConfigErrorKind::OutOfRange, "classWeights", "one weight for each class");
+    } else {
+        for (int i = 0; i < policy.class_weights_size(); ++i) {
+            take("classWeights", policy.class_weights(i), to.classWeights[static_cast<std::size_t>(i)]);
+        }
+    }
+    if (policy.cancel_delay_ms() != 0) {
+        to.cancelDelay = Milliseconds(policy.cancel_delay_ms());
+    }
+    if (policy.queue_limit() != 0) {
+        to.queueLimit = policy.queue_limit();
+    }
+    if (policy.default_deadline_ms() != 0) {
+        to.defaultDeadline = Milliseconds(policy.default_deadline_ms());
+    }
+}
+
+tl::expected<RecordForm, ConfigError> fromV2(const config::RecordV2 &record)
+{
+    RecordForm form;
+    form.schemaVersion = 2;
+    form.name = record.name();
+    switch (record.body_case()) {
+    case config::RecordV2::kAdapter: {
+        form.kind = RecordKind::Adapter;
+        form.baseModel = record.adapter().base_model();
+        for (const auto &version : record.adapter().versions()) {
+            form.versions.push_back({version.name(), version.weights()});
+        }
+        break;
+    }
+    case config::RecordV2::kRoute:
+        form.kind = RecordKind::Route;
+        form.adapter = record.route().adapter();
+        form.version = record.route().version();
+        form.nextVersion = record.route().next_version();
+        form.deadlineMs = record.route().deadline_ms();
+        break;
+    case config::RecordV2::kService:
+        form.kind = RecordKind::Service;
+        break;
+    case config::RecordV2::kPolicy:
+        form.kind = RecordKind::Policy;
+        break;
+    case config::RecordV2::BODY_NOT_SET:
+        return tl::unexpected(
+            makeError(ConfigErrorKind::MissingField, record.name(), "adapter, route, service or policy"));
+    }
+    Checker check(std::string(toString(form.kind)) + "/" + form.name);
+    if (form.kind == RecordKind::Route) {
+        form.callClass = check.callClass("callClass", record.route().call_class());
+    } else if (form.kind == RecordKind::Service) {
+        readService(check, record.service(), form);
+    } else if (form.kind == RecordKind::Policy) {
+        readPolicy(check, record.policy(), form);
+    }
+    return finish(check, std::move(form));
+}
+
+} // namespace
+
+tl::expected<void, ConfigError> checkService(const std::string &path, const ServiceView &service)
+{
+    if (service.idempotent) {
+        return {};
+    }
+    // A key accepted by the former owner is stamped up to one skew ahead of that owner's clock, which may be one
+    // skew ahead of the new owner's. With a smaller margin the new owner would run such a key a second time.
+    if (service.margin < 2 * service.skew) {
+        return tl::unexpected(
+            makeError(ConfigErrorKind::OutOfRange, path + ".marginMs", "must be at least twice skewMs"));
+    }
+    // Within a window that is not longer than margin and skews, every key would be refused after a take-over.
+    if (service.window <= service.margin + 2 * service.skew) {
+        return tl::unexpected(
+            makeError(ConfigErrorKind::OutOfRange, path + ".windowS", "must exceed marginMs and twice skewMs"));
+    }
+    if (service.window <= service.deadline) {
+        return tl::unexpected(
+            makeError(ConfigErrorKind::OutOfRange, path + ".windowS", "must exceed the service's deadline"));
+    }
+    return {};
+}
+
+tl::expected<RecordForm, ConfigError> readRecord(std::string_view json)
+{
+    if (json.size() > largestRecord) {
+        return tl::unexpected(makeError(ConfigErrorKind::TooLarge, "", "a record has at most 64 KB"));
+    }
+    auto newest = readJson<config::RecordV2>(json);
+    if (newest && newest->schema_version() == 2) {
+        return fromV2(*newest);
+    }
+    const auto version = schemaVersionOf(json);
+    if (!version) {
+        return tl::unexpected(version.error());
+    }
+    if (*version == 2) {
+        return tl::unexpected(newest.error());
+    }
+    if (*version != 1) {
+        return tl::unexpected(makeError(ConfigErrorKind::UnknownSchemaVersion, "schemaVersion",
+                                        "this build reads versions 1 and 2, not " + std::to_string(*version)));
+    }
+    const auto first = readJson<config::RecordV1>(json);
+    if (!first) {
+        return tl::unexpected(first.error());
+    }
+    return fromV1(*first);
+}
+
+tl::expected<config::Change, ConfigError> parseRecord(std::string_view json)
+{
+    const auto form = readRecord(json);
+    if (!form) {
+        return tl::unexpected(form.error());
+    }
+    config::Change change;
+    change.set_kind(std::string(toString(form->kind)));
+    change.set_name(form->name);
+    // Spaces and order are the only things that the canonical text drops: the reader refused all unknown fields.
+    change.set_json(hasCanonicalText(form->kind) ? writeRecord(*form) : std::string(json));
+    return change;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/state/record_table.h
@@ -0,0 +1,166 @@
+// All records of one revision, packed: tens of thousands of adapters and routes take some fifty bytes each.
+#pragma once
+
+#include "record.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace anvilscale {
+
+class ByteReader;
+class ByteWriter;
+
+/// Bytes in blocks, so that growth copies nothing. A position stays valid until the arena is destroyed.
+class ByteArena
+{
+public:
+    /// Copies `bytes` to one contiguous place. Position 0 is never given.
+    std::uint32_t add(std::string_view bytes);
+    const char *at(std::uint32_t position) const;
+    /// Bytes handed out.
+    std::size_t used() const;
+    /// Bytes taken from the system.
+    std::size_t capacity() const;
+
+private:
+    static constexpr std::size_t blockBits = 17;
+    static constexpr std::size_t blockBytes = std::size_t(1) << blockBits;
+
+    std::vector<std::unique_ptr<char[]>> blocks_; // NOLINT(*-avoid-c-arrays): one allocation without a header
+    std::size_t fill_ = blockBytes; // bytes used of the last block
+    std::size_t used_ = 0;
+};
+
+/// Texts that many records share (base models, forms of weight paths). Views stay valid as long as the pool.
+class TextPool
+{
+public:
+    /// Number of the text, 0 if the pool is full. `always`: the limit does not hold.
+    std::uint32_t add(std::string_view text, bool always);
+    std::string_view at(std::uint32_t number) const;
+
+private:
+    static constexpr std::size_t limit = 4096;
+
+    std::deque<std::string> texts_;
+    std::unordered_map<std::string_view, std::uint32_t> numbers_;
+};
+
+/// Records by kind and name. Invariants: one record for each (kind, name); digest() is the sum over the records'
+/// hashes, so it does not depend on the order in which they came.
+class RecordTable
+{
+public:
+    /// Adds or replaces.
+    void put(const RecordForm &form, std::string_view json);
+    bool remove(RecordKind kind, std::string_view name);
+    std::optional<RecordForm> find(RecordKind kind, std::string_view name) const;
+    /// Text of a record as it was written.
+    std::optional<std::string> text(RecordKind kind, std::string_view name) const;
+    /// Text of the base model of an adapter; empty if there is none. Valid until the next compaction.
+    std::string_view baseModel(std::string_view adapter) const;
+    const std::map<std::string, std::pair<RecordForm, std::string>, std::less<>> &services() const; ///< with texts
+    const Policy &policy() const;
+
+    std::uint64_t digest() const;
+    std::size_t count(RecordKind kind) const;
+    /// Memory held, for the slopes.
+    std::size_t bytes() const;
+
+    /// Calls `visit(form, json)` for every record: services, policy, then adapters and routes by name.
+    template<class Visit>
+    void forEach(Visit visit) const;
+    /// Routes that name the version now or next. Looks at all records.
+    std::vector<std::string> routesNaming(std::string_view adapter, std::string_view version) const;
+    /// Number of parts that forEachInPart divides the records into.
+    std::uint32_t parts() const;
+    /// Like forEach, for one part of the records, without sorting them all.
+    template<class Visit>
+    void forEachInPart(std::uint32_t part, Visit visit) const;
+
+private:
+    using Named = std::pair<RecordForm, std::string>; // with its text
+    static constexpr std::uint32_t emptyEntry = 0;
+    static constexpr std::uint32_t removedEntry = 1;
+    static constexpr std::size_t partEntries = 2048;
+
+    struct Packed
+    {
+        RecordForm form;
+        std::optional<std::string> raw; // kept only where writeRecord gives another text
+    };
+    struct Name
+    {
+        RecordKind kind;
+        std::string_view name;
+    };
+    std::uint32_t pack(const RecordForm &form, std::string_view json);
+    void packVersions(const RecordForm &form, ByteWriter &writer);
+    Packed unpack(std::uint32_t position) const;
+    void unpackVersions(ByteReader &reader, RecordForm &form) const;
+    std::size_t packedSize(std::uint32_t position) const;
+    Name nameAt(std::uint32_t position) const;
+    std::string textOf(const Packed &packed) const;
+    /// Index entry of the record, or the one to put it in.
+    std::size_t entryOf(RecordKind kind, std::string_view name) const;
+    std::vector<std::uint32_t> sortedPositions() const;
+    void rebuildIndex(std::size_t entries);
+    void putPacked(const RecordForm &form, std::string_view json);
+    void compactIfWasteful();
+
+    ByteArena arena_;
+    std::size_t wasted_ = 0; // bytes of arena_ that no record uses any more
+    TextPool pool_;
+    // Open addressing over positions in arena_; 0 is empty, 1 is a removed record.
+    std::vector<std::uint32_t> index_ = std::vector<std::uint32_t>(16, 0);
+    std::size_t occupied_ = 0; // entries of index_ that are not empty
+    std::array<std::size_t, enumCount<RecordKind>> counts_{};
+    std::map<std::string, Named, std::less<>> services_;
+    std::optional<Named> policy_;
+    Policy defaults_;
+    std::uint64_t digest_ = 0;
+};
+
+template<class Visit>
+void RecordTable::forEach(Visit visit) const
+{
+    for (const auto &[name, named] : services_) {
+        visit(named.first, named.second);
+    }
+    if (policy_) {
+        visit(policy_->first, policy_->second);
+    }
+    for (const auto position : sortedPositions()) {
+        const Packed packed = unpack(position);
+        visit(packed.form, textOf(packed));
+    }
+}
+
+template<class Visit>
+void RecordTable::forEachInPart(std::uint32_t part, Visit visit) const
+{
+    if (part == 0) {
+        for (const auto &[name, named] : services_) {
+            visit(named.first, named.second);
+        }
+        if (policy_) {
+            visit(policy_->first, policy_->second);
+        }
+    }
+    const std::size_t begin = std::size_t(part) * partEntries;
+    for (std::size_t i = begin; i < std::min(begin + partEntries, index_.size()); ++i) {
+        if (index_[i] > removedEntry) {
+            const Packed packed = unpack(index_[i]);
+            visit(packed.form, textOf(packed));
+        }
+    }
+}
+
+/// Hash of one record's text, as it goes into the digest.
+std::uint64_t recordHash(RecordKind kind, std::string_view name, std::string_view json);
+
+} // namespace anvilscale
