Residency: the sidecar's decisions as one state machine

Cause: every call and order passes the sidecar, so pins, evictions, fencing, repeats and drain have to be decided in one place without I/O.

Safeguards can be switched off one by one by tests. CancelExecution tells why; four counters are new in SidecarStats.

Not yet: resolving routes at the sidecar's own revision, at-most-once keys, loading the next version ahead.

--- a/include/anvilscale/base.h
+++ b/include/anvilscale/base.h
@@ -57,6 +57,7 @@
     {
         return value != 0;
     }
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the 0 in a rewritten comparison for a pointer
     auto operator<=>(const Handle &) const = default;
 };
 
@@ -148,6 +149,7 @@
 {
     std::string adapter;
     std::string version;
+    // NOLINTNEXTLINE(modernize-use-nullptr): as above
     auto operator<=>(const AdapterVersion &) const = default;
     bool empty() const
     {
--- a/include/anvilscale/residency.h
+++ b/include/anvilscale/residency.h
@@ -67,10 +67,12 @@
     ExecutionHandle execution;
     wire::AttemptId id;
 };
-/// Close the connection to the endpoint and report when the end is confirmed.
+/// Close the connection to the endpoint and report when the end is confirmed. Listeners that are still there get an
+/// end with the reason `why`.
 struct CancelExecution
 {
     ExecutionHandle execution;
+    FailureReason why = FailureReason::CallerGone;
 };
 /// Send a finished answer as frames and an end frame.
 struct ReplayAnswer
@@ -117,6 +119,24 @@
     std::vector<std::uint64_t> prefixes; ///< newly cached, late and with gaps
 };
 
+/// Single safeguards, switched off only by tests that show that a check finds the failure which the safeguard
+/// prevents. All are on in the product.
+struct Safeguards
+{
+    bool pinBeforeSend = true; ///< the pin is taken before the call goes to the engine, not at its first byte
+    bool evictOnlyUnpinned = true; ///< no unload while a call may run on the adapter
+    bool unknownEndKeepsPin = true; ///< a broken connection is no end of the execution
+    bool unknownAfterLostReply = true; ///< an order whose reply was lost is settled by the engine's list only
+    bool listAfterChange = true; ///< a list that was asked for before a change says nothing about it
+    bool recoveryWait = true; ///< a new sidecar waits for its predecessor's calls and orders
+    bool fenceCheck = true; ///< fence the predecessor; act on no grant with an old fencing number
+    bool grantExpiry = true; ///< a grant that is too old is not acted on
+    bool grantTarget = true; ///< a grant for an earlier start of this sidecar is not acted on
+    bool leaseRecheck = true; ///< slot ownership is asked again directly before the call is sent
+    bool staleRevisionRefusal = true; ///< refuse a call resolved at an older revision that names another version
+    bool duplicateFilter = true; ///< an attempt that was seen is not taken again
+};
+
 struct SidecarInit
 {
     std::string name;
@@ -135,6 +155,7 @@
     const ConfigStore *config = nullptr;
     TimerService *timers = nullptr;
     std::uint64_t seed = 1;
+    Safeguards safeguards;
 };
 
 /// Read by /metrics and `anvilctl status`. Counters only grow; the others are as of now.
@@ -154,6 +175,10 @@
     std::uint32_t queued = 0;
     std::uint32_t resident = 0;
     std::uint64_t droppedMessages = 0;
+    std::uint64_t engineRestarts = 0; ///< noticed by a new incarnation
+    std::uint64_t quarantines = 0; ///< versions put in quarantine because they kept failing to load
+    std::uint64_t cancelsAvoided = 0; ///< repeats that found their execution before its deferred cancel
+    std::uint64_t heartbeatBytes = 0;
 };
 
 class SidecarDecisions
--- /dev/null
+++ b/src/residency/listener.h
@@ -0,0 +1,40 @@
+// An attempt of an entry that waits for, or listens to, an execution.
+#pragma once
+
+#include "wire.pb.h"
+
+#include "anvilscale/base.h"
+
+#include <compare>
+
+namespace anvilscale {
+
+struct AttemptKey
+{
+    std::uint64_t entryIncarnation = 0;
+    std::uint64_t call = 0;
+    std::uint32_t attempt = 0;
+    auto operator<=>(const AttemptKey &) const = default;
+
+    static AttemptKey of(const wire::AttemptId &id)
+    {
+        return {id.entry_incarnation(), id.call(), id.attempt()};
+    }
+    wire::AttemptId message() const
+    {
+        wire::AttemptId id;
+        id.set_entry_incarnation(entryIncarnation);
+        id.set_call(call);
+        id.set_attempt(attempt);
+        return id;
+    }
+};
+
+struct Listener
+{
+    PeerHandle peer;
+    AttemptKey attempt;
+    std::uint64_t creditBytes = 0;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/residency/sidecar.h
@@ -0,0 +1,265 @@
+// The sidecar's decisions: the parts put together. Each source file sidecar_*.cpp holds one group of events. Every
+// event ends in settleAll(), which starts what can start, plans loads and arms one timer for the next thing due.
+#pragma once
+
+#include "adapter_table.h"
+#include "attempt_filter.h"
+#include "call_queue.h"
+#include "estimator.h"
+#include "eviction.h"
+#include "execution_table.h"
+#include "order_book.h"
+#include "recovery.h"
+
+#include "anvilscale/residency.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace anvilscale {
+
+/// Someone who said Hello: gets heartbeats.
+struct Subscriber
+{
+    std::string name;
+    bool scheduler = false;
+    std::uint64_t schedulerFence = 0;
+    TimePoint heard;
+    bool wantsFull = true;
+};
+
+/// A load that has been decided on: by a grant, or by this sidecar itself while no scheduler is heard.
+struct LoadTicket
+{
+    AdapterVersion which;
+    SlotClaim claim;
+    bool granted = false;
+    PeerHandle scheduler;
+    std::uint64_t fence = 0;
+    std::uint64_t grant = 0;
+    TimePoint since;
+    TimePoint validUntil = TimePoint::max(); ///< the load order must be sent before
+    OrderHandle load; ///< set once the order was sent
+};
+
+/// All waiting calls of one absent adapter.
+struct Demand
+{
+    AdapterVersion which;
+    std::uint32_t waiting = 0;
+    CallClass mostUrgent = CallClass::Bulk;
+    TimePoint oldest = TimePoint::max();
+    TimePoint leastDeadline = TimePoint::max();
+    double gain = 0.0;
+};
+
+/// A call that was resolved at a newer revision than ours, while we fetch it.
+struct HeldCall
+{
+    PeerHandle from;
+    wire::CallRequest request;
+    TimePoint arrived;
+    TimePoint until;
+};
+
+struct RefusalDetail
+{
+    RefusalReason reason = RefusalReason::Internal;
+    bool provedNotRun = true;
+    Duration retryAfter{};
+    std::uint64_t slotFence = 0;
+};
+
+struct SidecarDecisions::Impl
+{
+    explicit Impl(SidecarInit given);
+    ~Impl();
+
+    // sidecar.cpp: life cycle, time
+    void start(Now now);
+    void drain(Now now);
+    void settleAll(Now now);
+    void onTimer(TimePoint at);
+    void arm(TimePoint now);
+    std::optional<TimePoint> nextDue(TimePoint now) const;
+    void finishDrain(Now now);
+    const Policy &policy() const;
+    std::uint64_t revision() const;
+    void onConfigChanged(Now now);
+    bool isEngine() const
+    {
+        return init_.kind == EndpointKind::Engine;
+    }
+    bool admitting() const
+    {
+        return recovery_.done() && endpointUp_ && !leaving_;
+    }
+
+    // sidecar_peers.cpp: messages
+    void onMessage(PeerHandle from, const wire::Envelope &message, Now now);
+    void onHello(PeerHandle from, const wire::Hello &hello, Now now);
+    void onPeerLost(PeerHandle peer, Now now);
+    void onMembers(const std::vector<Member> &members, Now now);
+    void send(PeerHandle to, wire::Envelope message);
+    bool schedulerHeard(TimePoint now) const;
+    PeerHandle scheduler() const;
+
+    // sidecar_admission.cpp: a call comes in
+    void onCall(PeerHandle from, const wire::CallRequest &request, Now now);
+    void admit(PeerHandle from, const wire::CallRequest &request, TimePoint arrived, Now now);
+    std::optional<RefusalDetail> checkForm(const wire::CallRequest &request) const;
+    std::optional<RefusalDetail> checkState(TimePoint now);
+    std::optional<RefusalDetail> checkAdapter(const WaitingCall &call, TimePoint now);
+    std::optional<RefusalDetail> checkRoom(const WaitingCall &call, TimePoint now);
+    void enqueue(WaitingCall call, Now now);
+    /// Makes room for the call by refusing a waiting one of a lower class.
+    bool displace(const WaitingCall &call, TimePoint now);
+    WaitingCall makeCall(PeerHandle from, const wire::CallRequest &request, TimePoint arrived) const;
+    bool attachToRunning(const WaitingCall &call);
+    bool attachToWaiting(const WaitingCall &call);
+    Duration queueDelay(CallClass callClass, TimePoint now) const;
+    Duration retryAfterQueue(TimePoint now);
+    bool isOpen(const AttemptKey &attempt) const;
+    void refuse(const Listener &listener, const RefusalDetail &detail);
+    void refuseAll(const WaitingCall &call, const RefusalDetail &detail);
+    template<class Condition>
+    void refuseWaiting(const RefusalDetail &detail, Condition condition);
+
+    // sidecar_calls.cpp: calls that wait or run
+    void startCalls(Now now);
+    bool mayStart(const WaitingCall &call) const;
+    bool overShare(const WaitingCall &call) const;
+    void startCall(CallQueue::Place place, Now now);
+    void countStall(const WaitingCall &call, wire::CallRequest &request, TimePoint now);
+    void onExecutionStarted(ExecutionHandle handle, Now now);
+    void onExecutionEnded(ExecutionHandle handle, KeptAnswer &&answer, Now now);
+    void releasePin(Execution &execution, const KeptAnswer &answer, Now now);
+    void onCancel(const wire::CallCancel &cancel, Now now);
+    void leaveWaiting(const AttemptKey &attempt, Now now);
+    void leaveRunning(const AttemptKey &attempt, Now now);
+    void abandon(Execution &execution, TimePoint now);
+    void cancel(Execution &execution, FailureReason why);
+    void onCredit(const wire::CallCredit &credit);
+    void expireCalls(Now now);
+    void dropWaiting(CallQueue::Place place);
+
+    // sidecar_orders.cpp: the engine
+    OrderHandle openOrder(OrderKind kind, const AdapterVersion &which, Now now);
+    void emitOrder(OrderHandle handle, OrderKind kind, const AdapterVersion &which);
+    void pollEngine(Now now);
+    std::optional<TimePoint> listDue() const;
+    void onOrderDone(OrderHandle handle, OrderOutcome outcome, Now now);
+    void onLoadDone(AdapterRecord &record, const OpenOrder &order, OrderOutcome outcome, Now now);
+    void onUnloadDone(AdapterRecord &record, const OpenOrder &order, OrderOutcome outcome, Now now);
+    void loseOrder(AdapterRecord &record, const OpenOrder &order, Now now);
+    void countLoad(AdapterRecord &record, Duration took, TimePoint now);
+    void onEngineList(OrderHandle handle, const EngineList &list, Now now);
+    void adoptList(const OpenOrder &order, const EngineList &list, bool first, Now now);
+    void settleByList(AdapterRecord &record, const OpenOrder &order, bool loaded, Now now);
+    void releaseLingering(AdapterRecord &record, const OpenOrder &order, std::uint32_t runs);
+    void inheritRuns(AdapterRecord &record, const OpenOrder &order, std::uint32_t runs, bool first);
+    void onEngineReport(const EngineReport &report, Now now);
+    void onEngineLost(Now now);
+    /// False if what comes with this incarnation is out of date.
+    bool onIncarnation(std::uint64_t incarnation, bool askedSince, Now now);
+    void engineRestarted(Now now);
+
+    // sidecar_loads.cpp: which adapter gets a slot
+    void planLoads(Now now);
+    void advanceTickets(Now now);
+    /// The outcome with which the ticket ends, if it ends now. `evicting`: slots that come free for later tickets.
+    std::optional<OrderOutcome> advanceTicket(LoadTicket &ticket, std::ptrdiff_t &evicting, Now now);
+    void addLocalTicket(const std::vector<Demand> &wanted, Now now);
+    AdapterRecord *victimFor(const SlotClaim &claim, TimePoint now);
+    std::vector<Demand> demands(TimePoint now) const;
+    bool hasTicket(const AdapterVersion &which) const;
+    SlotClaim claimFor(const Demand &demand, TimePoint now) const;
+    void evict(AdapterRecord &record, Now now);
+    void startLoad(LoadTicket &ticket, AdapterRecord &record, Now now);
+    void endTicket(const AdapterVersion &which, OrderOutcome outcome, Now now);
+    void reportGrant(const LoadTicket &ticket, OrderOutcome outcome, TimePoint now);
+    void onLoadFailed(AdapterRecord &record, OrderOutcome outcome, Now now);
+    void onGrant(PeerHandle from, const wire::LoadGrant &grant, Now now);
+    std::optional<OrderOutcome> checkGrant(const wire::LoadGrant &grant) const;
+    void chooseYielding(const std::vector<Demand> &wanted, Now now);
+
+    // sidecar_heartbeats.cpp
+    void markChanged(const AdapterVersion &which, bool atOnce);
+    void sendHeartbeats(Now now);
+    std::optional<TimePoint> heartbeatDue() const;
+    wire::Heartbeat heartbeatBase(TimePoint now) const;
+    wire::AdapterState stateOf(const AdapterRecord &record) const;
+    static wire::AdapterState absentState(const AdapterVersion &which);
+    void addDemands(wire::Heartbeat &into, TimePoint now);
+
+    SidecarInit init_;
+    Random random_;
+    SidecarStats stats_;
+    std::vector<SidecarAction> actions_;
+    EvictionRules evictionRules_;
+    DeadlineOrder queueOrder_;
+
+    AdapterTable adapters_;
+    OrderBook orders_;
+    CallQueue queue_;
+    ExecutionTable executions_;
+    Recovery recovery_;
+    AttemptFilter ended_;
+    std::vector<HeldCall> held_;
+    std::map<PeerHandle, Subscriber> subscribers_;
+
+    Now last_{}; // time of the latest event; the wall clock of a timer is worked out from it
+    TimerHandle timer_;
+    TimePoint timerAt_ = TimePoint::max();
+
+    bool leaving_ = false; // final
+    bool drained_ = false; // Drained was emitted
+    bool endpointUp_ = true;
+    bool configStale_ = false;
+    std::uint64_t engineIncarnation_ = 0; // 0 until the engine has told it; grows only
+    std::uint64_t lastExecution_ = 0;
+    std::uint64_t lastMessage_ = 0;
+    std::uint64_t listMark_ = 0; // orders with a larger number were sent in the present phase of recovery
+    std::uint64_t incarnationMark_ = 0; // orders with a larger number were sent since engineIncarnation_ is known
+    TimePoint takeOverAt_; // start, or the last restart of the engine that was noticed
+    TimePoint downUntil_; // a plain service that could not be reached is tried again then
+    TimePoint lastListAt_;
+    TimePoint retryOrderAt_; // no list or fence is sent before, after one that failed
+
+    std::vector<LoadTicket> tickets_;
+    TimePoint nextLocalLoad_;
+    std::uint64_t highestGrantFence_ = 0;
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> grantsSeen_; // fence and number of the latest grants
+    std::uint32_t liveSidecars_ = 1; // this one included
+    FadingMean loadTime_;
+    FadingMean stallTime_;
+    FadingMean serviceTime_;
+
+    std::set<AdapterVersion> changed_; // since the last heartbeat
+    std::uint64_t heartbeatSequence_ = 0;
+    TimePoint nextHeartbeat_;
+    TimePoint lastHeartbeat_;
+    bool heartbeatAtOnce_ = false;
+    double heartbeatBytes_ = 0.0; // what may be sent now; as of lastHeartbeat_
+    std::vector<std::uint64_t> prefixes_;
+    std::uint64_t prefixSequence_ = 0;
+    std::uint32_t stepFillPermille_ = 0;
+};
+
+template<class Condition>
+void SidecarDecisions::Impl::refuseWaiting(const RefusalDetail &detail, Condition condition)
+{
+    for (auto place = queue_.calls().begin(); place != queue_.calls().end();) {
+        const auto current = place++;
+        if (condition(*current)) {
+            refuseAll(*current, detail);
+            dropWaiting(current);
+        }
+    }
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/residency/sidecar_peers.cpp
@@ -0,0 +1,124 @@
+// Messages from other processes and who is there.
+#include "sidecar.h"
+
+#include <algorithm>
+
+namespace anvilscale {
+
+namespace {
+
+// After this many silent suspicion times the scheduler counts as not heard, and loads go by this sidecar's share.
+constexpr int schedulerSilence = 2;
+
+} // namespace
+
+void SidecarDecisions::Impl::onMessage(PeerHandle from, const wire::Envelope &message, Now now)
+{
+    if (message.protocol() != wireProtocol) {
+        ++stats_.droppedMessages;
+        return;
+    }
+    const auto subscriber = subscribers_.find(from);
+    if (subscriber != subscribers_.end()) {
+        subscriber->second.heard = now.mono;
+    }
+    switch (message.body_case()) {
+    case wire::Envelope::kCallRequest:
+        return onCall(from, message.call_request(), now);
+    case wire::Envelope::kCallCancel:
+        return onCancel(message.call_cancel(), now);
+    case wire::Envelope::kCallCredit:
+        return onCredit(message.call_credit());
+    case wire::Envelope::kHello:
+        return onHello(from, message.hello(), now);
+    case wire::Envelope::kLoadGrant:
+        return onGrant(from, message.load_grant(), now);
+    case wire::Envelope::kDrainOrder: {
+        const auto &target = message.drain_order().target();
+        if (target.name() == init_.name && target.incarnation() == init_.incarnation) {
+            drain(now);
+        }
+        return;
+    }
+    default:
+        ++stats_.droppedMessages;
+    }
+}
+
+void SidecarDecisions::Impl::onHello(PeerHandle from, const wire::Hello &hello, Now now)
+{
+    auto [place, isNew] = subscribers_.try_emplace(from);
+    auto &subscriber = place->second;
+    subscriber.name = hello.from().name();
+    subscriber.scheduler = hello.scheduler();
+    subscriber.schedulerFence = hello.scheduler_fence();
+    subscriber.heard = now.mono;
+    subscriber.wantsFull = subscriber.wantsFull || isNew || hello.want_full();
+    if (hello.scheduler()) {
+        highestGrantFence_ = std::max(highestGrantFence_, hello.scheduler_fence());
+    }
+}
+
+void SidecarDecisions::Impl::onPeerLost(PeerHandle peer, Now now)
+{
+    subscribers_.erase(peer);
+    std::erase_if(held_, [peer](const HeldCall &held) { return held.from == peer; });
+    std::vector<AttemptKey> waiting;
+    for (const auto &call : queue_.calls()) {
+        for (const auto &listener : call.listeners) {
+            if (listener.peer == peer) {
+                waiting.push_back(listener.attempt);
+            }
+        }
+    }
+    std::vector<AttemptKey> running;
+    for (const auto &[handle, execution] : executions_.all()) {
+        for (const auto &listener : execution.listeners) {
+            if (listener.peer == peer) {
+                running.push_back(listener.attempt);
+            }
+        }
+    }
+    for (const auto &attempt : waiting) {
+        leaveWaiting(attempt, now);
+    }
+    for (const auto &attempt : running) {
+        leaveRunning(attempt, now);
+    }
+}
+
+void SidecarDecisions::Impl::onMembers(const std::vector<Member> &members, Now /*now*/)
+{
+    const auto live = std::ranges::count_if(members, [](const Member &member) {
+        return member.role == VmRole::Sidecar && member.state == MemberState::Live;
+    });
+    liveSidecars_ = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(live, 1));
+}
+
+void SidecarDecisions::Impl::send(PeerHandle to, wire::Envelope message)
+{
+    message.set_protocol(wireProtocol);
+    message.set_message_id(++lastMessage_);
+    actions_.emplace_back(SendMessage{to, std::move(message)});
+}
+
+PeerHandle SidecarDecisions::Impl::scheduler() const
+{
+    PeerHandle best;
+    std::uint64_t fence = 0;
+    for (const auto &[peer, subscriber] : subscribers_) {
+        if (subscriber.scheduler && (!best || subscriber.schedulerFence > fence)) {
+            best = peer;
+            fence = subscriber.schedulerFence;
+        }
+    }
+    return best;
+}
+
+bool SidecarDecisions::Impl::schedulerHeard(TimePoint now) const
+{
+    const auto place = subscribers_.find(scheduler());
+    return place != subscribers_.end() && now - place->second.heard < schedulerSilence * init_.timing.suspect;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/tests/unit/residency_loads_test.cpp
@@ -0,0 +1,213 @@
+// Grants of the load scheduler, loads without it, and who gives way.
+#include "residency_fixture.h"
+
+#include <gtest/gtest.h>
+
+namespace anvilscale::test {
+
+namespace {
+
+wire::Envelope grantFor(const AdapterVersion &which, std::uint64_t fence, std::uint64_t number,
+                        std::uint64_t target = 50)
+{
+    wire::Envelope envelope;
+    auto &grant = *envelope.mutable_load_grant();
+    grant.set_fence(fence);
+    grant.set_grant(number);
+    grant.set_adapter(which.adapter);
+    grant.set_version(which.version);
+    grant.set_valid_us(2'000'000);
+    grant.set_target_incarnation(target);
+    return envelope;
+}
+
+OrderOutcome lastResult(const SidecarFixture &fixture)
+{
+    return fixture.loadResults.empty() ? OrderOutcome::Count
+                                       : fromWire(fixture.loadResults.back().outcome(), OrderOutcome::Count);
+}
+
+} // namespace
+
+TEST(ResidencyLoads, WaitsForTheSchedulerAndActsOnItsGrant)
+{
+    SidecarFixture fixture;
+    fixture.recover();
+    fixture.hello(entry, true, 5);
+    fixture.call(lounge);
+    fixture.advance(Milliseconds(100));
+    EXPECT_TRUE(fixture.orders.empty());
+    ASSERT_FALSE(fixture.heartbeats.empty());
+    const auto &told = fixture.heartbeats.back().second;
+    ASSERT_EQ(told.demands_size(), 1);
+    EXPECT_EQ(told.demands(0).adapter(), "lounge");
+    EXPECT_EQ(told.demands(0).waiting(), 1U);
+    EXPECT_TRUE(told.demands(0).evictable_slot());
+    fixture.message(entry, grantFor(lounge, 5, 1));
+    ASSERT_EQ(fixture.orders.size(), 1U);
+    fixture.answerOrders();
+    EXPECT_EQ(lastResult(fixture), OrderOutcome::Done);
+    EXPECT_EQ(fixture.started.size(), 1U);
+}
+
+TEST(ResidencyLoads, GrantOfAnOldSchedulerIsFencedOff)
+{
+    // A scheduler is paused past its lease and its successor has already granted loads. It wakes and sends what it had
+    // decided. Acted on, two schedulers would together exceed the weight store's rate and undo each other's choices.
+    SidecarFixture fixture;
+    fixture.recover();
+    fixture.hello(entry, true, 5);
+    fixture.hello(otherEntry, true, 6);
+    fixture.message(entry, grantFor(lounge, 5, 1));
+    EXPECT_EQ(lastResult(fixture), OrderOutcome::FencedOff);
+    EXPECT_TRUE(fixture.orders.empty());
+}
+
+TEST(ResidencyLoads, GrantForAnEarlierStartIsRefused)
+{
+    SidecarFixture fixture;
+    fixture.recover();
+    fixture.message(entry, grantFor(lounge, 5, 1, 49));
+    EXPECT_EQ(lastResult(fixture), OrderOutcome::Refused);
+    EXPECT_TRUE(fixture.orders.empty());
+}
+
+TEST(ResidencyLoads, GrantThatFindsNoSlotInTimeExpires)
+{
+    // A grant waits for a slot whose unload hangs. By then the scheduler has given the turn to somebody else, so that
+    // a late load would be a second one at the weight store.
+    SidecarInit init;
+    init.slots = 1;
+    SidecarFixture fixture(init);
+    fixture.recover();
+    fixture.call(lounge);
+    fixture.answerOrders();
+    fixture.end(fixture.started[0].execution, CallOutcome::Complete);
+    fixture.hello(entry, true, 5);
+    fixture.advance(Seconds(2));
+    fixture.message(entry, grantFor(transit, 5, 1));
+    const auto unload = fixture.takeOrder(OrderKind::Unload);
+    ASSERT_TRUE(unload.order);
+    fixture.advance(Seconds(3));
+    EXPECT_EQ(lastResult(fixture), OrderOutcome::Expired);
+    fixture.reply(unload, OrderOutcome::Done);
+    EXPECT_EQ(fixture.takeOrder(OrderKind::Load).order, OrderHandle{});
+}
+
+TEST(ResidencyLoads, GrantThatComesTwiceLoadsOnce)
+{
+    SidecarFixture fixture;
+    fixture.recover();
+    fixture.message(entry, grantFor(lounge, 5, 1));
+    fixture.message(entry, grantFor(lounge, 5, 1));
+    fixture.answerOrders();
+    fixture.message(entry, grantFor(lounge, 5, 1));
+    EXPECT_EQ(fixture.sidecar.stats().loads, 1U);
+    EXPECT_EQ(fixture.loadResults.size(), 1U);
+}
+
+TEST(ResidencyLoads, GoesOnByItsShareWhenTheSchedulerFallsSilent)
+{
+    // The load scheduler dies and nobody takes over for a while. If sidecars went on waiting for grants, calls of
+    // absent adapters would all miss their deadlines.
+    SidecarFixture fixture;
+    fixture.recover();
+    std::vector<Member> members(8);
+    for (auto &member : members) {
+        member.state = MemberState::Live;
+    }
+    fixture.sidecar.onMembers(members, fixture.now);
+    fixture.hello(entry, true, 5);
+    for (int i = 0; i < 4; ++i) {
+        fixture.call({"adapter-" + std::to_string(i), "v1"});
+    }
+    fixture.advance(Seconds(4));
+    EXPECT_TRUE(fixture.orders.empty());
+    std::size_t loads = 0;
+    for (int i = 0; i < 20; ++i) {
+        fixture.advance(Seconds(1));
+        loads += fixture.orders.size();
+        fixture.answerOrders();
+    }
+    EXPECT_EQ(loads, 4U);
+    EXPECT_EQ(fixture.started.size(), 4U);
+}
+
+TEST(ResidencyLoads, PopularAdapterOutlivesOneUsedJustNow)
+{
+    // Recency alone would evict the popular adapter that paused for a second, and its next callers would all stall.
+    SidecarInit init;
+    init.slots = 2;
+    SidecarFixture fixture(init);
+    fixture.recover();
+    const auto serve = [&](const AdapterVersion &which) {
+        fixture.call(which);
+        fixture.answerOrders();
+        fixture.end(fixture.started.back().execution, CallOutcome::Complete);
+    };
+    for (int i = 0; i < 20; ++i) {
+        serve(lounge);
+        fixture.advance(Milliseconds(200));
+    }
+    serve(transit);
+    fixture.advance(Seconds(4));
+    fixture.call(menus);
+    fixture.advance(Seconds(2));
+    ASSERT_FALSE(fixture.orders.empty());
+    EXPECT_EQ(fixture.orders[0].which, transit);
+}
+
+TEST(ResidencyLoads, NoThrashBetweenTwoAdaptersForOneSlot)
+{
+    // Two adapters alternate for one slot. Each call evicting the other's adapter would spend all time on loads. Calls
+    // are served in runs instead, and each waits no longer than a bound.
+    SidecarInit init;
+    init.slots = 1;
+    SidecarFixture fixture(init);
+    fixture.recover();
+    std::size_t served = 0;
+    for (int i = 0; i < 600; ++i) {
+        const auto request = fixture.request(i % 2 == 0 ? lounge : transit, Seconds(60));
+        fixture.send(request);
+        fixture.advance(Milliseconds(100));
+        fixture.answerOrders();
+        for (const auto &start : std::exchange(fixture.started, {})) {
+            fixture.end(start.execution, CallOutcome::Complete);
+            ++served;
+        }
+    }
+    EXPECT_GT(served, 400U);
+    EXPECT_LT(fixture.sidecar.stats().loads, 30U);
+    EXPECT_GT(fixture.sidecar.stats().loads, 4U) << "neither of them is starved";
+    EXPECT_TRUE(fixture.engine.violations.empty());
+}
+
+TEST(ResidencyLoads, UnpopularAdapterGetsItsTurnOnABusyEngine)
+{
+    // All slots serve adapters that are never idle, so that none reaches zero pins. A call for another adapter would
+    // wait for ever; after the starvation bound one of them takes no new calls until it can be evicted.
+    SidecarInit init;
+    init.slots = 2;
+    SidecarFixture fixture(init);
+    fixture.recover();
+    std::vector<StartExecution> running;
+    bool served = false;
+    for (int i = 0; i < 300; ++i) {
+        fixture.send(fixture.request(lounge, Seconds(60)));
+        fixture.send(fixture.request(transit, Seconds(60)));
+        if (i == 50) {
+            fixture.send(fixture.request(menus, Seconds(60)));
+        }
+        fixture.advance(Milliseconds(100));
+        fixture.answerOrders();
+        auto started = std::exchange(fixture.started, {});
+        for (const auto &start : std::exchange(running, std::move(started))) {
+            served = served || start.request.adapter() == "menus";
+            fixture.end(start.execution, CallOutcome::Complete);
+        }
+    }
+    EXPECT_TRUE(served);
+    EXPECT_TRUE(fixture.engine.violations.empty());
+}
+
+} // namespace anvilscale::test
