Entry decisions and load scheduler: a first whole version

Cause: the daemon needs the entry's state machine and the load scheduler to be wired against. Change: EntryDecisions resolves a call, places it by residency and expected wait, matches frames to the open attempt, checks frame count and digest, and ends every call in a whole answer or a typed error whose verdict comes from one rule. LoadScheduler grants loads one at a time by value under the lease's fencing number. A naive entry stands behind the same face.

--- a/include/anvilscale/routing.h
+++ b/include/anvilscale/routing.h
@@ -72,6 +72,18 @@
 };
 using EntryAction = std::variant<SendToSidecar, DeliverFrame, FinishCall, FailCall>;
 
+/// Single safeguards, all on. Switched off by tests only, to show that the checks of the fault matrix can fail.
+struct EntrySafeguards
+{
+    bool frameMatch = true; ///< frames belong to the open attempt of their id and sidecar, and are in order
+    bool digestCheck = true; ///< frame count and digest of the end frame
+    bool notRunProof = true; ///< "not run" needs a proof; off: whatever ended before an answer counts as not run
+    bool spliceGuard = true; ///< no retry once the caller has seen bytes
+    bool retryOnlySafe = true; ///< no retry of a call that may have run, unless it is idempotent
+    bool slotFence = true; ///< the slot owner's fencing number goes with the call
+    bool leavingGuard = true; ///< no new work to suspect or leaving sidecars
+};
+
 struct EntryInit
 {
     std::string name;
@@ -82,6 +94,7 @@
     const ConfigStore *config = nullptr;
     TimerService *timers = nullptr;
     std::uint64_t seed = 1;
+    EntrySafeguards safeguards;
 };
 
 struct EntryStats
@@ -143,6 +156,34 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// The naive version behind the same face: least-loaded routing, retries without a budget, no admission by deadline.
+/// For comparison and differential tests only.
+class NaiveEntryDecisions
+{
+public:
+    explicit NaiveEntryDecisions(EntryInit init);
+    ~NaiveEntryDecisions();
+    NaiveEntryDecisions(const NaiveEntryDecisions &) = delete;
+    NaiveEntryDecisions &operator=(const NaiveEntryDecisions &) = delete;
+
+    void onCall(CallHandle call, CallerRequest request, Now now);
+    void onCallerGone(CallHandle call, FailureReason why, Now now);
+    void onCallerTook(CallHandle call, std::uint64_t bytes, Now now);
+    void onMessage(const std::string &sidecar, const wire::Envelope &message, Now now);
+    void onSendFailed(const std::string &sidecar, const wire::AttemptId &id, Now now);
+    void onMember(const Member &member, Now now);
+    void onConfigChanged(Now now);
+    void onSlotTable(const config::SlotTable &table, Now now);
+    void onSummary(const std::string &dataCentre, const wire::Heartbeat &summary, Now now);
+
+    std::vector<EntryAction> takeActions();
+    const EntryStats &stats() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
 /// Orders the loads of all sidecars. Grants are only made while `mayAct` says that the lease is held.
 class LoadScheduler
 {
--- a/src/routing/placeholder.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-// placeholder until the first part of the library lands
-#include "anvilscale/routing.h"
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -6,7 +6,7 @@
     add_executable(${name} ${source})
     target_compile_options(${name} PRIVATE ${ANVILSCALE_WARNINGS})
     target_link_libraries(${name} PRIVATE ${ARGN} ${RAPIDCHECK_LIBRARY} GTest::gtest GTest::gtest_main)
-    target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests)
+    target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests ${PROJECT_SOURCE_DIR}/src)
     set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/tests)
     gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST WORKING_DIRECTORY ${PROJECT_SOURCE_DIR}
                          PROPERTIES ENVIRONMENT "${TEST_ENVIRONMENT};ANVILSCALE_BUILD=${PROJECT_BINARY_DIR}")
