Platform: a call to the key-value service ends by its timeout even if the answer drips

Cause: the timeout bounded each read of a socket. A service that sends a byte now and then held a thread for as long as it liked, and every request behind it.

Change: the connection's socket bounds the whole exchange. Tests with a server of their own: a dripping answer, one over the limit, one that is not understood. Also the caller stand-in and a first scripts/demo.sh, which needs the daemon to run through.

--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,130 @@
+#!/usr/bin/env bash
+# The whole product on one machine: both deployments of examples/ with stand-ins for platform and endpoints, real calls
+# through both entries of each, judged by the stand-ins' own records. The last line is
+#   demo: N answered, L lost, D doubled, W wrong adapter
+# and the exit code 0 only if L, D and W are 0. Stops all it started.
+#   --short  fewer calls    --built DIR  use the programs in DIR instead of setting up and building
+set -eu
+cd "$(dirname "$0")/.."
+calls=400
+threads=16
+build=build
+setup=yes
+while [ $# -gt 0 ]; do
+    case $1 in
+    --short) calls=64; threads=8 ;;
+    --built) setup=no; build=$2; shift ;;
+    *) echo "usage: scripts/demo.sh [--short] [--built DIR]" >&2; exit 2 ;;
+    esac
+    shift
+done
+if [ $setup = yes ]; then
+    scripts/setup.sh
+    scripts/build.sh "$build"
+fi
+
+work=$(mktemp -d)
+started=()
+daemons=()
+stopAll() {
+    status=$?
+    trap - EXIT
+    for pid in "${daemons[@]}" "${started[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+    for pid in "${daemons[@]}" "${started[@]}"; do wait "$pid" 2>/dev/null || true; done
+    if [ $status = 0 ]; then rm -rf "$work"; else echo "logs are kept in $work" >&2; fi
+    exit $status
+}
+trap stopAll EXIT
+trap 'exit 130' INT TERM
+
+# startStandin FILE SUBCOMMAND OPTIONS...: the port is written to FILE.port.
+startStandin() {
+    local file=$1
+    shift
+    "$build/tests/standins" "$@" --port-file "$file.port" >"$file.log" 2>&1 &
+    started+=($!)
+}
+portOf() {
+    for _ in $(seq 1 600); do
+        [ -s "$1.port" ] && { cat "$1.port"; return; }
+        sleep 0.05
+    done
+    echo "$1 did not start" >&2
+    cat "$1.log" >&2 || true
+    return 1
+}
+urlOf() { echo "http://127.0.0.1:$(portOf "$1")"; }
+
+# runDeployment NAME LOAD_RATE
+runDeployment() {
+    local example=examples/$1 folder=$work/$1 rate=$2 name
+    mkdir -p "$folder"
+    startStandin "$folder/key-value" key-value
+    startStandin "$folder/vm-list" vm-list --lag-ms 200
+    startStandin "$folder/weight-store" weight-store --rate "$rate"
+    local keyValue vmList weightStore
+    keyValue=$(urlOf "$folder/key-value")
+    vmList=$(urlOf "$folder/vm-list")
+    weightStore=$(urlOf "$folder/weight-store")
+
+    local endpoints=() caller=()
+    for file in "$example"/settings/*.json; do
+        name=$(basename "$file" .json)
+        if grep -q '"endpointKind": "engine"' "$file"; then
+            local fencing=ignore
+            grep -q '"endpointChecksFence": true' "$file" && fencing=check
+            startStandin "$folder/$name.endpoint" engine --fencing $fencing --weight-store "$weightStore" \
+                --base-model "$(sed -nE 's/.*"baseModel": "([^"]*)".*/\1/p' "$file")" \
+                --slots "$(sed -nE 's/.*"slots": ([0-9]*).*/\1/p' "$file")" --step-us 2000 --sequence-us 100
+            endpoints+=("$name=$(urlOf "$folder/$name.endpoint")")
+            caller+=(--engine "$(urlOf "$folder/$name.endpoint")")
+        elif grep -q '"endpointKind": "service"' "$file"; then
+            startStandin "$folder/$name.endpoint" service --name "$name" --delay-ms 5
+            endpoints+=("$name=$(urlOf "$folder/$name.endpoint")")
+            caller+=(--service-endpoint "$(urlOf "$folder/$name.endpoint")")
+        fi
+    done
+
+    python3 scripts/demo_files.py settings "$example" "$folder" "$keyValue" "$vmList/vms" "${endpoints[@]}"
+    for file in "$example"/settings/*.json; do
+        name=$(basename "$file" .json)
+        "$build/bin/anvilscaled" --settings "$folder/$name.json" >"$folder/$name.out" 2>&1 &
+        daemons+=($!)
+    done
+    for file in "$example"/settings/*.json; do
+        name=$(basename "$file" .json)
+        portOf "$folder/$name.control" >/dev/null
+        if grep -q '"role": "entry"' "$file"; then caller+=(--entry "$(urlOf "$folder/$name.http")"); fi
+    done
+    python3 scripts/demo_files.py vms "$example" "$folder" "$vmList/standin"
+
+    local ctl=("$build/bin/anvilctl" --key-value "$keyValue" --vm-list "$vmList/vms" --timeout-ms 60000 --author demo)
+    "${ctl[@]}" config apply "$example/records" | tail -1
+    "${ctl[@]}" config wait 1 | tail -1
+
+    for route in $(python3 scripts/demo_files.py routes "$example"); do caller+=(--route "$route"); done
+    while read -r kind name; do caller+=("--$kind-service" "$name"); done \
+        < <(python3 scripts/demo_files.py services "$example")
+    "$build/tests/standins" caller --tag "$1" --calls "$calls" --threads "$threads" "${caller[@]}" \
+        >"$folder/caller.out" || failed=yes
+    grep -v '^RESULT' "$folder/caller.out" || true
+    "${ctl[@]}" status
+    echo
+}
+
+failed=no
+runDeployment authority 4
+runDeployment utac 2
+
+# A daemon that was told to stop has no call left and must end well.
+for pid in "${daemons[@]}"; do kill -TERM "$pid"; done
+for pid in "${daemons[@]}"; do
+    wait "$pid" || { echo "a daemon ended with $?" >&2; failed=yes; }
+done
+daemons=()
+
+read -r answered lost doubled wrong < <(cat "$work"/*/caller.out | awk '/^RESULT/ {n++; a+=$2; l+=$3; d+=$4; w+=$5}
+    END {if (n == 2) print a, l, d, w; else print 0, 0, 0, 0}')
+[ "$answered" -gt 0 ] || failed=yes
+echo "demo: $answered answered, $lost lost, $doubled doubled, $wrong wrong adapter"
+[ "$lost$doubled$wrong" = 000 ] && [ $failed = no ]
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -4,6 +4,7 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocketImpl.h>
 #include <Poco/Timespan.h>
 
 #include <algorithm>
@@ -22,6 +23,49 @@
 }
 } // namespace
 
+// Bounds a whole exchange, not each read of it: a service that sends one byte now and then would otherwise hold a
+// thread far beyond the timeout, and with it every request that queues behind.
+class HttpConnection::DeadlineSocket : public Poco::Net::StreamSocketImpl
+{
+public:
+    void setDeadline(Clock::time_point deadline)
+    {
+        deadline_ = deadline;
+    }
+    /// For streams: only each single wait is bounded.
+    void setIdleLimit(Duration idle)
+    {
+        deadline_.reset();
+        setReceiveTimeout(Poco::Timespan(idle.count()));
+    }
+    int receiveBytes(void *buffer, int length, int flags) override
+    {
+        if (deadline_) {
+            checkDeadline();
+            setReceiveTimeout(timeLeft(*deadline_));
+        }
+        return Poco::Net::StreamSocketImpl::receiveBytes(buffer, length, flags);
+    }
+    int sendBytes(const void *buffer, int length, int flags) override
+    {
+        if (deadline_) {
+            checkDeadline();
+            setSendTimeout(timeLeft(*deadline_));
+        }
+        return Poco::Net::StreamSocketImpl::sendBytes(buffer, length, flags);
+    }
+
+private:
+    void checkDeadline() const
+    {
+        if (Clock::now() >= *deadline_) {
+            throw Poco::TimeoutException();
+        }
+    }
+
+    std::optional<Clock::time_point> deadline_;
+};
+
 HttpConnection::HttpConnection(const std::string &url)
     : uri_(url)
 {
@@ -32,6 +76,7 @@
     const std::scoped_lock lock(mutex_);
     session_.reset();
     socket_ = Poco::Net::StreamSocket();
+    limits_ = nullptr;
 }
 
 void HttpConnection::abort()
@@ -66,7 +111,8 @@
     }
     close();
     try {
-        Poco::Net::StreamSocket socket;
+        auto *limits = new DeadlineSocket; // owned by the socket
+        Poco::Net::StreamSocket socket(limits);
         const Poco::Net::SocketAddress address(uri_.getHost(), uri_.getPort());
         socket.connect(address, timeLeft(deadline));
         socket.setNoDelay(true);
@@ -75,6 +121,7 @@
             return false;
         }
         socket_ = socket;
+        limits_ = limits;
         session_ = std::make_unique<Poco::Net::HTTPClientSession>(socket);
         session_->setKeepAlive(true);
         return true;
@@ -83,12 +130,6 @@
     }
 }
 
-void HttpConnection::limitWaits(Clock::time_point deadline)
-{
-    socket_.setReceiveTimeout(timeLeft(deadline));
-    socket_.setSendTimeout(timeLeft(deadline));
-}
-
 std::istream &HttpConnection::send(const std::string &method, const std::string &path, const std::string &body)
 {
     Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
@@ -111,7 +152,7 @@
         return tl::unexpected(ExchangeError::NotSent);
     }
     try {
-        limitWaits(deadline);
+        limits_->setDeadline(deadline);
         std::istream &in = send(method, path, body);
         HttpAnswer answer;
         answer.status = response_.getStatus();
@@ -122,7 +163,6 @@
                 close();
                 return tl::unexpected(ExchangeError::TooLarge);
             }
-            limitWaits(deadline);
         }
         const bool cut = in.bad()
                          || (response_.hasContentLength()
@@ -148,9 +188,9 @@
         return tl::unexpected(ExchangeError::NotSent);
     }
     try {
-        limitWaits(deadline);
+        limits_->setDeadline(deadline);
         std::istream &in = send("POST", path, body);
-        socket_.setReceiveTimeout(Poco::Timespan(idle.count()));
+        limits_->setIdleLimit(idle);
         return &in;
     } catch (const Poco::Exception &) {
         close();
--- a/src/platform/http_connection.h
+++ b/src/platform/http_connection.h
@@ -12,6 +12,7 @@
 
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 namespace anvilscale {
@@ -52,16 +53,18 @@
     void abort();
 
 private:
+    class DeadlineSocket;
+
     bool connect(Clock::time_point deadline);
     bool reusable();
     std::istream &send(const std::string &method, const std::string &path, const std::string &body);
-    void limitWaits(Clock::time_point deadline);
 
     Poco::URI uri_;
     std::unique_ptr<Poco::Net::HTTPClientSession> session_;
     Poco::Net::HTTPResponse response_;
     std::mutex mutex_; // guards socket_ and aborted_
     Poco::Net::StreamSocket socket_; // the session's socket, shared so that abort() can reach it
+    DeadlineSocket *limits_ = nullptr; // of socket_, null if there is no connection
     bool aborted_ = false;
 };
 
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -22,6 +22,7 @@
     Subcommand{"service", standins::serviceOptions, standins::runService},
     Subcommand{"weight-store", standins::weightStoreOptions, standins::runWeightStore},
     Subcommand{"vm-list", standins::vmListOptions, standins::runVmList},
+    Subcommand{"caller", standins::callerOptions, standins::runCaller},
 };
 constexpr int usageError = 2;
 
--- a/tests/standins/subcommands.h
+++ b/tests/standins/subcommands.h
@@ -1,4 +1,5 @@
-// The subcommands of the program `standins`. Each serves until SIGTERM and returns the exit code.
+// The subcommands of the program `standins`. The stand-ins serve until SIGTERM; the
+// caller ends with its calls.
 #pragma once
 
 namespace cxxopts {
@@ -18,5 +19,7 @@
 int runWeightStore(const cxxopts::ParseResult &options);
 void vmListOptions(cxxopts::Options &options);
 int runVmList(const cxxopts::ParseResult &options);
+void callerOptions(cxxopts::Options &options);
+int runCaller(const cxxopts::ParseResult &options);
 
 } // namespace standins
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -3,9 +3,12 @@
 
 #include "anvilscale/platform.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/ServerSocket.h>
 #include <gtest/gtest.h>
 
+#include <array>
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -107,6 +110,51 @@
     EtcdGateway gateway_;
 };
 
+/// Accepts connections and answers every one with the parts given, a pause between them.
+class RawServer
+{
+public:
+    RawServer(std::vector<std::string> parts, std::chrono::milliseconds pause)
+        : socket_(Poco::Net::SocketAddress("127.0.0.1", 0))
+        , thread_([this, parts = std::move(parts), pause] { serve(parts, pause); })
+    {
+    }
+    ~RawServer()
+    {
+        stopped_ = true;
+        thread_.join();
+    }
+    std::string url() const
+    {
+        return "http://" + socket_.address().toString();
+    }
+
+private:
+    void serve(const std::vector<std::string> &parts, std::chrono::milliseconds pause)
+    {
+        while (!stopped_) {
+            if (!socket_.poll(Poco::Timespan(0, 10000), Poco::Net::Socket::SELECT_READ)) {
+                continue;
+            }
+            try {
+                auto connection = socket_.acceptConnection();
+                std::array<char, 4096> request{};
+                connection.receiveBytes(request.data(), request.size());
+                for (std::size_t i = 0; i < parts.size() && !stopped_; ++i) {
+                    connection.sendBytes(parts[i].data(), static_cast<int>(parts[i].size()));
+                    std::this_thread::sleep_for(pause);
+                }
+            } catch (const Poco::Exception &) {
+                continue; // the client left
+            }
+        }
+    }
+
+    Poco::Net::ServerSocket socket_;
+    std::atomic<bool> stopped_ = false;
+    std::thread thread_;
+};
+
 /// A port on which nobody listens.
 std::string refusedEndpoint()
 {
@@ -202,6 +250,37 @@
     service.control(R"({"outage":"none"})");
 }
 
+// A service sends its answer a byte at a time, each before the wait for one byte is over. The whole answer would take
+// minutes; the call must end by its timeout all the same, or every request behind it would wait as long.
+TEST(EtcdGateway, drippingAnswerEndsByTheTimeout)
+{
+    std::vector<std::string> parts(6000, "x");
+    parts.front() = "HTTP/1.1 200 OK\r\nContent-Length: 5999\r\n\r\n";
+    const RawServer service(parts, std::chrono::milliseconds(20));
+    Client client({service.url()}, Milliseconds(300));
+    EXPECT_EQ(client.put("a", "1", 0).status, KvStatus::Unknown);
+}
+
+// An answer without end must not fill the memory.
+TEST(EtcdGateway, answerOverTheLimitIsRefused)
+{
+    std::vector<std::string> parts{"HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\n"};
+    parts.insert(parts.end(), 100, std::string(1000000, 'x'));
+    const RawServer service(parts, std::chrono::milliseconds(0));
+    Client client({service.url()});
+    EXPECT_EQ(client.get("a").status, KvStatus::Unavailable);
+    EXPECT_EQ(client.put("a", "1", 0).status, KvStatus::Unknown);
+}
+
+// Something that is not the service answers. A write must not be taken for refused: it may have been passed on.
+TEST(EtcdGateway, answerThatIsNotUnderstoodIsUnknown)
+{
+    const RawServer service({"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"}, std::chrono::milliseconds(0));
+    Client client({service.url()});
+    EXPECT_EQ(client.put("a", "1", 0).status, KvStatus::Unknown);
+    EXPECT_EQ(client.get("a").status, KvStatus::Unavailable);
+}
+
 TEST(EtcdGateway, rateLimitOfTheServiceIsUnavailable)
 {
     const StandinProcess service("key-value", {"--rate", "0.001"});
