--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -109,8 +109,15 @@
 
 void Membership::Impl::check(Now now)
 {
-    // This process was paused: the heartbeats of that time are still unread, so silence proves nothing yet.
-    if (now.mono - checkDue >= init.timing.suspect / 2) {
+    // This process was paused: the heartbeats of that time are still unread, so its length is no silence of others.
+    const Duration late = now.mono - checkDue;
+    if (late >= init.timing.suspect / 2) {
+        for (auto &[name, entry] : known) {
+            entry.listedAt += late;
+            if (entry.heardAt) {
+                *entry.heardAt += late;
+            }
+        }
         return;
     }
     std::vector<std::string> forgotten;
@@ -177,6 +184,9 @@
         return;
     }
     member.incarnation = incarnation;
+    if (entry.heardAt && now.mono - *entry.heardAt >= impl_->init.timing.suspect) {
+        entry.heardSinceSuspect = 0; // not steady yet
+    }
     entry.heardAt = now.mono;
     entry.schemaVersion = heartbeat.schema_version();
     if (member.dataCentre.empty()) {
--- /dev/null
+++ b/tests/unit/state_membership_test.cpp
@@ -0,0 +1,157 @@
+// Membership from a lagging list and direct heartbeats.
+#include "wire.pb.h"
+
+#include "anvilscale/state.h"
+
+#include <gtest/gtest.h>
+
+namespace anvilscale {
+namespace {
+
+struct Watched
+{
+    TimerService timers;
+    std::vector<std::string> changes;
+    Membership membership{Membership::Init{Timing(), &timers}, [this](const Member &member) {
+                              changes.push_back(member.name + " " + std::string(toString(member.state)));
+                          }};
+    TimePoint time{Seconds(100)};
+
+    Now now() const
+    {
+        return Now{time, WallTime{0}};
+    }
+    void run(Duration span, bool beating = false)
+    {
+        const TimePoint end = time + span;
+        while (time < end) {
+            time += Milliseconds(250);
+            timers.advance(time);
+            if (beating) {
+                beat(1);
+            }
+        }
+    }
+    void beat(std::uint64_t incarnation, bool leaving = false, std::uint32_t schemaVersion = 2)
+    {
+        wire::Heartbeat heartbeat;
+        heartbeat.mutable_from()->set_name("s1");
+        heartbeat.mutable_from()->set_incarnation(incarnation);
+        heartbeat.set_leaving(leaving);
+        heartbeat.set_schema_version(schemaVersion);
+        membership.onHeartbeat(heartbeat, now());
+    }
+    void list(VmState state)
+    {
+        membership.onVmList({VmInfo{"s1", VmRole::Sidecar, state, "hall-east", "ub", "127.0.0.1:1"}}, now());
+    }
+    MemberState state() const
+    {
+        const auto *member = membership.find("s1");
+        return member == nullptr ? MemberState::Count : member->state;
+    }
+};
+
+TEST(Membership, HeartbeatMakesLiveAndSilenceSuspect)
+{
+    Watched watched;
+    watched.list(VmState::Live);
+    EXPECT_EQ(watched.state(), MemberState::Suspect) << "listed, but never heard";
+    watched.beat(1);
+    EXPECT_EQ(watched.state(), MemberState::Live);
+    watched.run(Seconds(4));
+    EXPECT_EQ(watched.state(), MemberState::Suspect);
+    watched.beat(1);
+    EXPECT_EQ(watched.state(), MemberState::Live);
+}
+
+// New work goes to an endpoint that is shutting down: a late heartbeat of the same start, or a list that lags behind,
+// must not bring back what has said that it leaves. A later start is another process.
+TEST(Membership, LeavingIsFinalForTheIncarnation)
+{
+    Watched watched;
+    watched.list(VmState::Live);
+    watched.beat(1);
+    watched.beat(1, true);
+    EXPECT_EQ(watched.state(), MemberState::Leaving);
+    watched.beat(1);
+    watched.list(VmState::Live);
+    EXPECT_EQ(watched.state(), MemberState::Leaving);
+    watched.beat(2);
+    EXPECT_EQ(watched.state(), MemberState::Live);
+    watched.beat(1, true);
+    EXPECT_EQ(watched.state(), MemberState::Live) << "a late message of the earlier start";
+    watched.list(VmState::Leaving);
+    EXPECT_EQ(watched.state(), MemberState::Leaving);
+    watched.beat(3);
+    EXPECT_EQ(watched.state(), MemberState::Leaving) << "the list says that this VM leaves, whatever runs there";
+}
+
+TEST(Membership, DrainOrderCountsForItsIncarnationOnly)
+{
+    Watched watched;
+    watched.beat(5);
+    wire::DrainOrder order;
+    order.mutable_target()->set_name("s1");
+    order.mutable_target()->set_incarnation(4);
+    watched.membership.onDrain(order, watched.now());
+    EXPECT_EQ(watched.state(), MemberState::Live);
+    order.mutable_target()->set_incarnation(5);
+    watched.membership.onDrain(order, watched.now());
+    watched.membership.onDrain(order, watched.now());
+    EXPECT_EQ(watched.state(), MemberState::Leaving);
+    watched.beat(5);
+    EXPECT_EQ(watched.state(), MemberState::Leaving);
+}
+
+// Calls are moved about at each change of state: a member whose heartbeats come just at the edge would change state
+// all the time. After some suspicions it has to be heard more often before it counts as live.
+TEST(Membership, SuspicionDoesNotFlap)
+{
+    Watched watched;
+    watched.beat(1);
+    for (int i = 0; i < 40; ++i) {
+        watched.run(Milliseconds(3500));
+        watched.beat(1);
+    }
+    EXPECT_LT(watched.changes.size(), 16U);
+    watched.run(Seconds(10), true);
+    EXPECT_EQ(watched.state(), MemberState::Live);
+}
+
+// A process that was paused finds everybody silent, because it has not read what came in the meantime.
+TEST(Membership, PausedProcessSuspectsNobodyOnWaking)
+{
+    Watched watched;
+    watched.beat(1);
+    watched.run(Seconds(2), true);
+    watched.time += Seconds(60);
+    watched.timers.advance(watched.time);
+    EXPECT_EQ(watched.state(), MemberState::Live);
+    watched.run(Seconds(4));
+    EXPECT_EQ(watched.state(), MemberState::Suspect);
+}
+
+TEST(Membership, DroppedAndSilentIsForgotten)
+{
+    Watched watched;
+    watched.list(VmState::Live);
+    watched.beat(1);
+    watched.membership.onVmList({}, watched.now());
+    watched.run(Seconds(30));
+    EXPECT_EQ(watched.state(), MemberState::Count);
+    EXPECT_EQ(watched.changes.back(), "s1 gone");
+}
+
+TEST(Membership, SchemaVersionOfAllIsTheLowestOfTheLiving)
+{
+    Watched watched;
+    EXPECT_EQ(watched.membership.schemaVersionOfAll(), 0U);
+    watched.beat(1, false, 1);
+    EXPECT_EQ(watched.membership.schemaVersionOfAll(), 1U);
+    watched.beat(1, true, 1);
+    EXPECT_EQ(watched.membership.schemaVersionOfAll(), 0U);
+}
+
+} // namespace
+} // namespace anvilscale
