--- /dev/null
+++ b/bench/slopes/fleet_messages.cpp
@@ -0,0 +1,83 @@
+// Heartbeats as a sidecar of a busy engine sends them.
+#include "fleet_messages.h"
+
+#include "fleet_records.h"
+
+namespace anvilscale::slopes {
+
+namespace {
+
+constexpr std::uint64_t sidecarIncarnation = 0x1000000;
+
+void addAdapter(wire::Heartbeat &beat, std::size_t adapter, ResidencyState state)
+{
+    auto *entry = beat.add_adapters();
+    entry->set_adapter(adapterName(adapter));
+    entry->set_version("v1");
+    entry->set_state(static_cast<std::uint32_t>(state));
+    entry->set_pins(2);
+}
+
+wire::Envelope heartbeat(std::size_t i, std::uint64_t sequence, const ConfigStore &config)
+{
+    wire::Envelope envelope;
+    envelope.set_protocol(wireProtocol);
+    wire::Heartbeat &beat = *envelope.mutable_heartbeat();
+    beat.mutable_from()->set_name(sidecarName(i));
+    beat.mutable_from()->set_incarnation(sidecarIncarnation);
+    beat.set_data_centre("hall-east");
+    beat.set_base_model("base-70b");
+    beat.set_endpoint_kind("engine");
+    beat.set_engine_incarnation(1);
+    beat.set_sequence(sequence);
+    beat.set_slots(slotsEach);
+    beat.set_running(12);
+    beat.set_batch_limit(64);
+    beat.set_step_fill_permille(700);
+    beat.set_queue_delay_us(20'000);
+    beat.set_config_revision(config.revision());
+    beat.set_config_digest(config.digest());
+    beat.set_admitting(true);
+    return envelope;
+}
+
+} // namespace
+
+std::string sidecarName(std::size_t i)
+{
+    return "hall-east-sidecar-" + std::to_string(i);
+}
+
+Member sidecarMember(std::size_t i)
+{
+    Member member;
+    member.name = sidecarName(i);
+    member.incarnation = sidecarIncarnation;
+    member.state = MemberState::Live;
+    member.role = VmRole::Sidecar;
+    member.dataCentre = "hall-east";
+    member.region = "ulaanbaatar";
+    member.address = "127.0.0.1:4000";
+    return member;
+}
+
+wire::Envelope fullHeartbeat(std::size_t i, const ConfigStore &config)
+{
+    wire::Envelope envelope = heartbeat(i, 1, config);
+    envelope.mutable_heartbeat()->set_full(true);
+    for (std::size_t slot = 0; slot < slotsEach; ++slot) {
+        addAdapter(*envelope.mutable_heartbeat(), i * slotsEach + slot, ResidencyState::Resident);
+    }
+    return envelope;
+}
+
+wire::Envelope deltaHeartbeat(std::size_t i, std::uint64_t sequence, std::size_t changed, const ConfigStore &config)
+{
+    wire::Envelope envelope = heartbeat(i, sequence, config);
+    for (std::size_t slot = 0; slot < changed; ++slot) {
+        addAdapter(*envelope.mutable_heartbeat(), i * slotsEach + slot, ResidencyState::Resident);
+    }
+    return envelope;
+}
+
+} // namespace anvilscale::slopes
--- a/bench/slopes/main.cpp
+++ b/bench/slopes/main.cpp
@@ -21,10 +21,14 @@
     if (given.count("quick") != 0) {
         report.adapterSizes = {100, 200, 400};
         report.sidecarSizes = {5, 10, 20};
+        report.fleetSizes = {10, 20, 40};
         report.keySizes = {100, 200, 400};
     }
     measureConfig(report);
     measureKeys(report);
+    measureEntry(report);
+    measureSidecar(report);
+    measureScheduler(report);
     std::cout << (given.count("page") != 0 ? toJson(report) : toJson(report));
     return 0;
 }
--- a/bench/slopes/slopes.h
+++ b/bench/slopes/slopes.h
@@ -14,6 +14,7 @@
 {
     std::vector<std::size_t> adapterSizes{1'400, 14'000, 140'000};
     std::vector<std::size_t> sidecarSizes{20, 60, 180};
+    std::vector<std::size_t> fleetSizes{60, 600, 3'900};
     std::vector<std::size_t> keySizes{1'000, 10'000, 100'000};
 
     std::map<std::string, Series> series;
