Capacity page: slopes of every role, and what does not fit

Cause: the users ask for state, messages, time and memory of each role at the two-year size, from measured slopes.

--- a/bench/slopes/main.cpp
+++ b/bench/slopes/main.cpp
@@ -29,6 +29,7 @@
     measureEntry(report);
     measureSidecar(report);
     measureScheduler(report);
-    std::cout << (given.count("page") != 0 ? toJson(report) : toJson(report));
+    measureKeyValueCalls(report);
+    std::cout << (given.count("page") != 0 ? toPage(report) : toJson(report));
     return 0;
 }
--- a/bench/slopes/sidecar_slopes.cpp
+++ b/bench/slopes/sidecar_slopes.cpp
@@ -189,6 +189,7 @@
     const double started = threadMicros();
     bench.run(idleSpan);
     const auto seconds = static_cast<double>(idleSpan.count());
+    report.rate("sidecar.peers", static_cast<double>(peers));
     report.rate("sidecar.idle_bytes_per_s", static_cast<double>(bench.sentBytes() - bytesBefore) / seconds);
     report.rate("sidecar.idle_messages_per_s", static_cast<double>(bench.sentMessages() - messagesBefore) / seconds);
     report.rate("sidecar.idle_cpu_permille", (threadMicros() - started) / seconds / 1000.0);
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -32,3 +32,6 @@
     set_target_properties(faultmatrix PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/tests)
     include(${PROJECT_SOURCE_DIR}/tests/faults/faults.cmake OPTIONAL)
 endif()
+
+# The capacity bench runs at small sizes, so that it cannot rot between two measurements.
+add_test(NAME slopes_at_small_sizes COMMAND slopes --quick --page)
