--- a/bench/slopes/capacity_page.cpp
+++ b/bench/slopes/capacity_page.cpp
@@ -202,8 +202,11 @@
         const Line line = fit(series.points);
         const std::string slope = series.cumulative ? text(line.perUnit) + " " + series.unit + " each" : "cost";
         const std::string linear = !series.cumulative ? "-" : (line.linearOrBetter ? "yes" : "no");
-        out += "| `" + name + "` | " + sizes + " " + series.over + " | " + values + " | " + series.unit + " | " + slope
-               + " | " + linear + " |\n";
+        for (const std::string &cell :
+             {"`" + name + "`", sizes + " " + series.over, values, series.unit, slope, linear}) {
+            out += "| " + cell + " ";
+        }
+        out += "|\n";
     }
     return out;
 }
