Residency: resolve the route again at the sidecar, and search faults at random

Cause: an entry that missed a change of the configuration sent callers to the replaced version, and a sidecar that was behind would have run its own older one. The random search found that an attempt whose entry was lost could be taken a second time.

Change: stale calls are refused as not run, calls of a newer revision are held for at most a second while the configuration is asked for, waiting calls are resolved again at a change, the next version is loaded ahead into a free or cheap slot, a replaced version gives way first. Attempts of lost peers are remembered as ended.

--- a/src/residency/adapter_table.h
+++ b/src/residency/adapter_table.h
@@ -46,6 +46,7 @@
     // No further call is started, so that the pins fall to zero: a call of another adapter has waited too long.
     bool yielding = false;
     std::string route; ///< the route that named it last
+    bool superseded = false; ///< that route names another version now
 
     bool occupiesSlot() const
     {
--- a/src/residency/eviction.cpp
+++ b/src/residency/eviction.cpp
@@ -20,6 +20,9 @@
 
 double keepValue(const AdapterRecord &record, Duration loadTime, const EvictionRules &rules, TimePoint now)
 {
+    if (record.superseded) {
+        return 0.0;
+    }
     const double loadSeconds = std::chrono::duration<double>(std::max(loadTime, Duration(Milliseconds(100)))).count();
     const double weight = record.urgent ? urgentWeight : 1.0;
     return record.demand.at(now, rules.demandMemory) * loadSeconds * weight;
--- a/src/residency/sidecar.cpp
+++ b/src/residency/sidecar.cpp
@@ -135,7 +135,7 @@
         due = earlier(due, downUntil_);
     }
     for (const auto &held : held_) {
-        due = earlier(due, held.until);
+        due = earlier(due, std::min(held.until, nextFetch_));
     }
     for (const auto &ticket : tickets_) {
         if (!ticket.load) {
@@ -148,6 +148,10 @@
             due = earlier(due, std::max(record.notBefore, nextLocalLoad_));
         }
     }
+    if (!prefetch_.empty() && !prefetchDemands(now).empty()) {
+        constexpr Duration prefetchRecheck = Milliseconds(500);
+        due = earlier(due, std::max(nextLocalLoad_, now + prefetchRecheck));
+    }
     // What is overdue was left for a reason (a bound on rates, a slot that is not free); it is looked at again soon.
     constexpr Duration recheck = Milliseconds(100);
     return due ? std::optional(std::max(*due, now + (*due <= now ? recheck : Duration(0)))) : due;
--- a/src/residency/sidecar.h
+++ b/src/residency/sidecar.h
@@ -88,8 +88,6 @@
     std::optional<TimePoint> nextDue(TimePoint now) const;
     void finishDrain(Now now);
     const Policy &policy() const;
-    std::uint64_t revision() const;
-    void onConfigChanged(Now now);
     bool isEngine() const
     {
         return init_.kind == EndpointKind::Engine;
@@ -129,6 +127,19 @@
     template<class Condition>
     void refuseWaiting(const RefusalDetail &detail, Condition condition);
 
+    // sidecar_versions.cpp: the configuration
+    std::uint64_t revision() const;
+    void onConfigChanged(Now now);
+    std::optional<RefusalDetail> checkVersion(const wire::CallRequest &request) const;
+    bool isBehind(const wire::CallRequest &request) const;
+    void hold(PeerHandle from, const wire::CallRequest &request, TimePoint arrived, Now now);
+    void fetchConfig(Now now);
+    void expireHeld(Now now);
+    void markSuperseded();
+    /// Finds the versions that are to be loaded ahead of a switch.
+    void planPrefetch();
+    std::vector<Demand> prefetchDemands(TimePoint now) const;
+
     // sidecar_calls.cpp: calls that wait or run
     void startCalls(Now now);
     bool mayStart(const WaitingCall &call) const;
@@ -209,7 +220,9 @@
     ExecutionTable executions_;
     Recovery recovery_;
     AttemptFilter ended_;
-    std::vector<HeldCall> held_;
+    std::vector<HeldCall> held_; // calls resolved at a newer revision than ours
+    TimePoint nextFetch_; // no configuration is asked for before
+    std::map<AdapterVersion, AdapterVersion> prefetch_; // version to load ahead, and the present one
     std::map<PeerHandle, Subscriber> subscribers_;
 
     Now last_{}; // time of the latest event; the wall clock of a timer is worked out from it
--- a/src/residency/sidecar_admission.cpp
+++ b/src/residency/sidecar_admission.cpp
@@ -49,6 +49,12 @@
     if (stateRefusal && !leaving_) {
         return refuse(listener, *stateRefusal);
     }
+    if (isBehind(request) && !leaving_) {
+        return hold(from, request, arrived, now);
+    }
+    if (const auto refusal = checkVersion(request)) {
+        return refuse(listener, *refusal);
+    }
     WaitingCall call = makeCall(from, request, arrived);
     // A repeat of a running call makes no new work, so it is taken also while leaving.
     if (attachToRunning(call)) {
@@ -76,7 +82,11 @@
         record.demand.add(now.mono, evictionRules_.demandMemory);
         record.urgent = call.callClass == CallClass::Urgent;
         record.lastUsed = now.mono;
-        record.route = call.request.route();
+        record.superseded = false;
+        if (record.route != call.request.route()) {
+            record.route = call.request.route();
+            planPrefetch();
+        }
         ++record.waiting;
         call.waitedForAdapter = record.state != ResidencyState::Resident;
         markChanged(call.which, call.waitedForAdapter && record.waiting == 1);
--- a/src/residency/sidecar_calls.cpp
+++ b/src/residency/sidecar_calls.cpp
@@ -171,6 +171,7 @@
         if (std::erase_if(place->listeners, [&](const auto &listener) { return listener.attempt == attempt; }) == 0) {
             continue;
         }
+        ended_.add(attempt);
         if (!place->listeners.empty()) {
             return;
         }
@@ -192,6 +193,7 @@
             == 0) {
             continue;
         }
+        ended_.add(attempt);
         actions_.emplace_back(DetachListener{handle, attempt.message()});
         if (execution.listeners.empty()) {
             abandon(execution, now.mono);
@@ -232,6 +234,7 @@
 
 void SidecarDecisions::Impl::expireCalls(Now now)
 {
+    expireHeld(now);
     for (auto place = queue_.calls().begin(); place != queue_.calls().end();) {
         const auto current = place++;
         const bool expired = current->deadline <= now.mono;
--- a/src/residency/sidecar_heartbeats.cpp
+++ b/src/residency/sidecar_heartbeats.cpp
@@ -11,6 +11,7 @@
 constexpr double burstBytes = 10'000.0;
 constexpr Duration shortestGap = Milliseconds(50);
 constexpr std::size_t demandsTold = 8;
+constexpr Duration longestBudget = std::chrono::hours(1); // told for a load that no call waits for
 
 } // namespace
 
@@ -136,8 +137,8 @@
     auto wanted = demands(now);
     wanted.resize(std::min(wanted.size(), demandsTold));
     for (const auto &want : wanted) {
-        const auto *record = adapters_.find(want.which);
-        if (record->notBefore > now) {
+        const auto &record = adapters_.add(want.which);
+        if (record.notBefore > now) {
             continue;
         }
         const auto claim = claimFor(want, now);
@@ -149,8 +150,9 @@
         demand.set_waiting(want.waiting);
         demand.set_call_class(static_cast<std::uint32_t>(want.mostUrgent));
         demand.set_oldest_wait_us(static_cast<std::uint64_t>(std::max(now - want.oldest, Duration(0)).count()));
-        demand.set_least_budget_us(static_cast<std::uint64_t>(std::max(want.leastDeadline - now, Duration(0)).count()));
-        demand.set_rate(record->demand.at(now, evictionRules_.demandMemory));
+        const Duration budget = std::clamp(want.leastDeadline - now, Duration(0), longestBudget);
+        demand.set_least_budget_us(static_cast<std::uint64_t>(budget.count()));
+        demand.set_rate(record.demand.at(now, evictionRules_.demandMemory));
         demand.set_evictable_slot(free || victim != nullptr);
         demand.set_victim_value(victim != nullptr ? keepValue(*victim, loadTime_.at(now), evictionRules_, now) : 0.0);
     }
--- a/src/residency/sidecar_loads.cpp
+++ b/src/residency/sidecar_loads.cpp
@@ -34,10 +34,12 @@
     const bool anyWaits = std::ranges::any_of(adapters_.records(), [](const auto &entry) {
         return entry.second.waiting != 0 && !entry.second.occupiesSlot();
     });
-    if (!admitting() || !anyWaits) {
+    if (!anyWaits) {
         for (auto &[which, record] : adapters_.records()) {
             record.yielding = false;
         }
+    }
+    if (!admitting() || (!anyWaits && prefetch_.empty())) {
         return;
     }
     const auto wanted = demands(now.mono);
@@ -65,8 +67,8 @@
         const double weight = policy().classWeights[static_cast<std::size_t>(call.callClass)];
         demand.gain += weight * (1.0 + secondsOf(now - call.arrived));
     }
-    std::vector<Demand> result;
-    result.reserve(byAdapter.size());
+    std::vector<Demand> result = prefetchDemands(now);
+    result.reserve(result.size() + byAdapter.size());
     for (auto &[which, demand] : byAdapter) {
         result.push_back(std::move(demand));
     }
@@ -103,8 +105,8 @@
     }
     for (const auto &demand : wanted) {
         const auto claim = claimFor(demand, now.mono);
-        const auto *record = adapters_.find(demand.which);
-        if (record->notBefore > now.mono || hasTicket(demand.which)) {
+        const auto &record = adapters_.add(demand.which);
+        if (record.notBefore > now.mono || hasTicket(demand.which)) {
             continue;
         }
         if (!mayTakeFreeSlot(adapters_, claim) && victimFor(claim, now.mono) == nullptr) {
@@ -301,7 +303,7 @@
 void SidecarDecisions::Impl::chooseYielding(const std::vector<Demand> &wanted, Now now)
 {
     const auto starving = std::ranges::find_if(wanted, [&](const Demand &demand) {
-        return claimFor(demand, now.mono).starving && adapters_.find(demand.which)->notBefore <= now.mono;
+        return claimFor(demand, now.mono).starving && adapters_.add(demand.which).notBefore <= now.mono;
     });
     const bool waits = starving != wanted.end() && !mayTakeFreeSlot(adapters_, claimFor(*starving, now.mono))
                        && victimFor(claimFor(*starving, now.mono), now.mono) == nullptr;
--- a/src/residency/sidecar_orders.cpp
+++ b/src/residency/sidecar_orders.cpp
@@ -235,7 +235,8 @@
 {
     const bool askedSince =
         order.handle.value > record.lingeringMark && order.sentAt >= record.lingeringFrom + settleDelay;
-    if (record.lingering != 0 && askedSince && runs == 0) {
+    const bool counts = askedSince || !init_.safeguards.listAfterChange;
+    if (record.lingering != 0 && counts && runs == 0) {
         record.lingering = 0;
         markChanged(record.which, false);
     }
--- a/src/residency/sidecar_peers.cpp
+++ b/src/residency/sidecar_peers.cpp
@@ -62,7 +62,12 @@
 void SidecarDecisions::Impl::onPeerLost(PeerHandle peer, Now now)
 {
     subscribers_.erase(peer);
-    std::erase_if(held_, [peer](const HeldCall &held) { return held.from == peer; });
+    std::erase_if(held_, [&](const HeldCall &held) {
+        if (held.from == peer) {
+            ended_.add(AttemptKey::of(held.request.id()));
+        }
+        return held.from == peer;
+    });
     std::vector<AttemptKey> waiting;
     for (const auto &call : queue_.calls()) {
         for (const auto &listener : call.listeners) {
--- a/tests/unit/residency_fixture.h
+++ b/tests/unit/residency_fixture.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,12 @@
     wire::CallRequest request;
 };
 
+/// An order on its way to the engine.
+struct SentOrder : SendOrder
+{
+    TimePoint sentAt;
+};
+
 class FakeEngine
 {
 public:
@@ -55,6 +62,9 @@
     {
         const AdapterVersion which{start.request.adapter(), start.request.version()};
         if (!which.empty() && !loaded.contains(which)) {
+            if (restartUnnoticed) {
+                return; // an engine that has just lost its adapters says so to the caller
+            }
             violations.push_back("call on an adapter that is not loaded: " + which.text());
         }
         running.push_back({start.execution, which, start.request});
@@ -80,17 +90,20 @@
         }
         return result;
     }
+    /// All adapters and calls are gone; orders and connections die with the process.
     void restart()
     {
         ++incarnation;
         loaded.clear();
         running.clear();
         highestFence = 0;
+        restartUnnoticed = true;
     }
 
     std::uint64_t incarnation = 100;
     std::uint64_t highestFence = 0;
     bool checksFence = true;
+    bool restartUnnoticed = false;
     std::set<AdapterVersion> loaded;
     std::vector<RunningCall> running;
     std::vector<std::string> violations;
@@ -105,10 +118,20 @@
     explicit SidecarFixture(SidecarInit init = {})
         : engine(init.slots)
         , init_(complete(std::move(init), timers))
-        , sidecar(init_)
+        , holder_(std::in_place, init_)
+        , sidecar(*holder_)
     {
         engine.checksFence = init_.endpointChecksFence;
     }
+    /// The process is killed and started again. Its orders stay on their way, their replies reach nobody.
+    void restartSidecar()
+    {
+        holder_.reset();
+        madeLists_.clear();
+        ++init_.incarnation;
+        holder_.emplace(init_);
+        start();
+    }
 
     void start()
     {
@@ -126,7 +149,9 @@
     void collect()
     {
         for (auto &action : sidecar.takeActions()) {
-            std::visit(Overloaded{[&](SendOrder &order) { orders.push_back(std::move(order)); },
+            std::visit(Overloaded{[&](SendOrder &order) {
+                                      orders.push_back(SentOrder{std::move(order), now.mono});
+                                  },
                                   [&](StartExecution &start) {
                                       engine.run(start);
                                       started.push_back(std::move(start));
@@ -161,16 +186,26 @@
         if (orders.empty()) {
             return false;
         }
-        const SendOrder order = orders.front();
+        const SentOrder order = orders.front();
         orders.erase(orders.begin());
         if (order.kind == OrderKind::List) {
-            sidecar.onEngineList(order.order, engine.list(), now);
+            const auto made = madeLists_.extract(order.order);
+            sidecar.onEngineList(order.order, made.empty() ? engine.list() : made.mapped(), now);
         } else {
             sidecar.onOrderDone(order.order, engine.apply(order), now);
         }
         collect();
         return true;
     }
+    /// Lists that are asked for are made now, and delivered when they are answered.
+    void makeLists()
+    {
+        for (const auto &order : orders) {
+            if (order.kind == OrderKind::List) {
+                madeLists_.try_emplace(order.order, engine.list());
+            }
+        }
+    }
     void answerOrders()
     {
         for (std::size_t n = orders.size(); n != 0; --n) {
@@ -310,10 +345,12 @@
     }
 
     SidecarInit init_;
+    std::optional<SidecarDecisions> holder_;
+    std::map<OrderHandle, EngineList> madeLists_;
 
 public:
-    SidecarDecisions sidecar;
-    std::vector<SendOrder> orders;
+    SidecarDecisions &sidecar; // in holder_
+    std::vector<SentOrder> orders;
     std::vector<StartExecution> started;
     std::vector<AttachListener> attached;
     std::vector<DetachListener> detached;
