--- /dev/null
+++ b/bench/policybench/naive_sidecar.cpp
@@ -0,0 +1,213 @@
+// The naive sidecar.
+#include "naive_sidecar.h"
+
+#include "fakes.h"
+
+#include <algorithm>
+
+namespace anvilscale::bench {
+
+NaiveSidecar::NaiveSidecar(SidecarInit init)
+    : init_(std::move(init))
+{
+}
+
+void NaiveSidecar::start(Now now)
+{
+    armHeartbeat(now);
+}
+
+void NaiveSidecar::armHeartbeat(Now now)
+{
+    init_.timers->subscribe(now.mono + init_.timing.heartbeat, [this](TimePoint at) {
+        heartbeat(Now{at, {}});
+        armHeartbeat(Now{at, {}});
+    });
+}
+
+void NaiveSidecar::heartbeat(Now /*now*/)
+{
+    wire::Envelope message;
+    message.set_protocol(wireProtocol);
+    auto &out = *message.mutable_heartbeat();
+    out.mutable_from()->set_name(init_.name);
+    out.mutable_from()->set_incarnation(init_.incarnation);
+    out.set_data_centre(init_.dataCentre);
+    out.set_base_model(init_.baseModel);
+    for (const auto &service : init_.services) {
+        out.add_services(service);
+    }
+    out.set_full(true);
+    out.set_sequence(++sequence_);
+    out.set_admitting(up_);
+    out.set_slots(init_.slots);
+    out.set_running(static_cast<std::uint32_t>(running_.size()));
+    out.set_queued(static_cast<std::uint32_t>(queue_.size()));
+    out.set_batch_limit(init_.batchLimit);
+    for (const auto &[peer, known] : peers_) {
+        actions_.emplace_back(SendMessage{peer, message});
+    }
+}
+
+void NaiveSidecar::onMessage(PeerHandle from, const wire::Envelope &message, Now now)
+{
+    if (message.has_hello()) {
+        peers_[from] = true;
+    }
+    if (message.has_call_request()) {
+        queue_.push_back(Waiting{from, message.call_request()});
+        serve(now);
+    }
+    if (!message.has_call_cancel()) {
+        return;
+    }
+    const auto &id = message.call_cancel().id();
+    const auto same = [&](const wire::AttemptId &other) {
+        return other.entry_incarnation() == id.entry_incarnation() && other.call() == id.call()
+               && other.attempt() == id.attempt();
+    };
+    std::erase_if(queue_, [&](const auto &waiting) { return same(waiting.request.id()); });
+    for (const auto &[execution, running] : running_) {
+        if (same(running.id)) {
+            actions_.emplace_back(CancelExecution{execution});
+        }
+    }
+}
+
+void NaiveSidecar::order(OrderKind kind, const std::string &adapter)
+{
+    const OrderHandle handle{++lastOrder_};
+    orders_[handle] = {kind, adapter};
+    SendOrder out;
+    out.order = handle;
+    out.kind = kind;
+    out.which = parseAdapter(adapter);
+    actions_.emplace_back(std::move(out));
+}
+
+bool NaiveSidecar::makeRoom(TimePoint /*now*/)
+{
+    std::uint32_t used = 0;
+    std::pair<const std::string, Adapter> *victim = nullptr;
+    for (auto &item : adapters_) {
+        const auto state = item.second.state;
+        used += state != ResidencyState::Absent ? 1 : 0;
+        const bool idle = state == ResidencyState::Resident && item.second.pins == 0;
+        if (idle && (victim == nullptr || item.second.lastUsed < victim->second.lastUsed)) {
+            victim = &item;
+        }
+    }
+    if (used < init_.slots) {
+        return true;
+    }
+    if (victim == nullptr) {
+        return false;
+    }
+    victim->second.state = ResidencyState::Evicting;
+    order(OrderKind::Unload, victim->first);
+    return false;
+}
+
+void NaiveSidecar::serve(Now now)
+{
+    if (!up_) {
+        return;
+    }
+    bool evicting = std::any_of(adapters_.begin(), adapters_.end(),
+                                [](const auto &item) { return item.second.state == ResidencyState::Evicting; });
+    for (auto place = queue_.begin(); place != queue_.end() && running_.size() < init_.batchLimit;) {
+        const bool service = !place->request.service().empty();
+        const auto name = service ? std::string() : place->request.adapter() + "@" + place->request.version();
+        auto &adapter = adapters_[name];
+        if (service) {
+            adapter.state = ResidencyState::Resident;
+        }
+        if (adapter.state == ResidencyState::Absent && !evicting) {
+            if (makeRoom(now.mono)) {
+                adapter.state = ResidencyState::Loading;
+                order(OrderKind::Load, name);
+            } else {
+                evicting = true;
+            }
+        }
+        if (adapter.state != ResidencyState::Resident) {
+            ++place;
+            continue;
+        }
+        ++adapter.pins;
+        adapter.lastUsed = now.mono;
+        const ExecutionHandle handle{++lastExecution_};
+        running_[handle] = Running{name, place->request.id()};
+        ++stats_.executions;
+        actions_.emplace_back(StartExecution{handle, place->from, std::move(place->request), false});
+        place = queue_.erase(place);
+    }
+}
+
+void NaiveSidecar::onExecutionStarted(ExecutionHandle /*execution*/, Now /*now*/)
+{
+}
+
+void NaiveSidecar::onExecutionEnded(ExecutionHandle execution, const KeptAnswer & /*answer*/, std::uint32_t /*tokens*/,
+                                    Now now)
+{
+    const auto position = running_.find(execution);
+    if (position == running_.end()) {
+        return;
+    }
+    const auto adapter = adapters_.find(position->second.adapter);
+    if (adapter != adapters_.end() && adapter->second.pins > 0) {
+        --adapter->second.pins;
+    }
+    running_.erase(position);
+    serve(now);
+}
+
+void NaiveSidecar::onOrderDone(OrderHandle handle, OrderOutcome outcome, Now now)
+{
+    const auto position = orders_.find(handle);
+    if (position == orders_.end()) {
+        return;
+    }
+    const auto [kind, name] = position->second;
+    orders_.erase(position);
+    const bool resident = kind == OrderKind::Load && outcome == OrderOutcome::Done;
+    auto &adapter = adapters_[name];
+    adapter.state = resident ? ResidencyState::Resident : ResidencyState::Absent;
+    adapter.lastUsed = now.mono;
+    if (!resident && adapter.pins == 0) {
+        adapters_.erase(name);
+    }
+    serve(now);
+}
+
+void NaiveSidecar::onEngineList(OrderHandle /*order*/, const EngineList & /*list*/, Now /*now*/)
+{
+}
+
+void NaiveSidecar::onEngineReport(const EngineReport & /*report*/, Now now)
+{
+    if (up_) {
+        return;
+    }
+    up_ = true;
+    serve(now);
+}
+
+void NaiveSidecar::onEngineLost(Now /*now*/)
+{
+    up_ = false;
+    adapters_.clear();
+    orders_.clear();
+}
+
+void NaiveSidecar::onMembers(const std::vector<Member> & /*members*/, Now /*now*/)
+{
+}
+
+std::vector<SidecarAction> NaiveSidecar::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+} // namespace anvilscale::bench
