Daemon: the whole path from a caller to an endpoint and back

Cause: the decisions had no process around them. Change: an HTTP server without a thread for each connection, a messenger over ZeroMQ, a client for endpoints that knows how far a request got, and both roles of anvilscaled with one control thread each. A broken connection between two processes is told to the entry's decisions, so that its calls do not wait for their deadline; errors tell how many attempts were made.

--- a/include/anvilscale/residency.h
+++ b/include/anvilscale/residency.h
@@ -80,6 +80,7 @@
     PeerHandle to;
     wire::AttemptId id;
     std::shared_ptr<const KeptAnswer> answer;
+    std::uint64_t creditBytes = 0; ///< of the request that asks for it
 };
 struct SendOrder
 {
--- a/include/anvilscale/routing.h
+++ b/include/anvilscale/routing.h
@@ -42,6 +42,7 @@
     RefusalReason refusal = RefusalReason::None;
     FailureReason failure = FailureReason::None;
     Duration retryAfter{}; ///< zero: not told
+    std::uint32_t attempts = 0; ///< made for the call
 };
 
 struct SendToSidecar
@@ -140,6 +141,8 @@
     void onMessage(const std::string &sidecar, const wire::Envelope &message, Now now);
     /// A message to the sidecar was certainly not sent.
     void onSendFailed(const std::string &sidecar, const wire::AttemptId &id, Now now);
+    /// The connection to the sidecar broke. What was under way on it, either way, does not arrive any more.
+    void onConversationLost(const std::string &sidecar, Now now);
     void onMember(const Member &member, Now now);
     void onConfigChanged(Now now);
     /// The slot table of a service was read or changed.
--- a/include/anvilscale/state.h
+++ b/include/anvilscale/state.h
@@ -37,6 +37,9 @@
 
 // ---- configuration
 
+/// Newest schema version of records that this build reads.
+constexpr std::uint32_t newestSchemaVersion = 2;
+
 enum class ConfigErrorKind : std::uint8_t {
     BadJson,
     UnknownField,
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,93 @@
+// The daemon's two roles behind one face, and its life from start to the end of a drain.
+#include "entry_daemon.h"
+#include "sidecar_daemon.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <variant>
+
+namespace anvilscale {
+
+struct Daemon::Impl
+{
+    using Entry = std::unique_ptr<EntryDaemon>;
+    using Sidecar = std::unique_ptr<SidecarDaemon>;
+    std::variant<Entry, Sidecar> role;
+    std::mutex mutex;
+    std::condition_variable changed;
+    bool draining = false; // guarded by mutex
+    bool done = false; // guarded by mutex
+
+    void setDone()
+    {
+        const std::lock_guard lock(mutex);
+        done = true;
+        changed.notify_all();
+    }
+};
+
+Daemon::Daemon(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl))
+{
+}
+
+Daemon::~Daemon() = default;
+
+tl::expected<std::unique_ptr<Daemon>, StartError> Daemon::create(const settings::Settings &settings)
+{
+    auto impl = std::make_unique<Impl>();
+    if (settings.role() == "entry") {
+        auto entry = EntryDaemon::create(settings);
+        if (!entry) {
+            return tl::unexpected(entry.error());
+        }
+        impl->role = std::move(*entry);
+    } else {
+        auto sidecar = SidecarDaemon::create(settings);
+        if (!sidecar) {
+            return tl::unexpected(sidecar.error());
+        }
+        impl->role = std::move(*sidecar);
+    }
+    return std::unique_ptr<Daemon>(new Daemon(std::move(impl)));
+}
+
+void Daemon::start()
+{
+    std::visit([](auto &role) { role->start(); }, impl_->role);
+    if (auto *sidecar = std::get_if<Impl::Sidecar>(&impl_->role)) {
+        (*sidecar)->onDrained([impl = impl_.get()] { impl->setDone(); });
+    }
+}
+
+void Daemon::drain()
+{
+    {
+        const std::lock_guard lock(impl_->mutex);
+        if (std::exchange(impl_->draining, true)) {
+            return;
+        }
+    }
+    std::visit([this](auto &role) { role->drain([impl = impl_.get()] { impl->setDone(); }); }, impl_->role);
+}
+
+void Daemon::wait()
+{
+    {
+        std::unique_lock lock(impl_->mutex);
+        impl_->changed.wait(lock, [this] { return impl_->done; });
+    }
+    std::visit([](auto &role) { role->shutdown(); }, impl_->role);
+}
+
+std::uint16_t Daemon::controlPort() const
+{
+    return std::visit([](const auto &role) { return role->controlPort(); }, impl_->role);
+}
+
+std::uint16_t Daemon::httpPort() const
+{
+    return std::visit([](const auto &role) { return role->httpPort(); }, impl_->role);
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/daemon/process.cpp
@@ -0,0 +1,162 @@
+// Helpers that both roles use.
+#include "process.h"
+
+#include "wire.pb.h"
+
+#include "anvilscale/telemetry.h"
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+namespace anvilscale {
+
+Timing timingOf(const settings::Settings &settings)
+{
+    const auto &from = settings.timing();
+    Timing timing;
+    timing.heartbeat = Milliseconds(from.heartbeat_ms());
+    timing.suspect = Milliseconds(from.suspect_ms());
+    timing.lease = Milliseconds(from.lease_ms());
+    timing.leaseMargin = Milliseconds(from.lease_margin_ms());
+    timing.vmList = Milliseconds(from.vm_list_ms());
+    timing.configPoll = Milliseconds(from.config_poll_ms());
+    timing.leave = Milliseconds(from.leave_ms());
+    return timing;
+}
+
+std::uint64_t newIncarnation()
+{
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(wall).count());
+}
+
+EtcdGateway::Init gatewayInit(const settings::Settings &settings)
+{
+    EtcdGateway::Init init;
+    const auto &platform = settings.platform();
+    init.endpoints.assign(platform.key_value().begin(), platform.key_value().end());
+    init.timeout = Milliseconds(platform.request_timeout_ms());
+    init.callBudget = platform.call_budget();
+    return init;
+}
+
+HttpVmList::Init vmListInit(const settings::Settings &settings)
+{
+    HttpVmList::Init init;
+    init.url = settings.platform().vm_list();
+    init.interval = Milliseconds(settings.timing().vm_list_ms());
+    init.timeout = Milliseconds(settings.platform().request_timeout_ms());
+    return init;
+}
+
+MessengerInit messengerInit(const settings::Settings &settings, std::uint64_t incarnation)
+{
+    MessengerInit init;
+    init.address = settings.control().address();
+    init.port = static_cast<std::uint16_t>(settings.control().port());
+    init.name = settings.name();
+    init.incarnation = incarnation;
+    init.heartbeat = Milliseconds(settings.timing().heartbeat_ms());
+    init.silence = Milliseconds(settings.timing().suspect_ms());
+    return init;
+}
+
+tl::expected<void, StartError> writePortFile(const settings::Listen &listen, std::uint16_t port, std::string_view path)
+{
+    const auto &file = listen.port_file();
+    if (file.empty()) {
+        return {};
+    }
+    const auto temporary = file + ".new";
+    {
+        std::ofstream out(temporary, std::ios::trunc);
+        out << port << "\n";
+        out.flush();
+        if (!out) {
+            return tl::unexpected(StartError{StartErrorKind::PortFile, std::string(path), "cannot write " + temporary});
+        }
+    }
+    if (std::rename(temporary.c_str(), file.c_str()) != 0) {
+        return tl::unexpected(StartError{StartErrorKind::PortFile, std::string(path), "cannot write " + file});
+    }
+    return {};
+}
+
+StartError startError(StartErrorKind kind, std::string_view path, const NetError &error)
+{
+    return StartError{kind, std::string(path),
+                      std::string(toString(error.kind)) + ": " + error.address + ": " + error.detail};
+}
+
+std::string toText(const Poco::JSON::Object &object)
+{
+    std::ostringstream text;
+    object.stringify(text);
+    return text.str();
+}
+
+std::string hexText(std::uint64_t number)
+{
+    std::array<char, 17> text{};
+    const auto length = std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(number));
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+wire::Envelope makeHello(std::string_view name, std::uint64_t incarnation, std::string_view dataCentre,
+                         const ConfigStore &config)
+{
+    wire::Envelope message;
+    auto &hello = *message.mutable_hello();
+    hello.mutable_from()->set_name(std::string(name));
+    hello.mutable_from()->set_incarnation(incarnation);
+    hello.set_data_centre(std::string(dataCentre));
+    hello.set_config_revision(config.revision());
+    hello.set_config_digest(config.digest());
+    hello.set_schema_version(newestSchemaVersion);
+    return message;
+}
+
+void appendMessengerMetrics(MetricsText &text, const MessengerStats &stats)
+{
+    text.counters("anvilscale_messages_dropped_total", "messages dropped by reason", "reason", stats.dropped);
+    text.counter("anvilscale_messages_sent_total", "messages sent to other processes", stats.sent);
+    text.counter("anvilscale_messages_sent_bytes_total", "bytes of messages sent", stats.sentBytes);
+    text.counter("anvilscale_messages_received_total", "messages received from other processes", stats.received);
+    text.counter("anvilscale_messages_received_bytes_total", "bytes of messages received", stats.receivedBytes);
+}
+
+void appendHttpMetrics(MetricsText &text, const HttpServerStats &stats)
+{
+    text.counters("anvilscale_http_problems_total", "requests that could not be read, by problem", "problem",
+                  stats.problems);
+    text.counter("anvilscale_http_connections_total", "connections accepted", stats.connections);
+    text.counter("anvilscale_http_requests_total", "requests read", stats.requests);
+    text.counter("anvilscale_http_slow_readers_cut_total", "callers cut because they took nothing",
+                 stats.slowReadersCut);
+    text.gauge("anvilscale_http_connections_open", "open connections", stats.open);
+}
+
+void appendKvMetrics(MetricsText &text, const KvStats &stats)
+{
+    Counters<KvStatus> byStatus;
+    for (const auto &replies : stats.replies) {
+        for (std::size_t i = 0; i < enumCount<KvStatus>; ++i) {
+            byStatus.add(static_cast<KvStatus>(i), replies.of(static_cast<KvStatus>(i)));
+        }
+    }
+    text.counters("anvilscale_kv_calls_total", "calls made on the key-value service", "op", stats.calls);
+    text.counters("anvilscale_kv_replies_total", "answers of the key-value service", "status", byStatus);
+    text.counter("anvilscale_kv_over_budget_total", "requests turned away by the call budget", stats.overBudget);
+}
+
+void appendConfigMetrics(MetricsText &text, const ConfigStore &config, const ConfigSpread &spread, bool kvDown)
+{
+    text.gauge("anvilscale_config_revision", "revision of the configuration in force",
+               static_cast<double>(config.revision()));
+    text.gauge("anvilscale_config_stale", "1 if the configuration could not be confirmed for too long",
+               spread.stale() ? 1 : 0);
+    text.gauge("anvilscale_kv_down", "1 if the last request to the key-value service was not answered", kvDown ? 1 : 0);
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/daemon/sidecar_daemon.cpp
@@ -0,0 +1,458 @@
+// Set-up of a sidecar, and the way of messages and actions through it.
+#include "sidecar_daemon.h"
+
+#include "wire.pb.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+namespace anvilscale {
+
+namespace {
+
+constexpr std::uint32_t httpConnections = 16; // health and metrics only
+constexpr std::uint64_t httpBodyLimit = 4096;
+constexpr int lockBacklog = 1;
+
+HttpServerInit httpInit(const settings::Settings &settings)
+{
+    HttpServerInit init;
+    init.address = settings.http().address();
+    init.port = static_cast<std::uint16_t>(settings.http().port());
+    init.bodyLimit = httpBodyLimit;
+    init.connectionLimit = httpConnections;
+    return init;
+}
+
+std::vector<Member> membersOf(const std::vector<VmInfo> &list)
+{
+    std::vector<Member> members;
+    for (const auto &vm : list) {
+        Member member;
+        member.name = vm.name;
+        member.role = vm.role;
+        member.state = vm.state == VmState::Leaving ? MemberState::Leaving : MemberState::Live;
+        member.dataCentre = vm.dataCentre;
+        member.region = vm.region;
+        member.address = vm.address;
+        members.push_back(std::move(member));
+    }
+    return members;
+}
+
+const std::vector<double> fillBounds{0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0};
+
+} // namespace
+
+SidecarDaemon::SidecarDaemon(const settings::Settings &settings)
+    : settings_(settings)
+    , incarnation_(newIncarnation())
+    , timing_(timingOf(settings))
+    , control_([this](Now now) { afterBatch(now); })
+    , random_(hash64(settings.name(), incarnation_))
+    , stepFill_("anvilscale_step_fill_ratio", "how full engine steps were, as the engine reports it", fillBounds)
+{
+}
+
+SidecarDaemon::~SidecarDaemon()
+{
+    shutdown();
+}
+
+tl::expected<std::unique_ptr<SidecarDaemon>, StartError> SidecarDaemon::create(const settings::Settings &settings)
+{
+    std::unique_ptr<SidecarDaemon> sidecar(new SidecarDaemon(settings));
+    // The lock is taken first: a second sidecar must not even listen.
+    auto result = sidecar->takeLock();
+    if (result) {
+        result = sidecar->makeEndpoint();
+    }
+    if (result) {
+        result = sidecar->bindAll();
+    }
+    if (!result) {
+        return tl::unexpected(result.error());
+    }
+    sidecar->makeDecisions();
+    return sidecar;
+}
+
+// Two sidecars beside one endpoint would each load, evict and run calls without knowing of the other's: an adapter
+// in use is unloaded, a call that must run once runs twice. A lease does not help while its holder is paused. The
+// port does: the kernel gives it to one process, which keeps it until it is dead.
+tl::expected<void, StartError> SidecarDaemon::takeLock()
+{
+    const auto &lock = settings_.sidecar().lock();
+    if (lock.port() == 0) {
+        return {};
+    }
+    try {
+        lock_.bind(Poco::Net::SocketAddress(lock.address(), static_cast<Poco::UInt16>(lock.port())), true);
+        lock_.listen(lockBacklog);
+    } catch (const Poco::Exception &error) {
+        return tl::unexpected(StartError{StartErrorKind::LockHeld, "sidecar.lock.port", error.displayText()});
+    }
+    return {};
+}
+
+tl::expected<void, StartError> SidecarDaemon::makeEndpoint()
+{
+    const auto &sidecar = settings_.sidecar();
+    const auto address = parseEndpointUrl(sidecar.endpoint());
+    if (!address) {
+        return tl::unexpected(
+            StartError{StartErrorKind::Endpoint, "sidecar.endpoint", std::string(toString(address.error()))});
+    }
+    EndpointInit init;
+    init.address = address->first;
+    init.port = address->second;
+    init.kind = fromString<EndpointKind>(sidecar.endpoint_kind()).value_or(EndpointKind::Engine);
+    init.batchLimit = sidecar.batch_limit();
+    init.reportInterval = timing_.heartbeat;
+    Endpoint::Handlers handlers;
+    handlers.send = [this](PeerHandle peer, const wire::Envelope &message) { messenger_->sendTo(peer, message); };
+    handlers.started = [this](ExecutionHandle execution) {
+        control_.post([this, execution](Now now) { decisions_->onExecutionStarted(execution, now); });
+    };
+    handlers.ended = [this](ExecutionHandle execution, KeptAnswer answer, std::uint32_t tokens) {
+        control_.post([this, execution, answer = std::move(answer), tokens](Now now) mutable {
+            decisions_->onExecutionEnded(execution, std::move(answer), tokens, now);
+        });
+    };
+    handlers.orderDone = [this](OrderHandle order, OrderOutcome outcome) {
+        control_.post([this, order, outcome](Now now) { decisions_->onOrderDone(order, outcome, now); });
+    };
+    handlers.list = [this](OrderHandle order, EngineList list) {
+        control_.post([this, order, list = std::move(list)](Now now) { decisions_->onEngineList(order, list, now); });
+    };
+    handlers.report = [this](EngineReport report) {
+        control_.post([this, report = std::move(report)](Now now) { onReport(report, now); });
+    };
+    handlers.lost = [this] { control_.post([this](Now now) { onEndpointLost(now); }); };
+    endpoint_ = std::make_unique<Endpoint>(init, std::move(handlers));
+    return {};
+}
+
+tl::expected<void, StartError> SidecarDaemon::bindAll()
+{
+    Messenger::Handlers messages;
+    messages.fromPeer = [this](PeerHandle peer, wire::Envelope &&message) { onPeerMessage(peer, std::move(message)); };
+    messages.peerLost = [this](PeerHandle peer) { control_.post([this, peer](Now now) { onPeerLost(peer, now); }); };
+    messages.fromTarget = [](const std::string &, wire::Envelope &&) {};
+    messages.targetUp = [](const std::string &) {};
+    messages.targetLost = [](const std::string &) {};
+    messages.sendFailed = [](const std::string &, const wire::AttemptId &) {};
+    auto messenger = Messenger::create(messengerInit(settings_, incarnation_), std::move(messages));
+    if (!messenger) {
+        return tl::unexpected(startError(StartErrorKind::ControlAddress, "control.port", messenger.error()));
+    }
+    messenger_ = std::move(*messenger);
+
+    HttpServer::Handlers http;
+    http.request = [this](HttpExchange exchange, const HttpRequestData &request) { onHttp(exchange, request); };
+    http.gone = [](HttpExchange, FailureReason) {};
+    http.taken = [](HttpExchange, std::uint64_t) {};
+    http.problem = [](HttpProblem problem) {
+        return HttpReply{statusOf(problem), {}, std::string(toString(problem)), true};
+    };
+    auto server = HttpServer::create(httpInit(settings_), std::move(http));
+    if (!server) {
+        return tl::unexpected(startError(StartErrorKind::HttpAddress, "http.port", server.error()));
+    }
+    http_ = std::move(*server);
+    if (auto written = writePortFile(settings_.control(), messenger_->port(), "control.portFile"); !written) {
+        return written;
+    }
+    return writePortFile(settings_.http(), http_->port(), "http.portFile");
+}
+
+void SidecarDaemon::makeDecisions()
+{
+    auto &timers = control_.timers();
+    const auto &from = settings_.sidecar();
+    const auto &prefix = settings_.platform().prefix();
+    kvMux_ = std::make_unique<KvMux>([this](KvRequest request) { gateway_->submit(std::move(request)); });
+
+    SidecarInit init;
+    init.name = settings_.name();
+    init.incarnation = incarnation_;
+    init.dataCentre = settings_.data_centre();
+    init.kind = fromString<EndpointKind>(from.endpoint_kind()).value_or(EndpointKind::Engine);
+    init.baseModel = from.base_model();
+    init.services.assign(from.services().begin(), from.services().end());
+    init.keyPrefix = prefix;
+    init.slots = from.slots();
+    init.batchLimit = from.batch_limit();
+    init.endpointChecksFence = from.endpoint_checks_fence();
+    init.orderTimeout = Milliseconds(from.order_timeout_ms());
+    init.seenKeys.keys = from.seen_key_limit();
+    init.seenKeys.answerBytes = from.answer_memory_bytes();
+    init.timing = timing_;
+    init.config = &config_;
+    init.timers = &timers;
+    init.seed = random_.next();
+    decisions_ = std::make_unique<SidecarDecisions>(init);
+    submitKv_ = kvMux_->part([this](const KvReply &reply, Now now) { decisions_->onKvReply(reply, now); });
+
+    ConfigSpread::Init spread;
+    spread.self = settings_.name();
+    spread.incarnation = incarnation_;
+    spread.dataCentre = settings_.data_centre();
+    spread.keyPrefix = prefix;
+    spread.timing = timing_;
+    spread.store = &config_;
+    spread.timers = &timers;
+    spread.seed = random_.next();
+    ConfigSpread::Callbacks calls;
+    calls.submit = kvMux_->part([this](const KvReply &reply, Now now) { spread_->onReply(reply, now); });
+    calls.sendToPeer = [this](const std::string &peer, const wire::Envelope &message) { sendToPeer(peer, message); };
+    calls.changed = [this](Now now) { onConfigChanged(now); };
+    calls.refused = [](const ConfigError &error, Now) {
+        logEvent(Event::ConfigRejected, {{"kind", std::string(toString(error.kind))}, {"path", error.path}});
+    };
+    spread_ = std::make_unique<ConfigSpread>(spread, std::move(calls));
+}
+
+void SidecarDaemon::makePlatform()
+{
+    gateway_ = std::make_unique<EtcdGateway>(gatewayInit(settings_), [this](KvReply reply) {
+        control_.post([this, reply = std::move(reply)](Now now) { kvMux_->onReply(reply, now); });
+    });
+    vmList_ = std::make_unique<HttpVmList>(vmListInit(settings_), [this](HttpVmList::Result result) {
+        control_.post([this, result = std::move(result)](Now now) { onVmList(result, now); });
+    });
+}
+
+void SidecarDaemon::start()
+{
+    makePlatform();
+    control_.post([this](Now now) {
+        spread_->start(now);
+        decisions_->start(now);
+    });
+    control_.start();
+    endpoint_->startReports();
+    messenger_->start();
+    vmList_->requestRefresh();
+    http_->start();
+    logEvent(Event::ProcessStarted, {{"role", std::string("sidecar")},
+                                     {"incarnation", hexText(incarnation_)},
+                                     {"control_port", std::uint64_t{messenger_->port()}},
+                                     {"http_port", std::uint64_t{http_->port()}}});
+}
+
+void SidecarDaemon::drain(std::function<void()> done)
+{
+    onDrained(std::move(done));
+    control_.post([this](Now now) { startDrain(now); });
+}
+
+void SidecarDaemon::onDrained(std::function<void()> done)
+{
+    control_.post([this, done = std::move(done)](Now) {
+        drained_ = done;
+        if (hasDrained_ && drained_) {
+            drained_();
+        }
+    });
+}
+
+void SidecarDaemon::startDrain(Now now)
+{
+    draining_ = true;
+    decisions_->drain(now);
+}
+
+void SidecarDaemon::shutdown()
+{
+    if (http_) {
+        http_->shutdown();
+    }
+    if (vmList_) {
+        vmList_->shutdown();
+    }
+    if (gateway_) {
+        gateway_->shutdown();
+    }
+    if (endpoint_) {
+        endpoint_->shutdown();
+    }
+    if (messenger_) {
+        messenger_->shutdown();
+    }
+    control_.stop();
+}
+
+std::uint16_t SidecarDaemon::controlPort() const
+{
+    return messenger_->port();
+}
+
+std::uint16_t SidecarDaemon::httpPort() const
+{
+    return http_->port();
+}
+
+// ---- messages
+
+void SidecarDaemon::onPeerMessage(PeerHandle peer, wire::Envelope &&message)
+{
+    if (message.has_call_credit()) {
+        endpoint_->credit(peer, message.call_credit());
+    }
+    if (message.has_call_cancel()) {
+        endpoint_->listenerGone(peer, message.call_cancel().id());
+    }
+    control_.post([this, peer, message = std::move(message)](Now now) { fromPeer(peer, message, now); });
+}
+
+void SidecarDaemon::fromPeer(PeerHandle peer, const wire::Envelope &message, Now now)
+{
+    switch (message.body_case()) {
+    case wire::Envelope::kHello: {
+        const auto &hello = message.hello();
+        peers_[hello.from().name()] = peer;
+        spread_->onPeerRevision(hello.from().name(), hello.config_revision(), hello.config_digest(), now);
+        decisions_->onMessage(peer, message, now);
+        return;
+    }
+    case wire::Envelope::kConfigFetch:
+        peers_[message.config_fetch().from().name()] = peer;
+        spread_->onFetch(message.config_fetch().from().name(), message.config_fetch(), now);
+        return;
+    case wire::Envelope::kConfigPush:
+        spread_->onPush(message.config_push(), now);
+        return;
+    case wire::Envelope::kStatusRequest:
+        onStatusRequest(peer, message.status_request());
+        return;
+    default:
+        decisions_->onMessage(peer, message, now);
+    }
+}
+
+void SidecarDaemon::sendToPeer(const std::string &name, const wire::Envelope &message)
+{
+    if (const auto found = peers_.find(name); found != peers_.end()) {
+        messenger_->sendTo(found->second, message);
+    }
+}
+
+void SidecarDaemon::onPeerLost(PeerHandle peer, Now now)
+{
+    for (auto it = peers_.begin(); it != peers_.end();) {
+        if (it->second == peer) {
+            logEvent(Event::PeerLost, {{"peer", it->first}});
+            spread_->onPeerLost(it->first);
+            it = peers_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    endpoint_->peerLost(peer);
+    decisions_->onPeerLost(peer, now);
+}
+
+// ---- actions
+
+void SidecarDaemon::afterBatch(Now now)
+{
+    watchStaleness(now);
+    for (auto &action : decisions_->takeActions()) {
+        carryOut(action);
+    }
+    if (decisions_->leaving() && !std::exchange(drainLogged_, true)) {
+        draining_ = true;
+        logEvent(Event::DrainStarted, {{"role", std::string("sidecar")}});
+    }
+}
+
+void SidecarDaemon::carryOut(SidecarAction &action)
+{
+    std::visit(Overloaded{
+                   [this](SendMessage &send) {
+                       if (send.message.has_heartbeat()) {
+                           send.message.mutable_heartbeat()->set_schema_version(newestSchemaVersion);
+                       }
+                       messenger_->sendTo(send.to, send.message);
+                   },
+                   [this](StartExecution &start) { endpoint_->start(std::move(start)); },
+                   [this](AttachListener &attach) { endpoint_->attach(std::move(attach)); },
+                   [this](DetachListener &detach) { endpoint_->detach(std::move(detach)); },
+                   [this](const CancelExecution &cancel) { endpoint_->cancel(cancel); },
+                   [this](ReplayAnswer &replay) { endpoint_->replay(std::move(replay)); },
+                   [this](SendOrder &order) { endpoint_->order(std::move(order)); },
+                   [this](SubmitKv &submit) { submitKv_(std::move(submit.request)); },
+                   [this](const Drained &) {
+                       hasDrained_ = true;
+                       logEvent(Event::DrainFinished, {{"role", std::string("sidecar")}});
+                       if (drained_) {
+                           drained_();
+                       }
+                   },
+               },
+               action);
+}
+
+// ---- events
+
+void SidecarDaemon::onVmList(const HttpVmList::Result &result, Now now)
+{
+    if (!result) {
+        if (!std::exchange(vmListDown_, true)) {
+            logEvent(Event::VmListDown, {{"error", std::string(toString(result.error()))}});
+        }
+        return;
+    }
+    vmListDown_ = false;
+    decisions_->onMembers(membersOf(*result), now);
+    for (const auto &vm : *result) {
+        if (vm.name != settings_.name()) {
+            continue;
+        }
+        // The list lags: a line that says leaving may be of a VM of the same name before us. It counts only after
+        // the list has shown us as live.
+        listedLive_ = listedLive_ || vm.state == VmState::Live;
+        if (vm.state == VmState::Leaving && listedLive_) {
+            startDrain(now);
+        }
+    }
+}
+
+void SidecarDaemon::onReport(const EngineReport &report, Now now)
+{
+    if (std::exchange(endpointDown_, false)) {
+        logEvent(Event::EndpointBack, {{"incarnation", report.incarnation}});
+    }
+    if (endpointIncarnation_ != 0 && endpointIncarnation_ != report.incarnation) {
+        logEvent(Event::EndpointRestarted, {{"incarnation", report.incarnation}});
+    }
+    endpointIncarnation_ = report.incarnation;
+    stepFill_.record(report.stepFillPermille / 1000.0);
+    decisions_->onEngineReport(report, now);
+}
+
+void SidecarDaemon::onEndpointLost(Now now)
+{
+    if (!std::exchange(endpointDown_, true)) {
+        logEvent(Event::EndpointLost, {{"endpoint", settings_.sidecar().endpoint()}});
+    }
+    decisions_->onEngineLost(now);
+}
+
+void SidecarDaemon::onConfigChanged(Now now)
+{
+    logEvent(Event::ConfigMoved, {{"revision", config_.revision()}});
+    decisions_->onConfigChanged(now);
+}
+
+void SidecarDaemon::watchStaleness(Now now)
+{
+    if (spread_->stale() != stale_) {
+        stale_ = spread_->stale();
+        logEvent(stale_ ? Event::ConfigStale : Event::ConfigFresh, {{"revision", config_.revision()}});
+        decisions_->onConfigStale(stale_, now);
+    }
+}
+
+} // namespace anvilscale
--- a/src/endpoint/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "anvilscale/base.h"
--- /dev/null
+++ b/src/net/http_message.cpp
@@ -0,0 +1,335 @@
+// The parts of HTTP that the server towards callers and the client towards endpoints share: heads by POCO, and the
+// framing of bodies.
+#include "anvilscale/net.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <charconv>
+#include <sstream>
+
+namespace anvilscale {
+
+namespace {
+
+constexpr std::size_t chunkLineLimit = 256;
+constexpr std::size_t trailerLimit = 8192;
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+bool isTokenCharacter(char c)
+{
+    const bool alphanumeric = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    return alphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool isHeaderLine(std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos || colon == 0) {
+        return false;
+    }
+    return std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), isTokenCharacter);
+}
+
+// A lenient reader lets two processes disagree where a message ends, so that a caller could smuggle a second request
+// past the first. Symptom: an answer reaches the wrong caller. Only heads with one reading are accepted.
+bool isStrictHead(std::string_view head)
+{
+    std::size_t at = 0;
+    bool first = true;
+    while (at < head.size()) {
+        const auto end = head.find('\n', at);
+        if (end == std::string_view::npos || end == at || head[end - 1] != '\r') {
+            return false;
+        }
+        const auto line = head.substr(at, end - 1 - at);
+        at = end + 1;
+        const bool control = std::any_of(line.begin(), line.end(), [](char c) {
+            return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
+        });
+        if (control) {
+            return false;
+        }
+        if (line.empty()) {
+            return at == head.size() && !first;
+        }
+        if (!first && !isHeaderLine(line)) {
+            return false;
+        }
+        first = false;
+    }
+    return false;
+}
+
+HttpHeaders headersOf(const Poco::Net::MessageHeader &message)
+{
+    HttpHeaders headers;
+    headers.reserve(message.size());
+    for (const auto &[name, value] : message) {
+        headers.emplace_back(name, value);
+    }
+    return headers;
+}
+
+std::size_t countHeader(const HttpHeaders &headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [&](const auto &header) {
+        return Poco::icompare(header.first, std::string(name)) == 0;
+    }));
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text, int base)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number, base);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+/// Length of the body as the headers tell it; no value if they tell none.
+tl::expected<std::optional<HttpBodyReader>, HttpProblem> framingOf(const HttpHeaders &headers)
+{
+    const auto lengths = countHeader(headers, "Content-Length");
+    const auto encodings = countHeader(headers, "Transfer-Encoding");
+    if (lengths > 1 || encodings > 1 || (lengths != 0 && encodings != 0)) {
+        return tl::unexpected(HttpProblem::BadHead);
+    }
+    if (encodings != 0) {
+        if (Poco::icompare(*findHeader(headers, "Transfer-Encoding"), "chunked") != 0) {
+            return tl::unexpected(HttpProblem::UnsupportedEncoding);
+        }
+        return HttpBodyReader(HttpBodyReader::Framing::Chunked, 0);
+    }
+    if (lengths == 0) {
+        return std::nullopt;
+    }
+    const auto length = parseNumber(*findHeader(headers, "Content-Length"), 10);
+    if (!length) {
+        return tl::unexpected(HttpProblem::BadHead);
+    }
+    return HttpBodyReader(HttpBodyReader::Framing::Length, *length);
+}
+
+} // namespace
+
+const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
+{
+    const std::string wanted(name);
+    for (const auto &header : headers) {
+        if (Poco::icompare(header.first, wanted) == 0) {
+            return &header.second;
+        }
+    }
+    return nullptr;
+}
+
+bool isHopByHop(std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> names{
+        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
+        "trailer",    "upgrade",    "transfer-encoding",  "content-length",      "host"};
+    const auto lower = Poco::toLower(std::string(name));
+    return std::find(names.begin(), names.end(), lower) != names.end() || lower == "expect";
+}
+
+std::uint32_t statusOf(HttpProblem problem)
+{
+    static constexpr std::array<std::uint32_t, enumCount<HttpProblem>> table{200, 400, 431, 400, 413,
+                                                                             501, 417, 408, 408, 503};
+    return table[static_cast<std::size_t>(problem)];
+}
+
+HttpBodyReader::HttpBodyReader(Framing framing, std::uint64_t length)
+    : framing_(framing)
+    , step_(framing == Framing::Chunked ? Step::Size : Step::Data)
+    , left_(length)
+{
+    if (framing == Framing::Length && length == 0) {
+        step_ = Step::Done;
+    }
+}
+
+std::size_t HttpBodyReader::take(std::string_view in, std::string &out)
+{
+    std::size_t used = 0;
+    while (used < in.size() && !done() && !broken()) {
+        const auto rest = in.substr(used);
+        if (step_ != Step::Data) {
+            used += takeLine(rest);
+            continue;
+        }
+        const auto part = framing_ == Framing::UntilClose ? rest : rest.substr(0, left_);
+        out.append(part);
+        used += part.size();
+        if (framing_ == Framing::UntilClose) {
+            continue;
+        }
+        left_ -= part.size();
+        if (left_ == 0) {
+            step_ = framing_ == Framing::Chunked ? Step::DataEnd : Step::Done;
+        }
+    }
+    return used;
+}
+
+std::size_t HttpBodyReader::takeLine(std::string_view in)
+{
+    const auto end = in.find('\n');
+    const auto part = in.substr(0, end == std::string_view::npos ? in.size() : end + 1);
+    line_.append(part);
+    if (line_.size() > (step_ == Step::Trailer ? trailerLimit : chunkLineLimit)) {
+        step_ = Step::Broken;
+        return part.size();
+    }
+    if (end != std::string_view::npos) {
+        onLine();
+        line_.clear();
+    }
+    return part.size();
+}
+
+void HttpBodyReader::onLine()
+{
+    if (line_.size() < 2 || line_[line_.size() - 2] != '\r') {
+        step_ = Step::Broken;
+        return;
+    }
+    line_.resize(line_.size() - 2);
+    if (step_ == Step::DataEnd) {
+        step_ = line_.empty() ? Step::Size : Step::Broken;
+        return;
+    }
+    if (step_ == Step::Trailer) {
+        trailerBytes_ += line_.size();
+        step_ = line_.empty() ? Step::Done : trailerBytes_ > trailerLimit ? Step::Broken : Step::Trailer;
+        return;
+    }
+    const auto size = parseNumber(std::string_view(line_).substr(0, line_.find(';')), 16);
+    if (!size) {
+        step_ = Step::Broken;
+        return;
+    }
+    left_ = *size;
+    step_ = left_ == 0 ? Step::Trailer : Step::Data;
+}
+
+bool HttpBodyReader::done() const
+{
+    return step_ == Step::Done;
+}
+
+bool HttpBodyReader::broken() const
+{
+    return step_ == Step::Broken;
+}
+
+HttpBodyReader::Framing HttpBodyReader::framing() const
+{
+    return framing_;
+}
+
+std::size_t headLength(std::string_view buffer)
+{
+    const auto end = buffer.find(headEnd);
+    return end == std::string_view::npos ? 0 : end + headEnd.size();
+}
+
+tl::expected<std::pair<HttpRequestData, HttpBodyReader>, HttpProblem> parseRequestHead(std::string_view head,
+                                                                                       std::uint64_t bodyLimit)
+{
+    if (!isStrictHead(head)) {
+        return tl::unexpected(HttpProblem::BadHead);
+    }
+    Poco::Net::HTTPRequest request;
+    std::istringstream stream{std::string(head)};
+    try {
+        request.read(stream);
+    } catch (const Poco::Exception &) {
+        return tl::unexpected(HttpProblem::BadHead);
+    }
+    const bool modern = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
+    if (!modern && request.getVersion() != Poco::Net::HTTPMessage::HTTP_1_0) {
+        return tl::unexpected(HttpProblem::BadHead);
+    }
+    HttpRequestData data;
+    data.method = request.getMethod();
+    data.target = request.getURI();
+    data.headers = headersOf(request);
+    data.keepAlive = request.getKeepAlive();
+    data.chunkedAnswers = modern;
+    const bool hostOk = !modern || countHeader(data.headers, "Host") == 1;
+    if (data.target.empty() || data.target[0] != '/' || !hostOk
+        || !std::all_of(data.method.begin(), data.method.end(), isTokenCharacter)) {
+        return tl::unexpected(HttpProblem::BadHead);
+    }
+    const auto framing = framingOf(data.headers);
+    if (!framing) {
+        return tl::unexpected(framing.error());
+    }
+    const auto *length = findHeader(data.headers, "Content-Length");
+    if (length != nullptr && parseNumber(*length, 10).value_or(0) > bodyLimit) {
+        return tl::unexpected(HttpProblem::BodyTooLarge);
+    }
+    const auto *expect = findHeader(data.headers, "Expect");
+    if (expect != nullptr && Poco::icompare(*expect, "100-continue") != 0) {
+        return tl::unexpected(HttpProblem::ExpectationFailed);
+    }
+    return std::pair(std::move(data), framing->value_or(HttpBodyReader()));
+}
+
+tl::expected<HttpResponseHead, HttpProblem> parseResponseHead(std::string_view head, bool bodyless)
+{
+    if (!isStrictHead(head)) {
+        return tl::unexpected(HttpProblem::BadHead);
+    }
+    Poco::Net::HTTPResponse response;
+    std::istringstream stream{std::string(head)};
+    try {
+        response.read(stream);
+    } catch (const Poco::Exception &) {
+        return tl::unexpected(HttpProblem::BadHead);
+    }
+    HttpResponseHead result;
+    result.status = static_cast<std::uint32_t>(response.getStatus());
+    result.headers = headersOf(response);
+    result.keepAlive = response.getKeepAlive();
+    const bool noBody = bodyless || result.status == 204 || result.status == 304 || result.status / 100 == 1;
+    if (noBody) {
+        return result;
+    }
+    const auto framing = framingOf(result.headers);
+    if (!framing) {
+        return tl::unexpected(framing.error());
+    }
+    result.body = framing->value_or(HttpBodyReader(HttpBodyReader::Framing::UntilClose, 0));
+    if (result.body.framing() == HttpBodyReader::Framing::UntilClose) {
+        result.keepAlive = false;
+    }
+    return result;
+}
+
+std::string requestHead(std::string_view method, std::string_view target, std::string_view host,
+                        const HttpHeaders &headers, std::size_t bodyBytes, bool keepAlive)
+{
+    Poco::Net::HTTPRequest request(std::string(method), std::string(target), Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost(std::string(host));
+    for (const auto &[name, value] : headers) {
+        if (!isHopByHop(name)) {
+            request.add(name, value);
+        }
+    }
+    if (bodyBytes != 0 || method == "POST" || method == "PUT" || method == "PATCH") {
+        request.setContentLength64(static_cast<Poco::Int64>(bodyBytes));
+    }
+    request.setKeepAlive(keepAlive);
+    std::ostringstream stream;
+    request.write(stream);
+    return stream.str();
+}
+
+} // namespace anvilscale
--- a/src/routing/entry_attempts_impl.h
+++ b/src/routing/entry_attempts_impl.h
@@ -458,6 +458,15 @@
     }
 }
 
+// Without this, a call whose frames were lost with the connection would wait for its deadline.
+template<class Way>
+void EntryCore<Way>::onConversationLost(const std::string &sidecar, Now now)
+{
+    if (const auto known = fleet_.find(sidecar)) {
+        loseAttempts(*known, 0, true, now);
+    }
+}
+
 template<class Way>
 void EntryCore<Way>::sayHello(const std::string &sidecar, bool wantFull)
 {
--- a/src/routing/entry_calls_impl.h
+++ b/src/routing/entry_calls_impl.h
@@ -248,6 +248,7 @@
     if (error.failure != FailureReason::None) {
         stats_.failures.add(error.failure);
     }
+    error.attempts = static_cast<std::uint32_t>(call.attempts.size());
     actions_.emplace_back(FailCall{call.handle, error});
     remove(call);
 }
--- a/src/routing/entry_core.h
+++ b/src/routing/entry_core.h
@@ -39,6 +39,7 @@
     void onCallerTook(CallHandle handle, std::uint64_t bytes);
     void onMessage(const std::string &sidecar, const wire::Envelope &message, Now now);
     void onSendFailed(const std::string &sidecar, const wire::AttemptId &id, Now now);
+    void onConversationLost(const std::string &sidecar, Now now);
     void onMember(const Member &member, Now now);
     void onConfigChanged(Now now);
     void onSlotTable(const config::SlotTable &table, Now now);
--- a/src/routing/entry_decisions.cpp
+++ b/src/routing/entry_decisions.cpp
@@ -40,6 +40,11 @@
     impl_->core.onSendFailed(sidecar, id, now);
 }
 
+void EntryDecisions::onConversationLost(const std::string &sidecar, Now now)
+{
+    impl_->core.onConversationLost(sidecar, now);
+}
+
 void EntryDecisions::onMember(const Member &member, Now now)
 {
     impl_->core.onMember(member, now);
--- a/src/state/record.h
+++ b/src/state/record.h
@@ -7,9 +7,6 @@
 
 namespace anvilscale {
 
-/// Newest schema version of records that this build reads.
-constexpr std::uint32_t newestSchemaVersion = 2;
-
 enum class RecordKind : std::uint8_t {
     Adapter,
     Route,
--- /dev/null
+++ b/tools/anvilscaled.cpp
@@ -0,0 +1,69 @@
+// anvilscaled: the daemon of both roles. Reads its settings, checks them whole and runs until it has drained.
+#include "anvilscale/daemon.h"
+#include "anvilscale/settings.h"
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+namespace {
+
+constexpr std::string_view version = "0.1.0";
+
+int reportSettingsError(const anvilscale::SettingsError &error)
+{
+    std::cerr << "anvilscaled: " << toString(error.kind) << ": " << error.path << ": " << error.detail << "\n";
+    return anvilscale::exitRejected;
+}
+
+int run(const cxxopts::ParseResult &options)
+{
+    if (options.count("version") != 0) {
+        std::cout << "anvilscaled " << version << "\n";
+        return anvilscale::exitDone;
+    }
+    if (options.count("print-defaults") != 0) {
+        const auto role = options["print-defaults"].as<std::string>();
+        if (role != "entry" && role != "sidecar") {
+            std::cerr << "anvilscaled: the role is entry or sidecar\n";
+            return anvilscale::exitUsage;
+        }
+        std::cout << anvilscale::printDefaults(role) << "\n";
+        return anvilscale::exitDone;
+    }
+    if (options.count("settings") == 0) {
+        std::cerr << "anvilscaled: --settings FILE is missing; --help tells more\n";
+        return anvilscale::exitUsage;
+    }
+    const auto settings = anvilscale::readSettings(options["settings"].as<std::string>());
+    if (!settings) {
+        return reportSettingsError(settings.error());
+    }
+    if (options.count("check") != 0) {
+        std::cout << "the settings are valid\n";
+        return anvilscale::exitDone;
+    }
+    return anvilscale::runDaemon(*settings);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    cxxopts::Options options("anvilscaled", "Serves very many LoRA adapters: an entry, or the sidecar of an endpoint.");
+    options.add_options()("settings", "JSON file with the settings", cxxopts::value<std::string>(), "FILE")(
+        "check", "check the settings and exit")("print-defaults", "print a role's settings with all defaults",
+                                                cxxopts::value<std::string>(),
+                                                "ROLE")("version", "print the version")("help", "print this");
+    try {
+        const auto parsed = options.parse(argc, argv);
+        if (parsed.count("help") != 0) {
+            std::cout << options.help() << "exit codes: 0 done, 1 wrong usage, 2 settings or an address rejected\n";
+            return anvilscale::exitDone;
+        }
+        return run(parsed);
+    } catch (const cxxopts::exceptions::exception &error) {
+        std::cerr << "anvilscaled: " << error.what() << "\n";
+        return anvilscale::exitUsage;
+    }
+}
