Residency: calls that must run at most once, through slots and seen keys

Cause: a repeat of a non-idempotent call was run again, and a refusal for a full queue or a lost endpoint claimed "not run" for a key that an earlier attempt may have run.

Change: the key is decided on before anything else may refuse the call; ownership and fence are asked again directly before the send; keys are freed only where nothing was sent; calls of a slot that is given away are handed back first; a drain hands slots and keys over, for three leases at most. Messages to another sidecar go out as SendMessage with the member's name, which the daemon has to carry.

--- a/include/anvilscale/residency.h
+++ b/include/anvilscale/residency.h
@@ -45,6 +45,7 @@
 {
     PeerHandle to;
     wire::Envelope message;
+    std::string member = {}; ///< set if `to` is none: the sidecar of that name (hand-over of slots)
 };
 /// Send the call to the endpoint now. Its frames go to `to` under `request.id()`.
 struct StartExecution
--- a/src/residency/call_queue.h
+++ b/src/residency/call_queue.h
@@ -29,6 +29,7 @@
     std::uint64_t fingerprint = 0;
     std::uint64_t caller = 0;
     bool atMostOnce = false;
+    std::uint64_t slotFence = 0; ///< atMostOnce: under which the slot was owned at admission
     bool waitedForAdapter = false;
     // Set exactly while nobody listens: the place in the queue is kept until then for a repeat.
     std::optional<TimePoint> dropAt;
--- a/src/residency/sidecar.cpp
+++ b/src/residency/sidecar.cpp
@@ -62,6 +62,7 @@
     if (!isEngine()) {
         recovery_.skip();
     }
+    openGuards(now);
     settleAll(now);
 }
 
@@ -79,6 +80,7 @@
         refuse({held.from, AttemptKey::of(held.request.id())}, {RefusalReason::Leaving});
     }
     held_.clear();
+    drainGuards(now);
     settleAll(now);
 }
 
@@ -97,6 +99,7 @@
     if (isEngine()) {
         planLoads(now);
     }
+    expireKeys(now);
     sendHeartbeats(now);
     if (adapters_.records().size() > recordsKept) {
         adapters_.forget(now.mono - forgetAfter);
@@ -105,13 +108,16 @@
     arm(now.mono);
 }
 
-void SidecarDecisions::Impl::finishDrain(Now /*now*/)
+void SidecarDecisions::Impl::finishDrain(Now now)
 {
     const bool orderOpen = orders_.has(OrderKind::Load) || orders_.has(OrderKind::Unload);
-    if (!leaving_ || drained_ || !executions_.empty() || orderOpen) {
+    if (!leaving_ || drained_ || !executions_.empty() || orderOpen || !guardsDrained(now)) {
         return;
     }
     drained_ = true;
+    for (auto &[service, guard] : guards_) {
+        guard->owner().stop(now);
+    }
     actions_.emplace_back(Drained{});
 }
 
@@ -134,6 +140,9 @@
     if (!isEngine() && !endpointUp_) {
         due = earlier(due, downUntil_);
     }
+    if (leaving_ && !drained_ && !guards_.empty()) {
+        due = earlier(due, guardsUntil_);
+    }
     for (const auto &held : held_) {
         due = earlier(due, std::min(held.until, nextFetch_));
     }
@@ -238,8 +247,14 @@
     impl_->settleAll(now);
 }
 
-void SidecarDecisions::onKvReply(const KvReply & /*reply*/, Now now)
+void SidecarDecisions::onKvReply(const KvReply &reply, Now now)
 {
+    impl_->last_ = now;
+    for (auto &[service, guard] : impl_->guards_) {
+        if (guard->owner().onReply(reply, now)) {
+            break;
+        }
+    }
     impl_->settleAll(now);
 }
 
--- a/src/residency/sidecar.h
+++ b/src/residency/sidecar.h
@@ -8,6 +8,7 @@
 #include "estimator.h"
 #include "eviction.h"
 #include "execution_table.h"
+#include "key_guard.h"
 #include "order_book.h"
 #include "recovery.h"
 
@@ -74,6 +75,9 @@
     std::uint64_t slotFence = 0;
 };
 
+/// Hash of what makes two requests with one key the same request.
+std::uint64_t fingerprintOf(const wire::CallRequest &request);
+
 struct SidecarDecisions::Impl
 {
     explicit Impl(SidecarInit given);
@@ -119,6 +123,8 @@
     WaitingCall makeCall(PeerHandle from, const wire::CallRequest &request, TimePoint arrived) const;
     bool attachToRunning(const WaitingCall &call);
     bool attachToWaiting(const WaitingCall &call);
+    void attachListener(Execution &execution, const WaitingCall &call);
+    void joinWaiting(WaitingCall &waiting, const WaitingCall &call);
     Duration queueDelay(CallClass callClass, TimePoint now) const;
     Duration retryAfterQueue(TimePoint now);
     bool isOpen(const AttemptKey &attempt) const;
@@ -140,6 +146,24 @@
     void planPrefetch();
     std::vector<Demand> prefetchDemands(TimePoint now) const;
 
+    // sidecar_keys.cpp: calls that must run at most once
+    std::optional<ServiceView> serviceOf(const wire::CallRequest &request) const;
+    KeyGuard *guardOf(const std::string &service);
+    void openGuards(Now now);
+    void giveSlot(const std::string &service, std::uint32_t slot);
+    /// Why the call is refused, if it is. `answered`: it was attached or its answer is sent again.
+    std::optional<RefusalDetail> decideKey(WaitingCall &call, const ServiceView &view, Now now, bool &answered);
+    bool attachByHandle(ExecutionHandle handle, const WaitingCall &call);
+    void admitAtMostOnce(WaitingCall call, const ServiceView &view, Now now);
+    bool mayStillRun(const WaitingCall &call, Now now);
+    /// Whether a refusal may claim that no attempt with the request's key ran.
+    bool provesNotRun(const wire::CallRequest &request, Now now);
+    void releaseKey(const std::string &service, const std::string &key);
+    void endKey(const Execution &execution, KeptAnswer &&answer, Now now);
+    void expireKeys(Now now);
+    void drainGuards(Now now);
+    bool guardsDrained(Now now);
+
     // sidecar_calls.cpp: calls that wait or run
     void startCalls(Now now);
     bool mayStart(const WaitingCall &call) const;
@@ -243,6 +267,11 @@
     TimePoint lastListAt_;
     TimePoint retryOrderAt_; // no list or fence is sent before, after one that failed
 
+    std::map<std::string, std::unique_ptr<KeyGuard>> guards_; // by service
+    std::vector<std::string> memberNames_; // live sidecars, sorted
+    TimePoint nextKeyExpiry_;
+    TimePoint guardsUntil_ = TimePoint::max(); // a drain waits no longer for the slots
+
     std::vector<LoadTicket> tickets_;
     TimePoint nextLocalLoad_;
     std::uint64_t highestGrantFence_ = 0;
--- a/src/residency/sidecar_admission.cpp
+++ b/src/residency/sidecar_admission.cpp
@@ -13,6 +13,13 @@
 constexpr Duration recoveryRetry = Seconds(1);
 constexpr Duration endpointRetry = Seconds(2);
 
+Duration until(TimePoint at, TimePoint now)
+{
+    return std::clamp(at - now, shortestRetry, longestRetry);
+}
+
+} // namespace
+
 std::uint64_t fingerprintOf(const wire::CallRequest &request)
 {
     std::uint64_t hash = hash64(request.method());
@@ -22,13 +29,6 @@
     return hash64(request.body(), hash);
 }
 
-Duration until(TimePoint at, TimePoint now)
-{
-    return std::clamp(at - now, shortestRetry, longestRetry);
-}
-
-} // namespace
-
 void SidecarDecisions::Impl::onCall(PeerHandle from, const wire::CallRequest &request, Now now)
 {
     const auto attempt = AttemptKey::of(request.id());
@@ -42,9 +42,13 @@
 void SidecarDecisions::Impl::admit(PeerHandle from, const wire::CallRequest &request, TimePoint arrived, Now now)
 {
     const Listener listener{from, AttemptKey::of(request.id()), request.credit_bytes()};
-    if (const auto refusal = checkForm(request)) {
+    if (auto refusal = checkForm(request)) {
+        refusal->provedNotRun = provesNotRun(request, now);
         return refuse(listener, *refusal);
     }
+    if (const auto view = serviceOf(request); view && !view->idempotent && !isBehind(request)) {
+        return admitAtMostOnce(makeCall(from, request, arrived), *view, now);
+    }
     const auto stateRefusal = checkState(now.mono);
     if (stateRefusal && !leaving_) {
         return refuse(listener, *stateRefusal);
@@ -187,14 +191,28 @@
     if (execution == nullptr) {
         return false;
     }
+    attachListener(*execution, call);
+    return true;
+}
+
+void SidecarDecisions::Impl::attachListener(Execution &execution, const WaitingCall &call)
+{
     const auto &listener = call.listeners.front();
-    execution->listeners.push_back(listener);
-    execution->deadline = std::max(execution->deadline, call.deadline);
-    execution->cancelAt.reset();
+    execution.listeners.push_back(listener);
+    execution.deadline = std::max(execution.deadline, call.deadline);
+    stats_.cancelsAvoided += static_cast<std::uint64_t>(execution.cancelAt.has_value());
+    execution.cancelAt.reset();
     ++stats_.attached;
     actions_.emplace_back(
-        AttachListener{execution->handle, listener.peer, listener.attempt.message(), listener.creditBytes});
-    return true;
+        AttachListener{execution.handle, listener.peer, listener.attempt.message(), listener.creditBytes});
+}
+
+void SidecarDecisions::Impl::joinWaiting(WaitingCall &waiting, const WaitingCall &call)
+{
+    waiting.listeners.push_back(call.listeners.front());
+    waiting.deadline = std::max(waiting.deadline, call.deadline);
+    waiting.dropAt.reset();
+    ++stats_.attached;
 }
 
 bool SidecarDecisions::Impl::attachToWaiting(const WaitingCall &call)
@@ -203,11 +221,9 @@
         return false;
     }
     for (auto &waiting : queue_.calls()) {
-        if (waiting.request.key() == call.request.key() && waiting.fingerprint == call.fingerprint) {
-            waiting.listeners.push_back(call.listeners.front());
-            waiting.deadline = std::max(waiting.deadline, call.deadline);
-            waiting.dropAt.reset();
-            ++stats_.attached;
+        const bool sameKey = !waiting.atMostOnce && waiting.request.key() == call.request.key();
+        if (sameKey && waiting.fingerprint == call.fingerprint) {
+            joinWaiting(waiting, call);
             return true;
         }
     }
--- a/src/residency/sidecar_calls.cpp
+++ b/src/residency/sidecar_calls.cpp
@@ -62,6 +62,10 @@
 
 void SidecarDecisions::Impl::startCall(CallQueue::Place place, Now now)
 {
+    if (!mayStillRun(*place, now)) {
+        refuseAll(*place, {RefusalReason::NotSlotOwner});
+        return dropWaiting(place);
+    }
     WaitingCall call = queue_.take(place);
     Execution execution;
     execution.handle = call.execution;
@@ -133,6 +137,7 @@
     for (const auto &listener : execution->listeners) {
         ended_.add(listener.attempt);
     }
+    endKey(*execution, std::move(answer), now);
     executions_.erase(handle);
 }
 
@@ -261,6 +266,9 @@
 void SidecarDecisions::Impl::dropWaiting(CallQueue::Place place)
 {
     const WaitingCall call = queue_.take(place);
+    if (call.atMostOnce) {
+        releaseKey(call.request.service(), call.request.key());
+    }
     if (auto *record = adapters_.find(call.which)) {
         --record->waiting;
         markChanged(call.which, false);
--- a/src/residency/sidecar_peers.cpp
+++ b/src/residency/sidecar_peers.cpp
@@ -40,6 +40,16 @@
         }
         return;
     }
+    case wire::Envelope::kSlotHandover:
+        if (auto *guard = guardOf(message.slot_handover().service())) {
+            guard->owner().onHandover(message.slot_handover(), now);
+        }
+        return;
+    case wire::Envelope::kSlotHandoverAck:
+        if (auto *guard = guardOf(message.slot_handover_ack().service())) {
+            guard->owner().onHandoverAck(message.slot_handover_ack(), now);
+        }
+        return;
     default:
         ++stats_.droppedMessages;
     }
@@ -92,12 +102,24 @@
     }
 }
 
-void SidecarDecisions::Impl::onMembers(const std::vector<Member> &members, Now /*now*/)
+void SidecarDecisions::Impl::onMembers(const std::vector<Member> &members, Now now)
 {
-    const auto live = std::ranges::count_if(members, [](const Member &member) {
-        return member.role == VmRole::Sidecar && member.state == MemberState::Live;
-    });
-    liveSidecars_ = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(live, 1));
+    std::vector<std::string> names;
+    for (const auto &member : members) {
+        if (member.role == VmRole::Sidecar && member.state == MemberState::Live && member.name != init_.name) {
+            names.push_back(member.name);
+        }
+    }
+    names.push_back(init_.name);
+    std::ranges::sort(names);
+    liveSidecars_ = static_cast<std::uint32_t>(names.size());
+    if (names == memberNames_) {
+        return;
+    }
+    memberNames_ = std::move(names);
+    for (auto &[service, guard] : guards_) {
+        guard->owner().onMembers(memberNames_, now);
+    }
 }
 
 void SidecarDecisions::Impl::send(PeerHandle to, wire::Envelope message)
--- a/src/residency/sidecar_versions.cpp
+++ b/src/residency/sidecar_versions.cpp
@@ -24,9 +24,13 @@
 
 std::optional<RefusalDetail> SidecarDecisions::Impl::checkVersion(const wire::CallRequest &request) const
 {
-    if (init_.config == nullptr || !isEngine()) {
+    if (init_.config == nullptr) {
         return std::nullopt;
     }
+    if (!isEngine()) {
+        return init_.config->service(request.service()) ? std::nullopt
+                                                        : std::optional(RefusalDetail{RefusalReason::UnknownService});
+    }
     const bool older = request.config_revision() < revision();
     const AdapterVersion named{request.adapter(), request.version()};
     const auto own = init_.config->route(request.route());
@@ -58,7 +62,7 @@
     const Duration patience = std::min(longestHold, budget / holdShare);
     if (held_.size() >= heldLimit || now.mono >= arrived + patience) {
         return refuse({from, AttemptKey::of(request.id())},
-                      {RefusalReason::RevisionBehind, true, random_.jitter(behindRetry)});
+                      {RefusalReason::RevisionBehind, provesNotRun(request, now), random_.jitter(behindRetry)});
     }
     held_.push_back({from, request, arrived, arrived + patience});
     fetchConfig(now);
@@ -87,7 +91,7 @@
             continue;
         }
         refuse({held_[i].from, AttemptKey::of(held_[i].request.id())},
-               {RefusalReason::RevisionBehind, true, random_.jitter(behindRetry)});
+               {RefusalReason::RevisionBehind, provesNotRun(held_[i].request, now), random_.jitter(behindRetry)});
         held_.erase(held_.begin() + static_cast<std::ptrdiff_t>(i));
     }
     fetchConfig(now);
@@ -96,6 +100,7 @@
 void SidecarDecisions::Impl::onConfigChanged(Now now)
 {
     heartbeatAtOnce_ = true;
+    openGuards(now);
     // Calls that wait are resolved again: run minutes later at the old version, they would break the promise that an
     // accepted change is in force within seconds. Calls that run already go on beside the new version.
     for (auto place = queue_.calls().begin(); place != queue_.calls().end();) {
