--- a/src/routing/entry_attempts_impl.h
+++ b/src/routing/entry_attempts_impl.h
@@ -254,7 +254,8 @@
         return;
     }
     const auto reason = fromWire(refused.reason(), RefusalReason::Internal);
-    const bool proved = refused.proved_not_run();
+    // A sidecar that has sent a part of the answer can't prove that the call did not run.
+    const bool proved = refused.proved_not_run() && !attempt->answer.started();
     noteRefusal(*call, *attempt, refused);
     closeAttempt(*attempt, proved ? AttemptFate::RefusedNotRun : AttemptFate::MayHaveRun);
     const bool ownerProof = !call->idempotent && proved && ownerSpoke(reason) && attempt->slotFence != 0;
@@ -274,7 +275,13 @@
         wait(*call, error, refused.config_revision(), now);
         return;
     }
-    const bool slotMoved = reason == RefusalReason::NotSlotOwner || reason == RefusalReason::SlotUnowned;
+    const bool slotMoved = reason == RefusalReason::NotSlotOwner || reason == RefusalReason::SlotUnowned
+                           || reason == RefusalReason::Leaving;
+    if (!call->idempotent && !slotMoved) {
+        // Only the owner may run it, and the owner said no: the caller is told at once.
+        fail(*call, error);
+        return;
+    }
     retryOrFail(*call, slotMoved ? RetryReason::SlotMoved : RetryReason::Refused, error, now);
 }
 
@@ -432,7 +439,7 @@
     if (call == nullptr) {
         return;
     }
-    closeAttempt(*attempt, AttemptFate::NeverSent);
+    closeAttempt(*attempt, attempt->answer.started() ? AttemptFate::MayHaveRun : AttemptFate::NeverSent);
     const CallError error{Verdict::OutcomeUnknown, RefusalReason::NoEndpoint, FailureReason::None, Seconds(1)};
     retryOrFail(*call, RetryReason::SidecarLost, error, now);
 }
