--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,18 +3,22 @@
 # through both entries of each, judged by the stand-ins' own records. The last line is
 #   demo: N answered, L lost, D doubled, W wrong adapter
 # and the exit code 0 only if L, D and W are 0. Stops all it started.
-#   --short  fewer calls    --built DIR  use the programs in DIR instead of setting up and building
+#   --short      fewer calls
+#   --built DIR  use the programs in DIR instead of setting up and building
+#   --idle N     before the calls: leave all idle for N seconds and print the calls on the key-value service
 set -eu
 cd "$(dirname "$0")/.."
 calls=400
 threads=16
 build=build
 setup=yes
+idle=0
 while [ $# -gt 0 ]; do
     case $1 in
     --short) calls=64; threads=8 ;;
     --built) setup=no; build=$2; shift ;;
-    *) echo "usage: scripts/demo.sh [--short] [--built DIR]" >&2; exit 2 ;;
+    --idle) idle=$2; shift ;;
+    *) echo "usage: scripts/demo.sh [--short] [--built DIR] [--idle N]" >&2; exit 2 ;;
     esac
     shift
 done
@@ -55,8 +59,8 @@
 }
 urlOf() { echo "http://127.0.0.1:$(portOf "$1")"; }
 
-# runDeployment NAME LOAD_RATE
-runDeployment() {
+# startDeployment NAME LOAD_RATE: leaves the arguments of anvilctl and of the callers in files.
+startDeployment() {
     local example=examples/$1 folder=$work/$1 rate=$2 name
     mkdir -p "$folder"
     startStandin "$folder/key-value" key-value
@@ -99,22 +103,45 @@
     python3 scripts/demo_files.py vms "$example" "$folder" "$vmList/standin"
 
     local ctl=("$build/bin/anvilctl" --key-value "$keyValue" --vm-list "$vmList/vms" --timeout-ms 60000 --author demo)
-    "${ctl[@]}" config apply "$example/records" | tail -1
-    "${ctl[@]}" config wait 1 | tail -1
+    echo "$1: $("${ctl[@]}" config apply "$example/records" | tail -1)"
+    echo "$1: $("${ctl[@]}" config wait 1 | tail -1)"
 
     for route in $(python3 scripts/demo_files.py routes "$example"); do caller+=(--route "$route"); done
     while read -r kind name; do caller+=("--$kind-service" "$name"); done \
         < <(python3 scripts/demo_files.py services "$example")
+    printf '%s\n' "${caller[@]}" >"$folder/caller.args"
+    printf '%s\n' "${ctl[@]}" >"$folder/ctl.args"
+}
+
+runCalls() {
+    local folder=$work/$1 caller ctl
+    mapfile -t caller <"$folder/caller.args"
+    mapfile -t ctl <"$folder/ctl.args"
+    echo
     "$build/tests/standins" caller --tag "$1" --calls "$calls" --threads "$threads" "${caller[@]}" \
         >"$folder/caller.out" || failed=yes
     grep -v '^RESULT' "$folder/caller.out" || true
-    "${ctl[@]}" status
     echo
+    "${ctl[@]}" status
+}
+
+measureIdle() {
+    local name url before
+    sleep 15 # leases, slots and watches have settled
+    for name in authority utac; do
+        url=$(urlOf "$work/$name/key-value")
+        before=$(python3 scripts/demo_files.py calls "$url")
+        sleep "$idle"
+        echo "$name: $(($(python3 scripts/demo_files.py calls "$url") - before)) calls on the key-value service in $idle s"
+    done
 }
 
 failed=no
-runDeployment authority 4
-runDeployment utac 2
+startDeployment authority 4
+startDeployment utac 2
+[ "$idle" = 0 ] || measureIdle
+runCalls authority
+runCalls utac
 
 # A daemon that was told to stop has no call left and must end well.
 for pid in "${daemons[@]}"; do kill -TERM "$pid"; done
@@ -123,6 +150,7 @@
 done
 daemons=()
 
+echo
 read -r answered lost doubled wrong < <(cat "$work"/*/caller.out | awk '/^RESULT/ {n++; a+=$2; l+=$3; d+=$4; w+=$5}
     END {if (n == 2) print a, l, d, w; else print 0, 0, 0, 0}')
 [ "$answered" -gt 0 ] || failed=yes
--- a/scripts/demo_files.py
+++ b/scripts/demo_files.py
@@ -4,6 +4,7 @@
 demo_files.py settings EXAMPLE FOLDER KEY_VALUE VM_LIST NAME=ENDPOINT...   writes FOLDER/NAME.json for every example
 demo_files.py vms EXAMPLE FOLDER VM_LIST                                    tells the list stand-in who is there
 demo_files.py routes EXAMPLE                                                prints ROUTE=ADAPTER@VERSION lines
+demo_files.py calls KEY_VALUE                                               prints the calls that it has counted
 demo_files.py services EXAMPLE                                              prints "keyed NAME" or "lookup NAME" lines
 """
 import json
@@ -30,6 +31,8 @@
         if settings["role"] == "sidecar":
             settings["sidecar"]["endpoint"] = by_name[name]
             settings["sidecar"].pop("lock", None)
+            # The stand-ins' loads take less than a second; a new sidecar waits this long for its predecessor's orders.
+            settings["sidecar"]["orderTimeoutMs"] = 5000
         pathlib.Path(folder, f"{name}.json").write_text(json.dumps(settings, indent=2))
 
 
@@ -64,5 +67,10 @@
             print("lookup" if record.get("repeatable") else "keyed", record["name"])
 
 
-COMMANDS = {"settings": write_settings, "vms": tell_vms, "routes": print_routes, "services": print_services}
+def print_calls(key_value):
+    print(json.load(urllib.request.urlopen(f"{key_value}/standin", timeout=30))["calls"])
+
+
+COMMANDS = {"settings": write_settings, "vms": tell_vms, "routes": print_routes, "services": print_services,
+            "calls": print_calls}
 COMMANDS[sys.argv[1]](*sys.argv[2:])
--- a/src/ctl/process_commands.cpp
+++ b/src/ctl/process_commands.cpp
@@ -310,11 +310,15 @@
     if (!target) {
         return target.error();
     }
+    if (target->vm.role == VmRole::Entry) {
+        return failure(CtlExit::Rejected, "entry", name, "an entry takes no drain order: send it SIGTERM");
+    }
     CtlResult result;
     result.json->set("process", name);
     result.json->set("incarnation", std::to_string(target->incarnation));
     sendDrain(*target, options.reason, askTime(options));
     while (clocksNow().mono < until) {
+        // A sidecar without calls is gone a moment after the order, so that silence means the same as "leaving".
         const auto answer = askProcesses({target->vm}, "status", "", askTime(options)).front();
         const bool replaced = answer.answered && answer.incarnation != target->incarnation;
         if (answer.flag("draining") || replaced || !answer.answered) {
--- a/src/residency/sidecar_loads.cpp
+++ b/src/residency/sidecar_loads.cpp
@@ -168,8 +168,7 @@
     }
     auto *victim = victimFor(ticket.claim, now.mono);
     if (victim == nullptr) {
-        // Not acted on. Refused is what the weight store says: the scheduler backs off on it.
-        return OrderOutcome::Expired;
+        return OrderOutcome::Refused;
     }
     evict(*victim, now);
     return std::nullopt;
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -109,13 +109,14 @@
     return !error.isNull() && option<std::string>(*error, "verdict", "") == "not_run";
 }
 
-/// As a client does: again after "not run", otherwise what came.
+/// As a client does: again after "not run", and with a key also where the outcome is not known.
 Answer persist(const std::string &base, const std::string &path, const std::string &body, const std::string &key)
 {
     const auto until = Clock::now() + patience;
     while (true) {
         Answer answer = exchange(base, "POST", path, body, key);
-        if (answer.status == statusOk || !toldNotRun(answer) || Clock::now() >= until) {
+        const bool unknown = answer.status == HTTPServerResponse::HTTP_SERVICE_UNAVAILABLE && !key.empty();
+        if (answer.status == statusOk || !(toldNotRun(answer) || unknown) || Clock::now() >= until) {
             return answer;
         }
         const auto wait = std::chrono::milliseconds(static_cast<int>(answer.retryAfter * 1000.0) + 20);
@@ -177,6 +178,7 @@
         : entries_(options["entry"].as<std::vector<std::string>>())
         , engines_(options["engine"].as<std::vector<std::string>>())
         , services_(options["service-endpoint"].as<std::vector<std::string>>())
+        , keyedServices_(options["keyed-service"].as<std::vector<std::string>>())
         , tag_(options["tag"].as<std::string>())
     {
         plan(options);
@@ -185,6 +187,9 @@
     int run(std::size_t threads)
     {
         waitUntilReady();
+        for (const auto &service : keyedServices_) {
+            waitUntilKeysAreTaken(service);
+        }
         std::atomic<std::size_t> next = 0;
         std::vector<std::thread> workers;
         for (std::size_t i = 0; i < threads; ++i) {
@@ -206,7 +211,6 @@
     {
         const auto count = options["calls"].as<std::size_t>();
         const auto routes = options["route"].as<std::vector<std::string>>();
-        const auto keyed = options["keyed-service"].as<std::vector<std::string>>();
         const auto lookups = options["lookup-service"].as<std::vector<std::string>>();
         for (std::size_t i = 0; i < count; ++i) {
             Call call;
@@ -220,7 +224,7 @@
                 call.target = route.substr(0, route.find('='));
                 call.model = route.substr(route.find('=') + 1);
             } else {
-                const auto &names = call.kind == Kind::KeyedService ? keyed : lookups;
+                const auto &names = call.kind == Kind::KeyedService ? keyedServices_ : lookups;
                 call.target = names[i % names.size()];
                 call.repeatAtOnce = (i / (entries_.size() * enumCountOfKind)) % 2 == 0;
             }
@@ -241,6 +245,34 @@
         }
     }
 
+    static std::string newKey(const std::string &entry)
+    {
+        const auto answer = exchange(entry, "POST", "/v1/idempotency-keys", "", "");
+        return parseObject(answer.body)->getValue<std::string>("key");
+    }
+
+    // A new owner of slots refuses keys stamped before its take-over and margin. The owners of a service take over one
+    // after the other, so the demo begins once that many fresh keys, on slots of all owners, are taken in a row.
+    void waitUntilKeysAreTaken(const std::string &service) const
+    {
+        constexpr std::size_t inARow = 32;
+        const auto until = Clock::now() + patience;
+        const std::string path = "/v1/services/" + service + "/warm-up";
+        for (std::size_t taken = 0; taken < inARow;) {
+            const std::string &entry = entries_[taken % entries_.size()];
+            const auto answer = exchange(entry, "POST", path, "warm-up", newKey(entry));
+            if (answer.status == statusOk) {
+                ++taken;
+                continue;
+            }
+            taken = 0;
+            if (Clock::now() >= until) {
+                throw std::runtime_error(service + " takes no keys: " + answer.body);
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        }
+    }
+
     static bool ready(const std::string &entry)
     {
         try {
@@ -429,6 +461,7 @@
     const std::vector<std::string> entries_;
     const std::vector<std::string> engines_;
     const std::vector<std::string> services_;
+    const std::vector<std::string> keyedServices_;
     const std::string tag_;
     std::vector<Call> calls_;
     std::map<std::string, std::vector<std::string>> modelsByPrompt_;
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -35,3 +35,8 @@
 
 # The capacity bench runs at small sizes, so that it cannot rot between two measurements.
 add_test(NAME slopes_at_small_sizes COMMAND slopes --quick --page)
+
+# The demo in its short form: both deployments with all processes, judged by the endpoints' records.
+add_test(NAME demo_short COMMAND ${PROJECT_SOURCE_DIR}/scripts/demo.sh --short --built ${PROJECT_BINARY_DIR}
+         WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+set_tests_properties(demo_short PROPERTIES TIMEOUT 300)
