--- a/bench/policybench/fleet.cpp
+++ b/bench/policybench/fleet.cpp
@@ -258,8 +258,15 @@
         return;
     }
     leaseHeld_ = !begin;
+    fence_ += begin ? 0 : 1;
+    for (const auto &node : nodes_) {
+        wire::Envelope hello;
+        hello.set_protocol(wireProtocol);
+        hello.mutable_hello()->mutable_from()->set_name("entry0");
+        hello.mutable_hello()->mutable_from()->set_incarnation(1);
+        toSidecar(0, SendToSidecar{node->name, std::move(hello)});
+    }
     if (!begin) {
-        ++fence_;
         scheduler_->onTakeOver(nowAt(now_));
     }
 }
@@ -299,7 +306,13 @@
     const bool local = dataCentreOf(static_cast<std::uint32_t>(node), trace_.site)
                        == dataCentreOf(static_cast<std::uint32_t>(entry), trace_.site);
     const auto delay = local ? loopbackDelay : trace_.site.networkDelay;
-    timers_.subscribe(now_ + delay, [this, node, entry, message = send.message](TimePoint at) {
+    auto sent = send.message;
+    if (sent.has_hello() && scheduler_ && entry == 0 && leaseHeld_) {
+        // As the daemon does: every hello of the scheduler's process says that it is the scheduler.
+        sent.mutable_hello()->set_scheduler(true);
+        sent.mutable_hello()->set_scheduler_fence(fence_);
+    }
+    timers_.subscribe(now_ + delay, [this, node, entry, message = std::move(sent)](TimePoint at) {
         nodes_[node]->sidecar->onMessage(PeerHandle{entry + 1}, message, nowAt(at));
     });
 }
--- a/src/residency/eviction.h
+++ b/src/residency/eviction.h
@@ -10,7 +10,7 @@
 
 struct EvictionRules
 {
-    Duration demandMemory = Seconds(60);
+    Duration demandMemory = Seconds(180);
     Duration reloadMemory = std::chrono::minutes(5);
     Duration minResidency = Seconds(1); ///< doubles with each reload of late
     Duration maxResidency = Seconds(30);
--- a/src/residency/sidecar.h
+++ b/src/residency/sidecar.h
@@ -126,6 +126,8 @@
     void attachListener(Execution &execution, const WaitingCall &call);
     void joinWaiting(WaitingCall &waiting, const WaitingCall &call);
     Duration queueDelay(CallClass callClass, TimePoint now) const;
+    Duration loadDelay(TimePoint now) const;
+    bool hopeless(const WaitingCall &call, TimePoint now) const;
     Duration retryAfterQueue(TimePoint now);
     bool isOpen(const AttemptKey &attempt) const;
     void refuse(const Listener &listener, const RefusalDetail &detail);
@@ -227,6 +229,7 @@
     void sendHeartbeats(Now now);
     std::optional<TimePoint> heartbeatDue() const;
     wire::Heartbeat heartbeatBase(TimePoint now) const;
+    double victimValue(TimePoint now) const;
     wire::AdapterState stateOf(const AdapterRecord &record) const;
     static wire::AdapterState absentState(const AdapterVersion &which);
     void addDemands(wire::Heartbeat &into, TimePoint now);
--- a/src/residency/sidecar_admission.cpp
+++ b/src/residency/sidecar_admission.cpp
@@ -143,7 +143,7 @@
 {
     const auto *record = adapters_.find(call.which);
     const bool stalls = !call.which.empty() && (record == nullptr || record->state != ResidencyState::Resident);
-    const Duration wait = std::max(queueDelay(call.callClass, now), stalls ? loadTime_.at(now) : Duration(0));
+    const Duration wait = std::max(queueDelay(call.callClass, now), stalls ? loadDelay(now) : Duration(0));
     const bool unreachable = wait > Duration(0) && now + wait + serviceTime_.at(now) > call.deadline;
     if (unreachable) {
         return RefusalDetail{RefusalReason::DeadlineUnreachable, true, retryAfterQueue(now)};
@@ -241,6 +241,34 @@
     return serviceTime_.at(now) * (ahead + 1) / std::max<std::int64_t>(init_.batchLimit, 1);
 }
 
+/// Expected wait for the load of an absent adapter. Loads are granted about in the order in which their calls came,
+/// so that the longest wait of now is what a new call has before it.
+Duration SidecarDecisions::Impl::loadDelay(TimePoint now) const
+{
+    TimePoint oldest = now;
+    for (const auto &call : queue_.calls()) {
+        const auto *record = adapters_.find(call.which);
+        const bool waitsForLoad = record != nullptr && record->state == ResidencyState::Absent;
+        oldest = waitsForLoad ? std::min(oldest, call.arrived) : oldest;
+    }
+    return std::max(loadTime_.at(now), now - oldest);
+}
+
+/// A call that waits for its adapter and can no longer be answered in time is turned away now: its load would go to
+/// nobody, while calls behind it still have time (after a pulse of overload all loads would come just too late).
+bool SidecarDecisions::Impl::hopeless(const WaitingCall &call, TimePoint now) const
+{
+    constexpr int serviceTimes = 2; // covers most calls that are longer than the mean
+    constexpr int deadlineParts = 4; // a mean over long calls must not turn short ones away
+    const auto *record = adapters_.find(call.which);
+    if (record == nullptr || record->state != ResidencyState::Absent) {
+        return false;
+    }
+    const Duration service =
+        std::min(serviceTimes * serviceTime_.at(now), (call.deadline - call.arrived) / deadlineParts);
+    return now + loadTime_.at(now) + service > call.deadline;
+}
+
 Duration SidecarDecisions::Impl::retryAfterQueue(TimePoint now)
 {
     // Spread out, so that callers who were refused together do not come back together.
--- a/src/residency/sidecar_calls.cpp
+++ b/src/residency/sidecar_calls.cpp
@@ -242,9 +242,12 @@
     expireHeld(now);
     for (auto place = queue_.calls().begin(); place != queue_.calls().end();) {
         const auto current = place++;
-        const bool expired = current->deadline <= now.mono;
-        if (expired) {
+        const bool passed = current->deadline <= now.mono;
+        const bool expired = passed || hopeless(*current, now.mono);
+        if (passed) {
             refuseAll(*current, {RefusalReason::DeadlinePassed});
+        } else if (expired) {
+            refuseAll(*current, {RefusalReason::DeadlineUnreachable, true, retryAfterQueue(now.mono)});
         }
         if (expired || (current->dropAt && *current->dropAt <= now.mono)) {
             dropWaiting(current);
--- a/src/residency/sidecar_heartbeats.cpp
+++ b/src/residency/sidecar_heartbeats.cpp
@@ -99,6 +99,7 @@
     heartbeat.set_endpoint_kind(std::string(toString(init_.kind)));
     heartbeat.set_slots(isEngine() ? init_.slots : 0);
     heartbeat.set_free_slots(isEngine() ? init_.slots - std::min(init_.slots, adapters_.occupied()) : 0);
+    heartbeat.set_victim_value(victimValue(now));
     heartbeat.set_running(executions_.running());
     heartbeat.set_queued(static_cast<std::uint32_t>(queue_.size()));
     heartbeat.set_batch_limit(init_.batchLimit);
@@ -114,6 +115,23 @@
     return heartbeat;
 }
 
+/// What an entry weighs when it looks for a place for an absent adapter.
+double SidecarDecisions::Impl::victimValue(TimePoint now) const
+{
+    if (!isEngine()) {
+        return 0.0;
+    }
+    SlotClaim claim;
+    claim.granted = true;
+    claim.slots = init_.slots;
+    if (mayTakeFreeSlot(adapters_, claim)) {
+        return 0.0;
+    }
+    auto &table = const_cast<AdapterTable &>(adapters_);
+    const auto *victim = chooseVictim(table, claim, loadTime_.at(now), evictionRules_, true, now);
+    return victim == nullptr ? -1.0 : keepValue(*victim, loadTime_.at(now), evictionRules_, now);
+}
+
 wire::AdapterState SidecarDecisions::Impl::stateOf(const AdapterRecord &record) const
 {
     wire::AdapterState state = absentState(record.which);
--- a/src/residency/sidecar_loads.cpp
+++ b/src/residency/sidecar_loads.cpp
@@ -168,7 +168,8 @@
     }
     auto *victim = victimFor(ticket.claim, now.mono);
     if (victim == nullptr) {
-        return OrderOutcome::Refused;
+        // Not acted on. Refused is what the weight store says: the scheduler backs off on it.
+        return OrderOutcome::Expired;
     }
     evict(*victim, now);
     return std::nullopt;
--- a/src/routing/fleet_view.cpp
+++ b/src/routing/fleet_view.cpp
@@ -111,6 +111,7 @@
     view.running = report.running();
     view.queued = report.queued();
     view.batchLimit = std::max<std::uint32_t>(1, report.batch_limit());
+    view.victimValue = report.victim_value();
     view.queueDelay = Duration(report.queue_delay_us());
     view.sentSince = 0;
 }
--- a/src/routing/fleet_view.h
+++ b/src/routing/fleet_view.h
@@ -42,6 +42,7 @@
     std::uint32_t queued = 0;
     std::uint32_t batchLimit = 1;
     std::uint32_t busySlots = 0; ///< adapters that hold a slot with a pin, a waiting call or a load
+    double victimValue = 0.0; ///< worth of the cheapest adapter that may be evicted; 0: free slot, negative: none
     Duration queueDelay{};
     std::uint32_t sentSince = 0; ///< calls this entry sent after the last report
     std::uint32_t open = 0; ///< calls of this entry that have not ended
--- a/src/routing/load_value.cpp
+++ b/src/routing/load_value.cpp
@@ -2,6 +2,7 @@
 #include "load_value.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace anvilscale {
 
@@ -31,7 +32,8 @@
         return 0.0;
     }
     const double waited = seconds(demand.oldestWait + age);
-    const double weight = context.policy->classWeights[static_cast<std::size_t>(demand.callClass)];
+    // The root: with the full weight the lowest class gets next to no loads while the store is behind.
+    const double weight = std::sqrt(context.policy->classWeights[static_cast<std::size_t>(demand.callClass)]);
     // The age term bounds the wait of an adapter with few callers: its value grows until it is served.
     return weight * static_cast<double>(demand.waiting) * (loadTime + waited);
 }
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -16,7 +16,9 @@
 // A further copy must win by this factor, else two engines trade one adapter back and forth.
 constexpr double copyHysteresis = 2.0;
 // Cost spread by which entries agree, without talking, on the same sidecar for a cold adapter.
-constexpr double affinitySpread = 0.2;
+constexpr double affinitySpread = 1.0;
+// Seconds that an eviction costs for a unit of its victim's value (expected stalls).
+constexpr double victimSeconds = 20.0;
 constexpr std::size_t sampledHolders = 4;
 constexpr double serviceDecay = 0.05;
 
@@ -119,10 +121,11 @@
         if (!view.routable() || contains(request.tried, index)) {
             continue;
         }
-        const bool evictable = view.busySlots < view.slots;
+        const bool evictable = view.busySlots < view.slots && view.victimValue >= 0.0;
         const double wait = queueCost(view, request) + loadSeconds(request) + (evictable ? 0.0 : serviceSeconds_);
         const double spread = static_cast<double>(mix(request.adapterKey ^ mix(index + 1)) >> 40U) / (1U << 24U);
-        best.offer(PlacementChoice{index, fromSeconds(wait), false}, wait + spread * affinitySpread);
+        best.offer(PlacementChoice{index, fromSeconds(wait), false},
+                   wait + spread * affinitySpread + victimSeconds * std::max(0.0, view.victimValue));
     }
     return best.choice;
 }
