Residency: event costs, silence of the scheduler, and two faults found at random

Cause: an event cost 45 microseconds with 200 calls waiting, because the choice from the queue worked out the fair share for each comparison. An entry's own Hello took the scheduler's mark away, and after a quiet time a sidecar loaded by itself although the scheduler lived. A timer for something overdue hid what was due before it. 20,000 random sequences found that an unload given around an engine restart could land under a later call, and that a fencing number was raised by our own list and could equal a successor's.

Change: fair shares once for each choice, ranks kept, due times kept; the silence of the scheduler is counted from the first demand, with a limit on how long grants are waited for; a slot that comes free is told at once; an unload's effect is proved by its absence only within one engine incarnation; fences are raised only above a number that is larger than ours. The queue's order, attaching and the deadline refusal can be chosen in SidecarInit, so that each can be measured alone. Calls that wait for a load are looked through for hopeless ones ten times a second instead of at each event.

--- a/include/anvilscale/residency.h
+++ b/include/anvilscale/residency.h
@@ -139,6 +139,27 @@
     bool duplicateFilter = true; ///< an attempt that was seen is not taken again
 };
 
+/// Which waiting call is served next within a class; see docs/design/residency.md.
+enum class QueuePolicy : std::uint8_t {
+    Deadline, ///< the nearest deadline
+    NewestFirst,
+    Arrival,
+    Count
+};
+template<>
+struct EnumNames<QueuePolicy>
+{
+    static constexpr std::array<std::string_view, enumCount<QueuePolicy>> table{"deadline", "newest_first", "arrival"};
+};
+
+/// What is done against overload, each measurable alone. The defaults are what the product does.
+struct OverloadRules
+{
+    QueuePolicy order = QueuePolicy::Deadline;
+    bool attachRepeats = true; ///< a repeat listens to the running execution of its key
+    bool refuseUnreachable = true; ///< a call that can't meet its deadline is refused at once
+};
+
 struct SidecarInit
 {
     std::string name;
@@ -158,6 +179,7 @@
     TimerService *timers = nullptr;
     std::uint64_t seed = 1;
     Safeguards safeguards;
+    OverloadRules overload;
 };
 
 /// Read by /metrics and `anvilctl status`. Counters only grow; the others are as of now.
--- a/src/residency/adapter_table.cpp
+++ b/src/residency/adapter_table.cpp
@@ -109,6 +109,7 @@
     record.changeMark = mark;
     record.lostOrder = lost;
     record.effectUntil = effectUntil;
+    record.effectShows = true;
 }
 
 void AdapterTable::forget(TimePoint before)
--- a/src/residency/adapter_table.h
+++ b/src/residency/adapter_table.h
@@ -32,6 +32,9 @@
     // In Unknown: what the lost order would do (List: no order is in flight), and until when it may do it.
     OrderKind lostOrder = OrderKind::List;
     TimePoint effectUntil;
+    // In Unknown: a list that shows the lost order's effect proves that it has come. Not so for an unload given around
+    // a restart of the engine: the adapter is gone by the restart, and the unload may still land after a new load.
+    bool effectShows = true;
 
     std::uint32_t waiting = 0; ///< calls in the queue
     DecayedRate demand;
--- a/src/residency/call_queue.h
+++ b/src/residency/call_queue.h
@@ -12,10 +12,13 @@
 #include <list>
 #include <optional>
 #include <tuple>
+#include <variant>
 #include <vector>
 
 namespace anvilscale {
 
+struct AdapterRecord;
+
 struct WaitingCall
 {
     std::uint64_t number = 0; ///< order of arrival
@@ -23,6 +26,7 @@
     wire::CallRequest request;
     std::vector<Listener> listeners;
     AdapterVersion which; ///< empty for a plain service and for the base model
+    AdapterRecord *record = nullptr; ///< of `which`; kept by the table while calls wait
     CallClass callClass = CallClass::Normal;
     TimePoint arrived;
     TimePoint deadline;
@@ -86,6 +90,20 @@
 
 static_assert(QueueOrder<DeadlineOrder> && QueueOrder<NewestFirstOrder> && QueueOrder<ArrivalOrder>);
 
+using AnyQueueOrder = std::variant<DeadlineOrder, NewestFirstOrder, ArrivalOrder>;
+
+inline AnyQueueOrder makeQueueOrder(QueuePolicy policy, Duration starvationBound)
+{
+    switch (policy) {
+    case QueuePolicy::NewestFirst:
+        return NewestFirstOrder{starvationBound};
+    case QueuePolicy::Arrival:
+        return ArrivalOrder{starvationBound};
+    default:
+        return DeadlineOrder{starvationBound};
+    }
+}
+
 class CallQueue
 {
 public:
@@ -95,6 +113,7 @@
     WaitingCall &push(WaitingCall call)
     {
         call.number = ++last_;
+        noteDue(call.deadline);
         calls_.push_back(std::move(call));
         return calls_.back();
     }
@@ -104,6 +123,7 @@
         calls_.erase(place);
         return call;
     }
+    /// In order of arrival.
     Calls &calls()
     {
         return calls_;
@@ -120,48 +140,56 @@
     template<QueueOrder Order, class MayStart, class OverShare>
     Place best(const Order &order, TimePoint now, MayStart mayStart, OverShare overShare)
     {
-        Place chosen = calls_.end();
-        for (auto place = calls_.begin(); place != calls_.end(); ++place) {
-            if (!mayStart(*place)) {
-                continue;
-            }
-            if (chosen == calls_.end()
-                || order.rank(*place, overShare(*place), now) < order.rank(*chosen, overShare(*chosen), now)) {
-                chosen = place;
-            }
-        }
-        return chosen;
+        return first(order, now, mayStart, overShare, [](const auto &a, const auto &b) { return a < b; });
     }
     /// The call that would be served last among those that `match`; end() if there is none.
     template<QueueOrder Order, class Match, class OverShare>
     Place worst(const Order &order, TimePoint now, Match match, OverShare overShare)
     {
+        return first(order, now, match, overShare, [](const auto &a, const auto &b) { return b < a; });
+    }
+    /// A call waits without a listener: it is looked at again at `due`.
+    void noteDue(TimePoint due)
+    {
+        nextDue_ = std::min(nextDue_, due);
+    }
+    /// No call's deadline or drop time is reached earlier. May be too early, after a call was taken.
+    std::optional<TimePoint> next() const
+    {
+        return calls_.empty() ? std::nullopt : std::optional(nextDue_);
+    }
+    /// Makes next() exact; to be called when it is reached.
+    void refreshNext()
+    {
+        nextDue_ = TimePoint::max();
+        for (const auto &call : calls_) {
+            noteDue(call.dropAt ? std::min(*call.dropAt, call.deadline) : call.deadline);
+        }
+    }
+
+private:
+    template<class Order, class Match, class OverShare, class Before>
+    Place first(const Order &order, TimePoint now, Match match, OverShare overShare, Before before)
+    {
+        using Rank = decltype(order.rank(calls_.front(), false, now));
         Place chosen = calls_.end();
+        std::optional<Rank> chosenRank;
         for (auto place = calls_.begin(); place != calls_.end(); ++place) {
             if (!match(*place)) {
                 continue;
             }
-            if (chosen == calls_.end()
-                || order.rank(*chosen, overShare(*chosen), now) < order.rank(*place, overShare(*place), now)) {
+            Rank rank = order.rank(*place, overShare(*place), now);
+            if (!chosenRank || before(rank, *chosenRank)) {
                 chosen = place;
+                chosenRank = std::move(rank);
             }
         }
         return chosen;
     }
-    /// Earliest time at which a call's deadline or drop time is reached.
-    std::optional<TimePoint> next() const
-    {
-        std::optional<TimePoint> earliest;
-        for (const auto &call : calls_) {
-            const TimePoint due = call.dropAt ? std::min(*call.dropAt, call.deadline) : call.deadline;
-            earliest = earliest ? std::min(*earliest, due) : due;
-        }
-        return earliest;
-    }
 
-private:
     Calls calls_;
     std::uint64_t last_ = 0;
+    TimePoint nextDue_ = TimePoint::max(); // not later than any call's deadline or drop time
 };
 
 } // namespace anvilscale
--- a/src/residency/recovery.h
+++ b/src/residency/recovery.h
@@ -104,8 +104,10 @@
     {
         // Incarnations grow, but a clock that was set back may have given a predecessor a larger number. The engine
         // tells the largest that it has seen; the port that this process holds proves that no newer sidecar lives.
+        // An equal number is our own, from an earlier order. A number is not raised without need: a raised one could
+        // be as large as a successor's incarnation, and an engine that restarts forgets what it has seen.
         if (phase_ == RecoveryPhase::Listing) {
-            fence_ = list.highestFence < rules_.incarnation ? rules_.incarnation : list.highestFence + 1;
+            fence_ = list.highestFence <= rules_.incarnation ? rules_.incarnation : list.highestFence + 1;
             phase_ = afterListing();
             return false;
         }
--- a/src/residency/sidecar.cpp
+++ b/src/residency/sidecar.cpp
@@ -23,19 +23,12 @@
     return rules;
 }
 
-std::optional<TimePoint> earlier(std::optional<TimePoint> a, std::optional<TimePoint> b)
-{
-    if (!a || !b) {
-        return a ? a : b;
-    }
-    return std::min(*a, *b);
-}
-
 } // namespace
 
 SidecarDecisions::Impl::Impl(SidecarInit given)
     : init_(std::move(given))
     , random_(init_.seed)
+    , queueOrder_(makeQueueOrder(init_.overload.order, starvationBound))
     , adapters_(init_.safeguards)
     , recovery_(recoveryRules(init_))
 {
@@ -132,38 +125,50 @@
 
 std::optional<TimePoint> SidecarDecisions::Impl::nextDue(TimePoint now) const
 {
-    std::optional<TimePoint> due = earlier(queue_.next(), executions_.nextCancel(policy().cancelDelay));
-    due = earlier(due, orders_.next());
-    due = earlier(due, recovery_.waitsUntil());
-    due = earlier(due, listDue());
-    due = earlier(due, heartbeatDue());
+    NextDue due(now);
+    due.at(queue_.next());
+    due.at(executions_.nextCancel(policy().cancelDelay));
+    due.at(orders_.next());
+    due.at(recovery_.waitsUntil());
+    due.at(listDue());
+    due.at(heartbeatDue());
     if (!isEngine() && !endpointUp_) {
-        due = earlier(due, downUntil_);
+        due.at(downUntil_);
     }
     if (leaving_ && !drained_ && !guards_.empty()) {
-        due = earlier(due, guardsUntil_);
+        due.at(guardsUntil_);
     }
     for (const auto &held : held_) {
-        due = earlier(due, std::min(held.until, nextFetch_));
+        due.at(std::min(held.until, nextFetch_));
     }
+    loadsDue(due, now);
+    return due.earliest();
+}
+
+void SidecarDecisions::Impl::loadsDue(NextDue &due, TimePoint now) const
+{
     for (const auto &ticket : tickets_) {
         if (!ticket.load) {
-            due = earlier(due, ticket.validUntil);
+            due.at(ticket.validUntil);
         }
     }
+    if (demandSince_) {
+        due.at(nextHopelessCheck_);
+    }
+    const PeerHandle granter = scheduler();
     for (const auto &[which, record] : adapters_.records()) {
         const bool loadWaits = record.waiting != 0 && !record.occupiesSlot();
-        if (loadWaits) {
-            due = earlier(due, std::max(record.notBefore, nextLocalLoad_));
+        if (loadWaits && (!granter || schedulerSilent_)) {
+            due.at(std::max(record.notBefore, nextLocalLoad_));
         }
     }
+    if (demandSince_ && !schedulerSilent_ && granter) {
+        due.at(std::max(subscribers_.at(granter).schedulerHeard, *demandSince_) + init_.timing.suspect);
+    }
     if (!prefetch_.empty() && !prefetchDemands(now).empty()) {
         constexpr Duration prefetchRecheck = Milliseconds(500);
-        due = earlier(due, std::max(nextLocalLoad_, now + prefetchRecheck));
+        due.at(std::max(nextLocalLoad_, now + prefetchRecheck));
     }
-    // What is overdue was left for a reason (a bound on rates, a slot that is not free); it is looked at again soon.
-    constexpr Duration recheck = Milliseconds(100);
-    return due ? std::optional(std::max(*due, now + (*due <= now ? recheck : Duration(0)))) : due;
 }
 
 void SidecarDecisions::Impl::arm(TimePoint now)
--- a/src/residency/sidecar.h
+++ b/src/residency/sidecar.h
@@ -8,7 +8,9 @@
 #include "estimator.h"
 #include "eviction.h"
 #include "execution_table.h"
+#include "fair_share.h"
 #include "key_guard.h"
+#include "next_due.h"
 #include "order_book.h"
 #include "recovery.h"
 
@@ -27,9 +29,9 @@
 struct Subscriber
 {
     std::string name;
-    bool scheduler = false;
+    bool scheduler = false; ///< has said that it holds the scheduler's lease; an entry's own Hello does not undo it
     std::uint64_t schedulerFence = 0;
-    TimePoint heard;
+    TimePoint schedulerHeard; ///< latest Hello as the scheduler, or grant
     bool wantsFull = true;
 };
 
@@ -90,6 +92,7 @@
     void onTimer(TimePoint at);
     void arm(TimePoint now);
     std::optional<TimePoint> nextDue(TimePoint now) const;
+    void loadsDue(NextDue &due, TimePoint now) const;
     void finishDrain(Now now);
     const Policy &policy() const;
     bool isEngine() const
@@ -107,7 +110,6 @@
     void onPeerLost(PeerHandle peer, Now now);
     void onMembers(const std::vector<Member> &members, Now now);
     void send(PeerHandle to, wire::Envelope message);
-    bool schedulerHeard(TimePoint now) const;
     PeerHandle scheduler() const;
 
     // sidecar_admission.cpp: a call comes in
@@ -168,8 +170,7 @@
 
     // sidecar_calls.cpp: calls that wait or run
     void startCalls(Now now);
-    bool mayStart(const WaitingCall &call) const;
-    bool overShare(const WaitingCall &call) const;
+    static bool mayStart(const WaitingCall &call);
     void startCall(CallQueue::Place place, Now now);
     void countStall(const WaitingCall &call, wire::CallRequest &request, TimePoint now);
     void onExecutionStarted(ExecutionHandle handle, Now now);
@@ -182,6 +183,7 @@
     void cancel(Execution &execution, FailureReason why);
     void onCredit(const wire::CallCredit &credit);
     void expireCalls(Now now);
+    void expireWaiting(Now now);
     void dropWaiting(CallQueue::Place place);
 
     // sidecar_orders.cpp: the engine
@@ -210,6 +212,11 @@
     void advanceTickets(Now now);
     /// The outcome with which the ticket ends, if it ends now. `evicting`: slots that come free for later tickets.
     std::optional<OrderOutcome> advanceTicket(LoadTicket &ticket, std::ptrdiff_t &evicting, Now now);
+    bool mayLoadByItself(TimePoint now) const;
+    /// Decides whether the scheduler has fallen silent while calls wait for a load.
+    void watchScheduler(bool anyWaits, TimePoint now);
+    void hearScheduler(PeerHandle from, std::uint64_t fence, TimePoint now);
+    void clearYielding();
     void addLocalTicket(const std::vector<Demand> &wanted, Now now);
     AdapterRecord *victimFor(const SlotClaim &claim, TimePoint now);
     std::vector<Demand> demands(TimePoint now) const;
@@ -228,8 +235,8 @@
     void markChanged(const AdapterVersion &which, bool atOnce);
     void sendHeartbeats(Now now);
     std::optional<TimePoint> heartbeatDue() const;
-    wire::Heartbeat heartbeatBase(TimePoint now) const;
-    double victimValue(TimePoint now) const;
+    wire::Heartbeat heartbeatBase(TimePoint now);
+    double victimValue(TimePoint now);
     wire::AdapterState stateOf(const AdapterRecord &record) const;
     static wire::AdapterState absentState(const AdapterVersion &which);
     void addDemands(wire::Heartbeat &into, TimePoint now);
@@ -239,7 +246,8 @@
     SidecarStats stats_;
     std::vector<SidecarAction> actions_;
     EvictionRules evictionRules_;
-    DeadlineOrder queueOrder_;
+    static constexpr Duration starvationBound = Seconds(5); // a call moves up one class for each that it has waited
+    AnyQueueOrder queueOrder_;
 
     AdapterTable adapters_;
     OrderBook orders_;
@@ -277,6 +285,12 @@
 
     std::vector<LoadTicket> tickets_;
     TimePoint nextLocalLoad_;
+    static constexpr Duration hopelessEvery = Milliseconds(100);
+    TimePoint nextHopelessCheck_; // of calls that wait for a load
+    std::optional<TimePoint> demandSince_; // set while calls wait for an absent adapter
+    bool schedulerSilent_ = false; // it did not answer to our demands; until it is heard again
+    TimePoint lastGrantAt_;
+    bool blockedTold_ = false; // the latest demands told that no slot can be freed
     std::uint64_t highestGrantFence_ = 0;
     std::vector<std::pair<std::uint64_t, std::uint64_t>> grantsSeen_; // fence and number of the latest grants
     std::uint32_t liveSidecars_ = 1; // this one included
--- a/src/residency/sidecar_admission.cpp
+++ b/src/residency/sidecar_admission.cpp
@@ -92,6 +92,7 @@
             planPrefetch();
         }
         ++record.waiting;
+        call.record = &record;
         call.waitedForAdapter = record.state != ResidencyState::Resident;
         markChanged(call.which, call.waitedForAdapter && record.waiting == 1);
     }
@@ -144,7 +145,8 @@
     const auto *record = adapters_.find(call.which);
     const bool stalls = !call.which.empty() && (record == nullptr || record->state != ResidencyState::Resident);
     const Duration wait = std::max(queueDelay(call.callClass, now), stalls ? loadDelay(now) : Duration(0));
-    const bool unreachable = wait > Duration(0) && now + wait + serviceTime_.at(now) > call.deadline;
+    const bool unreachable =
+        init_.overload.refuseUnreachable && wait > Duration(0) && now + wait + serviceTime_.at(now) > call.deadline;
     if (unreachable) {
         return RefusalDetail{RefusalReason::DeadlineUnreachable, true, retryAfterQueue(now)};
     }
@@ -157,7 +159,10 @@
 bool SidecarDecisions::Impl::displace(const WaitingCall &call, TimePoint now)
 {
     const auto lower = [&](const WaitingCall &other) { return other.callClass > call.callClass; };
-    const auto place = queue_.worst(queueOrder_, now, lower, [this](const auto &other) { return overShare(other); });
+    const FairShare share(executions_, init_.batchLimit);
+    const auto overShare = [&](const WaitingCall &other) { return share.isOver(other.caller); };
+    const auto place =
+        std::visit([&](const auto &order) { return queue_.worst(order, now, lower, overShare); }, queueOrder_);
     if (place == queue_.calls().end()) {
         return false;
     }
@@ -184,7 +189,7 @@
 
 bool SidecarDecisions::Impl::attachToRunning(const WaitingCall &call)
 {
-    if (call.request.key().empty()) {
+    if (call.request.key().empty() || !init_.overload.attachRepeats) {
         return false;
     }
     auto *execution = executions_.attachable(call.request.key(), call.fingerprint);
@@ -217,7 +222,7 @@
 
 bool SidecarDecisions::Impl::attachToWaiting(const WaitingCall &call)
 {
-    if (call.request.key().empty()) {
+    if (call.request.key().empty() || !init_.overload.attachRepeats) {
         return false;
     }
     for (auto &waiting : queue_.calls()) {
@@ -236,7 +241,7 @@
         return Duration(0);
     }
     const auto ahead = std::ranges::count_if(queue_.calls(), [&](const WaitingCall &call) {
-        return promotedClass(call, queueOrder_.starvationBound, now) <= static_cast<int>(callClass) && mayStart(call);
+        return mayStart(call) && promotedClass(call, starvationBound, now) <= static_cast<int>(callClass);
     });
     return serviceTime_.at(now) * (ahead + 1) / std::max<std::int64_t>(init_.batchLimit, 1);
 }
@@ -247,8 +252,7 @@
 {
     TimePoint oldest = now;
     for (const auto &call : queue_.calls()) {
-        const auto *record = adapters_.find(call.which);
-        const bool waitsForLoad = record != nullptr && record->state == ResidencyState::Absent;
+        const bool waitsForLoad = call.record != nullptr && call.record->state == ResidencyState::Absent;
         oldest = waitsForLoad ? std::min(oldest, call.arrived) : oldest;
     }
     return std::max(loadTime_.at(now), now - oldest);
@@ -260,8 +264,8 @@
 {
     constexpr int serviceTimes = 2; // covers most calls that are longer than the mean
     constexpr int deadlineParts = 4; // a mean over long calls must not turn short ones away
-    const auto *record = adapters_.find(call.which);
-    if (record == nullptr || record->state != ResidencyState::Absent) {
+    const bool waitsForLoad = call.record != nullptr && call.record->state == ResidencyState::Absent;
+    if (!waitsForLoad || !init_.overload.refuseUnreachable) {
         return false;
     }
     const Duration service =
--- a/src/residency/sidecar_calls.cpp
+++ b/src/residency/sidecar_calls.cpp
@@ -26,9 +26,10 @@
         return;
     }
     while (executions_.running() < init_.batchLimit) {
-        const auto place = queue_.best(
-            queueOrder_, now.mono, [this](const auto &call) { return mayStart(call); },
-            [this](const auto &call) { return overShare(call); });
+        const FairShare share(executions_, init_.batchLimit);
+        const auto overShare = [&](const WaitingCall &call) { return share.isOver(call.caller); };
+        const auto place = std::visit(
+            [&](const auto &order) { return queue_.best(order, now.mono, mayStart, overShare); }, queueOrder_);
         if (place == queue_.calls().end()) {
             return;
         }
@@ -36,28 +37,12 @@
     }
 }
 
-bool SidecarDecisions::Impl::mayStart(const WaitingCall &call) const
+bool SidecarDecisions::Impl::mayStart(const WaitingCall &call)
 {
     if (call.listeners.empty()) {
         return false;
     }
-    if (call.which.empty()) {
-        return true;
-    }
-    const auto *record = adapters_.find(call.which);
-    return record != nullptr && record->state == ResidencyState::Resident && !record->yielding;
-}
-
-bool SidecarDecisions::Impl::overShare(const WaitingCall &call) const
-{
-    std::uint32_t own = 0;
-    std::set<std::uint64_t> callers;
-    for (const auto &[handle, execution] : executions_.all()) {
-        own += static_cast<std::uint32_t>(execution.caller == call.caller);
-        callers.insert(execution.caller);
-    }
-    callers.insert(call.caller);
-    return own * callers.size() > init_.batchLimit;
+    return call.record == nullptr || (call.record->state == ResidencyState::Resident && !call.record->yielding);
 }
 
 void SidecarDecisions::Impl::startCall(CallQueue::Place place, Now now)
@@ -78,7 +63,7 @@
     execution.started = now.mono;
     execution.deadline = call.deadline;
     execution.atMostOnce = call.atMostOnce;
-    if (auto *record = adapters_.find(call.which)) {
+    if (auto *record = call.record) {
         --record->waiting;
         // The pin comes before the call is sent: in the other order an eviction could be decided between the two, and
         // the engine would drop the adapter under the call.
@@ -103,7 +88,7 @@
 
 void SidecarDecisions::Impl::countStall(const WaitingCall &call, wire::CallRequest &request, TimePoint now)
 {
-    const auto *record = adapters_.find(call.which);
+    const auto *record = call.record;
     if (record == nullptr || !call.waitedForAdapter) {
         return;
     }
@@ -148,11 +133,13 @@
         return;
     }
     execution.pinned = false;
-    markChanged(execution.which, false);
     if (isConfirmedEnd(answer)) {
         adapters_.unpin(*record);
+        // The scheduler was told that no slot can be freed; it should not learn only at the interval that one can.
+        markChanged(execution.which, blockedTold_ && !record->mayRun());
         return;
     }
+    markChanged(execution.which, false);
     // A broken connection or a timeout is not an end: the engine may go on with the call for a while. The adapter
     // stays protected until the engine's own list, made later, shows none running.
     adapters_.pinToLingering(*record, orders_.lastNumber(), now.mono);
@@ -186,6 +173,7 @@
             dropWaiting(place);
         } else {
             place->dropAt = now.mono + policy().cancelDelay;
+            queue_.noteDue(*place->dropAt);
         }
         return;
     }
@@ -240,6 +228,26 @@
 void SidecarDecisions::Impl::expireCalls(Now now)
 {
     expireHeld(now);
+    const bool checkLoads = demandSince_ && nextHopelessCheck_ <= now.mono;
+    if (checkLoads || queue_.next().value_or(TimePoint::max()) <= now.mono) {
+        nextHopelessCheck_ = now.mono + hopelessEvery;
+        expireWaiting(now);
+    }
+    for (auto &[handle, execution] : executions_.all()) {
+        if (execution.cancelling || execution.atMostOnce) {
+            continue;
+        }
+        if (execution.cancelAt && *execution.cancelAt <= now.mono) {
+            cancel(execution, FailureReason::CallerGone);
+        } else if (execution.deadline + policy().cancelDelay <= now.mono) {
+            // Its entry should have cancelled it; an entry that died or hangs must not hold a place in the batch.
+            cancel(execution, FailureReason::DeadlinePassed);
+        }
+    }
+}
+
+void SidecarDecisions::Impl::expireWaiting(Now now)
+{
     for (auto place = queue_.calls().begin(); place != queue_.calls().end();) {
         const auto current = place++;
         const bool passed = current->deadline <= now.mono;
@@ -253,17 +261,7 @@
             dropWaiting(current);
         }
     }
-    for (auto &[handle, execution] : executions_.all()) {
-        if (execution.cancelling || execution.atMostOnce) {
-            continue;
-        }
-        if (execution.cancelAt && *execution.cancelAt <= now.mono) {
-            cancel(execution, FailureReason::CallerGone);
-        } else if (execution.deadline + policy().cancelDelay <= now.mono) {
-            // Its entry should have cancelled it; an entry that died or hangs must not hold a place in the batch.
-            cancel(execution, FailureReason::DeadlinePassed);
-        }
-    }
+    queue_.refreshNext();
 }
 
 void SidecarDecisions::Impl::dropWaiting(CallQueue::Place place)
@@ -272,8 +270,8 @@
     if (call.atMostOnce) {
         releaseKey(call.request.service(), call.request.key());
     }
-    if (auto *record = adapters_.find(call.which)) {
-        --record->waiting;
+    if (call.record != nullptr) {
+        --call.record->waiting;
         markChanged(call.which, false);
     }
 }
--- a/src/residency/sidecar_heartbeats.cpp
+++ b/src/residency/sidecar_heartbeats.cpp
@@ -83,7 +83,7 @@
     nextHeartbeat_ = now.mono + std::max(init_.timing.heartbeat, std::min(paid, init_.timing.suspect / 2));
 }
 
-wire::Heartbeat SidecarDecisions::Impl::heartbeatBase(TimePoint now) const
+wire::Heartbeat SidecarDecisions::Impl::heartbeatBase(TimePoint now)
 {
     wire::Heartbeat heartbeat;
     heartbeat.mutable_from()->set_name(init_.name);
@@ -116,7 +116,7 @@
 }
 
 /// What an entry weighs when it looks for a place for an absent adapter.
-double SidecarDecisions::Impl::victimValue(TimePoint now) const
+double SidecarDecisions::Impl::victimValue(TimePoint now)
 {
     if (!isEngine()) {
         return 0.0;
@@ -127,8 +127,7 @@
     if (mayTakeFreeSlot(adapters_, claim)) {
         return 0.0;
     }
-    auto &table = const_cast<AdapterTable &>(adapters_);
-    const auto *victim = chooseVictim(table, claim, loadTime_.at(now), evictionRules_, true, now);
+    const auto *victim = chooseVictim(adapters_, claim, loadTime_.at(now), evictionRules_, true, now);
     return victim == nullptr ? -1.0 : keepValue(*victim, loadTime_.at(now), evictionRules_, now);
 }
 
@@ -152,6 +151,7 @@
 
 void SidecarDecisions::Impl::addDemands(wire::Heartbeat &into, TimePoint now)
 {
+    blockedTold_ = false;
     auto wanted = demands(now);
     wanted.resize(std::min(wanted.size(), demandsTold));
     for (const auto &want : wanted) {
@@ -172,6 +172,7 @@
         demand.set_least_budget_us(static_cast<std::uint64_t>(budget.count()));
         demand.set_rate(record.demand.at(now, evictionRules_.demandMemory));
         demand.set_evictable_slot(free || victim != nullptr);
+        blockedTold_ = blockedTold_ || !demand.evictable_slot();
         demand.set_victim_value(victim != nullptr ? keepValue(*victim, loadTime_.at(now), evictionRules_, now) : 0.0);
     }
 }
--- a/src/residency/sidecar_loads.cpp
+++ b/src/residency/sidecar_loads.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint32_t failuresToQuarantine = 3;
 constexpr std::uint32_t maxDoublings = 10;
 constexpr std::size_t grantsRemembered = 32;
+constexpr Duration grantPatience = Seconds(15);
 
 Duration doubled(Duration first, std::uint32_t times, Duration longest)
 {
@@ -34,16 +35,21 @@
     const bool anyWaits = std::ranges::any_of(adapters_.records(), [](const auto &entry) {
         return entry.second.waiting != 0 && !entry.second.occupiesSlot();
     });
-    if (!anyWaits) {
-        for (auto &[which, record] : adapters_.records()) {
-            record.yielding = false;
-        }
-    }
+    watchScheduler(anyWaits, now.mono);
     if (!admitting() || (!anyWaits && prefetch_.empty())) {
         return;
     }
+    // The list of demands is only made when something can come of it: this runs after every event.
+    const bool local = mayLoadByItself(now.mono);
+    const bool starving = !queue_.calls().empty() && now.mono - queue_.calls().front().arrived >= starvationBound;
+    if (!starving) {
+        clearYielding();
+    }
+    if (!local && !starving) {
+        return;
+    }
     const auto wanted = demands(now.mono);
-    if (!schedulerHeard(now.mono)) {
+    if (local) {
         addLocalTicket(wanted, now);
     }
     chooseYielding(wanted, now);
@@ -53,8 +59,7 @@
 {
     std::map<AdapterVersion, Demand> byAdapter;
     for (const auto &call : queue_.calls()) {
-        const auto *record = adapters_.find(call.which);
-        if (record == nullptr || record->occupiesSlot() || call.listeners.empty()) {
+        if (call.record == nullptr || call.record->occupiesSlot() || call.listeners.empty()) {
             continue;
         }
         auto &demand = byAdapter[call.which];
@@ -81,7 +86,7 @@
     SlotClaim claim;
     claim.gain = demand.gain;
     claim.urgent = demand.mostUrgent == CallClass::Urgent;
-    claim.starving = demand.waiting != 0 && now - demand.oldest >= queueOrder_.starvationBound;
+    claim.starving = demand.waiting != 0 && now - demand.oldest >= starvationBound;
     claim.slots = init_.slots;
     claim.reservedSlots = std::min(policy().reservedSlots, init_.slots - std::min(init_.slots, 1U));
     return claim;
@@ -97,12 +102,43 @@
     return chooseVictim(adapters_, claim, loadTime_.at(now), evictionRules_, init_.safeguards.evictOnlyUnpinned, now);
 }
 
-void SidecarDecisions::Impl::addLocalTicket(const std::vector<Demand> &wanted, Now now)
+bool SidecarDecisions::Impl::mayLoadByItself(TimePoint now) const
 {
     const auto limit = std::max(policy().parallelLoads, 1U);
-    if (now.mono < nextLocalLoad_ || tickets_.size() >= limit) {
+    if (now < nextLocalLoad_ || tickets_.size() >= limit) {
+        return false;
+    }
+    // A scheduler that is heard but grants nothing to calls that wait must not stop this sidecar for ever.
+    const bool forgotten = demandSince_ && now - std::max(*demandSince_, lastGrantAt_) >= grantPatience;
+    return schedulerSilent_ || forgotten || !scheduler();
+}
+
+void SidecarDecisions::Impl::watchScheduler(bool anyWaits, TimePoint now)
+{
+    if (!anyWaits) {
+        demandSince_.reset();
         return;
     }
+    demandSince_ = demandSince_.value_or(now);
+    const auto place = subscribers_.find(scheduler());
+    if (place == subscribers_.end()) {
+        return;
+    }
+    // The scheduler speaks to those that have demands. With none for a while its silence says nothing, so that the
+    // time is counted from the first demand.
+    const TimePoint since = std::max(place->second.schedulerHeard, *demandSince_);
+    schedulerSilent_ = schedulerSilent_ || now - since >= init_.timing.suspect;
+}
+
+void SidecarDecisions::Impl::clearYielding()
+{
+    for (auto &[which, record] : adapters_.records()) {
+        record.yielding = false;
+    }
+}
+
+void SidecarDecisions::Impl::addLocalTicket(const std::vector<Demand> &wanted, Now now)
+{
     for (const auto &demand : wanted) {
         const auto claim = claimFor(demand, now.mono);
         const auto &record = adapters_.add(demand.which);
@@ -276,7 +312,8 @@
     if (refusal) {
         return reportGrant(ticket, *refusal, now.mono);
     }
-    highestGrantFence_ = std::max(highestGrantFence_, grant.fence());
+    hearScheduler(from, grant.fence(), now.mono);
+    lastGrantAt_ = now.mono;
     const auto wanted = demands(now.mono);
     const auto place = std::ranges::find(wanted, ticket.which, &Demand::which);
     ticket.claim = claimFor(place == wanted.end() ? Demand{} : *place, now.mono);
--- a/src/residency/sidecar_orders.cpp
+++ b/src/residency/sidecar_orders.cpp
@@ -259,6 +259,8 @@
 {
     const auto mark = orders_.lastNumber();
     const bool effectOver = order.sentAt >= record.effectUntil;
+    const bool byUnload = record.lostOrder == OrderKind::Unload && record.effectShows && engineIncarnation_ != 0;
+    const bool goneIsProof = record.lostOrder == OrderKind::List || byUnload;
     switch (record.state) {
     case ResidencyState::Absent:
         if (loaded) {
@@ -276,7 +278,7 @@
         // What the lost order wanted is there: it has taken effect and can't do so again.
         if (loaded && (record.lostOrder != OrderKind::Unload || effectOver)) {
             adapters_.settle(record, ResidencyState::Resident, mark, now.mono);
-        } else if (!loaded && (record.lostOrder != OrderKind::Load || effectOver) && record.pins == 0) {
+        } else if (!loaded && (goneIsProof || effectOver) && record.pins == 0) {
             adapters_.settle(record, ResidencyState::Absent, mark, now.mono);
         }
         return;
@@ -359,6 +361,7 @@
             adapters_.lose(record, OrderKind::List, now.mono, mark);
         }
         record.changeMark = mark;
+        record.effectShows = record.lostOrder != OrderKind::Unload;
     }
     std::vector<AdapterVersion> loading;
     for (const auto &ticket : tickets_) {
--- a/src/residency/sidecar_peers.cpp
+++ b/src/residency/sidecar_peers.cpp
@@ -5,23 +5,12 @@
 
 namespace anvilscale {
 
-namespace {
-
-// After this many silent suspicion times the scheduler counts as not heard, and loads go by this sidecar's share.
-constexpr int schedulerSilence = 2;
-
-} // namespace
-
 void SidecarDecisions::Impl::onMessage(PeerHandle from, const wire::Envelope &message, Now now)
 {
     if (message.protocol() != wireProtocol) {
         ++stats_.droppedMessages;
         return;
     }
-    const auto subscriber = subscribers_.find(from);
-    if (subscriber != subscribers_.end()) {
-        subscriber->second.heard = now.mono;
-    }
     switch (message.body_case()) {
     case wire::Envelope::kCallRequest:
         return onCall(from, message.call_request(), now);
@@ -60,12 +49,9 @@
     auto [place, isNew] = subscribers_.try_emplace(from);
     auto &subscriber = place->second;
     subscriber.name = hello.from().name();
-    subscriber.scheduler = hello.scheduler();
-    subscriber.schedulerFence = hello.scheduler_fence();
-    subscriber.heard = now.mono;
     subscriber.wantsFull = subscriber.wantsFull || isNew || hello.want_full();
     if (hello.scheduler()) {
-        highestGrantFence_ = std::max(highestGrantFence_, hello.scheduler_fence());
+        hearScheduler(from, hello.scheduler_fence(), now.mono);
     }
 }
 
@@ -142,10 +128,19 @@
     return best;
 }
 
-bool SidecarDecisions::Impl::schedulerHeard(TimePoint now) const
+void SidecarDecisions::Impl::hearScheduler(PeerHandle from, std::uint64_t fence, TimePoint now)
 {
-    const auto place = subscribers_.find(scheduler());
-    return place != subscribers_.end() && now - place->second.heard < schedulerSilence * init_.timing.suspect;
+    if (fence < highestGrantFence_) {
+        return; // it was paused past its lease
+    }
+    highestGrantFence_ = fence;
+    schedulerSilent_ = false;
+    const auto place = subscribers_.find(from);
+    if (place != subscribers_.end()) {
+        place->second.scheduler = true;
+        place->second.schedulerFence = fence;
+        place->second.schedulerHeard = now;
+    }
 }
 
 } // namespace anvilscale
--- a/tests/unit/residency_faults_test.cpp
+++ b/tests/unit/residency_faults_test.cpp
@@ -323,6 +323,37 @@
     EXPECT_TRUE(fixture.engine.violations.empty());
 }
 
+TEST(ResidencyFaults, UnloadGivenAroundARestartMayLandAfterTheNextLoad)
+{
+    // The engine restarts unnoticed and an unload is on its way to the new process. The list then shows the adapter
+    // gone, but by the restart. Taken as the unload's effect, the adapter would be loaded again and used, and the
+    // unload would land under the running call.
+    SidecarInit init = oneSlot();
+    init.orderTimeout = Seconds(10);
+    SidecarFixture fixture(init);
+    fixture.recover();
+    makeResident(fixture, lounge);
+    fixture.engine.restart();
+    fixture.call(transit);
+    const auto unload = fixture.takeOrder(OrderKind::Unload);
+    ASSERT_EQ(unload.which, lounge);
+    fixture.sidecar.onEngineReport({fixture.engine.incarnation, 0, 0, 0, {}}, fixture.now);
+    fixture.collect();
+    fixture.answerOrders();
+    EXPECT_EQ(fixture.residency(lounge), ResidencyState::Unknown);
+    fixture.call(lounge);
+    fixture.advance(Seconds(3));
+    fixture.answerOrders();
+    EXPECT_TRUE(fixture.started.empty());
+    fixture.engine.apply(unload);
+    for (int i = 0; i < 12; ++i) {
+        fixture.advance(Seconds(1));
+        fixture.answerOrders();
+    }
+    EXPECT_FALSE(fixture.started.empty());
+    EXPECT_TRUE(fixture.engine.violations.empty());
+}
+
 TEST(ResidencyFaults, VersionThatKeepsFailingIsQuarantined)
 {
     // A broken version fails each load. Tried again and again it would take the weight store's rate from everyone
