--- a/bench/slopes/probe.cpp
+++ b/bench/slopes/probe.cpp
@@ -43,6 +43,19 @@
 {
     return countedAlloc(size);
 }
+// The library's nothrow form would be the sanitizer's own in a sanitized build, while delete is ours.
+void *operator new(std::size_t size, const std::nothrow_t &) noexcept
+{
+    try {
+        return countedAlloc(size);
+    } catch (const std::bad_alloc &) {
+        return nullptr;
+    }
+}
+void operator delete(void *block, const std::nothrow_t &) noexcept
+{
+    countedFree(block);
+}
 void operator delete(void *block) noexcept
 {
     countedFree(block);
