--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -3,8 +3,10 @@
 # through both entries of each, judged by the stand-ins' own records. The last line is
 #   demo: N answered, L lost, D doubled, W wrong adapter
 # and the exit code 0 only if L, D and W are 0. Stops all it started.
-#   --short      fewer calls
+#   --short      fewer calls, fewer at once
+#   --calls N    calls for each deployment
 #   --built DIR  use the programs in DIR instead of setting up and building
+#   --drain      while the calls run: drain one sidecar of an engine and one of a service in each deployment
 #   --idle N     before the calls: leave all idle for N seconds and print the calls on the key-value service
 set -eu
 cd "$(dirname "$0")/.."
@@ -13,12 +15,15 @@
 build=build
 setup=yes
 idle=0
+drain=no
 while [ $# -gt 0 ]; do
     case $1 in
     --short) calls=64; threads=8 ;;
+    --calls) calls=$2; shift ;;
     --built) setup=no; build=$2; shift ;;
+    --drain) drain=yes ;;
     --idle) idle=$2; shift ;;
-    *) echo "usage: scripts/demo.sh [--short] [--built DIR] [--idle N]" >&2; exit 2 ;;
+    *) echo "usage: scripts/demo.sh [--short] [--calls N] [--built DIR] [--drain] [--idle N]" >&2; exit 2 ;;
     esac
     shift
 done
@@ -113,14 +118,30 @@
     printf '%s\n' "${ctl[@]}" >"$folder/ctl.args"
 }
 
+# drainSidecars NAME CTL...: the first sidecar of each kind, once the calls are under way.
+drainSidecars() {
+    local folder=$work/$1 kind file name
+    shift
+    while ! grep -q '^calls begin' "$folder/caller.out"; do sleep 0.05; done
+    for kind in engine service; do
+        file=$(grep -l "\"endpointKind\": \"$kind\"" "$folder"/*.json | head -1)
+        name=$(basename "$file" .json)
+        "$@" drain "$name" --reason demo
+    done
+}
+
 runCalls() {
     local folder=$work/$1 caller ctl
     mapfile -t caller <"$folder/caller.args"
     mapfile -t ctl <"$folder/ctl.args"
     echo
     "$build/tests/standins" caller --tag "$1" --calls "$calls" --threads "$threads" "${caller[@]}" \
-        >"$folder/caller.out" || failed=yes
-    grep -v '^RESULT' "$folder/caller.out" || true
+        >"$folder/caller.out" &
+    local pid=$!
+    started+=($pid)
+    if [ $drain = yes ]; then drainSidecars "$1" "${ctl[@]}"; fi
+    wait $pid || failed=yes
+    grep -v '^RESULT\|^calls begin' "$folder/caller.out" || true
     echo
     "${ctl[@]}" status
 }
--- a/tests/standins/caller.cpp
+++ b/tests/standins/caller.cpp
@@ -1,6 +1,6 @@
 // Callers for the demo: sends model calls, streams and service calls through all entries at once and judges them by
 // the records of the stand-ins behind the sidecars. Prints a table and a line
-// "RESULT answered lost doubled wrong"; details of each fault go to standard error.
+// "RESULT answered lost doubled wrong" after one "calls begin"; details of each fault go to standard error.
 #include "expected_answer.h"
 #include "http_host.h"
 #include "subcommands.h"
@@ -190,6 +190,7 @@
         for (const auto &service : keyedServices_) {
             waitUntilKeysAreTaken(service);
         }
+        std::cout << "calls begin" << std::endl;
         std::atomic<std::size_t> next = 0;
         std::vector<std::thread> workers;
         for (std::size_t i = 0; i < threads; ++i) {
