--- a/src/net/model_call.cpp
+++ b/src/net/model_call.cpp
@@ -247,7 +247,8 @@
         const auto valueBegin = skipSpace(body, skipSpace(body, at) + 1);
         at = skipValue(body, valueBegin);
         if (found) {
-            return Span{valueBegin, at};
+            const auto last = body.find_last_not_of(" \t\r\n", at - 1);
+            return Span{valueBegin, last + 1};
         }
         at = skipSpace(body, at);
         if (at >= body.size() || body[at] != ',') {
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -7,7 +7,7 @@
 
 using namespace fleet;
 
-constexpr std::uint64_t residentGoalKb = 32 * 1024;
+constexpr std::uint64_t residentGoalKb = 32'768;
 
 class Start : public testing::Test
 {
--- a/tests/process/streams_test.cpp
+++ b/tests/process/streams_test.cpp
@@ -11,6 +11,7 @@
 using namespace fleet;
 
 constexpr unsigned streams = 200;
+constexpr double halfOfStreams = 100;
 constexpr unsigned routes = 4;
 
 class Streams : public testing::Test
@@ -91,7 +92,7 @@
     for (unsigned i = 0; i < streams; ++i) {
         startStream(i);
     }
-    ASSERT_TRUE(eventually([&] { return fleet_.metric("entry-1", "anvilscale_calls_open") >= streams / 2; }));
+    ASSERT_TRUE(eventually([&] { return fleet_.metric("entry-1", "anvilscale_calls_open") >= halfOfStreams; }));
     fleet_.process("entry-1").signal(SIGTERM);
     EXPECT_TRUE(eventually([&] { return request(fleet_.httpPort("entry-1"), "GET", "/readyz").status != 200; }));
     fleet_.process("entry-1").signal(SIGTERM);
--- /dev/null
+++ b/tests/unit/endpoint_test.cpp
@@ -0,0 +1,215 @@
+// The answer of an execution and its listeners, and what is said to a model engine; without sockets.
+#include "../src/endpoint/answer_buffer.h"
+#include "../src/endpoint/model_engine.h"
+#include "wire.pb.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace {
+
+using namespace anvilscale;
+
+constexpr std::uint64_t muchCredit = 1U << 30;
+
+/// What one listener was sent, checked as an entry checks it.
+struct Received
+{
+    std::string data;
+    std::uint32_t frames = 0;
+    std::optional<wire::CallEnd> end;
+    Digest digest;
+
+    void take(const wire::Envelope &message)
+    {
+        if (message.has_call_frame()) {
+            EXPECT_EQ(message.call_frame().sequence(), frames);
+            EXPECT_FALSE(end);
+            ++frames;
+            data += message.call_frame().data();
+            digest.add(message.call_frame().data());
+        } else {
+            end = message.call_end();
+        }
+    }
+    bool whole() const
+    {
+        return end && end->frames() == frames && end->digest() == digest.value()
+               && end->outcome() == static_cast<std::uint32_t>(CallOutcome::Complete);
+    }
+};
+
+wire::AttemptId attempt(std::uint64_t call)
+{
+    wire::AttemptId id;
+    id.set_call(call);
+    return id;
+}
+
+class Listeners
+{
+public:
+    AnswerBuffer::Send send()
+    {
+        return [this](PeerHandle peer, const wire::Envelope &message) { of(peer.value).take(message); };
+    }
+    Received &of(std::uint64_t number)
+    {
+        return received_[number];
+    }
+
+private:
+    std::map<std::uint64_t, Received> received_;
+};
+
+RC_GTEST_PROP(AnswerBufferTest, EveryListenerGetsAllBytesWithinItsCredit,
+              (const std::vector<std::string> &parts, const std::vector<std::uint8_t> &credits))
+{
+    Listeners listeners;
+    AnswerBuffer answer(1 << 20, 1 << 20);
+    answer.addListener({PeerHandle{1}, attempt(1), 0, 0, false});
+    answer.setHead(200, {});
+    std::string all;
+    std::uint64_t given = 0;
+    std::size_t next = 0;
+    for (const auto &part : parts) {
+        answer.append(part);
+        all += part;
+        const std::uint64_t credit = credits.empty() ? 0 : credits[next++ % credits.size()];
+        answer.addCredit(PeerHandle{1}, attempt(1), credit);
+        given += credit;
+        if (next == 2) {
+            answer.addListener({PeerHandle{2}, attempt(2), muchCredit, 0, false}); // comes late
+        }
+        answer.pump(listeners.send());
+        RC_ASSERT(listeners.of(1).data.size() <= given);
+    }
+    answer.finish({CallOutcome::Complete, FailureReason::None, 0});
+    answer.addListener({PeerHandle{3}, attempt(3), muchCredit, 0, false}); // comes after the end
+    answer.addCredit(PeerHandle{1}, attempt(1), muchCredit);
+    answer.pump(listeners.send());
+    RC_ASSERT(answer.done());
+    for (const std::uint64_t number : {1U, 3U}) {
+        RC_ASSERT(listeners.of(number).whole());
+        RC_ASSERT(listeners.of(number).data == all);
+    }
+}
+
+// A long answer is not kept whole. A repeat that comes after its first bytes were dropped cannot be given all of it:
+// it is told so, and is given no part that could be taken for an answer.
+TEST(AnswerBufferTest, ListenerThatComesTooLateIsGivenNothing)
+{
+    Listeners listeners;
+    AnswerBuffer answer(10, 1000);
+    answer.addListener({PeerHandle{1}, attempt(1), muchCredit, 0, false});
+    answer.setHead(200, {});
+    answer.append(std::string(100, 'a'));
+    answer.pump(listeners.send());
+    answer.addListener({PeerHandle{2}, attempt(2), muchCredit, 0, false});
+    answer.pump(listeners.send());
+    EXPECT_TRUE(listeners.of(2).data.empty());
+    ASSERT_TRUE(listeners.of(2).end);
+    EXPECT_EQ(listeners.of(2).end->failure(), static_cast<std::uint32_t>(FailureReason::AnswerIncomplete));
+    answer.append("end");
+    answer.finish({CallOutcome::Complete, FailureReason::None, 0});
+    answer.pump(listeners.send());
+    EXPECT_TRUE(listeners.of(1).whole());
+    EXPECT_EQ(listeners.of(1).data.size(), 103U);
+    EXPECT_FALSE(answer.whole());
+}
+
+TEST(AnswerBufferTest, SlowListenerStopsTheReading)
+{
+    Listeners listeners;
+    AnswerBuffer answer(1000, 50);
+    answer.addListener({PeerHandle{1}, attempt(1), 10, 0, false});
+    answer.setHead(200, {});
+    answer.append(std::string(100, 'a'));
+    answer.pump(listeners.send());
+    EXPECT_EQ(listeners.of(1).data.size(), 10U);
+    EXPECT_TRUE(answer.full());
+    answer.addCredit(PeerHandle{1}, attempt(1), 60);
+    answer.pump(listeners.send());
+    EXPECT_FALSE(answer.full());
+}
+
+SendOrder orderOf(OrderKind kind)
+{
+    SendOrder order;
+    order.kind = kind;
+    order.which = {"guest", "v1"};
+    order.weights = "/w/guest";
+    order.fence = 7;
+    return order;
+}
+
+TEST(ModelEngineTest, OrdersCarryNameWeightsAndFence)
+{
+    const ModelEngine engine(16);
+    const auto load = engine.order(orderOf(OrderKind::Load));
+    EXPECT_EQ(load.target, "/v1/load_lora_adapter");
+    EXPECT_EQ(load.body, R"({"lora_name":"guest@v1","lora_path":"/w/guest"})");
+    EXPECT_EQ(*findHeader(load.headers, "X-Fencing-Token"), "7");
+    EXPECT_EQ(engine.order(orderOf(OrderKind::Fence)).body, R"({"lora_name":"anvilscale-fence"})");
+}
+
+TEST(ModelEngineTest, OutcomesOfOrders)
+{
+    struct Case
+    {
+        OrderKind kind;
+        std::uint32_t status;
+        std::string body;
+        OrderOutcome outcome;
+    };
+    const std::vector<Case> cases{
+        {OrderKind::Load, 200, "", OrderOutcome::Done},
+        {OrderKind::Load, 400, "has already been loaded", OrderOutcome::Done},
+        {OrderKind::Load, 400, "no free adapter slot", OrderOutcome::Refused},
+        {OrderKind::Load, 404, "", OrderOutcome::Failed},
+        {OrderKind::Load, 500, "", OrderOutcome::Failed},
+        {OrderKind::Load, 429, "", OrderOutcome::Refused},
+        {OrderKind::Load, 412, "", OrderOutcome::FencedOff},
+        {OrderKind::Unload, 404, "", OrderOutcome::Done},
+        {OrderKind::Unload, 412, "", OrderOutcome::FencedOff},
+        {OrderKind::Fence, 404, "", OrderOutcome::Done},
+    };
+    const ModelEngine engine(16);
+    for (const auto &each : cases) {
+        EXPECT_EQ(engine.orderOutcome(orderOf(each.kind), each.status, each.body), each.outcome)
+            << toString(each.kind) << " " << each.status << " " << each.body;
+    }
+}
+
+TEST(ModelEngineTest, ListAndReportAreRead)
+{
+    const ModelEngine engine(8);
+    const std::string metrics =
+        "# TYPE x\nprocess_start_time_seconds 12.5\nvllm:num_requests_running{m=\"b\"} 4\n"
+        "vllm:num_requests_waiting{m=\"b\"} 2\n"
+        "vllm:lora_requests_info{running_lora_adapters=\"old@1\",waiting_lora_adapters=\"\"} 1\n"
+        "vllm:lora_requests_info{running_lora_adapters=\"a@1,b@2\",waiting_lora_adapters=\"a@1\"} 2\n";
+    const auto list = engine.readList(R"({"data":[{"id":"base"},{"id":"a@1"},{"id":"b@2"}]})", metrics);
+    ASSERT_TRUE(list);
+    EXPECT_EQ(list->incarnation, 12500U);
+    ASSERT_EQ(list->loaded.size(), 2U);
+    EXPECT_EQ(list->loaded[1], (AdapterVersion{"b", "2"}));
+    EXPECT_EQ(list->running.size(), 2U);
+    const auto report = engine.readReport(metrics);
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->running, 4U);
+    EXPECT_EQ(report->waiting, 2U);
+    EXPECT_EQ(report->stepFillPermille, 500U);
+    EXPECT_FALSE(engine.readList("not json", metrics));
+    EXPECT_FALSE(engine.readReport("nothing"));
+}
+
+TEST(EndpointUrl, OnlyLoopbackIsTaken)
+{
+    EXPECT_TRUE(parseEndpointUrl("http://127.0.0.1:8000"));
+    EXPECT_EQ(parseEndpointUrl("http://10.0.0.1:8000").error(), EndpointErrorKind::NotLoopback);
+    EXPECT_EQ(parseEndpointUrl("http://example.org:8000").error(), EndpointErrorKind::BadUrl);
+    EXPECT_EQ(parseEndpointUrl("ftp://127.0.0.1:8000").error(), EndpointErrorKind::BadUrl);
+}
+
+} // namespace
