Residency: a grant that is not acted on does not look like a refusal of the weight store

Cause: a sidecar that was recovering, leaving, restarted or already loading answered a grant by "refused", which the scheduler takes for the weight store's word and holds all grants back.

Change: the answer is "expired".

--- a/src/residency/sidecar_loads.cpp
+++ b/src/residency/sidecar_loads.cpp
@@ -185,14 +185,14 @@
         return OrderOutcome::Expired;
     }
     if (!admitting()) {
-        return OrderOutcome::Refused;
+        return OrderOutcome::Expired;
     }
     auto &record = adapters_.add(ticket.which);
     if (record.state == ResidencyState::Resident || record.state == ResidencyState::Loading) {
         return OrderOutcome::Done;
     }
     if (record.state != ResidencyState::Absent) {
-        return ticket.granted ? std::nullopt : std::optional(OrderOutcome::Refused);
+        return ticket.granted ? std::nullopt : std::optional(OrderOutcome::Expired);
     }
     if (mayTakeFreeSlot(adapters_, ticket.claim)) {
         startLoad(ticket, record, now);
@@ -323,9 +323,10 @@
 
 std::optional<OrderOutcome> SidecarDecisions::Impl::checkGrant(const wire::LoadGrant &grant) const
 {
+    // Expired: not acted on. Refused is what the weight store says, and makes the scheduler hold all grants back.
     const auto &safeguards = init_.safeguards;
     if (safeguards.grantTarget && grant.target_incarnation() != init_.incarnation) {
-        return OrderOutcome::Refused;
+        return OrderOutcome::Expired;
     }
     // A scheduler that was paused past its lease may still send. Its successor's number is larger and was seen here,
     // or it has not acted yet and the older grant does no harm.
@@ -333,7 +334,7 @@
         return OrderOutcome::FencedOff;
     }
     if (!admitting() || grant.adapter().empty() || hasTicket({grant.adapter(), grant.version()})) {
-        return OrderOutcome::Refused;
+        return OrderOutcome::Expired;
     }
     return std::nullopt;
 }
