--- a/bench/decisionbench.cpp
+++ b/bench/decisionbench.cpp
@@ -10,6 +10,7 @@
 using namespace anvilscale;
 
 constexpr std::uint32_t slots = 8;
+constexpr std::uint32_t demandingEvery = 100;
 constexpr std::uint32_t distinctCallers = 1 << 14;
 
 void add(config::Delta &delta, const char *kind, const std::string &name, const std::string &body)
@@ -178,11 +179,14 @@
         state.PauseTiming();
         sequence += sidecar == 0 ? 1 : 0;
         auto message = report(sidecar, sidecars, sequence, sequence == 1);
-        auto &demand = *message.mutable_heartbeat()->add_demands();
-        demand.set_adapter(adapterName(1000 + sidecar));
-        demand.set_version("1");
-        demand.set_waiting(1);
-        demand.set_evictable_slot(true);
+        // At the store's rate few sidecars wait at any one time: one in a hundred here.
+        if (sidecar % demandingEvery == 0) {
+            auto &demand = *message.mutable_heartbeat()->add_demands();
+            demand.set_adapter(adapterName(1000 + sidecar));
+            demand.set_version("1");
+            demand.set_waiting(1);
+            demand.set_evictable_slot(true);
+        }
         now.mono += Milliseconds(3);
         state.ResumeTiming();
         scheduler.onHeartbeat(message.heartbeat(), now);
--- a/bench/policybench/fleet.cpp
+++ b/bench/policybench/fleet.cpp
@@ -172,7 +172,7 @@
         now_ = *timers_.next();
         timers_.advance(now_);
         pump();
-        const bool allDone = records_.size() == trace_.calls.size() && open_.empty();
+        const bool allDone = records_.size() == trace_.calls.size() && open_.empty() && backingOff_ == 0;
         if (allDone && now_ > origin_ + trace_.length) {
             break;
         }
@@ -376,7 +376,11 @@
     if (again) {
         const double backoff = leastBackoff + random_.unit() * (mostBackoff - leastBackoff);
         const auto wait = std::max(error.retryAfter, Duration(static_cast<std::int64_t>(backoff * 1e6)));
-        timers_.subscribe(now_ + wait, [this, record](TimePoint) { attempt(record); });
+        ++backingOff_;
+        timers_.subscribe(now_ + wait, [this, record](TimePoint) {
+            --backingOff_;
+            attempt(record);
+        });
         return;
     }
     known.ending = ending;
--- a/bench/policybench/fleet.h
+++ b/bench/policybench/fleet.h
@@ -104,6 +104,7 @@
     std::uint64_t fence_ = 1;
     std::vector<CallRecord> records_;
     std::map<std::uint64_t, std::pair<std::size_t, std::size_t>> open_; // handle -> record, entry
+    std::size_t backingOff_ = 0; // callers that wait before their next attempt
     std::uint64_t lastHandle_ = 0;
     std::map<std::string, std::uint64_t> refusals_;
     std::uint64_t reloads_ = 0;
--- a/src/routing/demand_table.cpp
+++ b/src/routing/demand_table.cpp
@@ -93,6 +93,7 @@
         const auto key = AdapterVersion{demand.adapter(), demand.version()}.key64();
         sidecar.demands[key] = demandFrom(demand, now);
     }
+    noteDemands(heartbeat.from().name(), sidecar);
     return restarted && known;
 }
 
@@ -118,14 +119,25 @@
     if (member.state == MemberState::Gone) {
         clearAdapters(sidecar);
     }
+    noteDemands(member.name, sidecar);
     return fresh;
 }
 
+void DemandTable::noteDemands(const std::string &name, const DemandingSidecar &sidecar)
+{
+    if (sidecar.demands.empty()) {
+        demanding_.erase(name);
+    } else {
+        demanding_[name] = &sidecar;
+    }
+}
+
 void DemandTable::dropDemand(const std::string &sidecar, std::uint64_t key)
 {
     const auto position = sidecars_.find(sidecar);
     if (position != sidecars_.end()) {
         position->second.demands.erase(key);
+        noteDemands(sidecar, position->second);
     }
 }
 
@@ -138,8 +150,8 @@
 std::uint32_t DemandTable::demands() const
 {
     std::uint32_t sum = 0;
-    for (const auto &[name, sidecar] : sidecars_) {
-        sum += static_cast<std::uint32_t>(sidecar.demands.size());
+    for (const auto &[name, sidecar] : demanding_) {
+        sum += static_cast<std::uint32_t>(sidecar->demands.size());
     }
     return sum;
 }
--- a/src/routing/demand_table.h
+++ b/src/routing/demand_table.h
@@ -47,6 +47,11 @@
     {
         return sidecars_;
     }
+    /// Those with demands, by name.
+    const std::map<std::string, const DemandingSidecar *> &demanding() const
+    {
+        return demanding_;
+    }
     /// Sidecars where the adapter is resident or loading.
     std::uint32_t copies(std::uint64_t key) const;
     std::uint32_t loading() const
@@ -60,7 +65,12 @@
     void clearAdapters(DemandingSidecar &sidecar);
     void reset(DemandingSidecar &sidecar, std::uint64_t incarnation);
 
+    void noteDemands(const std::string &name, const DemandingSidecar &sidecar);
+
     std::map<std::string, DemandingSidecar> sidecars_; // in order of name: grants do not depend on hashing
+    // Invariant: exactly the sidecars whose `demands` is not empty. A grant looks at these only: most sidecars of a
+    // large fleet want nothing at any one time.
+    std::map<std::string, const DemandingSidecar *> demanding_;
     // Invariant: counts the Resident and Loading states of sidecars_; never holds a zero.
     std::unordered_map<std::uint64_t, std::uint32_t> copies_;
     std::uint32_t loading_ = 0;
--- a/src/routing/load_scheduler.cpp
+++ b/src/routing/load_scheduler.cpp
@@ -118,20 +118,20 @@
 LoadScheduler::Impl::Pick LoadScheduler::Impl::best(TimePoint now) const
 {
     Pick pick;
-    for (const auto &[name, sidecar] : table.sidecars()) {
-        if (!sidecar.takesLoads || sidecar.suspect) {
+    for (const auto &[name, sidecar] : table.demanding()) {
+        if (!sidecar->takesLoads || sidecar->suspect) {
             continue;
         }
-        for (const auto &[key, demand] : sidecar.demands) {
-            const auto state = sidecar.adapters.find(key);
-            const bool present = state != sidecar.adapters.end() && state->second != ResidencyState::Absent;
+        for (const auto &[key, demand] : sidecar->demands) {
+            const auto state = sidecar->adapters.find(key);
+            const bool present = state != sidecar->adapters.end() && state->second != ResidencyState::Absent;
             if (!demand.evictable || present || isFlying(name, key)) {
                 continue;
             }
             const LoadValueContext context{&init.config->policy(), now, loadTime(), table.copies(key) + flyingOf(key)};
             const double value = loadValue(demand, context);
             if (value > pick.value) {
-                pick = Pick{&name, sidecar.incarnation, key, demand.which, value};
+                pick = Pick{&name, sidecar->incarnation, key, demand.which, value};
             }
         }
     }
