Routing: each safeguard's test can fail; a silent sidecar's load holds up nobody

Cause: the tests of the entry's safeguards were not shown to be able to fail; and a load reported by a sidecar that then fell silent counted as in flight until the sidecar was given up, so that no other load was granted. Change: four tests with a safeguard off bring the failures back; the load scheduler no longer counts the loads of a suspect sidecar.

--- a/include/anvilscale/routing.h
+++ b/include/anvilscale/routing.h
@@ -82,7 +82,7 @@
     bool spliceGuard = true; ///< no retry once the caller has seen bytes
     bool retryOnlySafe = true; ///< no retry of a call that may have run, unless it is idempotent
     bool slotFence = true; ///< the slot owner's fencing number goes with the call
-    bool leavingGuard = true; ///< no new work to suspect or leaving sidecars
+    bool leavingGuard = true; ///< no new work to a slot owner that is suspect or leaving
 };
 
 /// Ways of an entry to act in an overload, so that each can be measured alone. What is on here is what runs.
--- a/src/routing/demand_table.cpp
+++ b/src/routing/demand_table.cpp
@@ -57,6 +57,18 @@
     }
 }
 
+/// A sidecar that fell silent in mid-load says no more how that load goes. Counted on, it would hold up all loads of
+/// the fleet until the sidecar is given up.
+void DemandTable::loseLoads(DemandingSidecar &sidecar)
+{
+    const auto adapters = sidecar.adapters;
+    for (const auto &[key, state] : adapters) {
+        if (state == ResidencyState::Loading) {
+            setAdapter(sidecar, key, ResidencyState::Unknown);
+        }
+    }
+}
+
 void DemandTable::reset(DemandingSidecar &sidecar, std::uint64_t incarnation)
 {
     clearAdapters(sidecar);
@@ -111,6 +123,9 @@
         reset(sidecar, member.incarnation);
     }
     sidecar.suspect = member.state != MemberState::Live;
+    if (sidecar.suspect) {
+        loseLoads(sidecar);
+    }
     const bool final = member.state == MemberState::Leaving || member.state == MemberState::Gone;
     if (final) {
         sidecar.takesLoads = false;
--- a/src/routing/demand_table.h
+++ b/src/routing/demand_table.h
@@ -63,6 +63,7 @@
 private:
     void setAdapter(DemandingSidecar &sidecar, std::uint64_t key, ResidencyState state);
     void clearAdapters(DemandingSidecar &sidecar);
+    void loseLoads(DemandingSidecar &sidecar);
     void reset(DemandingSidecar &sidecar, std::uint64_t incarnation);
 
     void noteDemands(const std::string &name, const DemandingSidecar &sidecar);
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -208,6 +208,57 @@
     EXPECT_GT(fixture.entry->stats().refusals.of(RefusalReason::RetryBudgetSpent), 0U);
 }
 
+// The tests above prove nothing unless they can fail: with its safeguard off, each failure comes back.
+TEST(RoutingWithoutSafeguard, WrongDigestPassesAsWhole)
+{
+    EntrySafeguards off;
+    off.digestCheck = false;
+    Fixture fixture(off);
+    fixture.hear(fixture.report("a", {"1"}));
+    fixture.call(1);
+    fixture.frame("a", fixture.idOf(0), 0, "good");
+    fixture.end("a", fixture.idOf(0), 1, "evil");
+    EXPECT_EQ(fixture.bytes[1], "good");
+    EXPECT_TRUE(fixture.errors.empty());
+}
+
+TEST(RoutingWithoutSafeguard, CrossedFrameReachesTheCaller)
+{
+    EntrySafeguards off;
+    off.frameMatch = false;
+    Fixture fixture(off);
+    fixture.hear(fixture.report("a", {"1"}));
+    fixture.call(1, "", "", true);
+    fixture.frame("b", fixture.idOf(0), 1, "BAD");
+    EXPECT_EQ(fixture.bytes[1], "BAD");
+}
+
+TEST(RoutingWithoutSafeguard, AdmissionIsSentASecondTime)
+{
+    EntrySafeguards off;
+    off.retryOnlySafe = false;
+    Fixture fixture(off);
+    fixture.hear(fixture.report("a", {}));
+    fixture.hear(fixture.report("b", {}));
+    fixture.slotTable(1, "a", 5);
+    fixture.call(1, "count", keyText);
+    fixture.member("a", MemberState::Gone);
+    fixture.slotTable(2, "b", 6);
+    EXPECT_EQ(fixture.sent.size(), 2U);
+}
+
+TEST(RoutingWithoutSafeguard, LostCallIsCalledNotRun)
+{
+    EntrySafeguards off;
+    off.notRunProof = false;
+    Fixture fixture(off);
+    fixture.hear(fixture.report("a", {}));
+    fixture.slotTable(1, "a", 5);
+    fixture.call(1, "count", keyText);
+    fixture.member("a", MemberState::Gone);
+    EXPECT_EQ(fixture.errors.at(1).verdict, Verdict::NotRun);
+}
+
 /// Drives both versions through the same random events and checks what must hold at every step.
 template<class Entry>
 class RandomRun
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -155,6 +155,31 @@
     EXPECT_EQ(fixture.grants[2].message.load_grant().target_incarnation(), 2U);
 }
 
+// A sidecar loads on its own, as after a scheduler's outage, and falls silent in mid-load. Its load counts as one in
+// flight; when it turns suspect the other sidecars' loads must go on.
+TEST(Scheduler, SilentSidecarsLoadDoesNotHoldUpTheOthers)
+{
+    SchedulerFixture fixture;
+    wire::Heartbeat report;
+    report.mutable_from()->set_name("a");
+    report.mutable_from()->set_incarnation(1);
+    report.set_sequence(1);
+    auto &adapter = *report.add_adapters();
+    adapter.set_adapter("x");
+    adapter.set_version("1");
+    adapter.set_state(static_cast<std::uint32_t>(ResidencyState::Loading));
+    fixture.scheduler->onHeartbeat(report, fixture.now);
+    fixture.demand("b", {{"y", 1}});
+    EXPECT_TRUE(fixture.grants.empty());
+    Member silent;
+    silent.name = "a";
+    silent.incarnation = 1;
+    silent.state = MemberState::Suspect;
+    fixture.scheduler->onMember(silent, fixture.now);
+    fixture.collect();
+    EXPECT_EQ(fixture.grants.size(), 1U);
+}
+
 TEST(Scheduler, StoreRefusalBacksOff)
 {
     SchedulerFixture fixture;
