A full socket is no broken one: slow readers and long answers are served

Cause: POCO throws for a socket that takes no more bytes, in the same way as for a broken one. A caller whose answer was longer than the sockets' buffers was cut at once, and counted as one that had left; the same held for large bodies towards an endpoint. A new test of a reader that takes nothing found it: the counter of slow readers stayed at 0. Change: writes tell a full socket from a broken one. Tests: a reader that takes nothing is cut after the write timeout with both processes under 32 MB; a stream of 60,000 tokens is whole.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -56,6 +56,10 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// Writes what the socket takes without waiting: how many bytes, 0 if it takes none now, no value if it is broken.
+/// POCO's own call throws one exception for a full socket and for a broken one.
+std::optional<std::size_t> sendSome(const Poco::Net::Socket &socket, std::string_view data);
+
 /// Both clocks of the operating system. Only daemons and tests with real processes read it.
 Now readClocks();
 
--- a/src/endpoint/endpoint_runner.h
+++ b/src/endpoint/endpoint_runner.h
@@ -70,6 +70,7 @@
             return;
         }
         ++stats_.cancels;
+        found->second.cancelled = action.why;
         client_.cancel(found->second.exchange);
     }
 
@@ -166,6 +167,7 @@
         ExchangeId exchange = 0;
         bool call = false; // else a replay
         bool started = false;
+        FailureReason cancelled = FailureReason::CallerGone; // why, once it was
         AdapterVersion which;
         AnswerBuffer answer;
     };
@@ -190,7 +192,9 @@
 
     Run &addRun(ExecutionHandle key, std::size_t keepBytes)
     {
-        return runs_.insert_or_assign(key, Run{0, false, false, {}, AnswerBuffer(keepBytes, init_.windowBytes)})
+        return runs_
+            .insert_or_assign(
+                key, Run{0, false, false, FailureReason::CallerGone, {}, AnswerBuffer(keepBytes, init_.windowBytes)})
             .first->second;
     }
 
@@ -227,7 +231,11 @@
         if (end == ExchangeEnd::Broken) {
             ++stats_.broken;
         }
-        finish(key, outcomeOf(end));
+        auto outcome = outcomeOf(end);
+        if (outcome.outcome == CallOutcome::Cancelled) {
+            outcome.failure = runs_.at(key).cancelled;
+        }
+        finish(key, outcome);
     }
 
     static AnswerOutcome outcomeOf(ExchangeEnd end)
@@ -290,7 +298,7 @@
                           return entry.first == found->second.which;
                       });
                   if (!runs) {
-                      finish(key, {CallOutcome::Cancelled, FailureReason::CallerGone, 0});
+                      finish(key, {CallOutcome::Cancelled, found->second.cancelled, 0});
                       return;
                   }
                   if (end == ExchangeEnd::Unreachable) {
--- a/src/endpoint/http_client.cpp
+++ b/src/endpoint/http_client.cpp
@@ -25,7 +25,6 @@
     Step step = Step::Connecting;
     std::string output;
     std::size_t written = 0;
-    bool sentAny = false; // invariant: false as long as no byte of this exchange can have reached the endpoint
     std::string input;
     HttpResponseHead response;
     bool bodyless = false;
@@ -112,7 +111,6 @@
     connection->output =
         requestHead(request.method, request.target, host_, request.headers, request.body.size(), true) + request.body;
     connection->written = 0;
-    connection->sentAny = false;
     connection->input.clear();
     connection->paused = false;
     connection->bodyless = request.method == "HEAD";
@@ -205,23 +203,19 @@
 
 void HttpClient::send(Connection &connection)
 {
-    try {
-        while (connection.written < connection.output.size()) {
-            connection.sentAny = true;
-            const auto rest = connection.output.size() - connection.written;
-            const int sent = connection.socket.sendBytes(connection.output.data() + connection.written,
-                                                         static_cast<int>(std::min<std::size_t>(rest, 1U << 20)));
-            if (sent <= 0) {
-                updateInterest(connection);
-                return;
-            }
-            connection.written += static_cast<std::size_t>(sent);
+    while (connection.written < connection.output.size()) {
+        const auto sent = sendSome(connection.socket, std::string_view(connection.output).substr(connection.written));
+        if (!sent) {
+            // The endpoint may have answered before it closed: what can be read is read.
+            connection.step = Step::Head;
+            receive(connection);
+            return;
         }
-    } catch (const Poco::Exception &) {
-        // The endpoint may have answered before it closed: what can be read is read.
-        connection.step = Step::Head;
-        receive(connection);
-        return;
+        if (*sent == 0) {
+            updateInterest(connection);
+            return;
+        }
+        connection.written += *sent;
     }
     connection.step = Step::Head;
     connection.output.clear();
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -195,19 +195,17 @@
 
 void CallerConnection::flush()
 {
-    try {
-        while (written_ < output_.size()) {
-            const auto part = std::min<std::size_t>(output_.size() - written_, 1U << 20);
-            const int sent = socket_.sendBytes(output_.data() + written_, static_cast<int>(part));
-            if (sent <= 0) {
-                break;
-            }
-            written_ += static_cast<std::size_t>(sent);
-            writtenTotal_ += static_cast<std::uint64_t>(sent);
+    while (written_ < output_.size()) {
+        const auto sent = sendSome(socket_, std::string_view(output_).substr(written_));
+        if (!sent) {
+            lost(FailureReason::CallerGone);
+            return;
         }
-    } catch (const Poco::Exception &) {
-        lost(FailureReason::CallerGone);
-        return;
+        if (*sent == 0) {
+            break;
+        }
+        written_ += *sent;
+        writtenTotal_ += *sent;
     }
     const auto waiting = output_.size() - written_;
     const auto untaken = std::min<std::uint64_t>(bodyInOutput_, waiting);
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -8,6 +8,7 @@
 #include <pthread.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -53,6 +54,18 @@
     return Now{EventLoop::now(), WallTime{std::chrono::duration_cast<Milliseconds>(wall).count()}};
 }
 
+std::optional<std::size_t> sendSome(const Poco::Net::Socket &socket, std::string_view data)
+{
+    ssize_t sent = 0;
+    do {
+        sent = ::send(socket.impl()->sockfd(), data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    } while (sent < 0 && errno == EINTR);
+    if (sent >= 0) {
+        return static_cast<std::size_t>(sent);
+    }
+    return errno == EAGAIN || errno == EWOULDBLOCK ? std::optional<std::size_t>(0) : std::nullopt;
+}
+
 struct EventLoop::Impl
 {
     struct Watched
--- a/tests/process/faults_test.cpp
+++ b/tests/process/faults_test.cpp
@@ -2,6 +2,7 @@
 #include "../standins/expected_answer.h"
 #include "fleet.h"
 
+#include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 
 namespace {
@@ -164,6 +165,35 @@
     EXPECT_TRUE(eventually([&] { return fleet_.metric("engine-1", "anvilscale_config_revision") > before; }));
 }
 
+// A caller asks for a long stream and reads none of it. Its answer waits in bounded buffers only: credit stops the
+// sidecar, which stops reading from the engine. After the write timeout the caller is cut and counted, and the call
+// is cancelled at the engine.
+TEST_F(Faults, ReaderThatTakesNothingIsCutAndBoundedInMemory)
+{
+    ASSERT_NE(fleet_.configureRoutes(2), 0U);
+    ASSERT_NE(fleet_.configure({R"({"schemaVersion":2,"name":"default","policy":{"cancelDelayMs":300}})"}), 0U);
+    fleet_.startEngine("engine-1", {"--slots", "4", "--batch-limit", "64"});
+    fleet_.startEntry("entry-1", R"("schedulerCandidate":true,"writeTimeoutMs":1000,"streamBufferBytes":65536)");
+    fleet_.publish();
+    ASSERT_TRUE(answers("entry-1")) << fleet_.last.body;
+    Poco::Net::StreamSocket reader(
+        Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(fleet_.httpPort("entry-1"))));
+    const auto body = completion("route-1", "endless", 65536, true); // about 15 MB of events
+    const auto head = "POST /v1/completions HTTP/1.1\r\nHost: e\r\nContent-Length: " + std::to_string(body.size())
+                      + "\r\n\r\n" + body;
+    reader.sendBytes(head.data(), static_cast<int>(head.size()));
+    std::uint64_t largest = 0;
+    EXPECT_TRUE(eventually([&] {
+        for (const auto *name : {"entry-1", "engine-1"}) {
+            largest = std::max(largest, fleet_.process(name).residentKb());
+        }
+        return fleet_.metric("entry-1", "anvilscale_http_slow_readers_cut_total") == 1;
+    }));
+    EXPECT_LT(largest, 32'768U);
+    EXPECT_TRUE(eventually([&] { return fleet_.metric("engine-1", "anvilscale_running") == 0; }));
+    EXPECT_TRUE(answers("entry-1")) << fleet_.last.body;
+}
+
 // A call that must run once is under way when its entry dies. The caller repeats it, with the same key, through the
 // other entry: it is given the answer of the first run, or is told that the outcome is unknown, but the service has
 // run it once.
--- a/tests/process/path_test.cpp
+++ b/tests/process/path_test.cpp
@@ -43,6 +43,18 @@
     EXPECT_EQ(stream.text, standins::expectedAnswer("adapter-2@v1", "hello", 40));
 }
 
+// An answer that is far longer than the sockets' buffers is written in many turns, as the caller takes it.
+TEST_F(Path, LongStreamIsWhole)
+{
+    constexpr unsigned tokens = 60000;
+    const auto answer =
+        request(fleet_.httpPort("entry-1"), "POST", "/v1/completions", completion("route-2", "long", tokens, true));
+    ASSERT_EQ(answer.status, 200) << answer.body.substr(0, 400);
+    const auto stream = readStream(answer.body);
+    EXPECT_TRUE(stream.done) << stream.error;
+    EXPECT_TRUE(stream.text == standins::expectedAnswer("adapter-2@v1", "long", tokens));
+}
+
 TEST_F(Path, UnknownRouteIsNotRun)
 {
     const auto answer =
