--- a/include/anvilscale/endpoint.h
+++ b/include/anvilscale/endpoint.h
@@ -64,7 +64,7 @@
     Duration connectTimeout = Seconds(2);
     Duration cancelGrace = Milliseconds(300); ///< time for the endpoint to confirm a cancel by closing
     std::size_t windowBytes = 256U << 10; ///< read ahead of the slowest listener
-    std::uint32_t threads = 2;
+    std::uint32_t threads = 2; ///< that calls are spread over
     std::size_t answerBytes = 4U << 20; ///< of one answer kept for late listeners and repeats
 };
 
