Sidecar: a drain waits for the last bytes of every answer

Cause: an execution that has ended at the endpoint may still have bytes for which its reader has given no credit. Also, a long answer that was read whole but not kept for a repeat was taken for a broken connection, so that its pin stayed until the next list.

Change: after the decisions' Drained the daemon waits until the endpoint has no answer left to send. An end with "answer incomplete" is a confirmed end for the pin.

The race was not forced by a test of its own.

--- a/include/anvilscale/endpoint.h
+++ b/include/anvilscale/endpoint.h
@@ -141,6 +141,9 @@
     void peerLost(PeerHandle peer);
     /// Begins to read reports.
     void startReports();
+    /// Calls `idle`, in an endpoint's thread, once every answer has gone out whole to all its listeners. An execution
+    /// that has ended may still have bytes for which its reader has given no credit yet.
+    void whenIdle(std::function<void()> idle);
     void shutdown();
     EndpointStats stats() const;
 
--- a/src/daemon/sidecar_daemon.cpp
+++ b/src/daemon/sidecar_daemon.cpp
@@ -402,32 +402,38 @@
 
 void SidecarDaemon::carryOut(SidecarAction &action)
 {
-    std::visit(Overloaded{
-                   [this](SendMessage &send) {
-                       if (send.message.has_heartbeat()) {
-                           send.message.mutable_heartbeat()->set_schema_version(newestSchemaVersion);
-                       }
-                       if (!send.member.empty()) {
-                           return sendToMember(send.member, send.message);
-                       }
-                       messenger_->sendTo(send.to, send.message);
-                   },
-                   [this](StartExecution &start) { endpoint_->start(std::move(start)); },
-                   [this](AttachListener &attach) { endpoint_->attach(std::move(attach)); },
-                   [this](DetachListener &detach) { endpoint_->detach(std::move(detach)); },
-                   [this](const CancelExecution &cancel) { endpoint_->cancel(cancel); },
-                   [this](ReplayAnswer &replay) { endpoint_->replay(std::move(replay)); },
-                   [this](SendOrder &order) { endpoint_->order(std::move(order)); },
-                   [this](SubmitKv &submit) { submitKv_(std::move(submit.request)); },
-                   [this](const Drained &) {
-                       hasDrained_ = true;
-                       logEvent(Event::DrainFinished, {{"role", std::string("sidecar")}});
-                       if (drained_) {
-                           drained_();
-                       }
-                   },
-               },
-               action);
+    std::visit(
+        Overloaded{
+            [this](SendMessage &send) {
+                if (send.message.has_heartbeat()) {
+                    send.message.mutable_heartbeat()->set_schema_version(newestSchemaVersion);
+                }
+                if (!send.member.empty()) {
+                    return sendToMember(send.member, send.message);
+                }
+                messenger_->sendTo(send.to, send.message);
+            },
+            [this](StartExecution &start) { endpoint_->start(std::move(start)); },
+            [this](AttachListener &attach) { endpoint_->attach(std::move(attach)); },
+            [this](DetachListener &detach) { endpoint_->detach(std::move(detach)); },
+            [this](const CancelExecution &cancel) { endpoint_->cancel(cancel); },
+            [this](ReplayAnswer &replay) { endpoint_->replay(std::move(replay)); },
+            [this](SendOrder &order) { endpoint_->order(std::move(order)); },
+            [this](SubmitKv &submit) { submitKv_(std::move(submit.request)); },
+            // The endpoint is done, its last bytes may not be: a reader that is slow to give credit would have
+            // its stream cut by the exit.
+            [this](const Drained &) { endpoint_->whenIdle([this] { control_.post([this](Now) { finishDrain(); }); }); },
+        },
+        action);
+}
+
+void SidecarDaemon::finishDrain()
+{
+    hasDrained_ = true;
+    logEvent(Event::DrainFinished, {{"role", std::string("sidecar")}});
+    if (drained_) {
+        drained_();
+    }
 }
 
 // ---- events
--- a/src/daemon/sidecar_daemon.h
+++ b/src/daemon/sidecar_daemon.h
@@ -58,6 +58,7 @@
     void onConfigChanged(Now now);
     void watchStaleness(Now now);
     void startDrain(Now now);
+    void finishDrain();
     void sendToPeer(const std::string &name, const wire::Envelope &message);
     /// To another sidecar, for the hand-over of slots; connects first.
     void sendToMember(const std::string &name, const wire::Envelope &message);
--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/IPAddress.h>
 #include <Poco/URI.h>
 
+#include <atomic>
 #include <future>
 #include <mutex>
 
@@ -152,6 +153,18 @@
     impl_->lanes[0]->post([](auto &runner) { runner.startReports(); });
 }
 
+void Endpoint::whenIdle(std::function<void()> idle)
+{
+    auto busy = std::make_shared<std::atomic<std::size_t>>(impl_->lanes.size());
+    impl_->postAll([busy, idle = std::move(idle)](auto &runner) {
+        runner.whenIdle([busy, idle] {
+            if (--*busy == 0) {
+                idle();
+            }
+        });
+    });
+}
+
 void Endpoint::shutdown()
 {
     for (auto &lane : impl_->lanes) {
--- a/src/endpoint/endpoint_runner.h
+++ b/src/endpoint/endpoint_runner.h
@@ -108,6 +108,13 @@
         dropListeners([&](AnswerBuffer &answer) { answer.removePeer(peer); });
     }
 
+    /// Calls `idle` once every answer has gone out whole to all its listeners.
+    void whenIdle(std::function<void()> idle)
+    {
+        idle_ = std::move(idle);
+        tellIdle();
+    }
+
     void order(const SendOrder &order)
     {
         if (order.kind == OrderKind::List) {
@@ -310,6 +317,13 @@
               });
     }
 
+    void tellIdle()
+    {
+        if (runs_.empty() && idle_) {
+            std::exchange(idle_, nullptr)();
+        }
+    }
+
     void pump(ExecutionHandle key)
     {
         const auto found = runs_.find(key);
@@ -320,6 +334,7 @@
         run.answer.pump(handlers_.send);
         if (run.answer.done()) {
             runs_.erase(found);
+            tellIdle();
             return;
         }
         if (!run.answer.ended() && run.exchange != 0) {
@@ -406,6 +421,7 @@
     std::uint64_t lastReplay_ = 0;
     // Executions whose answer has not gone to all listeners yet, and replays.
     std::unordered_map<ExecutionHandle, Run> runs_;
+    std::function<void()> idle_; // set while somebody waits for runs_ to be empty
     TimerHandle reportTimer_;
 };
 
--- a/src/residency/sidecar_calls.cpp
+++ b/src/residency/sidecar_calls.cpp
@@ -13,6 +13,9 @@
     if (answer.outcome == CallOutcome::Complete || answer.outcome == CallOutcome::Cancelled) {
         return true;
     }
+    if (answer.failure == FailureReason::AnswerIncomplete) {
+        return true; // read to its end, but too long to be kept for a repeat
+    }
     const bool saidSo = answer.failure == FailureReason::EndpointError;
     const bool neverSent = answer.failure == FailureReason::EndpointUnreachable;
     return answer.outcome == CallOutcome::Failed && (saidSo || neverSent);
--- a/tests/unit/residency_faults_test.cpp
+++ b/tests/unit/residency_faults_test.cpp
@@ -76,7 +76,7 @@
 {
     SidecarFixture fixture;
     fixture.recover();
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < 5; ++i) {
         fixture.call(lounge);
     }
     fixture.answerOrder();
@@ -84,6 +84,8 @@
     fixture.end(fixture.started[1].execution, CallOutcome::Cancelled, FailureReason::CallerGone);
     fixture.end(fixture.started[2].execution, CallOutcome::Failed, FailureReason::EndpointError);
     fixture.end(fixture.started[3].execution, CallOutcome::Failed, FailureReason::EndpointUnreachable);
+    // A long answer that was read whole but not kept: unknown to a repeat, over for the engine.
+    fixture.end(fixture.started[4].execution, CallOutcome::Unknown, FailureReason::AnswerIncomplete);
     EXPECT_EQ(fixture.state(lounge).pins(), 0U);
 }
 
