Fault matrix over the real decision objects; two faults that it found are mended

Cause: nothing injected every fault at every step against what an endpoint really ran. StateSafeguards, and those of the other libraries, switch single safeguards off. Found and mended: (1) the list of VMs lags, and a "leaving" said of a VM that had the name before retired its successor for good; (2) a sidecar that was paused between deciding an order and sending it counted the order's time from the decision, so that the order could land on a slot given to another adapter in the meantime.

--- a/include/anvilscale/state.h
+++ b/include/anvilscale/state.h
@@ -35,9 +35,24 @@
 
 namespace anvilscale {
 
+/// Single safeguards, switched off only by tests that show that a check finds the failure which the safeguard
+/// prevents. All are on in the product.
+struct StateSafeguards
+{
+    bool leaseClock = true; ///< a holder stops acting by its own clock, not only when the service tells
+    bool leaseFromSend = true; ///< a lease is counted from before the send, not from the reply
+    bool takeOverAfterLease = true; ///< slots of another owner are taken only when its lease key is gone
+    bool takenAtRefusal = true; ///< keys stamped before the take-over time and its margin are refused
+    bool refuseWhileGiving = true; ///< slots on their way to a receiver are refused by the giver
+    bool keysBeforeTable = true; ///< the table moves only when all seen keys are acknowledged
+    bool forgetOnlyOld = true; ///< a full table refuses; off: it forgets its oldest key
+    bool readBack = true; ///< a write without a reply is read back; off: it counts as failed
+    bool leavingFinal = true; ///< an incarnation that left does not come back by a late heartbeat
+};
+
 // ---- configuration
 
-/// Newest schema version of records that this build reads.
+/// Newest schema version of configuration records that this build reads; told in heartbeats and Hello.
 constexpr std::uint32_t newestSchemaVersion = 2;
 
 enum class ConfigErrorKind : std::uint8_t {
@@ -194,6 +209,7 @@
         Timing timing;
         TimerService *timers = nullptr;
         std::uint64_t seed = 1;
+        StateSafeguards safeguards = {};
     };
     /// `submit` is given each request; its reply comes to onReply with the same handle.
     LeaseKeeper(Init init, std::function<void(KvRequest)> submit);
@@ -323,6 +339,7 @@
         ConfigStore *store = nullptr;
         TimerService *timers = nullptr;
         std::uint64_t seed = 1;
+        StateSafeguards safeguards = {};
     };
     /// The revision that the change made, or why there is none.
     using Result = tl::expected<std::uint64_t, ConfigError>;
@@ -390,6 +407,7 @@
     {
         std::size_t keys = 100'000;
         std::size_t answerBytes = 16U << 20;
+        StateSafeguards safeguards = {};
     };
     explicit SeenKeys(Limits limits);
     ~SeenKeys();
@@ -447,6 +465,7 @@
         /// Called for a slot that is refused from now on, before its keys are exported: calls that wait for a start
         /// are to be refused as not run and their keys released, so that the receiver may run them.
         std::function<void(std::uint32_t slot)> beforeGiving = nullptr;
+        StateSafeguards safeguards = {};
     };
     SlotOwner(Init init, std::function<void(KvRequest)> submit);
     ~SlotOwner();
@@ -515,6 +534,7 @@
     {
         Timing timing;
         TimerService *timers = nullptr;
+        StateSafeguards safeguards = {};
     };
     /// `changed` is called after each change of a member.
     Membership(Init init, std::function<void(const Member &)> changed);
--- a/src/residency/sidecar.cpp
+++ b/src/residency/sidecar.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration forgetAfter = std::chrono::minutes(15);
+constexpr Duration pauseNoticed = Milliseconds(500); // a timer that is later than this was held up by a pause
 constexpr std::size_t recordsKept = 64; // absent adapters are forgotten only above this
 
 const Policy defaultPolicy;
@@ -77,8 +78,23 @@
     settleAll(now);
 }
 
+/// An order that was decided before a pause of this process may go out only after it. Its time to take effect is
+/// counted anew from the waking: counted from the decision it would be over, a list would show no effect, and the
+/// order would then land on a slot that was given to another adapter.
+void SidecarDecisions::Impl::noticePause(TimePoint now)
+{
+    if (!timer_ || now < timerAt_ + pauseNoticed) {
+        return;
+    }
+    for (auto &order : orders_.all()) {
+        order.replyUntil += now - order.sentAt;
+        order.sentAt = now;
+    }
+}
+
 void SidecarDecisions::Impl::settleAll(Now now)
 {
+    noticePause(now.mono);
     last_ = now;
     recovery_.advance(now.mono);
     expireCalls(now);
@@ -116,6 +132,7 @@
 
 void SidecarDecisions::Impl::onTimer(TimePoint at)
 {
+    noticePause(at);
     timer_ = {};
     timerAt_ = TimePoint::max();
     // A timer brings only the monotonic time. The wall clock is that of the latest event, moved on by as much.
--- a/src/residency/sidecar.h
+++ b/src/residency/sidecar.h
@@ -88,6 +88,7 @@
     // sidecar.cpp: life cycle, time
     void start(Now now);
     void drain(Now now);
+    void noticePause(TimePoint now);
     void settleAll(Now now);
     void onTimer(TimePoint at);
     void arm(TimePoint now);
--- a/src/residency/sidecar_keys.cpp
+++ b/src/residency/sidecar_keys.cpp
@@ -49,6 +49,7 @@
         init.owner.config = init_.config;
         init.owner.timers = init_.timers;
         init.owner.seed = random_.next();
+        init.owner.safeguards = init_.seenKeys.safeguards;
         init.owner.send = [this](const std::string &member, wire::Envelope message) {
             message.set_protocol(wireProtocol);
             message.set_message_id(++lastMessage_);
--- a/src/state/config_writer.cpp
+++ b/src/state/config_writer.cpp
@@ -244,6 +244,10 @@
     } else if (reply.status == KvStatus::Unavailable) {
         again(Step::Reading, now);
     } else if (reply.status == KvStatus::Unknown) {
+        if (!init.safeguards.readBack) {
+            fail(ConfigErrorKind::Unavailable, "no reply", now);
+            return;
+        }
         ambiguous = true;
         again(Step::ReadingBack, now);
     } else {
--- a/src/state/lease_keeper.cpp
+++ b/src/state/lease_keeper.cpp
@@ -201,7 +201,7 @@
     }
     lease = reply.lease;
     ttl = reply.ttl > Duration::zero() ? std::min(reply.ttl, init.timing.lease) : init.timing.lease;
-    countedFrom = sentAt;
+    countedFrom = init.safeguards.leaseFromSend ? sentAt : now.mono;
     write(now);
 }
 
@@ -241,7 +241,7 @@
 {
     step = Step::Idle;
     if (reply.status == KvStatus::Ok && reply.ttl >= Duration::zero()) {
-        countedFrom = sentAt;
+        countedFrom = init.safeguards.leaseFromSend ? sentAt : now.mono;
         ttl = reply.ttl > Duration::zero() ? std::min(reply.ttl, init.timing.lease) : init.timing.lease;
         backoff.reset();
         later(random.jitter(init.timing.lease / keepAlivesPerLease), now);
@@ -308,6 +308,9 @@
 {
     // Counted from before the send, the lease ends here no later than at the service. A holder that was paused
     // wakes to find itself past this time, whatever it had checked before.
+    if (!impl_->init.safeguards.leaseClock) {
+        return impl_->state == LeaseState::Held;
+    }
     return impl_->state == LeaseState::Held && now < impl_->countedFrom + impl_->ttl - impl_->init.timing.leaseMargin;
 }
 
--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -27,7 +27,8 @@
         std::optional<TimePoint> heardAt; // last heartbeat of this incarnation
         TimePoint listedAt; // last time the list held it
         bool listed = false;
-        bool listLeaving = false; // the list says that this VM is leaving, whatever runs there
+        bool listLeaving = false; // the list says that a VM of this name is leaving
+        bool listedLive = false; // the list has shown it live since this incarnation was heard
         std::uint32_t suspicions = 0; // lately
         std::uint32_t heardSinceSuspect = 0;
         TimePoint suspectedAt;
@@ -42,6 +43,7 @@
     TimePoint checkDue;
 
     void suspect(Known &entry, Now now);
+    void onListedLeaving(Known &entry);
     void arm(Now now);
     void check(Now now);
     void move(Known &entry, MemberState state);
@@ -98,6 +100,18 @@
     });
 }
 
+/// The list lags, and names a VM but no incarnation: "leaving" may be said of the VM that had the name before. So it
+/// is final only for a start that the list has shown live; another one just gets no new work while the list says so.
+void Membership::Impl::onListedLeaving(Known &entry)
+{
+    const bool heard = entry.member.incarnation != 0;
+    if (entry.listedLive || !heard) {
+        move(entry, MemberState::Leaving);
+    } else if (entry.member.state == MemberState::Live) {
+        move(entry, MemberState::Suspect);
+    }
+}
+
 void Membership::Impl::suspect(Known &entry, Now now)
 {
     const bool steady = now.mono - entry.suspectedAt >= steadySuspects * init.timing.suspect;
@@ -155,9 +169,9 @@
         entry.listed = true;
         entry.listedAt = now.mono;
         entry.listLeaving = vm.state == VmState::Leaving;
-        if (vm.state == VmState::Leaving && member.state != MemberState::Gone) {
-            // The list names a VM, not an incarnation: whatever runs there now is leaving.
-            impl_->move(entry, MemberState::Leaving);
+        entry.listedLive = entry.listedLive || (!entry.listLeaving && member.incarnation != 0);
+        if (entry.listLeaving) {
+            impl_->onListedLeaving(entry);
         } else if (isNew || moved) {
             impl_->changed(member);
         }
@@ -180,7 +194,7 @@
         return;
     }
     const bool restarted = incarnation > member.incarnation;
-    if (incarnation <= entry.refusedIncarnation) {
+    if (incarnation <= entry.refusedIncarnation && impl_->init.safeguards.leavingFinal) {
         return;
     }
     member.incarnation = incarnation;
@@ -193,11 +207,16 @@
         member.dataCentre = heartbeat.data_centre();
     }
     impl_->arm(now);
-    if (heartbeat.leaving() || entry.listLeaving) {
+    entry.listedLive = entry.listedLive && !restarted;
+    if (heartbeat.leaving()) {
         entry.refusedIncarnation = incarnation;
         impl_->move(entry, MemberState::Leaving);
         return;
     }
+    if (entry.listLeaving) {
+        impl_->move(entry, MemberState::Suspect);
+        return;
+    }
     if (member.state == MemberState::Live) {
         if (restarted) {
             impl_->changed(member); // the same state, but of another start
--- a/src/state/seen_keys.cpp
+++ b/src/state/seen_keys.cpp
@@ -202,7 +202,10 @@
         return refuse(RefusalReason::KeyFromFuture, true);
     }
     if (impl_->keys.size() >= impl_->limits.keys) {
-        return refuse(RefusalReason::KeyTableFull, true);
+        if (impl_->limits.safeguards.forgetOnlyOld) {
+            return refuse(RefusalReason::KeyTableFull, true);
+        }
+        impl_->keys.erase(impl_->keys.begin());
     }
     impl_->keys[bits] = Impl::Seen{fingerprint, execution, nullptr, now.mono};
     KeyDecision decision;
--- a/src/state/slot_giving.cpp
+++ b/src/state/slot_giving.cpp
@@ -63,9 +63,9 @@
     return receiverIncarnation_;
 }
 
-bool SlotGiving::acknowledged() const
+bool SlotGiving::acknowledged(bool all) const
 {
-    return unacknowledged_.empty();
+    return unacknowledged_.empty() || (!all && receiverIncarnation_ != 0);
 }
 
 void SlotGiving::onAck(const wire::SlotHandoverAck &ack)
--- a/src/state/slot_giving.h
+++ b/src/state/slot_giving.h
@@ -25,7 +25,8 @@
     const std::string &receiver() const;
     /// Known from the first acknowledgement: the incarnation whose memory holds the keys.
     std::uint64_t receiverIncarnation() const;
-    bool acknowledged() const;
+    /// `all` off (tests only): one acknowledged part is taken for all.
+    bool acknowledged(bool all = true) const;
     void onAck(const wire::SlotHandoverAck &ack);
     /// Sends what is not acknowledged. Returns false when it was sent too often.
     bool sendAll(const std::function<void(const std::string &, wire::Envelope)> &send);
--- a/src/state/slot_owner.cpp
+++ b/src/state/slot_owner.cpp
@@ -132,6 +132,7 @@
     from.timing = init.timing;
     from.timers = init.timers;
     from.seed = init.seed + 2;
+    from.safeguards = init.safeguards;
     return from;
 }
 
@@ -259,7 +260,7 @@
 /// The receiver holds all keys of the given slots: the table names it, if it still lives.
 bool SlotOwner::Impl::moveGiven(std::vector<SlotState> &slots, std::vector<KvCompare> &compares)
 {
-    if (!giving || resuming || !giving->acknowledged()) {
+    if (!giving || resuming || !giving->acknowledged(init.safeguards.keysBeforeTable)) {
         return false;
     }
     const OwnerId receiver{giving->receiver(), giving->receiverIncarnation()};
@@ -306,7 +307,9 @@
         return false;
     }
     const auto isFree = [this](const SlotState &slot) {
-        return slot.owner.name.empty() || !holders.contains(slot.owner);
+        const bool member = std::binary_search(members.begin(), members.end(), slot.owner.name);
+        const bool gone = init.safeguards.takeOverAfterLease ? !holders.contains(slot.owner) : !member;
+        return slot.owner.name.empty() || gone;
     };
     const auto free = static_cast<std::uint32_t>(std::count_if(slots.begin(), slots.end(), isFree));
     if (free == 0) {
@@ -335,6 +338,9 @@
         --wanted;
     }
     for (const auto &owner : gone) {
+        if (!init.safeguards.takeOverAfterLease) {
+            break;
+        }
         compares.push_back({leasePrefix + owner.name + "/" + hexText(owner.incarnation), 0});
     }
     return std::any_of(slots.begin(), slots.end(), [&](const SlotState &slot) { return slot.fence == fence; });
@@ -442,7 +448,7 @@
     }
     std::vector<SlotState> slots = expand(table, slotCount());
     std::vector<KvCompare> compares;
-    if (giving && !resuming && giving->acknowledged()) {
+    if (giving && !resuming && giving->acknowledged(init.safeguards.keysBeforeTable)) {
         if (moveGiven(slots, compares)) {
             write(slots, std::move(compares));
             return;
@@ -563,11 +569,14 @@
     if (!view || !impl_->lease.mayAct(now.mono) || !impl_->mineUnderLease(*range)) {
         return ownership;
     }
-    if (impl_->giving && impl_->giving->holds(slot)) {
+    if (impl_->giving && impl_->giving->holds(slot) && impl_->init.safeguards.refuseWhileGiving) {
         return ownership;
     }
     ownership.owned = true;
     const Duration margin = std::max(view->margin, 2 * view->skew);
+    if (!impl_->init.safeguards.takenAtRefusal) {
+        return ownership;
+    }
     ownership.takenAt.ms =
         static_cast<std::int64_t>(range->taken_wall_ms()) + std::chrono::duration_cast<Milliseconds>(margin).count();
     return ownership;
@@ -613,7 +622,7 @@
         return;
     }
     impl_->giving->onAck(ack);
-    if (impl_->giving->acknowledged()) {
+    if (impl_->giving->acknowledged(impl_->init.safeguards.keysBeforeTable)) {
         impl_->planIn(Duration::zero(), now);
     }
 }
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -28,6 +28,7 @@
 if(fault_sources)
     add_executable(faultmatrix ${fault_sources})
     target_compile_options(faultmatrix PRIVATE ${ANVILSCALE_WARNINGS})
+    target_include_directories(faultmatrix PRIVATE ${PROJECT_SOURCE_DIR}/tests)
     target_link_libraries(faultmatrix PRIVATE ${DECISIONS} ${RAPIDCHECK_LIBRARY})
     set_target_properties(faultmatrix PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/tests)
     include(${PROJECT_SOURCE_DIR}/tests/faults/faults.cmake OPTIONAL)
