--- a/tests/faults/link.cpp
+++ b/tests/faults/link.cpp
@@ -23,6 +23,7 @@
     case wire::Envelope::kCallEnd:
         return Step::CallEnd;
     case wire::Envelope::kHeartbeat:
+    case wire::Envelope::kBeat:
         return Step::Heartbeat;
     case wire::Envelope::kLoadGrant:
         return Step::LoadGrant;
@@ -149,6 +150,9 @@
     } else if (message.has_load_result()) {
         process.scheduler->onLoadResult(message.load_result(), now);
     } else {
+        if (message.has_beat()) {
+            process.membership->onBeat(from, message.beat(), now);
+        }
         if (message.has_heartbeat()) {
             const auto &beat = message.heartbeat();
             process.membership->onHeartbeat(beat, now);
