Load scheduler: the last words of a leaving sidecar hold up nobody

A sidecar drained in mid-load tells of the load in its last heartbeat, after it is known to be leaving; its process ends, no change of the member follows, and the load counts as running for ever, so that no grant is made. Ruled out: routing (the calls were at live sidecars) and the weight store (idle). Change: loads told by a leaving or suspect sidecar do not count. The new test fails without the change in both of its cases. Conclusion: a state that only later messages can correct must not be believed of a process that may send none.

--- a/src/routing/demand_table.cpp
+++ b/src/routing/demand_table.cpp
@@ -100,6 +100,11 @@
         const auto key = AdapterVersion{state.adapter(), state.version()}.key64();
         setAdapter(sidecar, key, fromWire(state.state(), ResidencyState::Unknown));
     }
+    // No change of the member may follow: a sidecar that ends while it is leaving, or suspect already, would hold up
+    // all loads of the fleet by the load that its last heartbeat tells of.
+    if (heartbeat.leaving() || sidecar.suspect) {
+        loseLoads(sidecar);
+    }
     sidecar.demands.clear();
     for (const auto &demand : heartbeat.demands()) {
         const auto key = AdapterVersion{demand.adapter(), demand.version()}.key64();
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -180,6 +180,35 @@
     EXPECT_EQ(fixture.grants.size(), 1U);
 }
 
+// A sidecar is drained in mid-load: it is known to be leaving, then one more heartbeat tells of the load, then its
+// process ends and nothing more is heard of it. Its load would count as running for ever, no other load would be
+// granted, and callers of absent adapters would wait until their deadline.
+TEST(Scheduler, LastWordsOfALeavingSidecarDoNotHoldUpTheOthers)
+{
+    for (const bool leaving : {true, false}) {
+        SchedulerFixture fixture;
+        fixture.demand("a", {});
+        Member member;
+        member.name = "a";
+        member.incarnation = 1;
+        member.role = VmRole::Sidecar;
+        member.state = leaving ? MemberState::Leaving : MemberState::Suspect;
+        fixture.scheduler->onMember(member, fixture.now);
+        wire::Heartbeat report;
+        report.mutable_from()->set_name("a");
+        report.mutable_from()->set_incarnation(1);
+        report.set_sequence(++fixture.sequences["a"]);
+        report.set_leaving(leaving);
+        auto &adapter = *report.add_adapters();
+        adapter.set_adapter("last");
+        adapter.set_version("1");
+        adapter.set_state(static_cast<std::uint32_t>(ResidencyState::Loading));
+        fixture.scheduler->onHeartbeat(report, fixture.now);
+        fixture.demand("b", {{"wanted", 1}});
+        EXPECT_EQ(fixture.grants.size(), 1U) << (leaving ? "leaving" : "suspect");
+    }
+}
+
 TEST(Scheduler, StoreRefusalBacksOff)
 {
     SchedulerFixture fixture;
