Residency: calls that waited through a pause go back as not run

Change: a sidecar that notices a pause of the suspect time or longer refuses what waits as not run (recovering). Conclusion: their entries know more by then and send the calls on.

--- a/src/residency/sidecar.cpp
+++ b/src/residency/sidecar.cpp
@@ -90,6 +90,12 @@
         order.replyUntil += now - order.sentAt;
         order.sentAt = now;
     }
+    // While this process stood still its endpoint may have been marked as leaving, and its entries took it for
+    // suspect. Calls that waited here would reach the endpoint long after it should get no new work: they go back as
+    // not run, and their entries, who know more by now, send them on.
+    if (now - timerAt_ >= init_.timing.suspect) {
+        refuseWaiting({RefusalReason::Recovering}, [](const WaitingCall &) { return true; });
+    }
 }
 
 void SidecarDecisions::Impl::settleAll(Now now)
--- a/tests/unit/residency_test.cpp
+++ b/tests/unit/residency_test.cpp
@@ -301,6 +301,23 @@
     EXPECT_LE(spent, 5000U * seconds + 10'000U);
 }
 
+// The process is stopped while a call waits for its adapter, and the VM is marked as leaving meanwhile. On waking the
+// load's answer is read before anything else, and the call would reach an endpoint that left long ago. It must go
+// back as not run instead.
+TEST(Residency, CallsThatWaitedThroughAPauseGoBackAsNotRun)
+{
+    SidecarFixture fixture;
+    fixture.recover();
+    fixture.hello(entry);
+    const auto call = fixture.call(lounge);
+    ASSERT_TRUE(fixture.started.empty());
+    fixture.now.mono += Timing().suspect * 2;
+    fixture.answerOrder();
+    EXPECT_TRUE(fixture.started.empty());
+    EXPECT_EQ(fixture.refusalOf(call), RefusalReason::Recovering);
+    EXPECT_TRUE(fixture.refusals.back().proved_not_run());
+}
+
 // At 180 sidecars a data centre, whole heartbeats take an entry seven times its control budget. While nothing but the
 // load changes a sidecar sends a Beat of a few bytes; what an entry decides on (residency, leaving, a demand for the
 // scheduler) still goes at once and whole.
