Endpoint: the answer of an ended execution stays until its end is taken in

A repeat that was attached while the end of its execution was on the way from the endpoint's thread to the control thread found the run gone. Change: a run is kept until the control thread has taken the end in and carried out all it had decided before. Figures: the new test attaches exactly there; it gets the whole answer, and after the release the unknown end. Conclusion: the queue between the two threads is in order, so that one message closes the race.

--- a/include/anvilscale/endpoint.h
+++ b/include/anvilscale/endpoint.h
@@ -131,6 +131,8 @@
     // Any thread.
     void start(StartExecution action);
     void attach(AttachListener action);
+    /// To be called once `ended` has been taken in: no listener is attached to the execution after this.
+    void release(ExecutionHandle execution);
     void detach(DetachListener action);
     void cancel(CancelExecution action);
     void replay(ReplayAnswer action);
--- a/src/daemon/sidecar_daemon.cpp
+++ b/src/daemon/sidecar_daemon.cpp
@@ -118,6 +118,7 @@
     handlers.ended = [this](ExecutionHandle execution, KeptAnswer answer, std::uint32_t tokens) {
         control_.post([this, execution, answer = std::move(answer), tokens](Now now) mutable {
             decisions_->onExecutionEnded(execution, std::move(answer), tokens, now);
+            endedExecutions_.push_back(execution);
         });
     };
     handlers.orderDone = [this](OrderHandle order, OrderOutcome outcome) {
@@ -394,6 +395,10 @@
     for (auto &action : decisions_->takeActions()) {
         carryOut(action);
     }
+    // After the actions: one of them may attach a listener that was decided on before the end was known.
+    for (const auto execution : std::exchange(endedExecutions_, {})) {
+        endpoint_->release(execution);
+    }
     if (decisions_->leaving() && !std::exchange(drainLogged_, true)) {
         draining_ = true;
         logEvent(Event::DrainStarted, {{"role", std::string("sidecar")}});
--- a/src/daemon/sidecar_daemon.h
+++ b/src/daemon/sidecar_daemon.h
@@ -73,6 +73,7 @@
     std::uint64_t incarnation_;
     Timing timing_;
     ControlLoop control_;
+    std::vector<ExecutionHandle> endedExecutions_; // in this batch of events; released after its actions
     std::atomic<bool> draining_ = false;
 
     // Control state: the control thread only, from start() on.
--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -112,6 +112,11 @@
     lane.post([action = std::move(action)](auto &runner) { runner.attach(action); });
 }
 
+void Endpoint::release(ExecutionHandle execution)
+{
+    impl_->laneOf(execution).post([execution](auto &runner) { runner.release(execution); });
+}
+
 void Endpoint::detach(DetachListener action)
 {
     auto &lane = impl_->laneOf(action.execution);
--- a/src/endpoint/endpoint_runner.h
+++ b/src/endpoint/endpoint_runner.h
@@ -32,6 +32,7 @@
         const auto key = action.execution;
         auto &run = addRun(key, init_.answerBytes);
         run.call = true;
+        run.held = true;
         run.which = AdapterVersion{action.request.adapter(), action.request.version()};
         run.answer.addListener(AnswerListener{action.to, action.request.id(), action.request.credit_bytes(),
                                               action.request.stall_us(), false});
@@ -55,6 +56,17 @@
         pump(action.execution);
     }
 
+    /// The end of the execution is known to whoever attaches listeners: no further one will come. Until then the
+    /// answer of an ended execution is kept. Without that, a repeat which was attached while the end was on its way
+    /// found nothing here, and its caller was told "outcome unknown" of a call that had been answered.
+    void release(ExecutionHandle key)
+    {
+        if (const auto found = runs_.find(key); found != runs_.end()) {
+            found->second.held = false;
+            pump(key);
+        }
+    }
+
     void detach(const DetachListener &action)
     {
         if (const auto found = runs_.find(action.execution); found != runs_.end()) {
@@ -174,6 +186,7 @@
         ExchangeId exchange = 0;
         bool call = false; // else a replay
         bool started = false;
+        bool held = false; // until release(): a listener may still be on its way here
         FailureReason cancelled = FailureReason::CallerGone; // why, once it was
         AdapterVersion which;
         AnswerBuffer answer;
@@ -201,7 +214,8 @@
     {
         return runs_
             .insert_or_assign(
-                key, Run{0, false, false, FailureReason::CallerGone, {}, AnswerBuffer(keepBytes, init_.windowBytes)})
+                key,
+                Run{0, false, false, false, FailureReason::CallerGone, {}, AnswerBuffer(keepBytes, init_.windowBytes)})
             .first->second;
     }
 
@@ -332,7 +346,7 @@
         }
         auto &run = found->second;
         run.answer.pump(handlers_.send);
-        if (run.answer.done()) {
+        if (run.answer.done() && !run.held) {
             runs_.erase(found);
             tellIdle();
             return;
@@ -419,7 +433,7 @@
     EndpointStats stats_;
     std::uint32_t running_ = 0;
     std::uint64_t lastReplay_ = 0;
-    // Executions whose answer has not gone to all listeners yet, and replays.
+    // Executions whose answer has not gone to all listeners yet or that are not released yet, and replays.
     std::unordered_map<ExecutionHandle, Run> runs_;
     std::function<void()> idle_; // set while somebody waits for runs_ to be empty
     TimerHandle reportTimer_;
--- /dev/null
+++ b/tests/process/late_listener_test.cpp
@@ -0,0 +1,118 @@
+// A listener that is attached while the end of its execution is on its way to the control thread.
+#include "support/standin_process.h"
+
+#include "anvilscale/endpoint.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace anvilscale::testing {
+namespace {
+
+/// What the endpoint's threads report, for a test that waits for it.
+class Reports
+{
+public:
+    Endpoint::Handlers handlers()
+    {
+        Endpoint::Handlers handlers;
+        handlers.send = [this](PeerHandle peer, const wire::Envelope &message) {
+            if (message.has_call_end()) {
+                note([&] { ends_[peer.value] = message.call_end(); });
+            } else {
+                note([&] { bytes_[peer.value] += message.call_frame().data(); });
+            }
+        };
+        handlers.started = [](ExecutionHandle) {};
+        handlers.ended = [this](ExecutionHandle, const KeptAnswer &, std::uint32_t) { note([&] { ended_ = true; }); };
+        handlers.orderDone = [](OrderHandle, OrderOutcome) {};
+        handlers.list = [](OrderHandle, const EngineList &) {};
+        handlers.report = [](const EngineReport &) {};
+        handlers.lost = [] {};
+        return handlers;
+    }
+    void waitForEnd()
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [this] { return ended_; });
+    }
+    wire::CallEnd endOf(std::uint64_t peer)
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [&] { return ends_.contains(peer); });
+        return ends_.at(peer);
+    }
+    std::string bytesOf(std::uint64_t peer)
+    {
+        const std::scoped_lock lock(mutex_);
+        return bytes_[peer];
+    }
+
+private:
+    template<class Change>
+    void note(Change change)
+    {
+        const std::scoped_lock lock(mutex_);
+        change();
+        changed_.notify_all();
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::uint64_t, wire::CallEnd> ends_;
+    std::map<std::uint64_t, std::string> bytes_;
+    bool ended_ = false;
+};
+
+AttachListener listener(ExecutionHandle execution, std::uint64_t peer)
+{
+    AttachListener attach;
+    attach.execution = execution;
+    attach.to = PeerHandle{peer};
+    attach.id.set_call(peer);
+    attach.creditBytes = 1U << 20;
+    return attach;
+}
+
+// A caller repeats a call that must run at most once, just as the first answer ends. The sidecar decides to attach the
+// repeat while the end is still on its way from the endpoint's thread. The repeat must get the whole answer: it was
+// told "outcome unknown" before, though the answer was there.
+TEST(LateListener, GetsTheWholeAnswerUntilTheEndIsTakenIn)
+{
+    StandinProcess service("service");
+    Reports reports;
+    EndpointInit init;
+    init.address = "127.0.0.1";
+    init.port = static_cast<std::uint16_t>(service.port());
+    init.kind = EndpointKind::Service;
+    Endpoint endpoint(init, reports.handlers());
+
+    StartExecution start;
+    start.execution = ExecutionHandle{1};
+    start.to = PeerHandle{1};
+    start.keepAnswer = true;
+    start.request.mutable_id()->set_call(1);
+    start.request.set_service("admissions");
+    start.request.set_method("POST");
+    start.request.set_path("/admit");
+    start.request.set_body("guest");
+    start.request.set_credit_bytes(1U << 20);
+    endpoint.start(start);
+    reports.waitForEnd();
+    EXPECT_EQ(reports.endOf(1).outcome(), static_cast<std::uint32_t>(CallOutcome::Complete));
+
+    endpoint.attach(listener(start.execution, 2));
+    EXPECT_EQ(reports.endOf(2).outcome(), static_cast<std::uint32_t>(CallOutcome::Complete));
+    EXPECT_EQ(reports.bytesOf(2), reports.bytesOf(1));
+    EXPECT_FALSE(reports.bytesOf(2).empty());
+
+    endpoint.release(start.execution);
+    endpoint.attach(listener(start.execution, 3));
+    EXPECT_EQ(reports.endOf(3).outcome(), static_cast<std::uint32_t>(CallOutcome::Unknown));
+    endpoint.shutdown();
+}
+
+} // namespace
+} // namespace anvilscale::testing
