Streams test: the sidecar that serves the streams is the one told to stop

Cause: a whole check run failed once at the test's own precondition: it waited for streams at engine-1, while the entry had placed all of them at engine-2, where their adapters were resident. That is the entry's choice to make. Change: the test stops the sidecar that serves streams, whichever it is, and joins its callers after a failed assertion too (the process aborted on them). Conclusion: what is checked is as strict: no stream may be cut, the sidecar ends with 0.

--- a/tests/process/streams_test.cpp
+++ b/tests/process/streams_test.cpp
@@ -29,6 +29,10 @@
                 << fleet_.last.status << fleet_.last.body << fleet_.folder();
         }
     }
+    void TearDown() override
+    {
+        joinAll(); // also after an assertion that ended the test before
+    }
     static std::string route(unsigned i)
     {
         return "route-" + std::to_string(i % routes);
@@ -109,13 +113,20 @@
     for (unsigned i = 0; i < streams / 2; ++i) {
         startStream(i);
     }
-    ASSERT_TRUE(eventually([&] { return fleet_.metric("engine-1", "anvilscale_running") > 0; }));
-    fleet_.process("engine-1").signal(SIGTERM);
+    // Which engine serves these routes is the entry's choice; one that serves streams is told to stop.
+    std::string busy;
+    ASSERT_TRUE(eventually([&] {
+        for (const auto *engine : {"engine-1", "engine-2"}) {
+            busy = fleet_.metric(engine, "anvilscale_running") > 0 ? engine : busy;
+        }
+        return !busy.empty();
+    }));
+    fleet_.process(busy).signal(SIGTERM);
     for (unsigned i = streams / 2; i < streams; ++i) {
         startStream(i);
     }
     joinAll();
-    EXPECT_EQ(fleet_.process("engine-1").wait(), 0);
+    EXPECT_EQ(fleet_.process(busy).wait(), 0);
     EXPECT_EQ(whole_, streams) << firstFault_ << " " << fleet_.folder();
 }
 
