Capacity bench: one check that a measurement is what it claims

Cause: reading the whole change again showed the same check written out in three files and inlined in a fourth. Change: it stands in the bench's probe; nothing that is measured changes.

--- a/bench/slopes/config_slopes.cpp
+++ b/bench/slopes/config_slopes.cpp
@@ -6,21 +6,10 @@
 
 #include "anvilscale/state.h"
 
-#include <cstdio>
-#include <cstdlib>
-
 namespace anvilscale::slopes {
 
 namespace {
 
-void require(bool ok, const char *what)
-{
-    if (!ok) {
-        std::fprintf(stderr, "slopes: %s\n", what);
-        std::exit(1);
-    }
-}
-
 /// The same fleet, taken from a snapshot: the shape in which a process starts.
 void measureRestore(const ConfigStore &full, double adapters, Report &report)
 {
--- a/bench/slopes/entry_slopes.cpp
+++ b/bench/slopes/entry_slopes.cpp
@@ -155,10 +155,7 @@
     const double whole = microsEach(calls, [&](std::size_t i) { frameBytes = bench.finish(sent[i]); });
     report.addCost("entry.frame", "us", "sidecars", {size, whole / framesEach});
     report.message("call_frame_one_token", frameBytes);
-    if (bench.stats().finished != calls) {
-        std::fprintf(stderr, "slopes: %lu of %zu calls finished\n", bench.stats().finished, calls);
-        std::exit(1);
-    }
+    require(bench.stats().finished == calls, "a call did not finish");
 }
 
 } // namespace
--- a/bench/slopes/key_value_slopes.cpp
+++ b/bench/slopes/key_value_slopes.cpp
@@ -8,8 +8,6 @@
 
 #include "anvilscale/state.h"
 
-#include <cstdio>
-#include <cstdlib>
 #include <memory>
 
 namespace anvilscale::slopes {
@@ -200,14 +198,6 @@
     std::size_t entries_ = 0;
 };
 
-void require(bool ok, const char *what)
-{
-    if (!ok) {
-        std::fprintf(stderr, "slopes: %s\n", what);
-        std::exit(1);
-    }
-}
-
 /// Appends one change as a writer of its own; returns the revision.
 std::uint64_t change(VirtualWorld &world, ConfigStore &store, std::size_t number)
 {
--- a/bench/slopes/probe.cpp
+++ b/bench/slopes/probe.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cmath>
+#include <cstdio>
 #include <cstdlib>
 #include <ctime>
 #include <new>
@@ -75,6 +76,14 @@
 
 namespace anvilscale::slopes {
 
+void require(bool ok, const char *what)
+{
+    if (!ok) {
+        std::fprintf(stderr, "slopes: %s\n", what);
+        std::exit(1);
+    }
+}
+
 std::size_t heapBytes()
 {
     return inUse.load();
--- a/bench/slopes/probe.h
+++ b/bench/slopes/probe.h
@@ -10,6 +10,9 @@
 
 namespace anvilscale::slopes {
 
+/// Ends the program with the message if a measurement is not of what it claims to be.
+void require(bool ok, const char *what);
+
 /// Bytes of the heap in use now, allocator overhead included.
 std::size_t heapBytes();
 /// Processor time of this thread, in microseconds.
--- a/bench/slopes/sidecar_slopes.cpp
+++ b/bench/slopes/sidecar_slopes.cpp
@@ -5,9 +5,6 @@
 
 #include "anvilscale/residency.h"
 
-#include <cstdio>
-#include <cstdlib>
-
 namespace anvilscale::slopes {
 
 namespace {
@@ -181,14 +178,6 @@
     std::uint64_t lastCall_ = 1'000'000;
 };
 
-void require(bool ok, const char *what)
-{
-    if (!ok) {
-        std::fprintf(stderr, "slopes: %s\n", what);
-        std::exit(1);
-    }
-}
-
 } // namespace
 
 void measureSidecar(Report &report)
