--- /dev/null
+++ b/include/anvilscale/direct.h
@@ -0,0 +1,463 @@
+// Direct library: the decisions of the direct path, on which an entry sends each call to an endpoint itself and a
+// sidecar only orders models and adapters into the engine beside it. No I/O, threads or clocks: time and events come
+// from outside, actions go out, so that tests drive the same objects without a network.
+#pragma once
+
+#include "wire.pb.h"
+
+#include "anvilscale/base.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace anvilscale {
+
+// ---- what operators and endpoints declare
+
+/// What may be done again with a call whose outcome is not known.
+enum class RepeatRule : std::uint8_t {
+    Idempotent,
+    NonIdempotent,
+    Stream, ///< an event stream; repeated only where the route lets it be resumed
+    Count
+};
+template<>
+struct EnumNames<RepeatRule>
+{
+    static constexpr std::array<std::string_view, enumCount<RepeatRule>> table{"idempotent", "non_idempotent",
+                                                                               "stream"};
+};
+
+/// One of the services that share a route's calls.
+struct ServiceShare
+{
+    std::string service;
+    std::uint32_t weight = 1; ///< relative to the other shares
+};
+
+struct DirectRoute
+{
+    std::string name;
+    std::string host;
+    std::string prefix; ///< of the path; begins and ends with a slash
+    RepeatRule repeat = RepeatRule::NonIdempotent;
+    bool resumable = false;
+    Duration timeout{}; ///< longest time that the operator lets a call last
+    Duration objective{}; ///< to the whole answer, or to the first event of a stream
+    std::uint32_t priority = 0; ///< 0 is the most urgent
+    std::uint32_t maxEndpoints = 1; ///< that one call may be sent to
+    std::vector<ServiceShare> services; ///< at least one
+};
+
+struct EngineModelSize
+{
+    std::string name;
+    double weightsMb = 0;
+    double adapterMb = 0;
+};
+
+/// What an engine of a service can hold.
+struct EngineLimits
+{
+    std::uint32_t adapterSlots = 0;
+    double weightsMb = 0; ///< models and adapters together
+    std::vector<EngineModelSize> models;
+};
+
+struct DirectService
+{
+    std::string name;
+    std::uint32_t maxConnections = 0; ///< of all callers of one endpoint together
+    std::optional<EngineLimits> engine; ///< none: a plain service
+};
+
+/// Bounds on what callers may send.
+struct CallerLimits
+{
+    std::uint32_t headBytes = 16U << 10;
+    std::uint64_t bodyBytes = 4U << 20;
+    Duration headTimeout = Seconds(10);
+    Duration idleTimeout = Seconds(60);
+};
+
+struct DirectConfig
+{
+    std::uint64_t version = 0;
+    std::vector<DirectRoute> routes;
+    std::vector<DirectService> services;
+    CallerLimits limits;
+
+    const DirectService *service(std::string_view name) const;
+};
+
+struct HeldAdapter
+{
+    std::string model;
+    std::string adapter;
+    std::uint32_t version = 0;
+    auto operator<=>(const HeldAdapter &) const = default; // NOLINT(modernize-use-nullptr): not a pointer
+};
+
+/// One endpoint as it declares itself in the platform's store.
+struct EndpointRecord
+{
+    std::string id; ///< of this incarnation
+    std::string service;
+    std::string address; ///< "IP:PORT"
+    std::string dataCentre;
+    std::uint32_t slots = 0; ///< calls that it works on at the same time
+    bool leaving = false;
+    std::vector<std::string> models;
+    std::vector<HeldAdapter> adapters;
+};
+
+/// A new version of an adapter that the operator has named.
+struct NamedVersion
+{
+    std::string model;
+    std::string adapter;
+    std::uint32_t version = 0;
+};
+
+/// One record of the store in the project's terms.
+struct EndpointRemoved
+{
+    std::string id;
+};
+using StoreRecord = std::variant<DirectConfig, EndpointRecord, EndpointRemoved, NamedVersion>;
+
+// ---- calls
+
+/// One part of a prompt: endpoints keep parts that several calls share.
+struct PromptPart
+{
+    std::string id;
+    std::uint32_t tokens = 0;
+};
+
+/// What the entry knows of a call when its request has been read.
+struct CallFacts
+{
+    std::string requestId;
+    std::string host;
+    std::string path;
+    std::string model; ///< empty for a plain service
+    std::string adapter; ///< empty: the model alone
+    std::uint32_t promptTokens = 0;
+    std::vector<PromptPart> parts; ///< in the order of the prompt; the last one is the call's own
+    Duration patience{}; ///< time for which the caller waits
+};
+
+/// Why an endpoint did not run a call that reached it, by its own word.
+enum class EndpointRefusal : std::uint8_t {
+    None,
+    Full, ///< no place, or an order holds the call up
+    OtherIncarnation, ///< the address belongs to another incarnation by now
+    NotLoaded, ///< the model, the adapter or the version asked for is not there
+    Other,
+    Count
+};
+template<>
+struct EnumNames<EndpointRefusal>
+{
+    static constexpr std::array<std::string_view, enumCount<EndpointRefusal>> table{"none", "full", "other_incarnation",
+                                                                                    "not_loaded", "other"};
+};
+
+/// How one attempt at an endpoint ended.
+enum class AttemptEnd : std::uint8_t {
+    Answered, ///< the whole answer has gone to the caller
+    OwnFailure, ///< the endpoint ran the call and answers with a failure of its own
+    Refused, ///< the endpoint says that it has not run the call
+    Unreachable, ///< no byte was sent
+    Broken, ///< sent, and no whole answer: it may have run
+    Count
+};
+template<>
+struct EnumNames<AttemptEnd>
+{
+    static constexpr std::array<std::string_view, enumCount<AttemptEnd>> table{"answered", "own_failure", "refused",
+                                                                               "unreachable", "broken"};
+};
+
+struct AttemptResult
+{
+    AttemptEnd end = AttemptEnd::Broken;
+    EndpointRefusal refusal = EndpointRefusal::None;
+    std::uint32_t status = 0; ///< of the endpoint's answer, 0 if there was none
+    bool callerHasBytes = false; ///< part of the answer has gone to the caller
+};
+
+/// Actions for whoever owns the sockets.
+struct SendCall
+{
+    CallHandle call;
+    std::uint32_t attempt = 0;
+    std::string endpointId;
+    std::string address;
+    std::uint32_t priority = 0;
+    std::uint32_t version = 0; ///< of the adapter, 0: any
+    TimePoint deadline; ///< of the caller
+    bool holdAnswer = false; ///< a failure may still be repaired by another attempt: pass on only a whole success
+};
+struct RefuseCall
+{
+    CallHandle call;
+    std::uint32_t status = 503;
+    Duration retryAfter{}; ///< 0: none is told
+    RefusalReason reason = RefusalReason::None;
+};
+/// Gives the caller the answer of the last attempt as it is.
+struct PassAnswer
+{
+    CallHandle call;
+};
+/// Ends a call that was sent: its connection is closed and the caller is told that the outcome is not known.
+struct AbandonCall
+{
+    CallHandle call;
+    FailureReason reason = FailureReason::None;
+};
+/// Tells the sidecar at this address what is wanted of its engine.
+struct SendWishes
+{
+    std::string address; ///< of the endpoint
+    wire::DirectDemand demand;
+};
+using DirectAction = std::variant<SendCall, RefuseCall, PassAnswer, AbandonCall, SendWishes>;
+
+/// Finds the route of a host and path: the longest prefix that begins the path.
+class RouteTable
+{
+public:
+    RouteTable() = default;
+    explicit RouteTable(const std::vector<DirectRoute> &routes);
+    const DirectRoute *find(std::string_view host, std::string_view path) const;
+
+private:
+    std::unordered_map<std::string, std::vector<DirectRoute>> byHost_; // routes of a host, longest prefix first
+};
+
+/// How a call ended for its caller.
+enum class EndedOutcome : std::uint8_t {
+    Answered,
+    OwnFailure, ///< the endpoint's failure was passed on
+    Refused, ///< not run
+    Abandoned, ///< sent, and ended without a whole answer
+    CallerGone,
+    Count
+};
+template<>
+struct EnumNames<EndedOutcome>
+{
+    static constexpr std::array<std::string_view, enumCount<EndedOutcome>> table{"answered", "own_failure", "refused",
+                                                                                 "abandoned", "caller_gone"};
+};
+
+/// What is logged of a call that has ended, with what decided it.
+struct EndedCall
+{
+    std::string requestId;
+    EndedOutcome outcome = EndedOutcome::Answered;
+    std::string reason; ///< name of the RefusalReason or FailureReason; empty if it went well
+    std::uint32_t status = 0; ///< of the endpoint's answer, 0 if there was none
+    std::string service;
+    std::string adapter;
+    std::string endpointId; ///< of the last decision
+    std::uint32_t attempts = 0;
+    std::uint64_t configVersion = 0;
+    Duration estimate{}; ///< of the time to the first byte, at the last decision
+    Duration stateAge{}; ///< of the endpoint's state at the last decision; negative: none
+    Duration adapterWait{};
+    std::optional<Duration> firstByte;
+    Duration total{};
+    Duration patience{};
+};
+
+struct DirectCallsInit
+{
+    std::string dataCentre;
+    std::uint64_t seed = 1;
+    double retryRatio = 0.2; ///< calls sent once more, as a share of the calls of a service
+};
+
+struct DirectCallsStats
+{
+    std::uint64_t calls = 0;
+    std::uint64_t sent = 0;
+    std::uint64_t waitedForAdapter = 0; ///< load stalls
+    std::uint64_t open = 0;
+    Counters<AttemptEnd> ends;
+    Counters<EndpointRefusal> endpointRefusals;
+    Counters<RefusalReason> refusals;
+    Counters<RetryReason> retries;
+};
+
+/// All calls of one entry: routes them, waits for adapters, sends again what may be sent again.
+class DirectCalls
+{
+public:
+    explicit DirectCalls(DirectCallsInit init);
+    ~DirectCalls();
+    DirectCalls(const DirectCalls &) = delete;
+    DirectCalls &operator=(const DirectCalls &) = delete;
+
+    // Knowledge.
+    /// Returns false for a version that is not newer than the one in force.
+    bool applyConfig(const DirectConfig &config, TimePoint now);
+    void applyEndpoint(const EndpointRecord &record, TimePoint now);
+    void removeEndpoint(const std::string &id, TimePoint now);
+    void applyVersion(const NamedVersion &version, TimePoint now);
+    /// The sidecar beside the endpoint at this address tells its engine's state.
+    void applyState(const std::string &address, const wire::DirectState &state, TimePoint now);
+    void sidecarLost(const std::string &address);
+
+    // Calls.
+    void arrive(CallHandle call, CallFacts facts, TimePoint now);
+    /// The endpoint has begun its answer.
+    void answerBegan(CallHandle call, std::uint32_t attempt, TimePoint now);
+    void attemptEnded(CallHandle call, std::uint32_t attempt, const AttemptResult &result, TimePoint now);
+    void callerGone(CallHandle call, TimePoint now);
+    /// To be called every directTick: waits that are over, and what the sidecars are to know.
+    void tick(TimePoint now);
+
+    std::vector<DirectAction> takeActions();
+    std::vector<EndedCall> takeEnded();
+    bool configured() const;
+    /// True if callers may be sent here: there is a configuration and an endpoint for it.
+    bool ready() const;
+    const DirectConfig &config() const;
+    std::vector<std::string> engineAddresses() const;
+    std::vector<std::string> endpointIds() const;
+    const DirectCallsStats &stats() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+/// Interval of DirectCalls::tick. Short against the time that an adapter takes to load (some 250 ms).
+constexpr Duration directTick = Milliseconds(50);
+
+// ---- orders to one engine
+
+struct EngineStateReport
+{
+    std::vector<std::string> models;
+    std::vector<HeldAdapter> adapters;
+    std::vector<HeldAdapter> pending; ///< loads under way; they count toward the adapter slots
+    bool busy = false; ///< an order on a model is in progress
+    std::uint64_t sequence = 0; ///< orders accepted since the engine's start
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint64_t kvUsed = 0;
+    std::uint64_t kvTotal = 0;
+};
+
+enum class EngineOrderKind : std::uint8_t {
+    Load,
+    Unload,
+    Count
+};
+template<>
+struct EnumNames<EngineOrderKind>
+{
+    static constexpr std::array<std::string_view, enumCount<EngineOrderKind>> table{"load", "unload"};
+};
+
+struct EngineOrder
+{
+    OrderHandle id;
+    EngineOrderKind kind = EngineOrderKind::Load;
+    std::string model;
+    std::string adapter; ///< empty: the model itself
+    std::uint64_t expected = 0; ///< the engine refuses the order if its sequence is another one by then
+    std::uint64_t fence = 0;
+    std::string endpointId;
+};
+
+enum class EngineOrderResult : std::uint8_t {
+    Accepted, ///< it is being carried out
+    AlreadyHolds,
+    Conflict, ///< another order is in progress, or the sequence differs
+    FencedOff, ///< the engine has seen a higher fencing number
+    OtherIncarnation,
+    Rejected,
+    NoAnswer, ///< it may have been accepted, or may be later
+    Count
+};
+template<>
+struct EnumNames<EngineOrderResult>
+{
+    static constexpr std::array<std::string_view, enumCount<EngineOrderResult>> table{
+        "accepted", "already_holds", "conflict", "fenced_off", "other_incarnation", "rejected", "no_answer"};
+};
+
+/// Keeps in one engine what the entries want there, within its slots and memory. The only one that orders this engine.
+class AdapterKeeper
+{
+public:
+    /// `fence` grows with each start of the sidecar.
+    explicit AdapterKeeper(std::uint64_t fence);
+
+    void applyDemand(PeerHandle peer, const wire::DirectDemand &demand, TimePoint now);
+    void peerLost(PeerHandle peer);
+    void applyReport(const EngineStateReport &report, TimePoint now);
+    void reportFailed(TimePoint now);
+    void orderEnded(OrderHandle id, EngineOrderResult result, const std::string &incarnation, TimePoint now);
+    /// The next order, if one is due now. At most one is under way.
+    std::optional<EngineOrder> nextOrder(TimePoint now);
+    /// True while an order's effect has not been seen, so that the next report is wanted soon.
+    bool waits() const;
+    /// What entries are to know; `sequence` is left to the caller.
+    wire::DirectState state() const;
+    /// Changes whenever something changes that entries wait for.
+    std::uint64_t revision() const;
+    const Counters<EngineOrderResult> &results() const;
+
+private:
+    using AdapterKey = std::pair<std::string, std::string>; // model, adapter
+    struct Wish
+    {
+        std::uint32_t waiting = 0;
+        std::uint32_t running = 0;
+        std::uint32_t leastVersion = 0;
+    };
+    struct Use
+    {
+        TimePoint last{};
+        double rate = 0; // decayed starts
+    };
+
+    Wish wishFor(const AdapterKey &key) const;
+    const HeldAdapter *held(const AdapterKey &key) const;
+    bool isPending(const AdapterKey &key) const;
+    bool hasModel(const std::string &model) const;
+    double usedMb() const;
+    const wire::EngineModel *sizeOf(const std::string &model) const;
+    std::optional<EngineOrder> orderFor(const AdapterKey &key, const Wish &wish, TimePoint now);
+    std::optional<AdapterKey> victim(TimePoint now) const;
+    EngineOrder makeOrder(EngineOrderKind kind, const AdapterKey &key);
+    void touch(const AdapterKey &key, std::uint32_t starts, TimePoint now);
+
+    std::uint64_t fence_;
+    std::string endpointId_;
+    wire::EnginePlan plan_;
+    std::map<PeerHandle, std::map<AdapterKey, Wish>> wishes_; // what each entry said last
+    std::map<AdapterKey, Use> uses_;
+    std::optional<EngineStateReport> report_;
+    bool reachable_ = false;
+    std::optional<EngineOrder> underWay_; // invariant: no other order is sent meanwhile
+    std::optional<EngineOrder> awaited_; // accepted, and no report has shown its effect yet
+    TimePoint notBefore_{}; // after an order that failed
+    std::uint64_t lastOrder_ = 0;
+    std::uint64_t revision_ = 0;
+    Counters<EngineOrderResult> results_;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/include/anvilscale/direct_path.h
@@ -0,0 +1,115 @@
+// What the direct path needs of a platform: the concept that an adapter to it meets, and the types they exchange.
+#pragma once
+
+#include "anvilscale/direct.h"
+#include "anvilscale/net.h"
+
+#include <concepts>
+
+namespace anvilscale {
+
+/// Why a request cannot be a call at all.
+enum class CallProblem : std::uint8_t {
+    NoRequestId,
+    BadTimeLeft,
+    BadModel,
+    Count
+};
+template<>
+struct EnumNames<CallProblem>
+{
+    static constexpr std::array<std::string_view, enumCount<CallProblem>> table{"no_request_id", "bad_time_left",
+                                                                                "bad_model"};
+};
+
+/// What the head of an endpoint's answer says about the call.
+enum class AnswerKind : std::uint8_t {
+    Success, ///< the endpoint's own, to be passed on
+    OwnFailure, ///< the endpoint's own, after it has run the call
+    Refused, ///< it says that it has not run the call
+    Foreign, ///< of another request, or no answer of an endpoint at all
+    Count
+};
+template<>
+struct EnumNames<AnswerKind>
+{
+    static constexpr std::array<std::string_view, enumCount<AnswerKind>> table{"success", "own_failure", "refused",
+                                                                               "foreign"};
+};
+
+struct EndpointAnswer
+{
+    AnswerKind kind = AnswerKind::Foreign;
+    EndpointRefusal refusal = EndpointRefusal::None;
+    bool events = false; ///< an event stream: passed on as it comes
+};
+
+/// How the store took a call.
+enum class StoreStatus : std::uint8_t {
+    Ok,
+    HistoryGone, ///< what a watch asks for is no longer kept: everything is to be read again
+    Unavailable, ///< it did nothing
+    Count
+};
+
+/// Part of the store, in the project's terms.
+struct StorePage
+{
+    std::vector<StoreRecord> records;
+    std::uint64_t revision = 0; ///< of the store
+    bool more = false; ///< further pages follow after `lastKey`
+    std::string lastKey;
+    std::size_t rejected = 0; ///< records that could not be read, and were passed over
+};
+
+/// An adapter to a platform. No state, no I/O.
+template<class T>
+concept DirectDialect =
+    requires(const HttpRequestData &request, const SendCall &send, const HttpResponseHead &head, const EngineOrder &order,
+             const std::string &text, std::string_view view, Duration span, std::uint64_t number)
+{
+    {
+        T::readCall(request)
+        } -> std::same_as<tl::expected<CallFacts, CallProblem>>;
+    {
+        T::callRequest(request, send, span)
+        } -> std::same_as<EndpointRequest>;
+    {
+        T::readAnswer(head, view, view)
+        } -> std::same_as<EndpointAnswer>;
+    {
+        T::isReadinessCheck(request)
+        } -> std::same_as<bool>;
+    {
+        T::orderRequest(order, view)
+        } -> std::same_as<EndpointRequest>;
+    {
+        T::readOrderResult(head)
+        } -> std::same_as<EngineOrderResult>;
+    {
+        T::incarnationOf(head)
+        } -> std::same_as<std::string>;
+    {
+        T::reportRequest()
+        } -> std::same_as<EndpointRequest>;
+    {
+        T::readReport(text)
+        } -> std::same_as<std::optional<EngineStateReport>>;
+    {
+        T::rangeRequest(text)
+        } -> std::same_as<EndpointRequest>;
+    {
+        T::watchRequest(number, span)
+        } -> std::same_as<EndpointRequest>;
+    {
+        T::readRange(text)
+        } -> std::same_as<std::optional<StorePage>>;
+    {
+        T::readWatch(text)
+        } -> std::same_as<std::optional<StorePage>>;
+    {
+        T::storeStatus(std::uint32_t{})
+        } -> std::same_as<StoreStatus>;
+};
+
+} // namespace anvilscale
--- a/include/anvilscale/endpoint.h
+++ b/include/anvilscale/endpoint.h
@@ -13,16 +13,6 @@
 
 namespace anvilscale {
 
-/// A request as it goes to the endpoint.
-struct EndpointRequest
-{
-    std::string method = "GET";
-    std::string target = "/";
-    HttpHeaders headers;
-    std::string body;
-    bool freshConnection = false; ///< never on a kept connection, which the endpoint may be closing just now
-};
-
 /// How a kind of endpoint is spoken to. No I/O.
 template<class T>
 concept EndpointProtocol = requires(const T protocol, const wire::CallRequest &call, const SendOrder &order,
--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -37,7 +37,7 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Runs `task` in the loop's thread, after the tasks posted before. Any thread.
+    /// Runs `task` in the loop's thread, after the tasks posted before and after the sockets at hand. Any thread.
     void post(Task task);
     /// Ends the loop after the tasks posted so far and waits for its thread. Not from the loop's thread.
     void stop();
@@ -253,6 +253,9 @@
     std::uint16_t port() const;
     /// Accepting starts here, so that nothing is taken before all parts are there.
     void start();
+    /// From now on each answer closes its connection; the listener stays open. First step of a drain, so that callers
+    /// who are sent here before the balancer has noticed are still served.
+    void closeAfterAnswers();
     /// The listener closes; idle connections close; exchanges in progress go on. `idle` is called once all are done.
     void drain(std::function<void()> idle);
     void shutdown();
@@ -266,6 +269,13 @@
     /// Ends an answer in an error: as `reply` if the caller has seen nothing yet, else as an error event with the
     /// same body in an event stream, else by cutting the connection.
     void fail(HttpExchange exchange, HttpReply reply);
+    /// Ends an answer that cannot be completed: as `reply` if the caller has seen nothing yet, else by cutting the
+    /// connection, so that what has gone out cannot be taken for a whole answer.
+    void cut(HttpExchange exchange, HttpReply reply);
+    /// Limits for what is read from now on.
+    void updateLimits(std::uint32_t headLimit, std::uint64_t bodyLimit, Duration headTimeout, Duration idleTimeout);
+    /// Loop of the first traffic thread, for clients that belong to the same traffic.
+    EventLoop &loop();
 
     HttpServerStats stats() const;
 
@@ -275,6 +285,81 @@
     std::unique_ptr<Impl> impl_;
 };
 
+// ---- HTTP client
+
+/// A request as it goes to an endpoint or to the platform.
+struct EndpointRequest
+{
+    std::string method = "GET";
+    std::string target = "/";
+    std::string host; ///< empty: the address it is sent to
+    HttpHeaders headers;
+    std::string body;
+    bool freshConnection = false; ///< never on a kept connection, which the endpoint may be closing just now
+};
+
+/// How an exchange with the endpoint ended.
+enum class ExchangeEnd : std::uint8_t {
+    Complete,
+    Unreachable, ///< the connection was refused or could not be made: no byte was sent
+    Broken, ///< bytes may have been sent; the answer is not whole
+    CancelConfirmed, ///< after a cancel the endpoint closed its side, or ended its answer
+    CancelUnconfirmed,
+    Count
+};
+
+using ExchangeId = std::uint64_t;
+
+/// One request and its answer. Callbacks may cancel, pause or start other exchanges.
+struct ExchangeHandlers
+{
+    std::function<void(const HttpResponseHead &)> head;
+    std::function<void(std::string)> data;
+    std::function<void(ExchangeEnd)> end; ///< last call
+};
+
+struct HttpClientInit
+{
+    std::string address; ///< "IP:PORT"
+    Duration connectTimeout{};
+    Duration cancelGrace{};
+    Duration keepIdle = Milliseconds(900); ///< a kept connection is used again up to this age
+    /// Where the server tells in Keep-Alive how long it keeps an idle connection, that time less this margin goes
+    /// before keepIdle. Zero: what the server tells is not used.
+    Duration keepMargin{};
+    std::size_t keepConnections = 64;
+};
+
+struct HttpClientCounts
+{
+    std::uint64_t requests = 0;
+    std::uint64_t connections = 0;
+    std::uint64_t connectFailures = 0;
+};
+
+/// HTTP/1.1 client for one address. Tells exactly how far a request got. Lives in the thread of its loop.
+class HttpClient
+{
+public:
+    HttpClient(EventLoop &loop, HttpClientInit init);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /// A zero `timeout` is none. At the timeout the exchange ends as Broken (Unreachable before it was connected).
+    ExchangeId start(const EndpointRequest &request, Duration timeout, ExchangeHandlers handlers);
+    /// Closes our side, then waits for the endpoint to close its own as the proof that it has stopped.
+    void cancel(ExchangeId id);
+    /// Closes the connection at once and forgets the exchange: none of its handlers is called any more.
+    void abort(ExchangeId id);
+    void pause(ExchangeId id, bool paused);
+    const HttpClientCounts &counts() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
 // ---- bodies of model calls
 
 enum class BodyProblem : std::uint8_t {
--- a/include/anvilscale/settings.h
+++ b/include/anvilscale/settings.h
@@ -39,7 +39,8 @@
 /// Checks the text and fills in defaults. The result is complete: no part of the daemon knows a default of its own.
 tl::expected<settings::Settings, SettingsError> parseSettings(std::string_view json);
 tl::expected<settings::Settings, SettingsError> readSettings(const std::string &file);
-/// Settings of a role ("entry" or "sidecar") with every default, as JSON.
+bool isRole(std::string_view role);
+/// Settings of a role with every default, as JSON.
 std::string printDefaults(std::string_view role);
 /// The table of all fields, with default, range and meaning, in Markdown.
 std::string settingsPage();
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -51,14 +51,20 @@
     LoadFailed,
     EvictDone,
     VersionQuarantined,
+    EngineOrder,
+    EndpointRemoved,
+    VersionNamed,
     CallFailed,
     CallRefused,
     AnswerBroken,
     SlowReaderCut,
     FrameDropped,
+    CallEnded,
+    CallEndedBadly,
     KeyValueDown,
     KeyValueBack,
     VmListDown,
+    StoreRecordRejected,
     UnexpectedError,
     Count
 };
@@ -83,7 +89,7 @@
 struct LogInit
 {
     LogLevel level = LogLevel::Info;
-    std::string file; ///< empty: standard error
+    std::string file; ///< empty: standard error; "-": standard output
     std::string process; ///< put into every line
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,7 +1,11 @@
 // The daemon's two roles behind one face, and its life from start to the end of a drain.
+#include "direct_entry.h"
+#include "direct_sidecar.h"
 #include "entry_daemon.h"
 #include "sidecar_daemon.h"
 
+#include "site_dialect.h"
+
 #include <condition_variable>
 #include <mutex>
 #include <variant>
@@ -12,7 +16,9 @@
 {
     using Entry = std::unique_ptr<EntryDaemon>;
     using Sidecar = std::unique_ptr<SidecarDaemon>;
-    std::variant<Entry, Sidecar> role;
+    using DirectEntryRole = std::unique_ptr<DirectEntry<site::SiteDialect>>;
+    using DirectSidecarRole = std::unique_ptr<DirectSidecar<site::SiteDialect>>;
+    std::variant<Entry, Sidecar, DirectEntryRole, DirectSidecarRole> role;
     std::mutex mutex;
     std::condition_variable changed;
     bool draining = false; // guarded by mutex
@@ -36,18 +42,25 @@
 tl::expected<std::unique_ptr<Daemon>, StartError> Daemon::create(const settings::Settings &settings)
 {
     auto impl = std::make_unique<Impl>();
-    if (settings.role() == "entry") {
-        auto entry = EntryDaemon::create(settings);
-        if (!entry) {
-            return tl::unexpected(entry.error());
+    const auto take = [&impl](auto created) -> std::optional<StartError> {
+        if (!created) {
+            return created.error();
         }
-        impl->role = std::move(*entry);
+        impl->role = std::move(*created);
+        return std::nullopt;
+    };
+    std::optional<StartError> error;
+    if (settings.role() == "entry") {
+        error = take(EntryDaemon::create(settings));
+    } else if (settings.role() == "sidecar") {
+        error = take(SidecarDaemon::create(settings));
+    } else if (settings.role() == "direct-entry") {
+        error = take(DirectEntry<site::SiteDialect>::create(settings));
     } else {
-        auto sidecar = SidecarDaemon::create(settings);
-        if (!sidecar) {
-            return tl::unexpected(sidecar.error());
-        }
-        impl->role = std::move(*sidecar);
+        error = take(DirectSidecar<site::SiteDialect>::create(settings));
+    }
+    if (error) {
+        return tl::unexpected(std::move(*error));
     }
     return std::unique_ptr<Daemon>(new Daemon(std::move(impl)));
 }
--- /dev/null
+++ b/src/daemon/direct_entry.h
@@ -0,0 +1,415 @@
+// An entry of the direct path as a process: callers, endpoints and the store in the traffic thread, decisions in the
+// control thread, sidecars over the messenger.
+#pragma once
+
+#include "control_loop.h"
+#include "direct_log.h"
+#include "direct_relay.h"
+#include "process.h"
+#include "store_follower.h"
+
+#include "anvilscale/daemon.h"
+#include "anvilscale/telemetry.h"
+
+#include <atomic>
+
+namespace anvilscale {
+
+template<DirectDialect Dialect>
+class DirectEntry
+{
+public:
+    static tl::expected<std::unique_ptr<DirectEntry>, StartError> create(const settings::Settings &settings)
+    {
+        auto entry = std::unique_ptr<DirectEntry>(new DirectEntry(settings));
+        if (auto listening = entry->listen(); !listening) {
+            return tl::unexpected(listening.error());
+        }
+        return entry;
+    }
+    ~DirectEntry()
+    {
+        shutdown();
+    }
+    DirectEntry(const DirectEntry &) = delete;
+    DirectEntry &operator=(const DirectEntry &) = delete;
+
+    void start()
+    {
+        control_.start();
+        control_.post([this](Now) { onTick(); });
+        messenger_->start();
+        server_->loop().post([this] {
+            follower_ = std::make_unique<StoreFollower<Dialect>>(server_->loop(), followerInit(), followerHandlers());
+            follower_->start();
+        });
+        server_->start();
+        ready_->start();
+        if (metrics_) {
+            metrics_->start();
+        }
+        logEvent(Event::ProcessStarted, {{"role", settings_.role()}, {"incarnation", incarnation_}});
+    }
+
+    /// Callers are still served until the balancer has seen that this process is not ready any more. `done` is called
+    /// once all calls have ended, or shortly before the platform ends the process.
+    void drain(std::function<void()> done)
+    {
+        draining_ = true;
+        logEvent(Event::DrainStarted);
+        server_->closeAfterAnswers();
+        server_->loop().post([this, done = std::move(done)] {
+            auto finished = std::make_shared<bool>(false);
+            const auto end = [finished, done] {
+                if (!std::exchange(*finished, true)) {
+                    logEvent(Event::DrainFinished);
+                    done();
+                }
+            };
+            auto &timers = server_->loop().timers();
+            timers.subscribe(EventLoop::now() + balancerTime, [this, end](TimePoint) { server_->drain(end); });
+            const auto grace = Milliseconds(settings_.direct().grace_ms());
+            timers.subscribe(EventLoop::now() + grace - closingTime, [end](TimePoint) { end(); });
+        });
+    }
+
+    void shutdown()
+    {
+        if (std::exchange(down_, true)) {
+            return;
+        }
+        if (server_) {
+            server_->loop().post([this] { follower_.reset(); });
+            server_->shutdown();
+        }
+        for (auto *server : {ready_.get(), metrics_.get()}) {
+            if (server != nullptr) {
+                server->shutdown();
+            }
+        }
+        if (messenger_) {
+            messenger_->shutdown();
+        }
+        control_.stop();
+    }
+
+    std::uint16_t controlPort() const
+    {
+        return messenger_->port();
+    }
+    std::uint16_t httpPort() const
+    {
+        return server_->port();
+    }
+
+private:
+    // The balancer asks once a second and takes a process out after two answers that are not 200.
+    static constexpr Duration balancerTime = Milliseconds(2600);
+    // Kept of the grace time for closing down.
+    static constexpr Duration closingTime = Milliseconds(600);
+    static constexpr std::uint32_t statusUnavailable = 503;
+
+    explicit DirectEntry(const settings::Settings &settings)
+        : settings_(settings)
+        , incarnation_(newIncarnation())
+        , calls_(callsInit(settings, incarnation_))
+        , relay_(relayHandlers())
+        , control_([this](Now) { performActions(); })
+    {
+    }
+
+    static DirectCallsInit callsInit(const settings::Settings &settings, std::uint64_t seed)
+    {
+        DirectCallsInit init;
+        init.dataCentre = settings.data_centre();
+        init.seed = seed;
+        return init;
+    }
+
+    tl::expected<void, StartError> listen()
+    {
+        MessengerInit init = messengerInit(settings_, incarnation_);
+        auto messenger = Messenger::create(init, messengerHandlers());
+        if (!messenger) {
+            return tl::unexpected(startError(StartErrorKind::ControlAddress, "control", messenger.error()));
+        }
+        messenger_ = std::move(*messenger);
+        HttpServerInit http;
+        http.address = settings_.http().address();
+        http.port = static_cast<std::uint16_t>(settings_.http().port());
+        auto server = HttpServer::create(http, serverHandlers());
+        if (!server) {
+            return tl::unexpected(startError(StartErrorKind::HttpAddress, "http", server.error()));
+        }
+        server_ = std::move(*server);
+        relay_.attach(*server_);
+        return listenAside();
+    }
+
+    tl::expected<void, StartError> listenAside()
+    {
+        const auto &direct = settings_.direct();
+        HttpServerInit init;
+        init.address = direct.ready().address();
+        init.port = static_cast<std::uint16_t>(direct.ready().port());
+        auto ready = HttpServer::create(init, askedHandlers(ready_, [this](const auto &r) { return readiness(r); }));
+        if (!ready) {
+            return tl::unexpected(startError(StartErrorKind::HttpAddress, "direct.ready", ready.error()));
+        }
+        ready_ = std::move(*ready);
+        if (direct.metrics_port() == 0) {
+            return {};
+        }
+        init.port = static_cast<std::uint16_t>(direct.metrics_port());
+        auto told = HttpServer::create(init, askedHandlers(metrics_, [this](const auto &) { return metrics(); }));
+        if (!told) {
+            return tl::unexpected(startError(StartErrorKind::HttpAddress, "direct.metricsPort", told.error()));
+        }
+        metrics_ = std::move(*told);
+        return {};
+    }
+
+    HttpServer::Handlers serverHandlers()
+    {
+        HttpServer::Handlers handlers;
+        handlers.request = [this](HttpExchange exchange, HttpRequestData request) {
+            relay_.onRequest(exchange, std::move(request));
+        };
+        handlers.gone = [this](HttpExchange exchange, FailureReason) { relay_.onGone(exchange); };
+        handlers.taken = [this](HttpExchange exchange, std::uint64_t bytes) { relay_.onTaken(exchange, bytes); };
+        handlers.problem = [](HttpProblem problem) { return problemReply(problem); };
+        return handlers;
+    }
+
+    template<class Answer>
+    HttpServer::Handlers askedHandlers(std::unique_ptr<HttpServer> &server, Answer answer)
+    {
+        HttpServer::Handlers handlers;
+        handlers.request = [&server, answer](HttpExchange exchange, const HttpRequestData &request) {
+            server->reply(exchange, answer(request));
+        };
+        handlers.gone = [](HttpExchange, FailureReason) {};
+        handlers.taken = [](HttpExchange, std::uint64_t) {};
+        handlers.problem = [](HttpProblem problem) { return problemReply(problem); };
+        return handlers;
+    }
+
+    static HttpReply problemReply(HttpProblem problem)
+    {
+        HttpReply reply;
+        reply.status = statusOf(problem);
+        reply.body = std::string(toString(problem));
+        reply.close = true;
+        return reply;
+    }
+
+    HttpReply readiness(const HttpRequestData &request) const
+    {
+        HttpReply reply;
+        reply.status = Dialect::isReadinessCheck(request) && isReady_ && !draining_ ? 200 : statusUnavailable;
+        return reply;
+    }
+
+    HttpReply metrics() const
+    {
+        HttpReply reply;
+        reply.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
+        const std::lock_guard lock(metricsMutex_);
+        reply.body = metricsText_;
+        return reply;
+    }
+
+    RelayHandlers relayHandlers()
+    {
+        RelayHandlers handlers;
+        handlers.arrived = [this](HttpExchange exchange, CallFacts facts) {
+            control_.post([this, exchange, facts = std::move(facts)](Now now) {
+                calls_.arrive(CallHandle{exchange.value}, facts, now.mono);
+            });
+        };
+        handlers.began = [this](HttpExchange exchange, std::uint32_t attempt) {
+            control_.post([this, exchange, attempt](Now now) {
+                calls_.answerBegan(CallHandle{exchange.value}, attempt, now.mono);
+            });
+        };
+        handlers.ended = [this](HttpExchange exchange, std::uint32_t attempt, AttemptResult result) {
+            control_.post([this, exchange, attempt, result](Now now) {
+                calls_.attemptEnded(CallHandle{exchange.value}, attempt, result, now.mono);
+            });
+        };
+        handlers.gone = [this](HttpExchange exchange) {
+            control_.post([this, exchange](Now now) { calls_.callerGone(CallHandle{exchange.value}, now.mono); });
+        };
+        return handlers;
+    }
+
+    Messenger::Handlers messengerHandlers()
+    {
+        Messenger::Handlers handlers;
+        handlers.fromPeer = [](PeerHandle, wire::Envelope &&) {};
+        handlers.peerLost = [](PeerHandle) {};
+        handlers.fromTarget = [this](const std::string &name, wire::Envelope &&message) {
+            if (message.has_direct_state()) {
+                control_.post([this, name, state = message.direct_state()](Now now) {
+                    calls_.applyState(name, state, now.mono);
+                });
+            }
+        };
+        const auto lost = [this](const std::string &name) {
+            control_.post([this, name](Now) { calls_.sidecarLost(name); });
+        };
+        handlers.targetUp = lost; // a new conversation begins with everything
+        handlers.targetLost = lost;
+        handlers.sendFailed = [](const std::string &, const wire::AttemptId &) {};
+        return handlers;
+    }
+
+    StoreFollowerInit followerInit() const
+    {
+        const auto &direct = settings_.direct();
+        StoreFollowerInit init;
+        init.address = direct.store().substr(std::string_view("http://").size());
+        init.timeout = Milliseconds(direct.store_timeout_ms());
+        init.pause = Milliseconds(direct.store_pause_ms());
+        init.wait = Milliseconds(direct.watch_ms());
+        init.seed = hash64(settings_.name(), incarnation_);
+        return init;
+    }
+
+    StoreFollowerHandlers followerHandlers()
+    {
+        StoreFollowerHandlers handlers;
+        handlers.record = [this](StoreRecord record) {
+            control_.post([this, record = std::move(record)](Now now) { applyRecord(record, now.mono); });
+        };
+        handlers.complete = [this] {
+            control_.post([this](Now) { storeRead_ = true; });
+        };
+        handlers.reachable = [](bool reachable) {
+            logEvent(reachable ? Event::KeyValueBack : Event::KeyValueDown);
+        };
+        return handlers;
+    }
+
+    void applyRecord(const StoreRecord &record, TimePoint now)
+    {
+        std::visit(Overloaded{[&](const DirectConfig &config) { applyConfig(config, now); },
+                              [&](const EndpointRecord &endpoint) { calls_.applyEndpoint(endpoint, now); },
+                              [&](const EndpointRemoved &removed) {
+                                  logEvent(Event::EndpointRemoved, {{"endpoint", removed.id}});
+                                  calls_.removeEndpoint(removed.id, now);
+                              },
+                              [&](const NamedVersion &version) {
+                                  logEvent(Event::VersionNamed, {{"model", version.model},
+                                                                 {"adapter", version.adapter},
+                                                                 {"version", std::uint64_t{version.version}}});
+                                  calls_.applyVersion(version, now);
+                              }},
+                   record);
+        connectSidecars();
+    }
+
+    void applyConfig(const DirectConfig &config, TimePoint now)
+    {
+        if (!calls_.applyConfig(config, now)) {
+            return;
+        }
+        logEvent(Event::ConfigMoved, {{"revision", config.version}, {"routes", std::uint64_t{config.routes.size()}}});
+        const auto &limits = config.limits;
+        server_->updateLimits(limits.headBytes, limits.bodyBytes, limits.headTimeout, limits.idleTimeout);
+    }
+
+    void connectSidecars()
+    {
+        const auto wanted = calls_.engineAddresses();
+        const std::set<std::string> names(wanted.begin(), wanted.end());
+        for (const auto &name : names) {
+            if (sidecars_.insert(name).second) {
+                const auto ip = name.substr(0, name.rfind(':'));
+                messenger_->connectTo(name, ip + ":" + std::to_string(settings_.control().port()));
+            }
+        }
+        for (auto it = sidecars_.begin(); it != sidecars_.end();) {
+            if (names.count(*it) == 0) {
+                messenger_->disconnectFrom(*it);
+                it = sidecars_.erase(it);
+            } else {
+                ++it;
+            }
+        }
+    }
+
+    void onTick()
+    {
+        const auto now = EventLoop::now();
+        calls_.tick(now);
+        isReady_ = storeRead_ && calls_.ready();
+        if (now >= metricsDue_) {
+            metricsDue_ = now + metricsInterval;
+            renderMetrics();
+        }
+        control_.timers().subscribe(now + directTick, [this](TimePoint) { onTick(); });
+    }
+
+    void performActions()
+    {
+        auto actions = calls_.takeActions();
+        for (auto &ended : calls_.takeEnded()) {
+            log_.callEnded(ended, EventLoop::now());
+        }
+        std::vector<DirectAction> traffic;
+        for (auto &action : actions) {
+            if (auto *wishes = std::get_if<SendWishes>(&action)) {
+                wire::Envelope message;
+                *message.mutable_direct_demand() = std::move(wishes->demand);
+                messenger_->sendTo(wishes->address, message);
+            } else {
+                traffic.push_back(std::move(action));
+            }
+        }
+        if (traffic.empty()) {
+            return;
+        }
+        server_->loop().post([this, traffic = std::move(traffic)] {
+            for (const auto &action : traffic) {
+                std::visit(Overloaded{[](const SendWishes &) {}, [this](const auto &one) { relay_.perform(one); }},
+                           action);
+            }
+        });
+    }
+
+    void renderMetrics()
+    {
+        MetricsText text;
+        appendDirectMetrics(text, calls_.stats());
+        log_.appendMetrics(text);
+        appendMessengerMetrics(text, messenger_->stats());
+        appendHttpMetrics(text, server_->stats());
+        const std::lock_guard lock(metricsMutex_);
+        metricsText_ = text.text();
+    }
+
+    static constexpr Duration metricsInterval = Seconds(2);
+
+    settings::Settings settings_;
+    std::uint64_t incarnation_;
+    DirectCalls calls_; // control thread
+    DirectRelay<Dialect> relay_; // traffic thread
+    DirectLog log_; // control thread
+    std::set<std::string> sidecars_; // control thread: names of the messenger's targets
+    bool storeRead_ = false; // control thread
+    TimePoint metricsDue_{}; // control thread
+    std::atomic<bool> isReady_ = false;
+    std::atomic<bool> draining_ = false;
+    bool down_ = false;
+    mutable std::mutex metricsMutex_; // guards metricsText_
+    std::string metricsText_;
+    ControlLoop control_;
+    std::unique_ptr<Messenger> messenger_;
+    std::unique_ptr<StoreFollower<Dialect>> follower_; // traffic thread
+    std::unique_ptr<HttpServer> server_;
+    std::unique_ptr<HttpServer> ready_;
+    std::unique_ptr<HttpServer> metrics_;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/daemon/direct_log.cpp
@@ -0,0 +1,100 @@
+// Lines and metrics of the direct path's calls.
+#include "direct_log.h"
+
+namespace anvilscale {
+
+namespace {
+
+// Lines of ended calls a second. An entry of today's deployments ends some twenty calls a second; the rest of an
+// overload is counted, so that writing logs never takes the processor from calls.
+constexpr std::uint32_t linesPerSecond = 100;
+const std::vector<double> latencyBounds{0.01, 0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 0.8, 1, 1.5, 2, 3, 5, 10, 15};
+
+double seconds(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+std::int64_t inMs(Duration span)
+{
+    return std::chrono::duration_cast<Milliseconds>(span).count();
+}
+
+} // namespace
+
+DirectLog::DirectLog()
+    : firstByte_("anvilscale_call_first_byte_seconds", "time from a call's arrival to the first byte of its answer",
+                 latencyBounds)
+    , total_("anvilscale_call_seconds", "time from a call's arrival to its end", latencyBounds)
+    , adapterWait_("anvilscale_call_adapter_wait_seconds", "time that a call waited for its adapter", latencyBounds)
+{
+}
+
+bool DirectLog::mayWrite(TimePoint now)
+{
+    if (now - windowStart_ >= Seconds(1)) {
+        windowStart_ = now;
+        lines_ = 0;
+    }
+    if (lines_ >= linesPerSecond) {
+        ++suppressed_;
+        return false;
+    }
+    ++lines_;
+    return true;
+}
+
+void DirectLog::callEnded(const EndedCall &call, TimePoint now)
+{
+    total_.record(seconds(call.total));
+    if (call.firstByte) {
+        firstByte_.record(seconds(*call.firstByte));
+    }
+    if (call.adapterWait != Duration(0)) {
+        adapterWait_.record(seconds(call.adapterWait));
+    }
+    if (!mayWrite(now)) {
+        return;
+    }
+    const bool well = call.outcome == EndedOutcome::Answered;
+    logEvent(well ? Event::CallEnded : Event::CallEndedBadly,
+             {{"request", call.requestId},
+              {"outcome", std::string(toString(call.outcome))},
+              {"reason", call.reason},
+              {"status", std::uint64_t{call.status}},
+              {"service", call.service},
+              {"adapter", call.adapter},
+              {"endpoint", call.endpointId},
+              {"attempts", std::uint64_t{call.attempts}},
+              {"config", call.configVersion},
+              {"estimateMs", inMs(call.estimate)},
+              {"stateAgeMs", inMs(call.stateAge)},
+              {"adapterWaitMs", inMs(call.adapterWait)},
+              {"firstByteMs", call.firstByte ? inMs(*call.firstByte) : -1},
+              {"totalMs", inMs(call.total)},
+              {"patienceMs", inMs(call.patience)}});
+}
+
+void DirectLog::appendMetrics(MetricsText &text) const
+{
+    text.add(firstByte_);
+    text.add(total_);
+    text.add(adapterWait_);
+    text.counter("anvilscale_log_lines_suppressed_total", "lines of calls that were not written, beyond the rate",
+                 suppressed_);
+}
+
+void appendDirectMetrics(MetricsText &text, const DirectCallsStats &stats)
+{
+    text.counter("anvilscale_direct_calls_total", "calls that arrived", stats.calls);
+    text.counter("anvilscale_direct_sent_total", "attempts sent to endpoints", stats.sent);
+    text.counter("anvilscale_direct_adapter_waits_total", "waits of calls for their adapter", stats.waitedForAdapter);
+    text.gauge("anvilscale_direct_calls_open", "calls in progress", static_cast<double>(stats.open));
+    text.counters("anvilscale_direct_attempt_ends_total", "how attempts ended", "end", stats.ends);
+    text.counters("anvilscale_direct_endpoint_refusals_total", "calls refused by endpoints", "refusal",
+                  stats.endpointRefusals);
+    text.counters("anvilscale_direct_refusals_total", "calls refused by this entry", "reason", stats.refusals);
+    text.counters("anvilscale_direct_retries_total", "further attempts", "reason", stats.retries);
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/daemon/direct_sidecar.h
@@ -0,0 +1,230 @@
+// A sidecar of the direct path as a process: it reads its engine's report and orders models and adapters into it.
+#pragma once
+
+#include "control_loop.h"
+#include "process.h"
+
+#include "anvilscale/daemon.h"
+#include "anvilscale/direct_path.h"
+#include "anvilscale/telemetry.h"
+
+#include <set>
+
+namespace anvilscale {
+
+template<DirectDialect Dialect>
+class DirectSidecar
+{
+public:
+    static tl::expected<std::unique_ptr<DirectSidecar>, StartError> create(const settings::Settings &settings)
+    {
+        auto sidecar = std::unique_ptr<DirectSidecar>(new DirectSidecar(settings));
+        auto messenger =
+            Messenger::create(messengerInit(settings, sidecar->incarnation_), sidecar->messengerHandlers());
+        if (!messenger) {
+            return tl::unexpected(startError(StartErrorKind::ControlAddress, "control", messenger.error()));
+        }
+        sidecar->messenger_ = std::move(*messenger);
+        return sidecar;
+    }
+    ~DirectSidecar()
+    {
+        shutdown();
+    }
+    DirectSidecar(const DirectSidecar &) = delete;
+    DirectSidecar &operator=(const DirectSidecar &) = delete;
+
+    void start()
+    {
+        control_.start();
+        messenger_->start();
+        loop_.post([this] {
+            HttpClientInit init;
+            init.address = settings_.direct().endpoint().substr(std::string_view("http://").size());
+            init.connectTimeout = answerTime;
+            init.keepIdle = Milliseconds(700);
+            init.keepMargin = Milliseconds(300);
+            client_ = std::make_unique<HttpClient>(loop_, init);
+        });
+        control_.post([this](Now) { readReport(); });
+        logEvent(Event::ProcessStarted, {{"role", settings_.role()}, {"incarnation", incarnation_}});
+    }
+
+    /// Nothing of a call passes here: there is nothing to wait for.
+    void drain(const std::function<void()> &done)
+    {
+        logEvent(Event::DrainStarted);
+        done();
+    }
+
+    void shutdown()
+    {
+        if (std::exchange(down_, true)) {
+            return;
+        }
+        control_.stop();
+        loop_.post([this] { client_.reset(); });
+        loop_.stop();
+        if (messenger_) {
+            messenger_->shutdown();
+        }
+    }
+
+    std::uint16_t controlPort() const
+    {
+        return messenger_->port();
+    }
+    static std::uint16_t httpPort()
+    {
+        return 0;
+    }
+
+private:
+    // The engine answers on the same VM within a millisecond; beyond this it is stopped or overloaded.
+    static constexpr Duration answerTime = Milliseconds(500);
+    static constexpr Duration calmInterval = Milliseconds(200); // between reports
+    static constexpr Duration busyInterval = Milliseconds(25); // while a load is under way: its end is told at once
+    static constexpr Duration stateInterval = Milliseconds(500); // an entry takes three that are missing as a loss
+
+    explicit DirectSidecar(const settings::Settings &settings)
+        : settings_(settings)
+        , incarnation_(newIncarnation())
+        , keeper_(incarnation_ / 1000) // milliseconds: grows with each start of this VM, the only one that orders
+        , control_([this](Now now) { afterEvents(now.mono); })
+        , loop_("engine")
+    {
+    }
+
+    Messenger::Handlers messengerHandlers()
+    {
+        Messenger::Handlers handlers;
+        handlers.fromPeer = [this](PeerHandle peer, wire::Envelope &&message) {
+            if (!message.has_direct_demand()) {
+                return;
+            }
+            control_.post([this, peer, demand = message.direct_demand()](Now now) {
+                keeper_.applyDemand(peer, demand, now.mono);
+                if (peers_.insert(peer).second) {
+                    stateDue_ = now.mono;
+                }
+            });
+        };
+        handlers.peerLost = [this](PeerHandle peer) {
+            control_.post([this, peer](Now) {
+                peers_.erase(peer);
+                keeper_.peerLost(peer);
+            });
+        };
+        handlers.fromTarget = [](const std::string &, wire::Envelope &&) {};
+        handlers.targetUp = [](const std::string &) {};
+        handlers.targetLost = [](const std::string &) {};
+        handlers.sendFailed = [](const std::string &, const wire::AttemptId &) {};
+        return handlers;
+    }
+
+    /// One exchange with the engine; `done` gets its head and body, or none, in the control thread.
+    void ask(EndpointRequest request, std::function<void(Now, std::optional<HttpResponseHead>, std::string)> done)
+    {
+        loop_.post([this, request = std::move(request), done = std::move(done)] {
+            auto head = std::make_shared<std::optional<HttpResponseHead>>();
+            auto body = std::make_shared<std::string>();
+            ExchangeHandlers handlers;
+            handlers.head = [head](const HttpResponseHead &got) { *head = got; };
+            handlers.data = [body](const std::string &data) { *body += data; };
+            handlers.end = [this, head, body, done](ExchangeEnd end) {
+                if (end != ExchangeEnd::Complete) {
+                    head->reset();
+                }
+                control_.post([head, body, done](Now now) { done(now, *head, *body); });
+            };
+            client_->start(request, answerTime, std::move(handlers));
+        });
+    }
+
+    void readReport()
+    {
+        reading_ = true;
+        ask(Dialect::reportRequest(), [this](Now now, const std::optional<HttpResponseHead> &head, const std::string &body) {
+            reading_ = false;
+            const auto report = head && head->status == 200 ? Dialect::readReport(body) : std::nullopt;
+            noteReachable(report.has_value());
+            if (report) {
+                keeper_.applyReport(*report, now.mono);
+            } else {
+                keeper_.reportFailed(now.mono);
+            }
+            const bool busy = report && (!report->pending.empty() || report->busy || keeper_.waits());
+            control_.timers().subscribe(now.mono + (busy ? busyInterval : calmInterval), [this](TimePoint) {
+                if (!reading_) {
+                    readReport();
+                }
+            });
+        });
+    }
+
+    void noteReachable(bool reachable)
+    {
+        if (std::exchange(reachable_, reachable) != reachable) {
+            logEvent(reachable ? Event::EndpointBack : Event::EndpointLost, {{"endpoint", settings_.direct().endpoint()}});
+        }
+    }
+
+    void afterEvents(TimePoint now)
+    {
+        if (const auto order = keeper_.nextOrder(now)) {
+            sendOrder(*order);
+        }
+        if (keeper_.revision() != toldRevision_ || now >= stateDue_) {
+            tellState(now);
+        }
+    }
+
+    void sendOrder(const EngineOrder &order)
+    {
+        ask(Dialect::orderRequest(order, settings_.name()),
+            [this, order](Now now, const std::optional<HttpResponseHead> &head, const std::string &) {
+                const auto result = head ? Dialect::readOrderResult(*head) : EngineOrderResult::NoAnswer;
+                logEvent(Event::EngineOrder, {{"order", std::string(toString(order.kind))},
+                                              {"model", order.model},
+                                              {"adapter", order.adapter},
+                                              {"endpoint", order.endpointId},
+                                              {"expected", order.expected},
+                                              {"fence", order.fence},
+                                              {"result", std::string(toString(result))}});
+                keeper_.orderEnded(order.id, result, head ? Dialect::incarnationOf(*head) : "", now.mono);
+                if (!reading_) {
+                    readReport();
+                }
+            });
+    }
+
+    void tellState(TimePoint now)
+    {
+        toldRevision_ = keeper_.revision();
+        stateDue_ = now + stateInterval;
+        control_.timers().subscribe(stateDue_, [](TimePoint) {});
+        wire::Envelope message;
+        *message.mutable_direct_state() = keeper_.state();
+        message.mutable_direct_state()->set_sequence(++sequence_);
+        for (const auto peer : peers_) {
+            messenger_->sendTo(peer, message);
+        }
+    }
+
+    settings::Settings settings_;
+    std::uint64_t incarnation_;
+    AdapterKeeper keeper_; // control thread, as all below
+    std::set<PeerHandle> peers_; // entries that have told what they want
+    bool reading_ = false;
+    bool reachable_ = true;
+    std::uint64_t toldRevision_ = 0;
+    std::uint64_t sequence_ = 0;
+    TimePoint stateDue_{};
+    bool down_ = false;
+    ControlLoop control_;
+    EventLoop loop_;
+    std::unique_ptr<HttpClient> client_; // the loop's thread
+    std::unique_ptr<Messenger> messenger_;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/direct/adapter_keeper.cpp
@@ -0,0 +1,358 @@
+// Decides which models and adapters one engine holds, and orders them one at a time.
+#include "anvilscale/direct.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvilscale {
+
+namespace {
+
+// Loads that may be on their way to one engine at the same time; the engine's own limit.
+constexpr std::size_t mostPending = 4;
+// After an order without an answer: time for it to be carried out, if it was accepted, before the next one.
+constexpr Duration afterNoAnswer = Milliseconds(300);
+constexpr Duration afterConflict = Milliseconds(30);
+constexpr Duration afterRejection = Milliseconds(500);
+// An accepted order shows in the engine's report within some milliseconds; after this long it is taken as lost.
+constexpr Duration longestAwait = Milliseconds(1000);
+// Half-life of an adapter's use, against the seconds in which popularity shifts.
+constexpr double useHalfLifeSeconds = 6.0;
+// An adapter just loaded is kept for its first call: the news of the load takes some milliseconds to the entries.
+constexpr Duration settleTime = Milliseconds(300);
+// Raised by more than any step of a clock, for an engine that knows a higher number from an earlier start.
+constexpr std::uint64_t fenceStep = 60'000;
+
+} // namespace
+
+AdapterKeeper::AdapterKeeper(std::uint64_t fence)
+    : fence_(fence)
+{
+}
+
+void AdapterKeeper::applyDemand(PeerHandle peer, const wire::DirectDemand &demand, TimePoint now)
+{
+    if (demand.has_plan() && demand.plan().config_version() >= plan_.config_version()) {
+        plan_ = demand.plan();
+    }
+    if (endpointId_.empty()) {
+        endpointId_ = demand.endpoint_id();
+    }
+    auto &wishes = wishes_[peer];
+    wishes.clear();
+    for (const auto &item : demand.wishes()) {
+        const AdapterKey key{item.model(), item.adapter()};
+        wishes[key] = Wish{item.waiting(), item.running(), item.least_version()};
+        touch(key, item.started() + item.waiting(), now);
+    }
+}
+
+void AdapterKeeper::peerLost(PeerHandle peer)
+{
+    wishes_.erase(peer);
+    ++revision_;
+}
+
+void AdapterKeeper::touch(const AdapterKey &key, std::uint32_t starts, TimePoint now)
+{
+    auto &use = uses_[key];
+    const double idle = std::chrono::duration<double>(now - use.last).count();
+    use.rate = use.rate * std::exp2(-idle / useHalfLifeSeconds) + starts;
+    use.last = now;
+}
+
+void AdapterKeeper::applyReport(const EngineStateReport &report, TimePoint now)
+{
+    const bool restarted = report_ && report.sequence < report_->sequence;
+    const bool changed = !report_ || !reachable_ || report_->adapters != report.adapters
+                         || report_->models != report.models || report_->pending != report.pending;
+    if (restarted) {
+        underWay_.reset();
+        awaited_.reset();
+    }
+    // The awaited order shows once the report counts it.
+    if (awaited_ && report.sequence > awaited_->expected) {
+        awaited_.reset();
+    }
+    if (awaited_ && now > notBefore_ + longestAwait) {
+        awaited_.reset();
+    }
+    if (changed) {
+        ++revision_;
+        for (const auto &adapter : report.adapters) {
+            const AdapterKey key{adapter.model, adapter.adapter};
+            if (held(key) == nullptr) {
+                touch(key, 0, now);
+            }
+        }
+    }
+    report_ = report;
+    reachable_ = true;
+}
+
+void AdapterKeeper::reportFailed(TimePoint /*now*/)
+{
+    revision_ += reachable_ ? 1 : 0;
+    reachable_ = false;
+}
+
+void AdapterKeeper::orderEnded(OrderHandle id, EngineOrderResult result, const std::string &incarnation, TimePoint now)
+{
+    results_.add(result);
+    if (!underWay_ || underWay_->id != id) {
+        return;
+    }
+    const auto order = *std::exchange(underWay_, std::nullopt);
+    notBefore_ = now;
+    switch (result) {
+    case EngineOrderResult::Accepted:
+    case EngineOrderResult::AlreadyHolds:
+        awaited_ = order;
+        return;
+    case EngineOrderResult::Conflict:
+        notBefore_ = now + afterConflict;
+        return;
+    case EngineOrderResult::FencedOff:
+        // Only this VM orders its engine, so the higher number is of an earlier start with another clock.
+        fence_ += fenceStep;
+        return;
+    case EngineOrderResult::OtherIncarnation:
+        if (!incarnation.empty() && incarnation != endpointId_) {
+            endpointId_ = incarnation;
+            report_.reset();
+            awaited_.reset();
+        } else {
+            notBefore_ = now + afterRejection;
+        }
+        return;
+    case EngineOrderResult::NoAnswer:
+        notBefore_ = now + afterNoAnswer;
+        return;
+    case EngineOrderResult::Rejected:
+    case EngineOrderResult::Count:
+        notBefore_ = now + afterRejection;
+        return;
+    }
+}
+
+AdapterKeeper::Wish AdapterKeeper::wishFor(const AdapterKey &key) const
+{
+    Wish sum;
+    for (const auto &[peer, wishes] : wishes_) {
+        if (const auto found = wishes.find(key); found != wishes.end()) {
+            sum.waiting += found->second.waiting;
+            sum.running += found->second.running;
+            sum.leastVersion = std::max(sum.leastVersion, found->second.leastVersion);
+        }
+    }
+    return sum;
+}
+
+const HeldAdapter *AdapterKeeper::held(const AdapterKey &key) const
+{
+    if (!report_) {
+        return nullptr;
+    }
+    const auto found = std::find_if(
+        report_->adapters.begin(), report_->adapters.end(),
+        [&](const HeldAdapter &adapter) { return adapter.model == key.first && adapter.adapter == key.second; });
+    return found == report_->adapters.end() ? nullptr : &*found;
+}
+
+bool AdapterKeeper::isPending(const AdapterKey &key) const
+{
+    return std::any_of(
+        report_->pending.begin(), report_->pending.end(),
+        [&](const HeldAdapter &adapter) { return adapter.model == key.first && adapter.adapter == key.second; });
+}
+
+bool AdapterKeeper::hasModel(const std::string &model) const
+{
+    return std::find(report_->models.begin(), report_->models.end(), model) != report_->models.end();
+}
+
+const wire::EngineModel *AdapterKeeper::sizeOf(const std::string &model) const
+{
+    for (const auto &size : plan_.models()) {
+        if (size.name() == model) {
+            return &size;
+        }
+    }
+    return nullptr;
+}
+
+double AdapterKeeper::usedMb() const
+{
+    double sum = 0;
+    for (const auto &model : report_->models) {
+        const auto *size = sizeOf(model);
+        sum += size == nullptr ? 0 : size->weights_mb();
+    }
+    for (const auto *list : {&report_->adapters, &report_->pending}) {
+        for (const auto &adapter : *list) {
+            const auto *size = sizeOf(adapter.model);
+            sum += size == nullptr ? 0 : size->adapter_mb();
+        }
+    }
+    return sum;
+}
+
+EngineOrder AdapterKeeper::makeOrder(EngineOrderKind kind, const AdapterKey &key)
+{
+    EngineOrder order;
+    order.id = OrderHandle{++lastOrder_};
+    order.kind = kind;
+    order.model = key.first;
+    order.adapter = key.second;
+    order.expected = report_->sequence;
+    order.fence = fence_;
+    order.endpointId = endpointId_;
+    return order;
+}
+
+// The adapter that is worth least: nobody runs or waits for it, and it is asked for most rarely.
+std::optional<AdapterKeeper::AdapterKey> AdapterKeeper::victim(TimePoint now) const
+{
+    std::optional<AdapterKey> worst;
+    double least = 0;
+    for (const auto &adapter : report_->adapters) {
+        const AdapterKey key{adapter.model, adapter.adapter};
+        const auto wish = wishFor(key);
+        const auto use = uses_.find(key);
+        const bool settling = use != uses_.end() && now - use->second.last < settleTime;
+        if (wish.running != 0 || wish.waiting != 0 || settling) {
+            continue;
+        }
+        double rate = 0;
+        if (use != uses_.end()) {
+            const double idle = std::chrono::duration<double>(now - use->second.last).count();
+            rate = use->second.rate * std::exp2(-idle / useHalfLifeSeconds);
+        }
+        if (!worst || rate < least) {
+            worst = key;
+            least = rate;
+        }
+    }
+    return worst;
+}
+
+std::optional<EngineOrder> AdapterKeeper::orderFor(const AdapterKey &key, const Wish &wish, TimePoint now)
+{
+    if (!hasModel(key.first)) {
+        const auto *size = sizeOf(key.first);
+        const bool fits = size != nullptr && usedMb() + size->weights_mb() <= plan_.weights_mb();
+        if (report_->busy || !fits) {
+            return std::nullopt;
+        }
+        return makeOrder(EngineOrderKind::Load, {key.first, ""});
+    }
+    if (key.second.empty() || isPending(key)) {
+        return std::nullopt;
+    }
+    const auto *present = held(key);
+    if (present != nullptr && present->version >= wish.leastVersion) {
+        return std::nullopt;
+    }
+    if (report_->pending.size() >= mostPending) {
+        return std::nullopt;
+    }
+    if (present != nullptr) {
+        return makeOrder(EngineOrderKind::Load, key); // a newer version takes its slot
+    }
+    if (wish.waiting == 0) {
+        return std::nullopt;
+    }
+    const auto *size = sizeOf(key.first);
+    const bool slotFree = report_->adapters.size() + report_->pending.size() < plan_.adapter_slots();
+    const bool fits = size != nullptr && usedMb() + size->adapter_mb() <= plan_.weights_mb();
+    if (slotFree && fits) {
+        return makeOrder(EngineOrderKind::Load, key);
+    }
+    const auto out = victim(now);
+    return out ? std::optional(makeOrder(EngineOrderKind::Unload, *out)) : std::nullopt;
+}
+
+std::optional<EngineOrder> AdapterKeeper::nextOrder(TimePoint now)
+{
+    const bool known = report_ && reachable_ && plan_.config_version() != 0 && !endpointId_.empty();
+    if (!known || underWay_ || awaited_ || now < notBefore_) {
+        return std::nullopt;
+    }
+    // What most calls wait for comes first.
+    std::map<AdapterKey, Wish> wanted;
+    for (const auto &[peer, wishes] : wishes_) {
+        for (const auto &[key, wish] : wishes) {
+            wanted.try_emplace(key, wishFor(key));
+        }
+    }
+    std::vector<std::pair<AdapterKey, Wish>> order(wanted.begin(), wanted.end());
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto &a, const auto &b) { return a.second.waiting > b.second.waiting; });
+    for (const auto &[key, wish] : order) {
+        if (auto next = orderFor(key, wish, now)) {
+            underWay_ = next;
+            return next;
+        }
+    }
+    return std::nullopt;
+}
+
+wire::DirectState AdapterKeeper::state() const
+{
+    wire::DirectState state;
+    state.set_endpoint_id(endpointId_);
+    state.set_entries(static_cast<std::uint32_t>(wishes_.size()));
+    state.set_reachable(reachable_);
+    if (!report_) {
+        return state;
+    }
+    for (const auto &model : report_->models) {
+        state.add_models(model);
+    }
+    const auto add = [&state](const HeldAdapter &adapter, bool loading) {
+        auto &item = *state.add_adapters();
+        item.set_model(adapter.model);
+        item.set_adapter(adapter.adapter);
+        item.set_version(adapter.version);
+        item.set_loading(loading);
+    };
+    std::uint32_t idle = 0;
+    for (const auto &adapter : report_->adapters) {
+        const AdapterKey key{adapter.model, adapter.adapter};
+        const auto wish = wishFor(key);
+        const bool evicting = underWay_ && underWay_->kind == EngineOrderKind::Unload && underWay_->model == key.first
+                              && underWay_->adapter == key.second;
+        idle += wish.running == 0 && wish.waiting == 0 ? 1 : 0;
+        if (!evicting) {
+            add(adapter, false);
+        }
+    }
+    for (const auto &adapter : report_->pending) {
+        add(adapter, true);
+    }
+    const auto taken = report_->adapters.size() + report_->pending.size();
+    const auto free = plan_.adapter_slots() > taken ? plan_.adapter_slots() - taken : 0;
+    state.set_room(static_cast<std::uint32_t>(free) + idle);
+    state.set_running(report_->running);
+    state.set_queued(report_->queued);
+    state.set_kv_used(report_->kvUsed);
+    state.set_kv_total(report_->kvTotal);
+    return state;
+}
+
+bool AdapterKeeper::waits() const
+{
+    return underWay_ || awaited_;
+}
+
+std::uint64_t AdapterKeeper::revision() const
+{
+    return revision_;
+}
+
+const Counters<EngineOrderResult> &AdapterKeeper::results() const
+{
+    return results_;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/direct/direct_calls.cpp
@@ -0,0 +1,460 @@
+// The life of a call at an entry: arrival, wait for its adapter, attempts, end.
+#include "direct_calls_impl.h"
+
+#include <algorithm>
+
+namespace anvilscale {
+
+namespace {
+
+constexpr std::uint32_t notFound = 404;
+constexpr std::uint32_t unavailable = 503;
+// Told where nothing better is known: an endpoint that has crashed is replaced or avoided within about this time.
+constexpr Duration usualRetryAfter = Milliseconds(500);
+// A call that is sent with less than this left would be cut before its first byte.
+constexpr Duration leastTimeToSend = Milliseconds(30);
+
+void lower(std::uint32_t &count)
+{
+    count -= count == 0 ? 0 : 1;
+}
+
+std::string pickService(const DirectRoute &route, std::string_view requestId)
+{
+    std::uint64_t sum = 0;
+    for (const auto &share : route.services) {
+        sum += share.weight;
+    }
+    if (sum == 0) {
+        return route.services.front().service;
+    }
+    auto point = hash64(requestId) % sum;
+    for (const auto &share : route.services) {
+        if (point < share.weight) {
+            return share.service;
+        }
+        point -= share.weight;
+    }
+    return route.services.back().service;
+}
+
+} // namespace
+
+DirectCalls::DirectCalls(DirectCallsInit init)
+    : impl_(std::make_unique<Impl>())
+{
+    impl_->init = std::move(init);
+}
+
+DirectCalls::~DirectCalls() = default;
+
+bool DirectCalls::applyConfig(const DirectConfig &config, TimePoint /*now*/)
+{
+    // A late or stale read must never bring an older configuration back.
+    if (impl_->config && config.version <= impl_->config->version) {
+        return false;
+    }
+    impl_->config = config;
+    impl_->routes = RouteTable(config.routes);
+    return true;
+}
+
+void DirectCalls::applyEndpoint(const EndpointRecord &record, TimePoint now)
+{
+    impl_->endpoints.put(record);
+    if (record.leaving) {
+        impl_->rerouteWaiting(record.id, now);
+    }
+}
+
+void DirectCalls::removeEndpoint(const std::string &id, TimePoint now)
+{
+    auto *entry = impl_->endpoints.find(id);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->record.leaving = true;
+    impl_->rerouteWaiting(id, now);
+    impl_->endpoints.remove(id);
+}
+
+// An endpoint that leaves takes no new calls, also none that have waited there since before.
+void DirectCalls::Impl::rerouteWaiting(const std::string &id, TimePoint now)
+{
+    const auto waiting = std::exchange(endpoints.find(id)->waiting, {});
+    for (const auto handle : waiting) {
+        route(handle, calls.at(handle), now);
+    }
+}
+
+void DirectCalls::applyVersion(const NamedVersion &version, TimePoint /*now*/)
+{
+    auto &known = impl_->versions[{version.model, version.adapter}];
+    known = std::max(known, version.version);
+}
+
+void DirectCalls::applyState(const std::string &address, const wire::DirectState &state, TimePoint now)
+{
+    auto *entry = impl_->endpoints.findByAddress(address);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->state = state;
+    entry->stateAt = now;
+    entry->inFlightAtState = entry->inFlight;
+    impl_->sendWaiting(entry->record.id, now);
+}
+
+void DirectCalls::sidecarLost(const std::string &address)
+{
+    if (auto *entry = impl_->endpoints.findByAddress(address)) {
+        entry->state.reset();
+    }
+    impl_->wishes.erase(address);
+}
+
+void DirectCalls::arrive(CallHandle handle, CallFacts facts, TimePoint now)
+{
+    auto &impl = *impl_;
+    ++impl.stats.calls;
+    const auto *route = impl.config ? impl.routes.find(facts.host, facts.path) : nullptr;
+    if (route == nullptr) {
+        impl.calls[handle].facts = std::move(facts);
+        impl.calls[handle].arrived = now;
+        if (impl.config) {
+            impl.refuse(handle, notFound, RefusalReason::UnknownRoute, Duration(0), now);
+        } else {
+            impl.refuse(handle, unavailable, RefusalReason::NotConfigured, usualRetryAfter, now);
+        }
+        return;
+    }
+    DirectCall call;
+    call.service = pickService(*route, facts.requestId);
+    const auto *service = impl.config->service(call.service);
+    call.engine = service != nullptr && service->engine.has_value();
+    call.repeat = route->repeat;
+    call.resumable = route->resumable;
+    call.priority = route->priority;
+    call.maxEndpoints = std::max<std::uint32_t>(1, route->maxEndpoints);
+    call.objective = route->objective;
+    call.arrived = now;
+    call.deadline = now + facts.patience;
+    call.cutAt = std::min(call.deadline, now + route->timeout);
+    call.facts = std::move(facts);
+    impl.budgets[call.service].countFirst(now);
+    if (call.engine) {
+        ++impl.modelUse[call.facts.model];
+    }
+    auto &stored = impl.calls.insert_or_assign(handle, std::move(call)).first->second;
+    impl.route(handle, stored, now);
+}
+
+std::uint32_t DirectCalls::Impl::namedVersion(const AdapterName &name) const
+{
+    const auto found = versions.find(name);
+    return found == versions.end() ? 0 : found->second;
+}
+
+void DirectCalls::Impl::route(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    ChoiceQuery query;
+    query.facts = &call.facts;
+    query.service = &call.service;
+    query.engine = call.engine;
+    query.leastVersion = namedVersion(call.adapterName());
+    query.exclude = &call.tried;
+    query.dataCentre = init.dataCentre;
+    const auto choice = chooseEndpoint(endpoints, query, now);
+    if (!choice) {
+        giveUp(handle, call, RefusalReason::NoEndpoint, usualRetryAfter, now);
+        return;
+    }
+    // The answer would come after the caller has left: refused now, the caller can come back when there is room.
+    if (now + choice->firstByte > call.deadline) {
+        const auto excess = choice->firstByte - call.objective;
+        giveUp(handle, call, RefusalReason::DeadlineUnreachable, std::max(usualRetryAfter, excess), now);
+        return;
+    }
+    place(handle, call, *choice, now);
+}
+
+void DirectCalls::Impl::place(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now)
+{
+    call.endpointId = choice.endpointId;
+    call.unreadTokens = choice.unreadTokens;
+    call.stepSince = now;
+    call.estimate = choice.firstByte;
+    const auto &chosen = *endpoints.find(choice.endpointId);
+    call.stateAge = chosen.state ? now - chosen.stateAt : Duration(-1);
+    if (call.engine && choice.presence != Presence::Resident) {
+        wait(handle, call, now);
+        return;
+    }
+    send(handle, call, now);
+}
+
+void DirectCalls::Impl::wait(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    call.step = CallStep::Waiting;
+    auto &entry = *endpoints.find(call.endpointId);
+    entry.waiting.insert(handle);
+    ++stats.waitedForAdapter;
+    tellSidecar(entry, now);
+}
+
+void DirectCalls::Impl::send(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    auto &entry = *endpoints.find(call.endpointId);
+    const auto name = call.adapterName();
+    call.adapterWait += call.step == CallStep::Waiting ? now - call.stepSince : Duration(0);
+    call.step = CallStep::Sent;
+    call.stepSince = now;
+    call.began = false;
+    ++call.attempt;
+    // The version is asked for where the operator has named one, so that an engine which still holds the last one
+    // refuses instead of running it.
+    const auto named = namedVersion(name);
+    call.version = named == 0 ? 0 : std::max(named, entry.heldVersion(name, now));
+    ++entry.inFlight;
+    if (entry.unanswered++ == 0) {
+        entry.oldestSilence = now;
+    }
+    entry.unreadTokens += call.unreadTokens;
+    if (call.engine) {
+        ++entry.runningOn[name];
+        ++entry.startedOn[name];
+    }
+    ++stats.sent;
+    SendCall action;
+    action.call = handle;
+    action.attempt = call.attempt;
+    action.endpointId = entry.record.id;
+    action.address = entry.record.address;
+    action.priority = call.priority;
+    action.version = call.version;
+    action.deadline = call.deadline;
+    action.holdAnswer = call.repeatable() && call.ranAt + 1 < call.maxEndpoints;
+    actions.emplace_back(std::move(action));
+}
+
+void DirectCalls::Impl::leaveEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now)
+{
+    auto *entry = endpoints.find(call.endpointId);
+    if (entry == nullptr) {
+        return; // it has gone in the meantime, and what was counted of it too
+    }
+    if (call.step == CallStep::Waiting) {
+        entry->waiting.erase(handle);
+        return;
+    }
+    // An endpoint that was removed and came back under its id counts from zero, and calls from before still end.
+    lower(entry->inFlight);
+    entry->inFlightAtState = std::min(entry->inFlightAtState, entry->inFlight);
+    if (!call.began) {
+        lower(entry->unanswered);
+        entry->unreadTokens = std::max(0.0, entry->unreadTokens - call.unreadTokens);
+    }
+    if (call.engine) {
+        const auto running = entry->runningOn.find(call.adapterName());
+        if (running != entry->runningOn.end() && --running->second == 0) {
+            entry->runningOn.erase(running);
+        }
+    }
+    entry->countEnd(failed, now);
+}
+
+void DirectCalls::answerBegan(CallHandle handle, std::uint32_t attempt, TimePoint now)
+{
+    const auto found = impl_->calls.find(handle);
+    if (found == impl_->calls.end() || found->second.attempt != attempt || found->second.began) {
+        return;
+    }
+    auto &call = found->second;
+    call.began = true;
+    call.firstByte = now - call.arrived;
+    if (auto *entry = impl_->endpoints.find(call.endpointId)) {
+        entry->countByte(now);
+        lower(entry->unanswered);
+        entry->unreadTokens = std::max(0.0, entry->unreadTokens - call.unreadTokens);
+    }
+}
+
+void DirectCalls::attemptEnded(CallHandle handle, std::uint32_t attempt, const AttemptResult &result, TimePoint now)
+{
+    auto &impl = *impl_;
+    const auto found = impl.calls.find(handle);
+    if (found == impl.calls.end() || found->second.attempt != attempt || found->second.step != CallStep::Sent) {
+        return;
+    }
+    auto &call = found->second;
+    impl.stats.ends.add(result.end);
+    const bool failed = result.end == AttemptEnd::Unreachable || result.end == AttemptEnd::Broken;
+    impl.leaveEndpoint(handle, call, failed, now);
+    call.step = CallStep::Waiting; // of no endpoint, until the next decision
+    switch (result.end) {
+    case AttemptEnd::Answered:
+        impl.end(handle, EndedOutcome::Answered, "", result.status, now);
+        return;
+    case AttemptEnd::Refused:
+        impl.stats.endpointRefusals.add(result.refusal);
+        impl.onRefused(handle, call, result.refusal, now);
+        return;
+    case AttemptEnd::Unreachable:
+        call.tried.insert(call.endpointId);
+        impl.stats.retries.add(RetryReason::SidecarLost);
+        impl.route(handle, call, now);
+        return;
+    case AttemptEnd::OwnFailure:
+        ++call.ranAt;
+        call.tried.insert(call.endpointId);
+        if (call.repeatable() && call.ranAt < call.maxEndpoints && impl.mayRetry(call, now)) {
+            impl.stats.retries.add(RetryReason::EngineFailed);
+            impl.route(handle, call, now);
+            return;
+        }
+        impl.actions.emplace_back(PassAnswer{handle});
+        impl.end(handle, EndedOutcome::OwnFailure, toString(result.end), result.status, now);
+        return;
+    case AttemptEnd::Broken:
+    case AttemptEnd::Count:
+        break;
+    }
+    ++call.ranAt;
+    call.tried.insert(call.endpointId);
+    const bool again = call.repeatable() && !result.callerHasBytes && call.ranAt < call.maxEndpoints;
+    if (again) {
+        impl.retryOrGiveUp(handle, call, RetryReason::BrokenAnswer, RefusalReason::RetryBudgetSpent, now);
+        return;
+    }
+    impl.abandon(handle, FailureReason::EndpointCut, now);
+}
+
+void DirectCalls::Impl::onRefused(CallHandle handle, DirectCall &call, EndpointRefusal refusal, TimePoint now)
+{
+    if (refusal == EndpointRefusal::OtherIncarnation) {
+        endpoints.remove(call.endpointId); // another one has its address: the one meant is gone
+    }
+    if (refusal == EndpointRefusal::NotLoaded) {
+        // The adapter has just gone, or is an older version: asked for again at once.
+        if (auto *entry = endpoints.find(call.endpointId); entry != nullptr && entry->state) {
+            auto &held = *entry->state->mutable_adapters();
+            const auto name = call.adapterName();
+            held.erase(std::remove_if(held.begin(), held.end(),
+                                      [&](const auto &adapter) {
+                                          return adapter.model() == name.first && adapter.adapter() == name.second;
+                                      }),
+                       held.end());
+        }
+    } else {
+        call.tried.insert(call.endpointId);
+    }
+    retryOrGiveUp(handle, call, RetryReason::Refused, RefusalReason::QueueFull, now);
+}
+
+bool DirectCalls::Impl::mayRetry(const DirectCall &call, TimePoint now)
+{
+    return now + leastTimeToSend < call.cutAt && budgets[call.service].take(init.retryRatio, now);
+}
+
+void DirectCalls::Impl::retryOrGiveUp(CallHandle handle, DirectCall &call, RetryReason why, RefusalReason otherwise,
+                                      TimePoint now)
+{
+    if (!mayRetry(call, now)) {
+        giveUp(handle, call, otherwise, usualRetryAfter, now);
+        return;
+    }
+    stats.retries.add(why);
+    route(handle, call, now);
+}
+
+void DirectCalls::Impl::giveUp(CallHandle handle, DirectCall &call, RefusalReason reason, Duration retryAfter,
+                               TimePoint now)
+{
+    if (call.ranAt != 0) {
+        abandon(handle, FailureReason::EndpointCut, now);
+        return;
+    }
+    refuse(handle, unavailable, reason, retryAfter, now);
+}
+
+void DirectCalls::Impl::refuse(CallHandle handle, std::uint32_t status, RefusalReason reason, Duration retryAfter,
+                               TimePoint now)
+{
+    stats.refusals.add(reason);
+    actions.emplace_back(RefuseCall{handle, status, retryAfter, reason});
+    end(handle, EndedOutcome::Refused, toString(reason), 0, now);
+}
+
+void DirectCalls::Impl::abandon(CallHandle handle, FailureReason reason, TimePoint now)
+{
+    actions.emplace_back(AbandonCall{handle, reason});
+    end(handle, EndedOutcome::Abandoned, toString(reason), 0, now);
+}
+
+void DirectCalls::Impl::end(CallHandle handle, EndedOutcome outcome, std::string_view reason, std::uint32_t status,
+                            TimePoint now)
+{
+    const auto node = calls.extract(handle);
+    const auto &call = node.mapped();
+    EndedCall done;
+    done.requestId = call.facts.requestId;
+    done.outcome = outcome;
+    done.reason = reason;
+    done.status = status;
+    done.service = call.service;
+    done.adapter = call.facts.adapter;
+    done.endpointId = call.endpointId;
+    done.attempts = call.attempt;
+    done.configVersion = config ? config->version : 0;
+    done.estimate = call.estimate;
+    done.stateAge = call.stateAge;
+    done.adapterWait = call.adapterWait;
+    done.firstByte = call.firstByte;
+    done.total = now - call.arrived;
+    done.patience = call.facts.patience;
+    ended.push_back(std::move(done));
+}
+
+void DirectCalls::callerGone(CallHandle handle, TimePoint now)
+{
+    const auto found = impl_->calls.find(handle);
+    if (found == impl_->calls.end()) {
+        return;
+    }
+    const bool failed = false;
+    impl_->leaveEndpoint(handle, found->second, failed, now);
+    impl_->end(handle, EndedOutcome::CallerGone, toString(FailureReason::CallerGone), 0, now);
+}
+
+std::vector<EndedCall> DirectCalls::takeEnded()
+{
+    return std::exchange(impl_->ended, {});
+}
+
+std::vector<DirectAction> DirectCalls::takeActions()
+{
+    return std::exchange(impl_->actions, {});
+}
+
+bool DirectCalls::configured() const
+{
+    return impl_->config.has_value();
+}
+
+bool DirectCalls::ready() const
+{
+    return configured() && !impl_->endpoints.all().empty();
+}
+
+const DirectConfig &DirectCalls::config() const
+{
+    return *impl_->config;
+}
+
+const DirectCallsStats &DirectCalls::stats() const
+{
+    impl_->stats.open = impl_->calls.size();
+    return impl_->stats;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/direct/direct_calls_impl.h
@@ -0,0 +1,102 @@
+// State of the calls of one entry.
+#pragma once
+
+#include "endpoint_choice.h"
+#include "endpoint_table.h"
+#include "retry_budget.h"
+
+namespace anvilscale {
+
+enum class CallStep : std::uint8_t {
+    Waiting, ///< for its adapter at `endpointId`
+    Sent,
+    Count
+};
+
+struct DirectCall
+{
+    CallFacts facts;
+    std::string service;
+    bool engine = false;
+    RepeatRule repeat = RepeatRule::NonIdempotent;
+    bool resumable = false;
+    std::uint32_t priority = 0;
+    std::uint32_t maxEndpoints = 1;
+    Duration objective{};
+    TimePoint arrived;
+    TimePoint deadline; // of the caller
+    TimePoint cutAt; // of the route; never later than the deadline
+    CallStep step = CallStep::Waiting;
+    TimePoint stepSince;
+    std::string endpointId;
+    double unreadTokens = 0;
+    std::uint32_t attempt = 0;
+    std::set<std::string> tried; // ids it must not go to again
+    std::uint32_t ranAt = 0; // endpoints that have run it, or may have
+    bool began = false; // the present attempt has sent its first byte
+    std::uint32_t version = 0; // that the present attempt asks for
+    Duration estimate{}; // of the last choice
+    Duration stateAge{}; // of the last choice's endpoint
+    Duration adapterWait{};
+    std::optional<Duration> firstByte;
+
+    AdapterName adapterName() const
+    {
+        return {facts.model, facts.adapter};
+    }
+    /// Nothing that a second run would do twice.
+    bool repeatable() const
+    {
+        return repeat == RepeatRule::Idempotent;
+    }
+};
+
+struct SentWishes
+{
+    std::string text; // as it was sent, to see whether anything has changed
+    TimePoint at{};
+    std::uint64_t planVersion = 0;
+};
+
+struct DirectCalls::Impl
+{
+    DirectCallsInit init;
+    std::optional<DirectConfig> config;
+    RouteTable routes;
+    EndpointTable endpoints;
+    std::map<AdapterName, std::uint32_t> versions; // that the operator has named
+    std::map<CallHandle, DirectCall> calls;
+    std::map<std::string, RetryBudget> budgets; // by service
+    std::map<std::string, SentWishes> wishes; // by address
+    std::map<std::string, std::uint64_t> modelUse; // calls by model, to fill an empty engine
+    std::vector<DirectAction> actions;
+    std::vector<EndedCall> ended;
+    DirectCallsStats stats;
+
+    std::uint32_t namedVersion(const AdapterName &name) const;
+    void route(CallHandle handle, DirectCall &call, TimePoint now);
+    void rerouteWaiting(const std::string &id, TimePoint now);
+    void place(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now);
+    void send(CallHandle handle, DirectCall &call, TimePoint now);
+    void wait(CallHandle handle, DirectCall &call, TimePoint now);
+    void leaveEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now);
+    void refuse(CallHandle handle, std::uint32_t status, RefusalReason reason, Duration retryAfter, TimePoint now);
+    /// Forgets the call and notes how it ended.
+    void end(CallHandle handle, EndedOutcome outcome, std::string_view reason, std::uint32_t status, TimePoint now);
+    /// The caller gets an error that is true of everything that was tried.
+    void giveUp(CallHandle handle, DirectCall &call, RefusalReason reason, Duration retryAfter, TimePoint now);
+    void abandon(CallHandle handle, FailureReason reason, TimePoint now);
+    bool mayRetry(const DirectCall &call, TimePoint now);
+    void retryOrGiveUp(CallHandle handle, DirectCall &call, RetryReason why, RefusalReason otherwise, TimePoint now);
+    void onRefused(CallHandle handle, DirectCall &call, EndpointRefusal refusal, TimePoint now);
+    void sendWaiting(const std::string &endpointId, TimePoint now);
+    void checkDeadlines(TimePoint now);
+    void checkWaiting(TimePoint now);
+    void tellSidecars(TimePoint now);
+    void tellSidecar(EndpointEntry &entry, TimePoint now);
+    wire::DirectDemand demandFor(const EndpointEntry &entry, TimePoint now) const;
+    wire::EnginePlan planFor(const std::string &service) const;
+    std::string favouriteModel(const std::string &service) const;
+};
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/direct/direct_waits.cpp
@@ -0,0 +1,218 @@
+// Calls that wait for an adapter, deadlines, and what the sidecars are told to load.
+#include "direct_calls_impl.h"
+
+#include <algorithm>
+
+namespace anvilscale {
+
+namespace {
+
+// A load that has not come by then is asked for at another engine: its order was lost, or no slot became free.
+constexpr Duration longestWait = Milliseconds(1500);
+// A sidecar hears from each entry this often while calls are running, so that what it evicts is not in use.
+constexpr Duration wishesInterval = Milliseconds(400);
+// And this often at least, so that it knows the entry is there.
+constexpr Duration wishesKeepAlive = Milliseconds(2000);
+
+} // namespace
+
+void DirectCalls::tick(TimePoint now)
+{
+    impl_->checkDeadlines(now);
+    impl_->checkWaiting(now);
+    impl_->tellSidecars(now);
+}
+
+void DirectCalls::Impl::checkDeadlines(TimePoint now)
+{
+    std::vector<CallHandle> due;
+    for (const auto &[handle, call] : calls) {
+        if (now >= call.cutAt) {
+            due.push_back(handle);
+        }
+    }
+    for (const auto handle : due) {
+        auto &call = calls.at(handle);
+        const bool sent = call.step == CallStep::Sent;
+        const bool slow = sent && !call.began;
+        leaveEndpoint(handle, call, slow, now);
+        if (sent) {
+            abandon(handle, FailureReason::DeadlinePassed, now);
+        } else {
+            giveUp(handle, call, RefusalReason::DeadlinePassed, Duration(0), now);
+        }
+    }
+}
+
+void DirectCalls::Impl::checkWaiting(TimePoint now)
+{
+    std::vector<CallHandle> due;
+    for (const auto &[handle, call] : calls) {
+        if (call.step == CallStep::Waiting && now - call.stepSince > longestWait) {
+            due.push_back(handle);
+        }
+    }
+    for (const auto handle : due) {
+        auto &call = calls.at(handle);
+        leaveEndpoint(handle, call, false, now);
+        call.tried.insert(call.endpointId);
+        route(handle, call, now);
+    }
+}
+
+void DirectCalls::Impl::sendWaiting(const std::string &endpointId, TimePoint now)
+{
+    auto *entry = endpoints.find(endpointId);
+    if (entry == nullptr || entry->waiting.empty()) {
+        return;
+    }
+    std::vector<CallHandle> ready;
+    for (const auto handle : entry->waiting) {
+        const auto name = calls.at(handle).adapterName();
+        if (entry->presence(name, namedVersion(name), now) == Presence::Resident) {
+            ready.push_back(handle);
+        }
+    }
+    for (const auto handle : ready) {
+        entry->waiting.erase(handle);
+        send(handle, calls.at(handle), now);
+    }
+}
+
+std::string DirectCalls::Impl::favouriteModel(const std::string &service) const
+{
+    const auto *known = config ? config->service(service) : nullptr;
+    if (known == nullptr || !known->engine) {
+        return {};
+    }
+    std::string best;
+    std::uint64_t most = 0;
+    for (const auto &model : known->engine->models) {
+        const auto used = modelUse.find(model.name);
+        const auto count = used == modelUse.end() ? 0 : used->second;
+        if (best.empty() || count > most) {
+            best = model.name;
+            most = count;
+        }
+    }
+    return best;
+}
+
+wire::EnginePlan DirectCalls::Impl::planFor(const std::string &service) const
+{
+    wire::EnginePlan plan;
+    const auto *known = config ? config->service(service) : nullptr;
+    if (known == nullptr || !known->engine) {
+        return plan;
+    }
+    plan.set_config_version(config->version);
+    plan.set_adapter_slots(known->engine->adapterSlots);
+    plan.set_weights_mb(known->engine->weightsMb);
+    for (const auto &model : known->engine->models) {
+        auto &size = *plan.add_models();
+        size.set_name(model.name);
+        size.set_weights_mb(model.weightsMb);
+        size.set_adapter_mb(model.adapterMb);
+    }
+    return plan;
+}
+
+wire::DirectDemand DirectCalls::Impl::demandFor(const EndpointEntry &entry, TimePoint now) const
+{
+    std::map<AdapterName, wire::AdapterWish> items;
+    const auto wishFor = [&](const AdapterName &name) -> wire::AdapterWish & {
+        auto &wish = items[name];
+        wish.set_model(name.first);
+        wish.set_adapter(name.second);
+        wish.set_least_version(namedVersion(name));
+        return wish;
+    };
+    for (const auto handle : entry.waiting) {
+        auto &wish = wishFor(calls.at(handle).adapterName());
+        wish.set_waiting(wish.waiting() + 1);
+    }
+    for (const auto &[name, count] : entry.runningOn) {
+        wishFor(name).set_running(count);
+    }
+    for (const auto &[name, count] : entry.startedOn) {
+        wishFor(name).set_started(count);
+    }
+    if (entry.stateFresh(now)) {
+        for (const auto &held : entry.state->adapters()) {
+            const AdapterName name{held.model(), held.adapter()};
+            if (held.version() < namedVersion(name)) {
+                wishFor(name); // a new version has been named: whatever is held has to be replaced
+            }
+        }
+        if (entry.state->models().empty()) {
+            // An engine that has restarted holds nothing. It is filled before calls need it.
+            wishFor({favouriteModel(entry.record.service), ""}).set_waiting(1);
+        }
+    }
+    wire::DirectDemand demand;
+    demand.set_endpoint_id(entry.record.id);
+    for (auto &[name, wish] : items) {
+        if (!name.first.empty()) {
+            *demand.add_wishes() = std::move(wish);
+        }
+    }
+    return demand;
+}
+
+void DirectCalls::Impl::tellSidecar(EndpointEntry &entry, TimePoint now)
+{
+    auto &sent = wishes[entry.record.address];
+    auto demand = demandFor(entry, now);
+    auto text = demand.SerializeAsString();
+    const bool planNew = config && sent.planVersion < config->version;
+    const bool urgent = !entry.waiting.empty() && text != sent.text;
+    const bool due = text != sent.text && now - sent.at >= wishesInterval;
+    const bool quiet = now - sent.at >= wishesKeepAlive;
+    if (!planNew && !urgent && !due && !quiet) {
+        return;
+    }
+    if (planNew) {
+        *demand.mutable_plan() = planFor(entry.record.service);
+        sent.planVersion = config->version;
+    }
+    sent.at = now;
+    sent.text = std::move(text);
+    entry.startedOn.clear();
+    actions.emplace_back(SendWishes{entry.record.address, std::move(demand)});
+}
+
+void DirectCalls::Impl::tellSidecars(TimePoint now)
+{
+    if (!config) {
+        return;
+    }
+    for (auto &[id, entry] : endpoints.all()) {
+        const auto *service = config->service(entry.record.service);
+        if (service != nullptr && service->engine && !entry.record.leaving) {
+            tellSidecar(entry, now);
+        }
+    }
+}
+
+std::vector<std::string> DirectCalls::engineAddresses() const
+{
+    std::set<std::string> addresses;
+    for (const auto &[id, entry] : impl_->endpoints.all()) {
+        const auto *service = impl_->config ? impl_->config->service(entry.record.service) : nullptr;
+        if (service != nullptr && service->engine) {
+            addresses.insert(entry.record.address);
+        }
+    }
+    return {addresses.begin(), addresses.end()};
+}
+
+std::vector<std::string> DirectCalls::endpointIds() const
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, entry] : impl_->endpoints.all()) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/direct/endpoint_choice.cpp
@@ -0,0 +1,173 @@
+// The estimate that chooses an endpoint. All parts are in milliseconds.
+#include "endpoint_choice.h"
+
+#include <algorithm>
+
+namespace anvilscale {
+
+namespace {
+
+// Prompt tokens that an engine reads in a millisecond; from the sheet of the engines served.
+constexpr double readTokensPerMs = 38.4;
+// Time to load an adapter that the engine has room for; the store's figure with the way there and back.
+constexpr double loadMs = 300;
+constexpr double loadingMs = 150; // on its way already: half of it is left in the mean
+// No slot is without a running call: one has to end first.
+constexpr double noRoomMs = 1500;
+constexpr double modelLoadMs = 3000;
+// Nobody beside the engine takes orders: as long as that lasts the adapter does not come.
+constexpr double noSidecarMs = 20'000;
+// A call of somebody else at the engine: the share of a prompt that is still to be read, in the mean.
+constexpr double othersCallMs = 12;
+constexpr double plainCallMs = 30; // work of one call of a plain service
+// Worth of staying in the data centre: bytes between data centres are paid for.
+constexpr double otherCentreMs = 25;
+// The home of an absent adapter is preferred by this much, so that entries that know nothing of each other load it
+// once and not each in a place of its own.
+constexpr double homeMs = 200;
+constexpr double failingMs = 3000; // for an endpoint that fails every call
+constexpr double avoidedMs = 8000;
+constexpr Duration engineSilence = Milliseconds(1500); // longer than the longest prompt takes to be read
+constexpr Duration plainSilence = Milliseconds(400);
+
+struct Scored
+{
+    const EndpointEntry *entry = nullptr;
+    Presence presence = Presence::Resident;
+    double sharedTokens = 0;
+    double ms = 0;
+};
+
+std::uint64_t rank(std::uint64_t key, const EndpointEntry &entry)
+{
+    return hash64(entry.record.address, key);
+}
+
+double sharedTokens(const CallFacts &facts)
+{
+    double sum = 0;
+    for (std::size_t i = 0; i + 1 < facts.parts.size(); ++i) {
+        sum += facts.parts[i].tokens;
+    }
+    return sum;
+}
+
+std::uint64_t prefixKey(const CallFacts &facts)
+{
+    std::uint64_t key = hash64(facts.adapter, hash64(facts.model));
+    for (std::size_t i = 0; i + 1 < facts.parts.size(); ++i) {
+        key = hash64(facts.parts[i].id, key);
+    }
+    return key;
+}
+
+double trouble(const EndpointEntry &entry, Duration silence, TimePoint now)
+{
+    double ms = failingMs * entry.failureShare;
+    ms += now < entry.avoidUntil ? avoidedMs : 0;
+    ms += entry.silentFor(silence, now) ? avoidedMs : 0;
+    return ms;
+}
+
+double backlogMs(const EndpointEntry &entry, TimePoint now)
+{
+    double ms = entry.unreadTokens / readTokensPerMs;
+    if (entry.stateFresh(now)) {
+        const auto there = entry.state->running() + entry.state->queued();
+        ms += othersCallMs * (there > entry.inFlightAtState ? there - entry.inFlightAtState : 0);
+    }
+    return ms;
+}
+
+double presenceMs(const EndpointEntry &entry, const AdapterName &name, Presence presence, TimePoint now)
+{
+    if (presence == Presence::Resident) {
+        return 0;
+    }
+    if (!entry.stateFresh(now)) {
+        return noSidecarMs;
+    }
+    double ms = entry.hasModel(name.first, now) ? 0 : modelLoadMs;
+    if (!name.second.empty()) {
+        ms += presence == Presence::Loading ? loadingMs : loadMs;
+        ms += presence == Presence::Absent && entry.state->room() == 0 ? noRoomMs : 0;
+    }
+    return ms;
+}
+
+bool mayTake(const EndpointEntry &entry, const ChoiceQuery &query)
+{
+    return entry.record.service == *query.service && !entry.record.leaving
+           && query.exclude->count(entry.record.id) == 0;
+}
+
+void scoreEngines(std::vector<Scored> &list, const ChoiceQuery &query, TimePoint now)
+{
+    const AdapterName name{query.facts->model, query.facts->adapter};
+    const auto shared = sharedTokens(*query.facts);
+    const auto key = prefixKey(*query.facts);
+    const auto homeKey = hash64(query.facts->adapter, hash64(query.facts->model));
+    const Scored *keeper = nullptr; // where the shared parts of the prompt are most likely kept
+    const Scored *home = nullptr;
+    for (auto &scored : list) {
+        scored.presence = scored.entry->presence(name, query.leastVersion, now);
+        const bool resident = scored.presence == Presence::Resident;
+        if (resident && (keeper == nullptr || rank(key, *scored.entry) > rank(key, *keeper->entry))) {
+            keeper = &scored;
+        }
+        if (home == nullptr || rank(homeKey, *scored.entry) > rank(homeKey, *home->entry)) {
+            home = &scored;
+        }
+    }
+    for (auto &scored : list) {
+        const auto &entry = *scored.entry;
+        scored.sharedTokens = &scored == keeper ? 0 : shared;
+        scored.ms = presenceMs(entry, name, scored.presence, now) + backlogMs(entry, now)
+                    + scored.sharedTokens / readTokensPerMs + trouble(entry, engineSilence, now);
+        scored.ms -= &scored == home && keeper == nullptr ? homeMs : 0;
+    }
+}
+
+void scorePlain(std::vector<Scored> &list, TimePoint now)
+{
+    for (auto &scored : list) {
+        scored.ms = plainCallMs * scored.entry->inFlight + trouble(*scored.entry, plainSilence, now);
+    }
+}
+
+} // namespace
+
+std::optional<Choice> chooseEndpoint(const EndpointTable &table, const ChoiceQuery &query, TimePoint now)
+{
+    std::vector<Scored> list;
+    for (const auto &[id, entry] : table.all()) {
+        if (mayTake(entry, query)) {
+            list.push_back({&entry});
+        }
+    }
+    if (list.empty()) {
+        return std::nullopt;
+    }
+    if (query.engine) {
+        scoreEngines(list, query, now);
+    } else {
+        scorePlain(list, now);
+    }
+    const auto tie = hash64(query.facts->requestId);
+    for (auto &scored : list) {
+        scored.ms += scored.entry->record.dataCentre == query.dataCentre ? 0 : otherCentreMs;
+    }
+    const auto best = std::min_element(list.begin(), list.end(), [&](const Scored &a, const Scored &b) {
+        return a.ms != b.ms ? a.ms < b.ms : rank(tie, *a.entry) < rank(tie, *b.entry);
+    });
+    const double own = query.facts->parts.empty() ? query.facts->promptTokens : query.facts->parts.back().tokens;
+    Choice choice;
+    choice.endpointId = best->entry->record.id;
+    choice.presence = best->presence;
+    choice.unreadTokens = own + best->sharedTokens;
+    const double whole = std::max(0.0, best->ms) + (query.engine ? own / readTokensPerMs : plainCallMs);
+    choice.firstByte = Duration(static_cast<std::int64_t>(whole * 1000));
+    return choice;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/direct/endpoint_choice.h
@@ -0,0 +1,31 @@
+// Which endpoint a call goes to. One estimate decides: the time until the endpoint's first byte, from the adapter's
+// load, the prompt tokens that have to be read, the work that is there already, and the distance.
+#pragma once
+
+#include "endpoint_table.h"
+
+namespace anvilscale {
+
+/// A call as the choice sees it.
+struct ChoiceQuery
+{
+    const CallFacts *facts = nullptr;
+    const std::string *service = nullptr;
+    bool engine = false;
+    std::uint32_t leastVersion = 0;
+    const std::set<std::string> *exclude = nullptr; // ids that the call must not go to again
+    std::string_view dataCentre; // of this entry
+};
+
+struct Choice
+{
+    std::string endpointId;
+    Duration firstByte{}; // estimate
+    Presence presence = Presence::Resident;
+    double unreadTokens = 0; // that the engine probably has to read for this call
+};
+
+/// The endpoint with the lowest estimate; no value if none may take the call.
+std::optional<Choice> chooseEndpoint(const EndpointTable &table, const ChoiceQuery &query, TimePoint now);
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/direct/endpoint_table.cpp
@@ -0,0 +1,130 @@
+// Knowledge of endpoints, and how old it may be.
+#include "endpoint_table.h"
+
+#include <algorithm>
+
+namespace anvilscale {
+
+namespace {
+
+// A sidecar tells its state twice a second; three that are missed in a row mean that it is gone or cut off.
+constexpr Duration stateLife = Milliseconds(1800);
+// Weight of the newest call in failureShare: some twenty calls are remembered.
+constexpr double failureWeight = 0.05;
+// After the first failure in a row an endpoint is avoided for this long, and twice as long after each further one.
+constexpr Duration firstAvoidance = Milliseconds(500);
+constexpr std::uint32_t mostDoublings = 3;
+
+} // namespace
+
+bool EndpointEntry::stateFresh(TimePoint now) const
+{
+    return state && now - stateAt < stateLife;
+}
+
+bool EndpointEntry::hasModel(const std::string &model, TimePoint now) const
+{
+    if (stateFresh(now)) {
+        return std::find(state->models().begin(), state->models().end(), model) != state->models().end();
+    }
+    return std::find(record.models.begin(), record.models.end(), model) != record.models.end();
+}
+
+std::uint32_t EndpointEntry::heldVersion(const AdapterName &name, TimePoint now) const
+{
+    if (stateFresh(now)) {
+        for (const auto &adapter : state->adapters()) {
+            if (!adapter.loading() && adapter.model() == name.first && adapter.adapter() == name.second) {
+                return adapter.version();
+            }
+        }
+        return 0;
+    }
+    for (const auto &adapter : record.adapters) {
+        if (adapter.model == name.first && adapter.adapter == name.second) {
+            return adapter.version;
+        }
+    }
+    return 0;
+}
+
+Presence EndpointEntry::presence(const AdapterName &name, std::uint32_t leastVersion, TimePoint now) const
+{
+    if (!hasModel(name.first, now)) {
+        return Presence::Absent;
+    }
+    if (name.second.empty()) {
+        return Presence::Resident;
+    }
+    const auto held = heldVersion(name, now);
+    if (held != 0 && held >= leastVersion) {
+        return Presence::Resident;
+    }
+    const bool loading = stateFresh(now)
+                         && std::any_of(state->adapters().begin(), state->adapters().end(), [&](const auto &adapter) {
+                                return adapter.loading() && adapter.model() == name.first
+                                       && adapter.adapter() == name.second;
+                            });
+    return loading ? Presence::Loading : Presence::Absent;
+}
+
+bool EndpointEntry::silentFor(Duration span, TimePoint now) const
+{
+    return unanswered != 0 && now - oldestSilence > span;
+}
+
+void EndpointEntry::countByte(TimePoint now)
+{
+    oldestSilence = now;
+}
+
+void EndpointEntry::countEnd(bool failed, TimePoint now)
+{
+    failureShare += failureWeight * ((failed ? 1.0 : 0.0) - failureShare);
+    if (!failed) {
+        failuresInRow = 0;
+        return;
+    }
+    avoidUntil = now + firstAvoidance * (1U << std::min(failuresInRow, mostDoublings));
+    ++failuresInRow;
+}
+
+void EndpointTable::put(const EndpointRecord &record)
+{
+    byId_[record.id].record = record;
+}
+
+EndpointEntry *EndpointTable::find(const std::string &id)
+{
+    const auto found = byId_.find(id);
+    return found == byId_.end() ? nullptr : &found->second;
+}
+
+EndpointEntry *EndpointTable::findByAddress(const std::string &address)
+{
+    // An address may be used again by a later incarnation; the one that is not leaving is meant.
+    EndpointEntry *result = nullptr;
+    for (auto &[id, entry] : byId_) {
+        if (entry.record.address == address && (result == nullptr || result->record.leaving)) {
+            result = &entry;
+        }
+    }
+    return result;
+}
+
+void EndpointTable::remove(const std::string &id)
+{
+    byId_.erase(id);
+}
+
+std::map<std::string, EndpointEntry> &EndpointTable::all()
+{
+    return byId_;
+}
+
+const std::map<std::string, EndpointEntry> &EndpointTable::all() const
+{
+    return byId_;
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/direct/endpoint_table.h
@@ -0,0 +1,61 @@
+// What one entry knows of the endpoints: their own records, the states that sidecars tell, and what its own calls saw.
+#pragma once
+
+#include "anvilscale/direct.h"
+
+namespace anvilscale {
+
+/// Model and adapter of a call; the adapter is empty for the model alone.
+using AdapterName = std::pair<std::string, std::string>;
+
+enum class Presence : std::uint8_t {
+    Absent,
+    Loading,
+    Resident,
+    Count
+};
+
+struct EndpointEntry
+{
+    EndpointRecord record;
+    std::uint32_t inFlight = 0; // own calls
+    std::uint32_t unanswered = 0; // own calls without a first byte; invariant: at most inFlight
+    double unreadTokens = 0; // prompt tokens of the unanswered ones that the engine probably has to read
+    TimePoint oldestSilence{}; // since when calls are unanswered without any byte from the endpoint
+    TimePoint avoidUntil{};
+    std::uint32_t failuresInRow = 0;
+    double failureShare = 0; // decayed share of own calls that it failed
+    std::optional<wire::DirectState> state;
+    TimePoint stateAt{};
+    std::uint32_t inFlightAtState = 0;
+    std::map<AdapterName, std::uint32_t> runningOn; // own calls by adapter
+    std::map<AdapterName, std::uint32_t> startedOn; // since the last wishes
+    std::set<CallHandle> waiting; // own calls that wait for an adapter here
+
+    Presence presence(const AdapterName &name, std::uint32_t leastVersion, TimePoint now) const;
+    /// Version of a resident adapter, 0 if it is not known.
+    std::uint32_t heldVersion(const AdapterName &name, TimePoint now) const;
+    bool hasModel(const std::string &model, TimePoint now) const;
+    bool stateFresh(TimePoint now) const;
+    /// True if it holds unanswered calls and has sent nothing for `span`.
+    bool silentFor(Duration span, TimePoint now) const;
+    void countByte(TimePoint now);
+    void countEnd(bool failed, TimePoint now);
+};
+
+class EndpointTable
+{
+public:
+    void put(const EndpointRecord &record);
+    /// The entry, to be told of before it goes; nullptr if it is not known.
+    EndpointEntry *find(const std::string &id);
+    EndpointEntry *findByAddress(const std::string &address);
+    void remove(const std::string &id);
+    std::map<std::string, EndpointEntry> &all();
+    const std::map<std::string, EndpointEntry> &all() const;
+
+private:
+    std::map<std::string, EndpointEntry> byId_;
+};
+
+} // namespace anvilscale
--- a/src/endpoint/endpoint_runner.h
+++ b/src/endpoint/endpoint_runner.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "answer_buffer.h"
-#include "http_client.h"
 
 #include <unordered_map>
 
@@ -204,7 +203,7 @@
     static HttpClientInit clientInit(const EndpointInit &init)
     {
         HttpClientInit result;
-        result.address = Poco::Net::SocketAddress(init.address, init.port);
+        result.address = init.address + ":" + std::to_string(init.port);
         result.connectTimeout = init.connectTimeout;
         result.cancelGrace = init.cancelGrace;
         return result;
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -83,6 +83,7 @@
     std::mutex mutex;
     std::vector<Task> tasks; // guarded by mutex
     bool awake = false; // guarded by mutex: a wake-up is under way
+    std::atomic<bool> hasTasks = false; // a task was posted since the last look
     std::atomic<bool> stopping = false;
     std::thread thread;
 
@@ -124,8 +125,11 @@
     {
         const std::lock_guard lock(impl_->mutex);
         impl_->tasks.push_back(std::move(task));
-        sleeping = !impl_->awake;
-        impl_->awake = true;
+        // The loop's own thread looks at the tasks before it sleeps: no wake-up is owed.
+        const bool own = std::this_thread::get_id() == impl_->thread.get_id();
+        sleeping = !impl_->awake && !own;
+        impl_->awake = impl_->awake || sleeping;
+        impl_->hasTasks = true;
     }
     if (sleeping) {
         impl_->wakeUp();
@@ -185,6 +189,9 @@
 
 Duration EventLoop::Impl::timeToWait() const
 {
+    if (hasTasks) {
+        return Duration(0);
+    }
     const auto next = timers.next();
     if (!next) {
         return longestWait;
@@ -199,6 +206,7 @@
         const std::lock_guard lock(mutex);
         batch.swap(tasks);
         awake = false;
+        hasTasks = false;
     }
     for (auto &task : batch) {
         task();
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -122,6 +122,18 @@
     close(AnswerEnd::Close);
 }
 
+void HttpAnswer::cut(const HttpReply &reply)
+{
+    if (end_ != AnswerEnd::Open) {
+        return;
+    }
+    if (!passing_) {
+        this->reply(reply);
+        return;
+    }
+    close(AnswerEnd::Cut);
+}
+
 std::string &HttpAnswer::output()
 {
     return output_;
--- a/src/net/http_answer.h
+++ b/src/net/http_answer.h
@@ -29,6 +29,8 @@
     void send(std::string_view data);
     void finish();
     void fail(const HttpReply &reply);
+    /// As `reply` if nothing has gone out, else the connection is cut in the middle of the answer.
+    void cut(const HttpReply &reply);
 
     /// Bytes to write; the caller of this takes them away.
     std::string &output();
--- a/src/endpoint/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,10 +1,15 @@
 // Connections to the endpoint: non-blocking, kept for a short time, one exchange at a time.
-#include "http_client.h"
+#include "anvilscale/net.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 
 #include <algorithm>
+#include <charconv>
+#include <deque>
+#include <map>
 
 namespace anvilscale {
 
@@ -16,9 +21,16 @@
 constexpr int writeMode = Poco::Net::PollSet::POLL_WRITE;
 constexpr int errorMode = Poco::Net::PollSet::POLL_ERROR;
 
-} // namespace
+enum class Step : std::uint8_t {
+    Connecting,
+    Sending,
+    Head,
+    Body,
+    Cancelling,
+    Idle
+};
 
-struct HttpClient::Connection
+struct Connection
 {
     std::uint64_t key = 0;
     Poco::Net::StreamSocket socket;
@@ -33,83 +45,153 @@
     int interest = 0;
     TimerHandle timer;
     TimePoint idleSince;
+    Duration keepIdle{}; // how long it may stay idle
+    TimePoint mustEnd; // of the exchange, if `deadline`
     ExchangeHandlers handlers;
 };
 
+} // namespace
+
+struct HttpClient::Impl
+{
+    Impl(EventLoop &owner, HttpClientInit parameters)
+        : loop(owner)
+        , init(std::move(parameters))
+        , address(init.address)
+    {
+    }
+
+    Connection *takeIdle();
+    Connection *open();
+    ExchangeId start(const EndpointRequest &request, Duration timeout, ExchangeHandlers handlers);
+    void cancel(ExchangeId id);
+    void abort(ExchangeId id);
+    void pause(ExchangeId id, bool paused);
+    void onReady(Connection &connection, int mode);
+    void onConnected(Connection &connection);
+    void send(Connection &connection);
+    void receive(Connection &connection);
+    void onInput(Connection &connection);
+    bool readHead(Connection &connection);
+    void readBody(Connection &connection);
+    void onClosed(Connection &connection);
+    void finish(Connection &connection, ExchangeEnd end);
+    void drop(Connection &connection);
+    void keep(Connection &connection);
+    Duration idleTimeOf(const HttpResponseHead &response) const;
+    void updateInterest(Connection &connection);
+    void setTimer(Connection &connection, Duration span);
+    void onTimer(ExchangeId key);
+    void scheduleSweep();
+    void sweep();
+
+    EventLoop &loop;
+    HttpClientInit init;
+    Poco::Net::SocketAddress address;
+    HttpClientCounts counts;
+    std::uint64_t lastKey = 0;
+    // Connections by a key that changes with each exchange, so that a late callback never reaches the next one.
+    std::map<std::uint64_t, std::unique_ptr<Connection>> connections;
+    std::deque<std::uint64_t> idle; // keys of kept connections, oldest first
+    TimerHandle sweepTimer; // closes connections that were kept too long
+};
+
 HttpClient::HttpClient(EventLoop &loop, HttpClientInit init)
-    : loop_(loop)
-    , init_(std::move(init))
-    , host_(init_.address.toString())
+    : impl_(std::make_unique<Impl>(loop, std::move(init)))
 {
 }
 
 HttpClient::~HttpClient()
 {
-    loop_.timers().cancel(sweep_);
-    for (auto &[key, connection] : connections_) {
-        loop_.timers().cancel(connection->timer);
-        loop_.forget(connection->socket);
+    impl_->loop.timers().cancel(impl_->sweepTimer);
+    for (auto &[key, connection] : impl_->connections) {
+        impl_->loop.timers().cancel(connection->timer);
+        impl_->loop.forget(connection->socket);
         connection->socket.close();
     }
 }
 
 const HttpClientCounts &HttpClient::counts() const
 {
-    return counts_;
+    return impl_->counts;
+}
+
+ExchangeId HttpClient::start(const EndpointRequest &request, Duration timeout, ExchangeHandlers handlers)
+{
+    return impl_->start(request, timeout, std::move(handlers));
+}
+
+void HttpClient::cancel(ExchangeId id)
+{
+    impl_->cancel(id);
 }
 
-HttpClient::Connection *HttpClient::takeIdle()
+void HttpClient::abort(ExchangeId id)
+{
+    impl_->abort(id);
+}
+
+void HttpClient::pause(ExchangeId id, bool paused)
+{
+    impl_->pause(id, paused);
+}
+
+Connection *HttpClient::Impl::takeIdle()
 {
     // The one used last: its endpoint is the least likely to close it just now.
-    if (idle_.empty() || EventLoop::now() - connections_.at(idle_.back())->idleSince >= init_.keepIdle) {
+    if (idle.empty()) {
         return nullptr;
     }
-    auto &connection = *connections_.at(idle_.back());
-    idle_.pop_back();
+    auto &connection = *connections.at(idle.back());
+    if (EventLoop::now() - connection.idleSince >= connection.keepIdle) {
+        return nullptr;
+    }
+    idle.pop_back();
     return &connection;
 }
 
-HttpClient::Connection *HttpClient::open()
+Connection *HttpClient::Impl::open()
 {
     auto connection = std::make_unique<Connection>();
     auto *raw = connection.get();
-    counts_.connections += 1;
+    counts.connections += 1;
     try {
-        raw->socket.connectNB(init_.address);
+        raw->socket.connectNB(address);
         raw->socket.setNoDelay(true);
     } catch (const Poco::Exception &) {
-        counts_.connectFailures += 1;
+        counts.connectFailures += 1;
         return nullptr;
     }
-    raw->key = ++lastKey_;
+    raw->key = ++lastKey;
     raw->interest = writeMode | errorMode;
-    loop_.watch(raw->socket, raw->interest, [this, raw](int mode) { onReady(*raw, mode); });
-    connections_.emplace(raw->key, std::move(connection));
+    loop.watch(raw->socket, raw->interest, [this, raw](int mode) { onReady(*raw, mode); });
+    connections.emplace(raw->key, std::move(connection));
     return raw;
 }
 
-ExchangeId HttpClient::start(const EndpointRequest &request, Duration timeout, ExchangeHandlers handlers)
+ExchangeId HttpClient::Impl::start(const EndpointRequest &request, Duration timeout, ExchangeHandlers handlers)
 {
-    counts_.requests += 1;
+    counts.requests += 1;
     auto *connection = request.freshConnection ? nullptr : takeIdle();
     const bool kept = connection != nullptr;
     if (!kept) {
         connection = open();
     }
     if (connection == nullptr) {
-        loop_.post([end = std::move(handlers.end)] { end(ExchangeEnd::Unreachable); });
+        loop.post([end = std::move(handlers.end)] { end(ExchangeEnd::Unreachable); });
         return 0;
     }
     if (kept) {
         // A new key for the new exchange.
-        auto node = connections_.extract(connection->key);
-        node.key() = ++lastKey_;
+        auto node = connections.extract(connection->key);
+        node.key() = ++lastKey;
         connection->key = node.key();
-        connections_.insert(std::move(node));
+        connections.insert(std::move(node));
     }
     connection->handlers = std::move(handlers);
     connection->output =
-        requestHead(request.method, request.target, host_, request.headers, request.body.size(), true) + request.body;
+        requestHead(request.method, request.target, request.host.empty() ? address.toString() : request.host,
+                    request.headers, request.body.size(), true) + request.body;
     connection->written = 0;
     connection->input.clear();
     connection->paused = false;
@@ -118,9 +200,12 @@
     const auto key = connection->key;
     connection->deadline = timeout != Duration(0);
     if (connection->deadline) {
+        connection->mustEnd = EventLoop::now() + timeout;
+    }
+    if (!kept) {
+        setTimer(*connection, connection->deadline ? std::min(timeout, init.connectTimeout) : init.connectTimeout);
+    } else if (connection->deadline) {
         setTimer(*connection, timeout);
-    } else if (!kept) {
-        setTimer(*connection, init_.connectTimeout);
     }
     if (kept) {
         send(*connection);
@@ -128,10 +213,10 @@
     return key;
 }
 
-void HttpClient::cancel(ExchangeId id)
+void HttpClient::Impl::cancel(ExchangeId id)
 {
-    const auto found = connections_.find(id);
-    if (found == connections_.end() || found->second->step == Step::Idle) {
+    const auto found = connections.find(id);
+    if (found == connections.end() || found->second->step == Step::Idle) {
         return;
     }
     auto &connection = *found->second;
@@ -150,14 +235,22 @@
         finish(connection, ExchangeEnd::CancelConfirmed); // the endpoint has closed already
         return;
     }
-    setTimer(connection, init_.cancelGrace);
+    setTimer(connection, init.cancelGrace);
     updateInterest(connection);
 }
 
-void HttpClient::pause(ExchangeId id, bool paused)
+void HttpClient::Impl::abort(ExchangeId id)
 {
-    const auto found = connections_.find(id);
-    if (found == connections_.end() || found->second->paused == paused || found->second->step != Step::Body) {
+    const auto found = connections.find(id);
+    if (found != connections.end() && found->second->step != Step::Idle) {
+        drop(*found->second);
+    }
+}
+
+void HttpClient::Impl::pause(ExchangeId id, bool paused)
+{
+    const auto found = connections.find(id);
+    if (found == connections.end() || found->second->paused == paused || found->second->step != Step::Body) {
         return;
     }
     found->second->paused = paused;
@@ -165,7 +258,7 @@
 }
 
 // The handler is forgotten before its connection is destroyed.
-void HttpClient::onReady(Connection &connection, int mode)
+void HttpClient::Impl::onReady(Connection &connection, int mode)
 {
     const auto key = connection.key;
     if (connection.step == Step::Connecting) {
@@ -179,29 +272,31 @@
     if ((mode & writeMode) != 0 && connection.step == Step::Sending) {
         send(connection);
     }
-    if ((mode & (readMode | errorMode)) != 0 && connections_.count(key) != 0) {
+    if ((mode & (readMode | errorMode)) != 0 && connections.count(key) != 0) {
         receive(connection);
     }
 }
 
-void HttpClient::onConnected(Connection &connection)
+void HttpClient::Impl::onConnected(Connection &connection)
 {
     int error = 0;
     connection.socket.impl()->getOption(SOL_SOCKET, SO_ERROR, error);
     if (error != 0) {
-        counts_.connectFailures += 1;
+        counts.connectFailures += 1;
         finish(connection, ExchangeEnd::Unreachable);
         return;
     }
-    if (!connection.deadline) {
-        loop_.timers().cancel(connection.timer);
+    if (connection.deadline) {
+        setTimer(connection, connection.mustEnd - EventLoop::now());
+    } else {
+        loop.timers().cancel(connection.timer);
         connection.timer = TimerHandle{};
     }
     connection.step = Step::Sending;
     send(connection);
 }
 
-void HttpClient::send(Connection &connection)
+void HttpClient::Impl::send(Connection &connection)
 {
     while (connection.written < connection.output.size()) {
         const auto sent = sendSome(connection.socket, std::string_view(connection.output).substr(connection.written));
@@ -223,14 +318,16 @@
     updateInterest(connection);
 }
 
-void HttpClient::receive(Connection &connection)
+void HttpClient::Impl::receive(Connection &connection)
 {
     std::array<char, readSize> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
     int got = 0;
     try {
         got = connection.socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
     } catch (const Poco::Exception &) {
-        got = 0;
+        // A reset may cut an answer that ends with its connection: it is never taken for the end.
+        finish(connection, connection.step == Step::Cancelling ? ExchangeEnd::CancelConfirmed : ExchangeEnd::Broken);
+        return;
     }
     if (got < 0) {
         return;
@@ -243,7 +340,7 @@
     onInput(connection);
 }
 
-void HttpClient::onInput(Connection &connection)
+void HttpClient::Impl::onInput(Connection &connection)
 {
     if (connection.step == Step::Cancelling) {
         connection.input.clear();
@@ -254,7 +351,7 @@
         if (!readHead(connection)) {
             return;
         }
-        if (connections_.count(key) == 0) {
+        if (connections.count(key) == 0) {
             return;
         }
     }
@@ -264,7 +361,7 @@
 }
 
 // Returns true if a head was read and the connection goes on.
-bool HttpClient::readHead(Connection &connection)
+bool HttpClient::Impl::readHead(Connection &connection)
 {
     const auto length = headLength(connection.input);
     if (length == 0) {
@@ -288,10 +385,10 @@
     if (connection.handlers.head) {
         connection.handlers.head(connection.response);
     }
-    return connections_.count(key) != 0;
+    return connections.count(key) != 0;
 }
 
-void HttpClient::readBody(Connection &connection)
+void HttpClient::Impl::readBody(Connection &connection)
 {
     std::string data;
     auto &body = connection.response.body;
@@ -301,7 +398,7 @@
     if (!data.empty() && connection.handlers.data) {
         connection.handlers.data(std::move(data));
     }
-    if (connections_.count(key) == 0 || connection.step != Step::Body) {
+    if (connections.count(key) == 0 || connection.step != Step::Body) {
         return;
     }
     if (body.broken()) {
@@ -311,7 +408,7 @@
     }
 }
 
-void HttpClient::onClosed(Connection &connection)
+void HttpClient::Impl::onClosed(Connection &connection)
 {
     if (connection.step == Step::Cancelling) {
         finish(connection, ExchangeEnd::CancelConfirmed);
@@ -323,12 +420,12 @@
     finish(connection, whole ? ExchangeEnd::Complete : ExchangeEnd::Broken);
 }
 
-void HttpClient::finish(Connection &connection, ExchangeEnd end)
+void HttpClient::Impl::finish(Connection &connection, ExchangeEnd end)
 {
     const auto handler = std::move(connection.handlers.end);
     connection.handlers = ExchangeHandlers{};
     const bool reusable = end == ExchangeEnd::Complete && connection.response.keepAlive && connection.input.empty()
-                          && connection.output.empty() && idle_.size() < init_.keepConnections;
+                          && connection.output.empty() && idle.size() < init.keepConnections;
     if (reusable) {
         keep(connection);
     } else {
@@ -339,73 +436,90 @@
     }
 }
 
-void HttpClient::keep(Connection &connection)
+void HttpClient::Impl::keep(Connection &connection)
 {
-    loop_.timers().cancel(connection.timer);
+    loop.timers().cancel(connection.timer);
     connection.timer = TimerHandle{};
     connection.step = Step::Idle;
     connection.paused = false;
     connection.idleSince = EventLoop::now();
-    idle_.push_back(connection.key);
+    connection.keepIdle = idleTimeOf(connection.response);
+    idle.push_back(connection.key);
     updateInterest(connection);
     scheduleSweep();
 }
 
+Duration HttpClient::Impl::idleTimeOf(const HttpResponseHead &response) const
+{
+    constexpr std::string_view parameter = "timeout=";
+    const auto *told = findHeader(response.headers, "Keep-Alive");
+    const auto at = told == nullptr ? std::string::npos : told->find(parameter);
+    if (init.keepMargin == Duration(0) || at == std::string::npos) {
+        return init.keepIdle;
+    }
+    unsigned seconds = 0;
+    const auto *first = told->data() + at + parameter.size();
+    if (std::from_chars(first, told->data() + told->size(), seconds).ec != std::errc()) {
+        return init.keepIdle;
+    }
+    return std::max(Duration(0), Seconds(seconds) - init.keepMargin);
+}
+
 // One timer for all kept connections: most are used again long before it is due.
-void HttpClient::scheduleSweep()
+void HttpClient::Impl::scheduleSweep()
 {
-    if (!sweep_ && !idle_.empty()) {
-        sweep_ = loop_.timers().subscribe(EventLoop::now() + init_.keepIdle, [this](TimePoint) { sweep(); });
+    if (!sweepTimer && !idle.empty()) {
+        sweepTimer = loop.timers().subscribe(EventLoop::now() + init.keepIdle, [this](TimePoint) { sweep(); });
     }
 }
 
-void HttpClient::sweep()
+void HttpClient::Impl::sweep()
 {
-    sweep_ = TimerHandle{};
-    const auto oldest = EventLoop::now() - init_.keepIdle;
-    while (!idle_.empty()) {
-        auto &connection = *connections_.at(idle_.front());
-        if (connection.idleSince > oldest) {
-            break;
+    sweepTimer = TimerHandle{};
+    const auto now = EventLoop::now();
+    const auto kept = idle;
+    for (const auto key : kept) {
+        auto &connection = *connections.at(key);
+        if (now - connection.idleSince >= connection.keepIdle) {
+            drop(connection);
         }
-        drop(connection);
     }
     scheduleSweep();
 }
 
-void HttpClient::drop(Connection &connection)
+void HttpClient::Impl::drop(Connection &connection)
 {
-    loop_.timers().cancel(connection.timer);
-    loop_.forget(connection.socket);
+    loop.timers().cancel(connection.timer);
+    loop.forget(connection.socket);
     connection.socket.close();
     if (connection.step == Step::Idle) {
-        std::erase(idle_, connection.key);
+        std::erase(idle, connection.key);
     }
-    connections_.erase(connection.key); // destroys the connection
+    connections.erase(connection.key); // destroys the connection
 }
 
-void HttpClient::updateInterest(Connection &connection)
+void HttpClient::Impl::updateInterest(Connection &connection)
 {
     int wanted = errorMode;
     wanted |= connection.paused ? 0 : readMode;
     wanted |= connection.step == Step::Sending ? writeMode : 0;
     if (wanted != connection.interest) {
         connection.interest = wanted;
-        loop_.update(connection.socket, wanted);
+        loop.update(connection.socket, wanted);
     }
 }
 
-void HttpClient::setTimer(Connection &connection, Duration span)
+void HttpClient::Impl::setTimer(Connection &connection, Duration span)
 {
-    loop_.timers().cancel(connection.timer);
+    loop.timers().cancel(connection.timer);
     connection.timer =
-        loop_.timers().subscribe(EventLoop::now() + span, [this, key = connection.key](TimePoint) { onTimer(key); });
+        loop.timers().subscribe(EventLoop::now() + span, [this, key = connection.key](TimePoint) { onTimer(key); });
 }
 
-void HttpClient::onTimer(ExchangeId key)
+void HttpClient::Impl::onTimer(ExchangeId key)
 {
-    const auto found = connections_.find(key);
-    if (found == connections_.end()) {
+    const auto found = connections.find(key);
+    if (found == connections.end()) {
         return;
     }
     auto &connection = *found->second;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -38,6 +38,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<CallerConnection>> connections;
     std::unordered_map<std::uint64_t, std::uint64_t> exchanges; // exchange to connection
     CallerConnectionContext context;
+    HttpServerInit limits; // the server's, with what updateLimits has changed
     std::unique_ptr<EventLoop> loop;
 
     CallerConnection *find(HttpExchange exchange)
@@ -130,7 +131,8 @@
     worker->number = number;
     worker->loop = std::make_unique<EventLoop>("http-" + std::to_string(number));
     auto &context = worker->context;
-    context.init = &init;
+    worker->limits = init;
+    context.init = &worker->limits;
     context.loop = worker->loop.get();
     context.handlers = &handlers;
     context.newExchange = [this, worker](std::uint64_t connection) {
@@ -295,6 +297,37 @@
     impl_->change(exchange, [reply = std::move(reply)](HttpAnswer &answer) { answer.fail(reply); });
 }
 
+void HttpServer::cut(HttpExchange exchange, HttpReply reply)
+{
+    impl_->change(exchange, [reply = std::move(reply)](HttpAnswer &answer) { answer.cut(reply); });
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    for (auto &worker : impl_->workers) {
+        worker->loop->post([worker = worker.get()] { worker->context.draining = true; });
+    }
+}
+
+void HttpServer::updateLimits(std::uint32_t headLimit, std::uint64_t bodyLimit, Duration headTimeout,
+                              Duration idleTimeout)
+{
+    for (auto &worker : impl_->workers) {
+        worker->loop->post([worker = worker.get(), headLimit, bodyLimit, headTimeout, idleTimeout] {
+            auto &limits = worker->limits;
+            limits.headLimit = headLimit;
+            limits.bodyLimit = bodyLimit;
+            limits.headTimeout = headTimeout;
+            limits.idleTimeout = idleTimeout;
+        });
+    }
+}
+
+EventLoop &HttpServer::loop()
+{
+    return *impl_->workers.front()->loop;
+}
+
 HttpServerStats HttpServer::stats() const
 {
     HttpServerStats result;
--- a/src/settings/rules.cpp
+++ b/src/settings/rules.cpp
@@ -16,11 +16,11 @@
 namespace {
 
 constexpr std::array numberTable{
-    NumberRule{"control.port", Scope::Both, 0, 0, 65535, "port for our own processes; 0: given by the system"},
-    NumberRule{"http.port", Scope::Both, 0, 0, 65535, "port for callers, health and metrics; 0: given by the system"},
-    NumberRule{"platform.requestTimeoutMs", Scope::Both, 2000, 10, 60000,
+    NumberRule{"control.port", Scope::All, 0, 0, 65535, "port for our own processes; 0: given by the system"},
+    NumberRule{"http.port", Scope::All, 0, 0, 65535, "port for callers, health and metrics; 0: given by the system"},
+    NumberRule{"platform.requestTimeoutMs", Scope::Relayed, 2000, 10, 60000,
                "time after which a request to the platform counts as unanswered"},
-    NumberRule{"platform.callBudget", Scope::Both, 10, 0.1, 1000,
+    NumberRule{"platform.callBudget", Scope::Relayed, 10, 0.1, 1000,
                "calls a second that this process may make on the key-value service"},
     NumberRule{"entry.headerLimitBytes", Scope::Entry, 16384, 1024, 1048576, "largest header of a call"},
     NumberRule{"entry.bodyLimitBytes", Scope::Entry, 4194304, 1024, 268435456, "largest body of a call"},
@@ -43,38 +43,54 @@
                "memory for finished answers that a repeat may get"},
     NumberRule{"sidecar.seenKeyLimit", Scope::Sidecar, 100000, 1, 10000000,
                "idempotency keys remembered; more are refused, none is forgotten early"},
-    NumberRule{"timing.heartbeatMs", Scope::Both, 500, 20, 60000, "interval of heartbeats between processes"},
-    NumberRule{"timing.suspectMs", Scope::Both, 2500, 60, 600000, "silence after which a process gets no new work"},
-    NumberRule{"timing.leaseMs", Scope::Both, 10000, 200, 600000, "time of a lease in the key-value service"},
-    NumberRule{"timing.leaseMarginMs", Scope::Both, 2000, 20, 300000,
+    NumberRule{"direct.ready.port", Scope::DirectEntry, 0, 0, 65535, "port where the balancer asks for readiness"},
+    NumberRule{"direct.storeTimeoutMs", Scope::DirectEntry, 800, 10, 60000,
+               "time after which a call to the store counts as unanswered"},
+    NumberRule{"direct.storePauseMs", Scope::DirectEntry, 900, 0, 60000,
+               "least time between two answers of a watch: changes in between arrive together"},
+    NumberRule{"direct.watchMs", Scope::DirectEntry, 4000, 100, 30000, "longest time that a watch waits in the store"},
+    NumberRule{"direct.graceMs", Scope::DirectEntry, 8000, 100, 600000,
+               "time from SIGTERM until the platform ends the process"},
+    NumberRule{"direct.metricsPort", Scope::DirectEntry, 0, 0, 65535, "port of the metrics; 0: none"},
+    NumberRule{"timing.heartbeatMs", Scope::All, 500, 20, 60000, "interval of heartbeats between processes"},
+    NumberRule{"timing.suspectMs", Scope::All, 2500, 60, 600000, "silence after which a process gets no new work"},
+    NumberRule{"timing.leaseMs", Scope::Relayed, 10000, 200, 600000, "time of a lease in the key-value service"},
+    NumberRule{"timing.leaseMarginMs", Scope::Relayed, 2000, 20, 300000,
                "a holder stops acting this long before its lease ends"},
-    NumberRule{"timing.vmListMs", Scope::Both, 2000, 50, 600000, "interval of reading the list of VMs"},
-    NumberRule{"timing.configPollMs", Scope::Both, 5000, 50, 600000,
+    NumberRule{"timing.vmListMs", Scope::Relayed, 2000, 50, 600000, "interval of reading the list of VMs"},
+    NumberRule{"timing.configPollMs", Scope::Relayed, 5000, 50, 600000,
                "interval of reading the configuration's head where no watch tells"},
-    NumberRule{"timing.leaveMs", Scope::Both, 3000, 100, 600000,
+    NumberRule{"timing.leaveMs", Scope::All, 3000, 100, 600000,
                "time after which a leaving endpoint gets no new work"},
 };
 
 constexpr std::array textTable{
-    TextRule{"role", Scope::Both, TextForm::Role, true, "", "entry or sidecar"},
-    TextRule{"name", Scope::Both, TextForm::Name, true, "", "name of the VM, unique in the deployment"},
-    TextRule{"dataCentre", Scope::Both, TextForm::Name, true, "", "the data centre it stands in"},
-    TextRule{"region", Scope::Both, TextForm::Name, false, "default", "the region of the data centre"},
-    TextRule{"control.address", Scope::Both, TextForm::IpNumber, false, "127.0.0.1", "IP number to listen on"},
-    TextRule{"control.portFile", Scope::Both, TextForm::Any, false, "", "file that the port is written to"},
-    TextRule{"http.address", Scope::Both, TextForm::IpNumber, false, "127.0.0.1", "IP number to listen on"},
-    TextRule{"http.portFile", Scope::Both, TextForm::Any, false, "", "file that the port is written to"},
-    TextRule{"platform.keyValue", Scope::Both, TextForm::Url, true, "", "gateways of the key-value service"},
-    TextRule{"platform.prefix", Scope::Both, TextForm::Any, false, "/anvilscale/", "prefix of all keys"},
-    TextRule{"platform.vmList", Scope::Both, TextForm::Url, true, "", "where the list of VMs is read"},
+    TextRule{"role", Scope::All, TextForm::Role, true, "", "which process this is"},
+    TextRule{"name", Scope::All, TextForm::Name, true, "", "name of the VM, unique in the deployment"},
+    TextRule{"dataCentre", Scope::All, TextForm::Name, true, "", "the data centre it stands in"},
+    TextRule{"region", Scope::All, TextForm::Name, false, "default", "the region of the data centre"},
+    TextRule{"control.address", Scope::All, TextForm::IpNumber, false, "127.0.0.1", "IP number to listen on"},
+    TextRule{"control.portFile", Scope::All, TextForm::Any, false, "", "file that the port is written to"},
+    TextRule{"http.address", Scope::All, TextForm::IpNumber, false, "127.0.0.1", "IP number to listen on"},
+    TextRule{"http.at", Scope::All, TextForm::AddressPort, false, "", "IP:PORT in place of http.address and http.port"},
+    TextRule{"http.portFile", Scope::All, TextForm::Any, false, "", "file that the port is written to"},
+    TextRule{"platform.keyValue", Scope::Relayed, TextForm::Url, true, "", "gateways of the key-value service"},
+    TextRule{"platform.prefix", Scope::Relayed, TextForm::Any, false, "/anvilscale/", "prefix of all keys"},
+    TextRule{"platform.vmList", Scope::Relayed, TextForm::Url, true, "", "where the list of VMs is read"},
     TextRule{"sidecar.endpoint", Scope::Sidecar, TextForm::LoopbackUrl, true, "", "the endpoint beside it"},
     TextRule{"sidecar.endpointKind", Scope::Sidecar, TextForm::EndpointKind, true, "", "engine or service"},
     TextRule{"sidecar.baseModel", Scope::Sidecar, TextForm::Any, false, "", "base model of an engine"},
     TextRule{"sidecar.services", Scope::Sidecar, TextForm::Name, false, "", "plain services that the endpoint gives"},
     TextRule{"sidecar.lock.address", Scope::Sidecar, TextForm::LoopbackNumber, false, "127.0.0.1",
              "loopback number of the lock"},
-    TextRule{"log.level", Scope::Both, TextForm::LogLevel, false, "info", "least level that is written"},
-    TextRule{"log.file", Scope::Both, TextForm::Any, false, "", "log file; empty: standard error"},
+    TextRule{"direct.store", Scope::DirectEntry, TextForm::Url, true, "", "the platform's store"},
+    TextRule{"direct.ready.address", Scope::DirectEntry, TextForm::IpNumber, false, "127.0.0.1",
+             "IP number to listen on"},
+    TextRule{"direct.ready.at", Scope::DirectEntry, TextForm::AddressPort, false, "",
+             "IP:PORT in place of direct.ready.address and direct.ready.port"},
+    TextRule{"direct.endpoint", Scope::DirectSidecar, TextForm::Url, true, "", "the engine on the same VM"},
+    TextRule{"log.level", Scope::All, TextForm::LogLevel, false, "info", "least level that is written"},
+    TextRule{"log.file", Scope::All, TextForm::Any, false, "", "log file; empty: standard error; -: standard output"},
 };
 
 constexpr std::array flagTable{
@@ -160,10 +176,12 @@
         return isLoopback(text);
     case TextForm::Url:
         return !addressOf(text).empty();
+    case TextForm::AddressPort:
+        return !addressOf("http://" + std::string(text)).empty();
     case TextForm::LoopbackUrl:
         return isLoopback(addressOf(text));
     case TextForm::Role:
-        return text == "entry" || text == "sidecar";
+        return text == "entry" || text == "sidecar" || text == "direct-entry" || text == "direct-sidecar";
     case TextForm::EndpointKind:
         return text == "engine" || text == "service";
     case TextForm::LogLevel:
@@ -185,10 +203,12 @@
         return "loopback IP number";
     case TextForm::Url:
         return "http://IP:PORT[/path]";
+    case TextForm::AddressPort:
+        return "IP:PORT";
     case TextForm::LoopbackUrl:
         return "http://LOOPBACK-IP:PORT";
     case TextForm::Role:
-        return "entry, sidecar";
+        return "entry, sidecar, direct-entry, direct-sidecar";
     case TextForm::EndpointKind:
         return "engine, service";
     case TextForm::LogLevel:
@@ -199,15 +219,24 @@
 
 std::string_view describe(Scope scope)
 {
+    static constexpr std::array<std::string_view, static_cast<std::size_t>(Scope::Count)> table{
+        "all", "relayed", "entry", "sidecar", "direct", "direct-entry", "direct-sidecar"};
+    return table[static_cast<std::size_t>(scope)];
+}
+
+bool applies(Scope scope, std::string_view role)
+{
+    const bool direct = role == describe(Scope::DirectEntry) || role == describe(Scope::DirectSidecar);
     switch (scope) {
-    case Scope::Both:
-        return "both";
-    case Scope::Entry:
-        return "entry";
-    case Scope::Sidecar:
-        return "sidecar";
+    case Scope::All:
+        return true;
+    case Scope::Relayed:
+        return !direct;
+    case Scope::Direct:
+        return direct;
+    default:
+        return role == describe(scope);
     }
-    return "";
 }
 
 } // namespace anvilscale::settings_rules
--- a/src/settings/rules.h
+++ b/src/settings/rules.h
@@ -9,9 +9,14 @@
 
 /// Which role's settings a field belongs to.
 enum class Scope : std::uint8_t {
-    Both,
+    All,
+    Relayed, ///< entry and sidecar of the relayed path
     Entry,
-    Sidecar
+    Sidecar,
+    Direct, ///< entry and sidecar of the direct path
+    DirectEntry,
+    DirectSidecar,
+    Count
 };
 
 struct NumberRule
@@ -29,6 +34,7 @@
     Name, ///< letters, digits, '-', '_', '.'
     IpNumber,
     LoopbackNumber,
+    AddressPort,
     Url, ///< http://IP:PORT with an optional path
     LoopbackUrl,
     Role,
@@ -60,5 +66,7 @@
 bool matches(TextForm form, std::string_view text);
 std::string_view describe(TextForm form);
 std::string_view describe(Scope scope);
+/// True if a process of `role` reads settings of this scope.
+bool applies(Scope scope, std::string_view role);
 
 } // namespace anvilscale::settings_rules
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -50,11 +50,6 @@
     }
 }
 
-bool applies(Scope scope, std::string_view role)
-{
-    return scope == Scope::Both || role == settings_rules::describe(scope);
-}
-
 std::string plain(double value)
 {
     std::ostringstream out;
@@ -66,7 +61,7 @@
 std::optional<SettingsError> checkNumbers(const Struct &tree, Settings &into)
 {
     for (const auto &rule : settings_rules::numbers()) {
-        if (!applies(rule.scope, into.role())) {
+        if (!settings_rules::applies(rule.scope, into.role())) {
             continue;
         }
         const Value *value = findValue(tree, rule.path);
@@ -114,7 +109,7 @@
 std::optional<SettingsError> checkTexts(const Struct &tree, Settings &into)
 {
     for (const auto &rule : settings_rules::texts()) {
-        if (!applies(rule.scope, into.role())) {
+        if (!settings_rules::applies(rule.scope, into.role())) {
             continue;
         }
         const Value *value = findValue(tree, rule.path);
@@ -138,13 +133,24 @@
 void fillFlags(const Struct &tree, Settings &into)
 {
     for (const auto &rule : settings_rules::flags()) {
-        if (applies(rule.scope, into.role()) && findValue(tree, rule.path) == nullptr) {
+        if (settings_rules::applies(rule.scope, into.role()) && findValue(tree, rule.path) == nullptr) {
             const FieldPlace place = placeOf(into, rule.path);
             place.message->GetReflection()->SetBool(place.message, place.field, rule.initial);
         }
     }
 }
 
+/// Takes "IP:PORT" apart, so that the rest of the daemon knows one form only.
+void splitListen(settings::Listen &listen)
+{
+    const auto colon = listen.at().rfind(':');
+    if (colon == std::string::npos) {
+        return;
+    }
+    listen.set_address(listen.at().substr(0, colon));
+    listen.set_port(static_cast<std::uint32_t>(std::stoul(listen.at().substr(colon + 1))));
+}
+
 SettingsError contradiction(std::string path, std::string detail)
 {
     return {SettingsErrorKind::Contradiction, std::move(path), std::move(detail)};
@@ -152,11 +158,18 @@
 
 std::optional<SettingsError> checkRoleParts(const Settings &given)
 {
-    if (given.role() == "entry" && given.has_sidecar()) {
-        return contradiction("sidecar", "an entry has no sidecar settings");
+    const bool direct = settings_rules::applies(Scope::Direct, given.role());
+    if (given.has_sidecar() && given.role() != "sidecar") {
+        return contradiction("sidecar", "only the role sidecar has sidecar settings");
+    }
+    if (given.has_entry() && given.role() != "entry") {
+        return contradiction("entry", "only the role entry has entry settings");
     }
-    if (given.role() == "sidecar" && given.has_entry()) {
-        return contradiction("entry", "a sidecar has no entry settings");
+    if (given.has_direct() && !direct) {
+        return contradiction("direct", "only the roles of the direct path have direct settings");
+    }
+    if (given.has_platform() && direct) {
+        return contradiction("platform", "the direct path has its store in direct.store");
     }
     return std::nullopt;
 }
@@ -167,6 +180,9 @@
     if (timing.suspect_ms() < beatsBeforeSuspicion * timing.heartbeat_ms()) {
         return contradiction("timing.suspectMs", "less than three heartbeats: one lost message would be suspicion");
     }
+    if (timing.lease_ms() == 0) {
+        return std::nullopt; // the direct path has no leases
+    }
     // A keep-alive is sent every third of a lease. With a larger margin a holder would stop between two of them.
     if (timing.lease_margin_ms() * 2 > timing.lease_ms()) {
         return contradiction("timing.leaseMarginMs", "more than half of timing.leaseMs");
@@ -226,6 +242,10 @@
         return tl::unexpected(std::move(*error));
     }
     fillFlags(*tree, result);
+    splitListen(*result.mutable_http());
+    if (result.role() == "direct-entry") {
+        splitListen(*result.mutable_direct()->mutable_ready());
+    }
     if (auto error = checkTogether(result)) {
         return tl::unexpected(std::move(*error));
     }
@@ -242,6 +262,11 @@
     return parseSettings(text.str());
 }
 
+bool isRole(std::string_view role)
+{
+    return settings_rules::matches(settings_rules::TextForm::Role, role);
+}
+
 std::string printDefaults(std::string_view role)
 {
     Settings defaults;
@@ -249,17 +274,12 @@
     const Struct nothing;
     for (const auto &rule : settings_rules::texts()) {
         const FieldPlace place = placeOf(defaults, rule.path);
-        if (rule.path != "role" && applies(rule.scope, role) && !place.field->is_repeated()) {
+        if (rule.path != "role" && settings_rules::applies(rule.scope, role) && !place.field->is_repeated()) {
             place.message->GetReflection()->SetString(place.message, place.field, std::string(rule.initial));
         }
     }
     checkNumbers(nothing, defaults);
     fillFlags(nothing, defaults);
-    if (role == "entry") {
-        defaults.clear_sidecar();
-    } else {
-        defaults.clear_entry();
-    }
     google::protobuf::util::JsonPrintOptions options;
     options.add_whitespace = true;
     options.always_print_primitive_fields = true;
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -85,13 +85,15 @@
 {
     processName = init.process;
     const log4cxx::LayoutPtr layout =
-        std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("{\"time\":\"%d{yyyy-MM-dd'T'HH:mm:ss.SSS}\",%m}%n"));
+        std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z\",%m}%n"));
     const auto root = logger();
     root->removeAllAppenders();
     root->setAdditivity(false);
-    if (init.file.empty()) {
-        auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-        root->addAppender(console);
+    const bool standardOutput = init.file == "-";
+    if (init.file.empty() || standardOutput) {
+        const auto target =
+            standardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr();
+        root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, target));
     } else {
         LOG4CXX_DECODE_CHAR(fileName, init.file);
         root->addAppender(std::make_shared<log4cxx::FileAppender>(layout, fileName, true));
--- a/tools/anvilscaled.cpp
+++ b/tools/anvilscaled.cpp
@@ -24,8 +24,8 @@
     }
     if (options.count("print-defaults") != 0) {
         const auto role = options["print-defaults"].as<std::string>();
-        if (role != "entry" && role != "sidecar") {
-            std::cerr << "anvilscaled: the role is entry or sidecar\n";
+        if (!anvilscale::isRole(role)) {
+            std::cerr << "anvilscaled: the role is entry, sidecar, direct-entry or direct-sidecar\n";
             return anvilscale::exitUsage;
         }
         std::cout << anvilscale::printDefaults(role) << "\n";
