--- a/include/anvilscale/direct_path.h
+++ b/include/anvilscale/direct_path.h
@@ -64,9 +64,9 @@
 
 /// An adapter to a platform. No state, no I/O.
 template<class T>
-concept DirectDialect =
-    requires(const HttpRequestData &request, const SendCall &send, const HttpResponseHead &head, const EngineOrder &order,
-             const std::string &text, std::string_view view, Duration span, std::uint64_t number)
+concept DirectDialect = requires(const HttpRequestData &request, const SendCall &send, const HttpResponseHead &head,
+                                 const EngineOrder &order, const std::string &text, std::string_view view,
+                                 Duration span, std::uint64_t number)
 {
     {
         T::readCall(request)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -3,7 +3,6 @@
 #include "direct_sidecar.h"
 #include "entry_daemon.h"
 #include "sidecar_daemon.h"
-
 #include "site_dialect.h"
 
 #include <condition_variable>
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -282,12 +282,8 @@
         handlers.record = [this](StoreRecord record) {
             control_.post([this, record = std::move(record)](Now now) { applyRecord(record, now.mono); });
         };
-        handlers.complete = [this] {
-            control_.post([this](Now) { storeRead_ = true; });
-        };
-        handlers.reachable = [](bool reachable) {
-            logEvent(reachable ? Event::KeyValueBack : Event::KeyValueDown);
-        };
+        handlers.complete = [this] { control_.post([this](Now) { storeRead_ = true; }); };
+        handlers.reachable = [](bool reachable) { logEvent(reachable ? Event::KeyValueBack : Event::KeyValueDown); };
         return handlers;
     }
 
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -117,8 +117,8 @@
     void perform(const AbandonCall &action)
     {
         const bool late = action.reason == FailureReason::DeadlinePassed;
-        finish(action.call, errorReply(late ? statusGatewayTimeout : statusBadGateway, toString(action.reason),
-                                       Duration(0)));
+        finish(action.call,
+               errorReply(late ? statusGatewayTimeout : statusBadGateway, toString(action.reason), Duration(0)));
     }
 
     std::size_t open() const
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -144,28 +144,30 @@
     void readReport()
     {
         reading_ = true;
-        ask(Dialect::reportRequest(), [this](Now now, const std::optional<HttpResponseHead> &head, const std::string &body) {
-            reading_ = false;
-            const auto report = head && head->status == 200 ? Dialect::readReport(body) : std::nullopt;
-            noteReachable(report.has_value());
-            if (report) {
-                keeper_.applyReport(*report, now.mono);
-            } else {
-                keeper_.reportFailed(now.mono);
-            }
-            const bool busy = report && (!report->pending.empty() || report->busy || keeper_.waits());
-            control_.timers().subscribe(now.mono + (busy ? busyInterval : calmInterval), [this](TimePoint) {
-                if (!reading_) {
-                    readReport();
+        ask(Dialect::reportRequest(),
+            [this](Now now, const std::optional<HttpResponseHead> &head, const std::string &body) {
+                reading_ = false;
+                const auto report = head && head->status == 200 ? Dialect::readReport(body) : std::nullopt;
+                noteReachable(report.has_value());
+                if (report) {
+                    keeper_.applyReport(*report, now.mono);
+                } else {
+                    keeper_.reportFailed(now.mono);
                 }
+                const bool busy = report && (!report->pending.empty() || report->busy || keeper_.waits());
+                control_.timers().subscribe(now.mono + (busy ? busyInterval : calmInterval), [this](TimePoint) {
+                    if (!reading_) {
+                        readReport();
+                    }
+                });
             });
-        });
     }
 
     void noteReachable(bool reachable)
     {
         if (std::exchange(reachable_, reachable) != reachable) {
-            logEvent(reachable ? Event::EndpointBack : Event::EndpointLost, {{"endpoint", settings_.direct().endpoint()}});
+            logEvent(reachable ? Event::EndpointBack : Event::EndpointLost,
+                     {{"endpoint", settings_.direct().endpoint()}});
         }
     }
 
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -210,7 +210,7 @@
         body_.clear();
         ExchangeHandlers handlers;
         handlers.head = [this](const HttpResponseHead &head) { status_ = head.status; };
-        handlers.data = [this](std::string data) { body_ += data; };
+        handlers.data = [this](const std::string &data) { body_ += data; };
         handlers.end = [this, done = std::move(done)](ExchangeEnd end) {
             if (end != ExchangeEnd::Complete) {
                 onFailure();
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -153,17 +153,18 @@
     if (!report_) {
         return nullptr;
     }
-    const auto found = std::find_if(
-        report_->adapters.begin(), report_->adapters.end(),
-        [&](const HeldAdapter &adapter) { return adapter.model == key.first && adapter.adapter == key.second; });
+    const auto found =
+        std::find_if(report_->adapters.begin(), report_->adapters.end(), [&](const HeldAdapter &adapter) {
+            return adapter.model == key.first && adapter.adapter == key.second;
+        });
     return found == report_->adapters.end() ? nullptr : &*found;
 }
 
 bool AdapterKeeper::isPending(const AdapterKey &key) const
 {
-    return std::any_of(
-        report_->pending.begin(), report_->pending.end(),
-        [&](const HeldAdapter &adapter) { return adapter.model == key.first && adapter.adapter == key.second; });
+    return std::any_of(report_->pending.begin(), report_->pending.end(), [&](const HeldAdapter &adapter) {
+        return adapter.model == key.first && adapter.adapter == key.second;
+    });
 }
 
 bool AdapterKeeper::hasModel(const std::string &model) const
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -60,11 +60,10 @@
     if (held != 0 && held >= leastVersion) {
         return Presence::Resident;
     }
-    const bool loading = stateFresh(now)
-                         && std::any_of(state->adapters().begin(), state->adapters().end(), [&](const auto &adapter) {
-                                return adapter.loading() && adapter.model() == name.first
-                                       && adapter.adapter() == name.second;
-                            });
+    const bool loading =
+        stateFresh(now) && std::any_of(state->adapters().begin(), state->adapters().end(), [&](const auto &adapter) {
+            return adapter.loading() && adapter.model() == name.first && adapter.adapter() == name.second;
+        });
     return loading ? Presence::Loading : Presence::Absent;
 }
 
--- a/src/direct/route_table.cpp
+++ b/src/direct/route_table.cpp
@@ -7,8 +7,8 @@
 
 const DirectService *DirectConfig::service(std::string_view name) const
 {
-    const auto found =
-        std::find_if(services.begin(), services.end(), [&](const DirectService &service) { return service.name == name; });
+    const auto found = std::find_if(services.begin(), services.end(),
+                                    [&](const DirectService &service) { return service.name == name; });
     return found == services.end() ? nullptr : &*found;
 }
 
@@ -18,9 +18,8 @@
         byHost_[route.host].push_back(route);
     }
     for (auto &[host, list] : byHost_) {
-        std::stable_sort(list.begin(), list.end(), [](const DirectRoute &a, const DirectRoute &b) {
-            return a.prefix.size() > b.prefix.size();
-        });
+        std::stable_sort(list.begin(), list.end(),
+                         [](const DirectRoute &a, const DirectRoute &b) { return a.prefix.size() > b.prefix.size(); });
     }
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -191,7 +191,8 @@
     connection->handlers = std::move(handlers);
     connection->output =
         requestHead(request.method, request.target, request.host.empty() ? address.toString() : request.host,
-                    request.headers, request.body.size(), true) + request.body;
+                    request.headers, request.body.size(), true)
+        + request.body;
     connection->written = 0;
     connection->input.clear();
     connection->paused = false;
--- a/src/settings/rules.cpp
+++ b/src/settings/rules.cpp
@@ -60,8 +60,7 @@
     NumberRule{"timing.vmListMs", Scope::Relayed, 2000, 50, 600000, "interval of reading the list of VMs"},
     NumberRule{"timing.configPollMs", Scope::Relayed, 5000, 50, 600000,
                "interval of reading the configuration's head where no watch tells"},
-    NumberRule{"timing.leaveMs", Scope::All, 3000, 100, 600000,
-               "time after which a leaving endpoint gets no new work"},
+    NumberRule{"timing.leaveMs", Scope::All, 3000, 100, 600000, "time after which a leaving endpoint gets no new work"},
 };
 
 constexpr std::array textTable{
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -273,8 +273,11 @@
     defaults.set_role(std::string(role));
     const Struct nothing;
     for (const auto &rule : settings_rules::texts()) {
+        if (rule.path == "role" || !settings_rules::applies(rule.scope, role)) {
+            continue;
+        }
         const FieldPlace place = placeOf(defaults, rule.path);
-        if (rule.path != "role" && settings_rules::applies(rule.scope, role) && !place.field->is_repeated()) {
+        if (!place.field->is_repeated()) {
             place.message->GetReflection()->SetString(place.message, place.field, std::string(rule.initial));
         }
     }
