--- a/include/anvilscale/daemon.h
+++ b/include/anvilscale/daemon.h
@@ -47,6 +47,9 @@
     void start();
     /// Takes no new work and lets calls in progress end, however long they take. Further calls do nothing.
     void drain();
+    /// Takes over what may change while the process runs: the level of the log and, on the direct path, how the store
+    /// is followed. Whatever else has changed is logged as waiting for a restart.
+    void reload(const settings::Settings &settings);
     /// Returns once a drain has ended and everything is closed.
     void wait();
     std::uint16_t controlPort() const;
@@ -63,7 +66,9 @@
 constexpr int exitUsage = 1;
 constexpr int exitRejected = 2; ///< settings, or an address or lock that is taken
 
-/// Runs a daemon until it has drained after SIGTERM or SIGINT. Signals must not be handled by anything else.
-int runDaemon(const settings::Settings &settings);
+/// Runs a daemon until it has drained after SIGTERM or SIGINT. SIGHUP, or a change of the settings file without a
+/// signal, reloads the settings; a file that is not valid is told and changes nothing. Signals must not be handled by
+/// anything else.
+int runDaemon(const settings::Settings &settings, const std::string &settingsFile);
 
 } // namespace anvilscale
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -33,6 +33,9 @@
     ProcessStopped,
     SettingsRejected,
     ListenFailed,
+    SettingsReloaded,
+    ReloadRejected,
+    RestartNeeded,
     DrainStarted,
     DrainFinished,
     ConfigMoved,
@@ -96,6 +99,8 @@
 /// Sets up log4cxx with one JSON object a line. Call once, before other threads start.
 void initLog(const LogInit &init);
 void shutdownLog();
+/// Any thread.
+void setLogLevel(LogLevel level);
 /// Logs one event. Any thread.
 void logEvent(Event event, std::initializer_list<LogField> fields = {});
 /// The line as it is written, without the time; for tests.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -83,6 +83,17 @@
     std::visit([this](auto &role) { role->drain([impl = impl_.get()] { impl->setDone(); }); }, impl_->role);
 }
 
+void Daemon::reload(const settings::Settings &settings)
+{
+    std::visit(
+        [&settings](auto &role) {
+            if constexpr (requires { role->reload(settings); }) {
+                role->reload(settings);
+            }
+        },
+        impl_->role);
+}
+
 void Daemon::wait()
 {
     {
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -73,6 +73,21 @@
         });
     }
 
+    /// The store is followed anew by the new settings; what is known of it stays in force meanwhile.
+    void reload(const settings::Settings &settings)
+    {
+        server_->loop().post([this, settings] {
+            if (settings.direct().store() != settings_.direct().store()) {
+                settings_.mutable_direct()->set_store(settings.direct().store());
+                follower_ = std::make_unique<StoreFollower<Dialect>>(server_->loop(), followerInit(), followerHandlers());
+                follower_->start();
+            }
+            if (settings.SerializeAsString() != settings_.SerializeAsString()) {
+                logEvent(Event::RestartNeeded);
+            }
+        });
+    }
+
     void shutdown()
     {
         if (std::exchange(down_, true)) {
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -57,6 +57,13 @@
         done();
     }
 
+    void reload(const settings::Settings &settings) const
+    {
+        if (settings.SerializeAsString() != settings_.SerializeAsString()) {
+            logEvent(Event::RestartNeeded);
+        }
+    }
+
     void shutdown()
     {
         if (std::exchange(down_, true)) {
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -101,6 +101,11 @@
     root->setLevel(levelOf(init.level));
 }
 
+void setLogLevel(LogLevel level)
+{
+    logger()->setLevel(levelOf(level));
+}
+
 void shutdownLog()
 {
     log4cxx::LogManager::shutdown();
--- a/tools/anvilscaled.cpp
+++ b/tools/anvilscaled.cpp
@@ -35,7 +35,8 @@
         std::cerr << "anvilscaled: --settings FILE is missing; --help tells more\n";
         return anvilscale::exitUsage;
     }
-    const auto settings = anvilscale::readSettings(options["settings"].as<std::string>());
+    const auto file = options["settings"].as<std::string>();
+    const auto settings = anvilscale::readSettings(file);
     if (!settings) {
         return reportSettingsError(settings.error());
     }
@@ -43,7 +44,7 @@
         std::cout << "the settings are valid\n";
         return anvilscale::exitDone;
     }
-    return anvilscale::runDaemon(*settings);
+    return anvilscale::runDaemon(*settings, file);
 }
 
 } // namespace
