Sidecar: an order without answer is followed at once; a restarted engine's new incarnation is taken over

Orders without answer held the next ones up for 0.8 s. Change: the incarnation comes from the refusal or from what entries read in the store; the next order goes out at once and expects the same sequence, timeout 80 ms in place of 500.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -444,9 +444,12 @@
     std::optional<AdapterKey> victim(TimePoint now) const;
     EngineOrder makeOrder(EngineOrderKind kind, const AdapterKey &key);
     void touch(const AdapterKey &key, std::uint32_t starts, TimePoint now);
+    void takeIncarnation(const std::string &id);
 
     std::uint64_t fence_;
-    std::string endpointId_;
+    std::string endpointId_; // of the engine's present incarnation, as far as it is known
+    std::string rejectedId_; // that the engine said not to be; no order is sent under it
+    std::string toldId_; // what an entry said last
     wire::EnginePlan plan_;
     std::map<PeerHandle, std::map<AdapterKey, Wish>> wishes_; // what each entry said last
     std::map<AdapterKey, Use> uses_;
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -89,6 +89,9 @@
 private:
     // The engine answers on the same VM within a millisecond; beyond this it is stopped or overloaded.
     static constexpr Duration answerTime = Milliseconds(500);
+    // An order is only accepted or not: an answer that is not there by then was lost, and calls wait for the next
+    // order.
+    static constexpr Duration orderTime = Milliseconds(80);
     static constexpr Duration calmInterval = Milliseconds(200); // between reports
     static constexpr Duration busyInterval = Milliseconds(25); // while a load is under way: its end is told at once
     static constexpr Duration stateInterval = Milliseconds(500); // an entry takes three that are missing as a loss
@@ -130,9 +133,10 @@
     }
 
     /// One exchange with the engine; `done` gets its head and body, or none, in the control thread.
-    void ask(EndpointRequest request, std::function<void(Now, std::optional<HttpResponseHead>, std::string)> done)
+    void ask(EndpointRequest request, Duration timeout,
+             std::function<void(Now, std::optional<HttpResponseHead>, std::string)> done)
     {
-        loop_.post([this, request = std::move(request), done = std::move(done)] {
+        loop_.post([this, request = std::move(request), timeout, done = std::move(done)] {
             auto head = std::make_shared<std::optional<HttpResponseHead>>();
             auto body = std::make_shared<std::string>();
             ExchangeHandlers handlers;
@@ -144,14 +148,14 @@
                 }
                 control_.post([head, body, done](Now now) { done(now, *head, *body); });
             };
-            client_->start(request, answerTime, std::move(handlers));
+            client_->start(request, timeout, std::move(handlers));
         });
     }
 
     void readReport()
     {
         reading_ = true;
-        ask(Dialect::reportRequest(),
+        ask(Dialect::reportRequest(), answerTime,
             [this](Now now, const std::optional<HttpResponseHead> &head, const std::string &body) {
                 reading_ = false;
                 const auto report = head && head->status == 200 ? Dialect::readReport(body) : std::nullopt;
@@ -190,17 +194,19 @@
 
     void sendOrder(const EngineOrder &order)
     {
-        ask(Dialect::orderRequest(order, settings_.name()),
+        ask(Dialect::orderRequest(order, settings_.name()), orderTime,
             [this, order](Now now, const std::optional<HttpResponseHead> &head, const std::string &) {
                 const auto result = head ? Dialect::readOrderResult(*head) : EngineOrderResult::NoAnswer;
+                const auto incarnation = head ? Dialect::incarnationOf(*head) : std::string();
                 logEvent(Event::EngineOrder, {{"order", std::string(toString(order.kind))},
                                               {"model", order.model},
                                               {"adapter", order.adapter},
                                               {"endpoint", order.endpointId},
                                               {"expected", order.expected},
                                               {"fence", order.fence},
-                                              {"result", std::string(toString(result))}});
-                keeper_.orderEnded(order.id, result, head ? Dialect::incarnationOf(*head) : "", now.mono);
+                                              {"result", std::string(toString(result))},
+                                              {"incarnation", incarnation}});
+                keeper_.orderEnded(order.id, result, incarnation, now.mono);
                 if (!reading_) {
                     readReport();
                 }
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -10,8 +10,6 @@
 
 // Loads that may be on their way to one engine at the same time; the engine's own limit.
 constexpr std::size_t mostPending = 4;
-// After an order without an answer: time for it to be carried out, if it was accepted, before the next one.
-constexpr Duration afterNoAnswer = Milliseconds(300);
 constexpr Duration afterConflict = Milliseconds(30);
 constexpr Duration afterRejection = Milliseconds(500);
 // An accepted order shows in the engine's report within some milliseconds; after this long it is taken as lost.
@@ -35,8 +33,9 @@
     if (demand.has_plan() && demand.plan().config_version() >= plan_.config_version()) {
         plan_ = demand.plan();
     }
-    if (endpointId_.empty()) {
-        endpointId_ = demand.endpoint_id();
+    toldId_ = demand.endpoint_id();
+    if (endpointId_.empty() || endpointId_ == rejectedId_) {
+        takeIncarnation(toldId_);
     }
     auto &wishes = wishes_[peer];
     wishes.clear();
@@ -47,6 +46,16 @@
     }
 }
 
+void AdapterKeeper::takeIncarnation(const std::string &id)
+{
+    if (id.empty() || id == rejectedId_ || id == endpointId_) {
+        return;
+    }
+    endpointId_ = id;
+    awaited_.reset();
+    ++revision_;
+}
+
 void AdapterKeeper::peerLost(PeerHandle peer)
 {
     wishes_.erase(peer);
@@ -117,16 +126,14 @@
         fence_ += fenceStep;
         return;
     case EngineOrderResult::OtherIncarnation:
-        if (!incarnation.empty() && incarnation != endpointId_) {
-            endpointId_ = incarnation;
-            report_.reset();
-            awaited_.reset();
-        } else {
-            notBefore_ = now + afterRejection;
-        }
+        // The engine has restarted. It does not always name its new incarnation; the entries learn it from the store.
+        rejectedId_ = order.endpointId;
+        takeIncarnation(incarnation.empty() ? toldId_ : incarnation);
+        notBefore_ = now + afterConflict;
         return;
     case EngineOrderResult::NoAnswer:
-        notBefore_ = now + afterNoAnswer;
+        // It may still be carried out, even seconds later. The next order goes out at once and expects the same
+        // sequence: whichever comes first moves the sequence on, and the engine refuses the other.
         return;
     case EngineOrderResult::Rejected:
     case EngineOrderResult::Count:
@@ -275,7 +282,8 @@
 
 std::optional<EngineOrder> AdapterKeeper::nextOrder(TimePoint now)
 {
-    const bool known = report_ && reachable_ && plan_.config_version() != 0 && !endpointId_.empty();
+    const bool known =
+        report_ && reachable_ && plan_.config_version() != 0 && !endpointId_.empty() && endpointId_ != rejectedId_;
     if (!known || underWay_ || awaited_ || now < notBefore_) {
         return std::nullopt;
     }
--- /dev/null
+++ b/tests/unit/direct_keeper_test.cpp
@@ -0,0 +1,184 @@
+// The orders to one engine: what is loaded and unloaded, and what happens to orders when answers are lost or the engine
+// restarts.
+#include "anvilscale/direct.h"
+
+#include <gtest/gtest.h>
+
+namespace anvilscale {
+namespace {
+
+constexpr std::uint64_t firstFence = 1000;
+constexpr std::uint32_t slotsOfEngine = 2;
+const std::string modelName = "base";
+
+wire::DirectDemand demandFor(const std::string &endpointId, const std::vector<std::string> &waiting)
+{
+    wire::DirectDemand demand;
+    demand.set_endpoint_id(endpointId);
+    auto &plan = *demand.mutable_plan();
+    plan.set_config_version(1);
+    plan.set_adapter_slots(slotsOfEngine);
+    plan.set_weights_mb(1000);
+    auto &model = *plan.add_models();
+    model.set_name(modelName);
+    model.set_weights_mb(800);
+    model.set_adapter_mb(50);
+    for (const auto &adapter : waiting) {
+        auto &wish = *demand.add_wishes();
+        wish.set_model(modelName);
+        wish.set_adapter(adapter);
+        wish.set_waiting(1);
+    }
+    return demand;
+}
+
+EngineStateReport reportOf(std::uint64_t sequence, const std::vector<std::string> &adapters)
+{
+    EngineStateReport report;
+    report.sequence = sequence;
+    report.models = {modelName};
+    for (const auto &adapter : adapters) {
+        report.adapters.push_back({modelName, adapter, 1});
+    }
+    return report;
+}
+
+class Keeper : public testing::Test
+{
+protected:
+    void want(const std::vector<std::string> &waiting, const std::string &endpointId = "i-1")
+    {
+        keeper_.applyDemand(PeerHandle{1}, demandFor(endpointId, waiting), now_);
+    }
+    void pass(Duration span)
+    {
+        now_ += span;
+    }
+
+    TimePoint now_{Seconds(100)};
+    AdapterKeeper keeper_{firstFence};
+};
+
+TEST_F(Keeper, LoadsWhatCallsWaitFor)
+{
+    want({"a1"});
+    EXPECT_FALSE(keeper_.nextOrder(now_)) << "nothing is known of the engine yet";
+    keeper_.applyReport(reportOf(7, {}), now_);
+    const auto order = keeper_.nextOrder(now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, EngineOrderKind::Load);
+    EXPECT_EQ(order->adapter, "a1");
+    EXPECT_EQ(order->expected, 7U);
+    EXPECT_EQ(order->fence, firstFence);
+    EXPECT_EQ(order->endpointId, "i-1");
+    EXPECT_FALSE(keeper_.nextOrder(now_)) << "one order is under way at a time";
+}
+
+// An engine that is ordered to hold more than its slots crashes. Loads under way count as held, so that the last slot
+// is not given twice: with both slots taken the least used adapter has to go first.
+TEST_F(Keeper, NeverOrdersMoreThanTheSlotsHold)
+{
+    want({"a3"});
+    auto report = reportOf(1, {"a1"});
+    report.pending.push_back({modelName, "a2", 1});
+    keeper_.applyReport(report, now_);
+    pass(Seconds(1));
+    const auto order = keeper_.nextOrder(now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, EngineOrderKind::Unload);
+    EXPECT_EQ(order->adapter, "a1");
+}
+
+TEST_F(Keeper, KeepsWhatIsInUse)
+{
+    auto demand = demandFor("i-1", {"a3"});
+    for (const auto *adapter : {"a1", "a2"}) {
+        auto &wish = *demand.add_wishes();
+        wish.set_model(modelName);
+        wish.set_adapter(adapter);
+        wish.set_running(1);
+    }
+    keeper_.applyDemand(PeerHandle{1}, demand, now_);
+    keeper_.applyReport(reportOf(1, {"a1", "a2"}), now_);
+    pass(Seconds(1));
+    EXPECT_FALSE(keeper_.nextOrder(now_));
+    EXPECT_EQ(keeper_.state().room(), 0U);
+}
+
+// The answer to a load is lost, and the engine may carry it out seconds later. The next order goes out at once and
+// expects the same sequence: whichever comes first moves the sequence on, and the engine refuses the other one.
+TEST_F(Keeper, AnOrderWithoutAnswerIsFollowedByOneThatExcludesIt)
+{
+    want({"a1"});
+    keeper_.applyReport(reportOf(7, {}), now_);
+    const auto lost = keeper_.nextOrder(now_);
+    keeper_.orderEnded(lost->id, EngineOrderResult::NoAnswer, "", now_);
+    const auto next = keeper_.nextOrder(now_);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->expected, lost->expected);
+}
+
+// The engine restarts under a new incarnation and refuses every order that names the old one, without always saying
+// who it is. The callers of its adapters wait until the sidecar takes over the incarnation that the entries read from
+// the store; until then no further order is sent, which could only be refused.
+TEST_F(Keeper, TakesOverTheEnginesNewIncarnation)
+{
+    want({"a1"});
+    keeper_.applyReport(reportOf(7, {}), now_);
+    const auto stale = keeper_.nextOrder(now_);
+    keeper_.orderEnded(stale->id, EngineOrderResult::OtherIncarnation, "", now_);
+    keeper_.applyReport(reportOf(0, {}), now_);
+    pass(Seconds(1));
+    EXPECT_FALSE(keeper_.nextOrder(now_));
+    want({"a1"}, "i-2");
+    const auto order = keeper_.nextOrder(now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->endpointId, "i-2");
+    want({"a1"}, "i-1"); // an entry that is behind
+    keeper_.orderEnded(order->id, EngineOrderResult::Conflict, "", now_);
+    pass(Seconds(1));
+    ASSERT_TRUE(keeper_.nextOrder(now_));
+}
+
+// An earlier start of this sidecar, with its clock ahead, has used a higher fencing number. The engine refuses ours;
+// only this VM orders its engine, so the number is raised past any step of a clock.
+TEST_F(Keeper, RaisesItsFenceWhenAnEarlierStartWasAhead)
+{
+    want({"a1"});
+    keeper_.applyReport(reportOf(7, {}), now_);
+    const auto refused = keeper_.nextOrder(now_);
+    keeper_.orderEnded(refused->id, EngineOrderResult::FencedOff, "", now_);
+    const auto next = keeper_.nextOrder(now_);
+    ASSERT_TRUE(next);
+    EXPECT_GT(next->fence, refused->fence + 2000);
+}
+
+TEST_F(Keeper, ReplacesAnOlderVersionOnceANewerOneIsNamed)
+{
+    auto demand = demandFor("i-1", {});
+    auto &wish = *demand.add_wishes();
+    wish.set_model(modelName);
+    wish.set_adapter("a1");
+    wish.set_least_version(2);
+    keeper_.applyDemand(PeerHandle{1}, demand, now_);
+    keeper_.applyReport(reportOf(1, {"a1"}), now_);
+    const auto order = keeper_.nextOrder(now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->kind, EngineOrderKind::Load);
+    EXPECT_EQ(order->adapter, "a1");
+}
+
+TEST_F(Keeper, FillsAnEngineThatHasRestartedEmpty)
+{
+    want({"a1"});
+    auto empty = reportOf(0, {});
+    empty.models.clear();
+    keeper_.applyReport(empty, now_);
+    const auto order = keeper_.nextOrder(now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->model, modelName);
+    EXPECT_TRUE(order->adapter.empty());
+}
+
+} // namespace
+} // namespace anvilscale
