Choice: an adapter that is nowhere loaded goes to an engine that held it before

Cause: an engine reloads what it held recently from its own memory in a tenth of the time and without the weight store, and the choice did not know which had.

--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -312,6 +312,7 @@
     state.set_endpoint_id(endpointId_);
     state.set_entries(static_cast<std::uint32_t>(wishes_.size()));
     state.set_reachable(reachable_);
+    state.set_slots(plan_.adapter_slots());
     if (!report_) {
         return state;
     }
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -99,9 +99,7 @@
     if (entry == nullptr) {
         return;
     }
-    entry->state = state;
-    entry->stateAt = now;
-    entry->inFlightAtState = entry->inFlight;
+    entry->applyState(state, now);
     impl_->sendWaiting(entry->record.id, now);
 }
 
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -9,8 +9,11 @@
 
 // Prompt tokens that an engine reads in a millisecond; from the sheet of the engines served.
 constexpr double readTokensPerMs = 38.4;
-// Time to load an adapter that the engine has room for; the store's figure with the way there and back.
-constexpr double loadMs = 300;
+// Time to load an adapter from the weight store: its own 250 ms, the way there and back, and as much again as half of
+// that for the loads of others, which all get slower beyond a few at a time.
+constexpr double loadMs = 450;
+// From the engine's own memory: a tenth of the store's time.
+constexpr double fastLoadMs = 60;
 constexpr double loadingMs = 150; // on its way already: half of it is left in the mean
 // No slot is without a running call: one has to end first.
 constexpr double noRoomMs = 1500;
@@ -89,7 +92,8 @@
     }
     double ms = entry.hasModel(name.first, now) ? 0 : modelLoadMs;
     if (!name.second.empty()) {
-        ms += presence == Presence::Loading ? loadingMs : loadMs;
+        const double load = entry.loadsFast(name) ? fastLoadMs : loadMs;
+        ms += presence == Presence::Loading ? std::min(loadingMs, load) : load;
         ms += presence == Presence::Absent && entry.state->room() == 0 ? noRoomMs : 0;
     }
     return ms;
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -9,6 +9,8 @@
 
 // A sidecar tells its state twice a second; three that are missed in a row mean that it is gone or cut off.
 constexpr Duration stateLife = Milliseconds(1800);
+// An engine keeps some adapters that it held in its own memory: on the engines served, six for each slot.
+constexpr std::size_t memoryPerSlot = 6;
 // Weight of the newest call in failureShare: some twenty calls are remembered.
 constexpr double failureWeight = 0.05;
 // After the first failure in a row an endpoint is avoided for this long, and twice as long after each further one.
@@ -22,6 +24,26 @@
     return state && now - stateAt < stateLife;
 }
 
+bool EndpointEntry::loadsFast(const AdapterName &name) const
+{
+    return heldBefore.count(name) != 0;
+}
+
+void EndpointEntry::applyState(const wire::DirectState &told, TimePoint now)
+{
+    state = told;
+    stateAt = now;
+    inFlightAtState = inFlight;
+    for (const auto &adapter : told.adapters()) {
+        heldBefore[{adapter.model(), adapter.adapter()}] = now;
+    }
+    const auto most = memoryPerSlot * std::max<std::size_t>(told.slots(), 1);
+    while (heldBefore.size() > most) {
+        heldBefore.erase(std::min_element(heldBefore.begin(), heldBefore.end(),
+                                          [](const auto &a, const auto &b) { return a.second < b.second; }));
+    }
+}
+
 bool EndpointEntry::hasModel(const std::string &model, TimePoint now) const
 {
     if (stateFresh(now)) {
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -31,12 +31,17 @@
     std::map<AdapterName, std::uint32_t> runningOn; // own calls by adapter
     std::map<AdapterName, std::uint32_t> startedOn; // since the last wishes
     std::set<CallHandle> waiting; // own calls that wait for an adapter here
+    // Adapters it has held, and when it was last seen with them: it loads these from its own memory.
+    std::map<AdapterName, TimePoint> heldBefore;
 
     Presence presence(const AdapterName &name, std::uint32_t leastVersion, TimePoint now) const;
     /// Version of a resident adapter, 0 if it is not known.
     std::uint32_t heldVersion(const AdapterName &name, TimePoint now) const;
     bool hasModel(const std::string &model, TimePoint now) const;
     bool stateFresh(TimePoint now) const;
+    /// True if the adapter is probably still in the engine's own memory, so that it loads without the weight store.
+    bool loadsFast(const AdapterName &name) const;
+    void applyState(const wire::DirectState &told, TimePoint now);
     /// True if it holds unanswered calls and has sent nothing for `span`.
     bool silentFor(Duration span, TimePoint now) const;
     void countByte(TimePoint now);
