--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -418,6 +418,8 @@
     wire::DirectState state() const;
     /// Changes whenever something changes that entries wait for.
     std::uint64_t revision() const;
+    /// Prompt tokens that all entries together have under way at the engine.
+    std::uint64_t unreadTokens() const;
     const Counters<EngineOrderResult> &results() const;
 
 private:
@@ -452,6 +454,7 @@
     std::string toldId_; // what an entry said last
     wire::EnginePlan plan_;
     std::map<PeerHandle, std::map<AdapterKey, Wish>> wishes_; // what each entry said last
+    std::map<PeerHandle, std::uint64_t> unread_; // prompt tokens that each entry has under way at the engine
     std::map<AdapterKey, Use> uses_;
     std::optional<EngineStateReport> report_;
     bool reachable_ = false;
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -5,6 +5,7 @@
 scripts/setup.sh
 scripts/check_generated.sh
 scripts/check_events.sh
+scripts/check_platform.sh
 scripts/format.sh --check
 scripts/build.sh
 scripts/lint.sh
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -96,6 +96,10 @@
     static constexpr Duration busyInterval = Milliseconds(25); // while a load is under way: its end is told at once
     static constexpr Duration stateInterval = Milliseconds(500); // an entry takes three that are missing as a loss
 
+    // Work that entries have sent is told to the others in steps of some 80 ms of reading, and not more often.
+    static constexpr std::uint64_t unreadStep = 3000; // tokens
+    static constexpr Duration unreadInterval = Milliseconds(80);
+
     explicit DirectSidecar(const settings::Settings &settings)
         : settings_(settings)
         , incarnation_(newIncarnation())
@@ -187,7 +191,10 @@
         if (const auto order = keeper_.nextOrder(now)) {
             sendOrder(*order);
         }
-        if (keeper_.revision() != toldRevision_ || now >= stateDue_) {
+        const auto unread = keeper_.unreadTokens();
+        const auto moved = unread > toldUnread_ ? unread - toldUnread_ : toldUnread_ - unread;
+        const bool busier = moved >= unreadStep && now - toldAt_ >= unreadInterval;
+        if (keeper_.revision() != toldRevision_ || now >= stateDue_ || busier) {
             tellState(now);
         }
     }
@@ -216,6 +223,8 @@
     void tellState(TimePoint now)
     {
         toldRevision_ = keeper_.revision();
+        toldUnread_ = keeper_.unreadTokens();
+        toldAt_ = now;
         stateDue_ = now + stateInterval;
         control_.timers().subscribe(stateDue_, [](TimePoint) {});
         wire::Envelope message;
@@ -234,6 +243,8 @@
     bool reachable_ = true;
     std::uint64_t toldRevision_ = 0;
     std::uint64_t sequence_ = 0;
+    std::uint64_t toldUnread_ = 0;
+    TimePoint toldAt_{};
     TimePoint stateDue_{};
     bool down_ = false;
     ControlLoop control_;
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -37,6 +37,7 @@
     if (endpointId_.empty() || endpointId_ == rejectedId_) {
         takeIncarnation(toldId_);
     }
+    unread_[peer] = demand.unread_tokens();
     auto &wishes = wishes_[peer];
     wishes.clear();
     for (const auto &item : demand.wishes()) {
@@ -59,6 +60,7 @@
 void AdapterKeeper::peerLost(PeerHandle peer)
 {
     wishes_.erase(peer);
+    unread_.erase(peer);
     ++revision_;
 }
 
@@ -218,7 +220,8 @@
     return order;
 }
 
-// The adapter that is worth least: nobody runs or waits for it, and it is asked for most rarely.
+// The adapter that is worth least: nobody runs or waits for it, and it is asked for most rarely. One with a run is
+// never taken: the engine would wait for the run's end and refuse all other orders meanwhile, for seconds.
 std::optional<AdapterKeeper::AdapterKey> AdapterKeeper::victim(TimePoint now) const
 {
     std::optional<AdapterKey> worst;
@@ -265,7 +268,9 @@
         return std::nullopt;
     }
     if (present != nullptr) {
-        return makeOrder(EngineOrderKind::Load, key); // a newer version takes its slot
+        // A newer version takes its slot. The engine would wait for the runs on the old one and take no other order
+        // until they end, so it is left alone while there are any: calls for the new version find another engine.
+        return wish.running == 0 ? std::optional(makeOrder(EngineOrderKind::Load, key)) : std::nullopt;
     }
     if (wish.waiting == 0) {
         return std::nullopt;
@@ -313,18 +318,20 @@
     state.set_entries(static_cast<std::uint32_t>(wishes_.size()));
     state.set_reachable(reachable_);
     state.set_slots(plan_.adapter_slots());
+    state.set_unread_tokens(unreadTokens());
     if (!report_) {
         return state;
     }
     for (const auto &model : report_->models) {
         state.add_models(model);
     }
-    const auto add = [&state](const HeldAdapter &adapter, bool loading) {
+    const auto add = [&state, this](const HeldAdapter &adapter, bool loading) {
         auto &item = *state.add_adapters();
         item.set_model(adapter.model);
         item.set_adapter(adapter.adapter);
         item.set_version(adapter.version);
         item.set_loading(loading);
+        item.set_running(wishFor({adapter.model, adapter.adapter}).running);
     };
     std::uint32_t idle = 0;
     for (const auto &adapter : report_->adapters) {
@@ -340,6 +347,15 @@
     for (const auto &adapter : report_->pending) {
         add(adapter, true);
     }
+    std::set<AdapterKey> ahead;
+    for (const auto &[peer, wishes] : wishes_) {
+        for (const auto &[key, wish] : wishes) {
+            if (wish.waiting != 0 && held(key) == nullptr && !isPending(key)) {
+                ahead.insert(key);
+            }
+        }
+    }
+    state.set_loads_ahead(static_cast<std::uint32_t>(ahead.size()));
     const auto taken = report_->adapters.size() + report_->pending.size();
     const auto free = plan_.adapter_slots() > taken ? plan_.adapter_slots() - taken : 0;
     state.set_room(static_cast<std::uint32_t>(free) + idle);
@@ -355,6 +371,15 @@
     return underWay_ || awaited_;
 }
 
+std::uint64_t AdapterKeeper::unreadTokens() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[peer, tokens] : unread_) {
+        sum += tokens;
+    }
+    return sum;
+}
+
 std::uint64_t AdapterKeeper::revision() const
 {
     return revision_;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -200,11 +200,17 @@
     tellSidecar(entry, now);
 }
 
+void DirectCalls::Impl::stopWaiting(EndpointEntry &entry, CallHandle handle, DirectCall &call, TimePoint now)
+{
+    if (entry.waiting.erase(handle) != 0) {
+        call.adapterWait += now - call.stepSince;
+    }
+}
+
 void DirectCalls::Impl::send(CallHandle handle, DirectCall &call, TimePoint now)
 {
     auto &entry = *endpoints.find(call.endpointId);
     const auto name = call.adapterName();
-    call.adapterWait += call.step == CallStep::Waiting ? now - call.stepSince : Duration(0);
     call.step = CallStep::Sent;
     call.stepSince = now;
     call.began = false;
@@ -219,8 +225,10 @@
     }
     entry.unreadTokens += call.unreadTokens;
     if (call.engine) {
+        entry.newlyRunning = entry.newlyRunning || entry.runningOn.count(name) == 0;
         ++entry.runningOn[name];
         ++entry.startedOn[name];
+        tellSidecar(entry, now);
     }
     ++stats.sent;
     SendCall action;
@@ -242,7 +250,7 @@
         return; // it has gone in the meantime, and what was counted of it too
     }
     if (call.step == CallStep::Waiting) {
-        entry->waiting.erase(handle);
+        stopWaiting(*entry, handle, call, now);
         return;
     }
     // An endpoint that was removed and came back under its id counts from zero, and calls from before still end.
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -79,6 +79,7 @@
     void place(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now);
     void send(CallHandle handle, DirectCall &call, TimePoint now);
     void wait(CallHandle handle, DirectCall &call, TimePoint now);
+    static void stopWaiting(EndpointEntry &entry, CallHandle handle, DirectCall &call, TimePoint now);
     void leaveEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now);
     void refuse(CallHandle handle, std::uint32_t status, RefusalReason reason, Duration retryAfter, TimePoint now);
     /// Forgets the call and notes how it ended.
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -2,15 +2,20 @@
 #include "direct_calls_impl.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace anvilscale {
 
 namespace {
 
-// A load that has not come by then is asked for at another engine: its order was lost, or no slot became free.
-constexpr Duration longestWait = Milliseconds(1500);
+// A load that has not come by then is thought over: another engine may be faster by now, or the call hopeless.
+constexpr Duration longestWait = Milliseconds(1200);
 // A sidecar hears from each entry this often while calls are running, so that what it evicts is not in use.
 constexpr Duration wishesInterval = Milliseconds(400);
+// Prompt tokens that engines have to read are told sooner, so that entries which know nothing of each other do not send
+// long prompts to one engine at the same time: 3,000 tokens take an engine some 80 ms.
+constexpr double unreadStep = 3000;
+constexpr Duration unreadInterval = Milliseconds(80);
 // And this often at least, so that it knows the entry is there.
 constexpr Duration wishesKeepAlive = Milliseconds(2000);
 
@@ -55,7 +60,6 @@
     for (const auto handle : due) {
         auto &call = calls.at(handle);
         leaveEndpoint(handle, call, false, now);
-        call.tried.insert(call.endpointId);
         route(handle, call, now);
     }
 }
@@ -74,8 +78,9 @@
         }
     }
     for (const auto handle : ready) {
-        entry->waiting.erase(handle);
-        send(handle, calls.at(handle), now);
+        auto &call = calls.at(handle);
+        stopWaiting(*entry, handle, call, now);
+        send(handle, call, now);
     }
 }
 
@@ -151,6 +156,7 @@
     }
     wire::DirectDemand demand;
     demand.set_endpoint_id(entry.record.id);
+    demand.set_unread_tokens(static_cast<std::uint64_t>(entry.unreadTokens));
     for (auto &[name, wish] : items) {
         if (!name.first.empty()) {
             *demand.add_wishes() = std::move(wish);
@@ -165,16 +171,20 @@
     auto demand = demandFor(entry, now);
     auto text = demand.SerializeAsString();
     const bool planNew = config && sent.planVersion < config->version;
-    const bool urgent = !entry.waiting.empty() && text != sent.text;
+    // The sidecar must not unload an adapter on which a call has just been sent: it hears of the first one at once.
+    const bool urgent = (!entry.waiting.empty() || entry.newlyRunning) && text != sent.text;
     const bool due = text != sent.text && now - sent.at >= wishesInterval;
+    const bool moved = std::abs(entry.unreadTokens - entry.toldUnread) >= unreadStep && now - sent.at >= unreadInterval;
     const bool quiet = now - sent.at >= wishesKeepAlive;
-    if (!planNew && !urgent && !due && !quiet) {
+    if (!planNew && !urgent && !due && !moved && !quiet) {
         return;
     }
     if (planNew) {
         *demand.mutable_plan() = planFor(entry.record.service);
         sent.planVersion = config->version;
     }
+    entry.toldUnread = entry.unreadTokens;
+    entry.newlyRunning = false;
     sent.at = now;
     sent.text = std::move(text);
     entry.startedOn.clear();
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -11,17 +11,19 @@
 constexpr double readTokensPerMs = 38.4;
 // Time to load an adapter from the weight store: its own 250 ms, the way there and back, and as much again as half of
 // that for the loads of others, which all get slower beyond a few at a time.
-constexpr double loadMs = 450;
+constexpr double loadMs = 900;
 // From the engine's own memory: a tenth of the store's time.
 constexpr double fastLoadMs = 60;
 constexpr double loadingMs = 150; // on its way already: half of it is left in the mean
 // No slot is without a running call: one has to end first.
 constexpr double noRoomMs = 1500;
+// Orders go to an engine one after the other, an unload and a load for each adapter.
+constexpr double loadAheadMs = 60;
 constexpr double modelLoadMs = 3000;
 // Nobody beside the engine takes orders: as long as that lasts the adapter does not come.
 constexpr double noSidecarMs = 20'000;
-// A call of somebody else at the engine: the share of a prompt that is still to be read, in the mean.
-constexpr double othersCallMs = 12;
+// A call of somebody else that runs at the engine slows the reading of prompts a little.
+constexpr double othersCallMs = 2;
 constexpr double plainCallMs = 30; // work of one call of a plain service
 // Worth of staying in the data centre: bytes between data centres are paid for.
 constexpr double otherCentreMs = 25;
@@ -76,6 +78,8 @@
 {
     double ms = entry.unreadTokens / readTokensPerMs;
     if (entry.stateFresh(now)) {
+        const auto others = static_cast<double>(entry.state->unread_tokens()) - entry.toldUnread;
+        ms += std::max(0.0, others) / readTokensPerMs;
         const auto there = entry.state->running() + entry.state->queued();
         ms += othersCallMs * (there > entry.inFlightAtState ? there - entry.inFlightAtState : 0);
     }
@@ -95,6 +99,8 @@
         const double load = entry.loadsFast(name) ? fastLoadMs : loadMs;
         ms += presence == Presence::Loading ? std::min(loadingMs, load) : load;
         ms += presence == Presence::Absent && entry.state->room() == 0 ? noRoomMs : 0;
+        ms += presence == Presence::Absent && entry.heldByRuns(name, now) ? noRoomMs : 0;
+        ms += presence == Presence::Absent ? loadAheadMs * entry.state->loads_ahead() : 0;
     }
     return ms;
 }
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -52,6 +52,13 @@
     return std::find(record.models.begin(), record.models.end(), model) != record.models.end();
 }
 
+bool EndpointEntry::heldByRuns(const AdapterName &name, TimePoint now) const
+{
+    return stateFresh(now) && std::any_of(state->adapters().begin(), state->adapters().end(), [&](const auto &adapter) {
+               return adapter.model() == name.first && adapter.adapter() == name.second && adapter.running() != 0;
+           });
+}
+
 std::uint32_t EndpointEntry::heldVersion(const AdapterName &name, TimePoint now) const
 {
     if (stateFresh(now)) {
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -28,7 +28,9 @@
     std::optional<wire::DirectState> state;
     TimePoint stateAt{};
     std::uint32_t inFlightAtState = 0;
+    double toldUnread = 0; // own unreadTokens as the sidecar was told last
     std::map<AdapterName, std::uint32_t> runningOn; // own calls by adapter
+    bool newlyRunning = false; // a call was sent on an adapter of which the sidecar has not been told
     std::map<AdapterName, std::uint32_t> startedOn; // since the last wishes
     std::set<CallHandle> waiting; // own calls that wait for an adapter here
     // Adapters it has held, and when it was last seen with them: it loads these from its own memory.
@@ -37,6 +39,8 @@
     Presence presence(const AdapterName &name, std::uint32_t leastVersion, TimePoint now) const;
     /// Version of a resident adapter, 0 if it is not known.
     std::uint32_t heldVersion(const AdapterName &name, TimePoint now) const;
+    /// True if an older version is there with calls on it: it cannot be replaced before they end.
+    bool heldByRuns(const AdapterName &name, TimePoint now) const;
     bool hasModel(const std::string &model, TimePoint now) const;
     bool stateFresh(TimePoint now) const;
     /// True if the adapter is probably still in the engine's own memory, so that it loads without the weight store.
--- /dev/null
+++ b/tests/unit/direct_calls_test.cpp
@@ -0,0 +1,407 @@
+// The decisions of an entry on the direct path: where calls go, what waits, what is sent again and what a caller is
+// told.
+#include "anvilscale/direct.h"
+
+#include <gtest/gtest.h>
+
+namespace anvilscale {
+namespace {
+
+const std::string host = "h.example";
+const std::string engineService = "engines";
+const std::string plainService = "plain";
+const std::string modelName = "base";
+
+DirectRoute routeTo(const std::string &prefix, const std::string &service, RepeatRule repeat)
+{
+    DirectRoute route;
+    route.name = prefix;
+    route.host = host;
+    route.prefix = prefix;
+    route.repeat = repeat;
+    route.timeout = Seconds(5);
+    route.objective = Seconds(1);
+    route.maxEndpoints = 2;
+    route.services = {{service, 1}};
+    return route;
+}
+
+DirectConfig configOf(std::uint64_t version)
+{
+    DirectConfig config;
+    config.version = version;
+    config.routes = {routeTo("/s/", engineService, RepeatRule::Stream),
+                     routeTo("/i/", plainService, RepeatRule::Idempotent),
+                     routeTo("/n/", plainService, RepeatRule::NonIdempotent)};
+    DirectService engines;
+    engines.name = engineService;
+    engines.engine = EngineLimits{2, 1000, {{modelName, 800, 50}}};
+    DirectService plain;
+    plain.name = plainService;
+    config.services = {engines, plain};
+    return config;
+}
+
+EndpointRecord endpointOf(const std::string &id, const std::string &service, const std::string &address)
+{
+    EndpointRecord record;
+    record.id = id;
+    record.service = service;
+    record.address = address;
+    record.dataCentre = "dc";
+    record.slots = 4;
+    return record;
+}
+
+wire::DirectState stateWith(const std::vector<std::string> &adapters, std::uint32_t version = 1)
+{
+    wire::DirectState state;
+    state.add_models(modelName);
+    state.set_reachable(true);
+    state.set_slots(2);
+    state.set_room(2);
+    for (const auto &adapter : adapters) {
+        auto &item = *state.add_adapters();
+        item.set_model(modelName);
+        item.set_adapter(adapter);
+        item.set_version(version);
+    }
+    return state;
+}
+
+class Calls : public testing::Test
+{
+protected:
+    Calls()
+        : calls_(init())
+    {
+        calls_.applyConfig(configOf(1), now_);
+    }
+    static DirectCallsInit init()
+    {
+        DirectCallsInit init;
+        init.dataCentre = "dc";
+        return init;
+    }
+    void addPlain()
+    {
+        calls_.applyEndpoint(endpointOf("p-1", plainService, "10.0.0.1:80"), now_);
+        calls_.applyEndpoint(endpointOf("p-2", plainService, "10.0.0.2:80"), now_);
+    }
+    void addEngine(const std::string &id, const std::string &address, const std::vector<std::string> &adapters)
+    {
+        calls_.applyEndpoint(endpointOf(id, engineService, address), now_);
+        calls_.applyState(address, stateWith(adapters), now_);
+    }
+    CallHandle arrive(const std::string &path, const std::string &adapter = "", Duration patience = Seconds(4))
+    {
+        CallFacts facts;
+        facts.requestId = "r" + std::to_string(++last_);
+        facts.host = host;
+        facts.path = path;
+        facts.patience = patience;
+        if (path.starts_with("/s/")) {
+            facts.model = modelName;
+            facts.adapter = adapter;
+            facts.promptTokens = 3000;
+            facts.parts = {{"shared", 2000}, {"own" + std::to_string(last_), 1000}};
+        }
+        calls_.arrive(CallHandle{last_}, facts, now_);
+        return CallHandle{last_};
+    }
+    template<class Action>
+    std::vector<Action> take()
+    {
+        std::vector<Action> result;
+        for (auto &action : calls_.takeActions()) {
+            if (auto *one = std::get_if<Action>(&action)) {
+                result.push_back(std::move(*one));
+            }
+        }
+        return result;
+    }
+    SendCall sent()
+    {
+        const auto list = take<SendCall>();
+        EXPECT_EQ(list.size(), 1U);
+        return list.empty() ? SendCall{} : list.front();
+    }
+    void end(const SendCall &send, AttemptEnd how, EndpointRefusal refusal = EndpointRefusal::None)
+    {
+        AttemptResult result;
+        result.end = how;
+        result.refusal = refusal;
+        calls_.attemptEnded(send.call, send.attempt, result, now_);
+    }
+    void pass(Duration span)
+    {
+        now_ += span;
+        calls_.tick(now_);
+    }
+
+    TimePoint now_{Seconds(100)};
+    DirectCalls calls_;
+    std::uint64_t last_ = 0;
+};
+
+TEST(RouteTable, LongestPrefixOfTheHostWins)
+{
+    auto inner = routeTo("/a/b/", "inner", RepeatRule::Idempotent);
+    auto elsewhere = routeTo("/a/b/c/", "elsewhere", RepeatRule::Idempotent);
+    elsewhere.host = "other.example";
+    const RouteTable table({routeTo("/a/", "outer", RepeatRule::Idempotent), inner, elsewhere});
+    EXPECT_EQ(table.find(host, "/a/b/c/d")->services.front().service, "inner");
+    EXPECT_EQ(table.find(host, "/a/bc")->services.front().service, "outer");
+    EXPECT_EQ(table.find(host, "/b/"), nullptr);
+    EXPECT_EQ(table.find("third.example", "/a/"), nullptr);
+}
+
+TEST_F(Calls, AnOlderConfigurationNeverComesBack)
+{
+    auto newer = configOf(5);
+    newer.routes.pop_back();
+    EXPECT_TRUE(calls_.applyConfig(newer, now_));
+    EXPECT_FALSE(calls_.applyConfig(configOf(4), now_));
+    addPlain();
+    arrive("/n/x");
+    const auto refused = take<RefuseCall>();
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].status, 404U);
+}
+
+TEST_F(Calls, WithoutAConfigurationNothingIsSaidOfRoutes)
+{
+    DirectCalls fresh{init()};
+    CallFacts facts;
+    facts.host = host;
+    facts.path = "/i/x";
+    fresh.arrive(CallHandle{1}, facts, now_);
+    const auto actions = fresh.takeActions();
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<RefuseCall>(actions[0]).status, 503U);
+    EXPECT_FALSE(fresh.ready());
+}
+
+TEST_F(Calls, WaitsForItsAdapterAndIsSentOnceItIsThere)
+{
+    addEngine("e-1", "10.0.1.1:80", {});
+    arrive("/s/x", "a1");
+    const auto wishes = take<SendWishes>();
+    ASSERT_EQ(wishes.size(), 1U);
+    ASSERT_EQ(wishes[0].demand.wishes_size(), 1);
+    EXPECT_EQ(wishes[0].demand.wishes(0).adapter(), "a1");
+    EXPECT_EQ(wishes[0].demand.plan().adapter_slots(), 2U);
+    now_ += Milliseconds(300);
+    calls_.applyState("10.0.1.1:80", stateWith({"a1"}), now_);
+    EXPECT_EQ(sent().endpointId, "e-1");
+}
+
+// The sidecar chooses what to unload from what entries tell it. An adapter on which a call was just sent must not go:
+// the engine would take no other order until the call has ended. The first call on an adapter is therefore told at
+// once, not with the next interval.
+TEST_F(Calls, TheFirstCallOnAnAdapterIsToldAtOnce)
+{
+    addEngine("e-1", "10.0.1.1:80", {"a1"});
+    pass(directTick);
+    take<SendWishes>();
+    arrive("/s/x", "a1");
+    const auto wishes = take<SendWishes>();
+    ASSERT_EQ(wishes.size(), 1U);
+    ASSERT_EQ(wishes[0].demand.wishes_size(), 1);
+    EXPECT_EQ(wishes[0].demand.wishes(0).running(), 1U);
+}
+
+// A call waits for its adapter when the engine announces that it leaves. Its caller must get the answer from another
+// engine: a leaving one takes no calls, also none that were meant for it before.
+TEST_F(Calls, WaitingCallsLeaveAnEndpointThatLeaves)
+{
+    addEngine("e-1", "10.0.1.1:80", {});
+    arrive("/s/x", "a1");
+    addEngine("e-2", "10.0.1.2:80", {"a1"});
+    auto leaving = endpointOf("e-1", engineService, "10.0.1.1:80");
+    leaving.leaving = true;
+    calls_.applyEndpoint(leaving, now_);
+    EXPECT_EQ(sent().endpointId, "e-2");
+    calls_.applyState("10.0.1.1:80", stateWith({"a1"}), now_);
+    arrive("/s/y", "a1");
+    EXPECT_EQ(sent().endpointId, "e-2");
+}
+
+TEST_F(Calls, ANamedVersionIsAskedForAndAnOlderOneDoesNotCount)
+{
+    addEngine("e-1", "10.0.1.1:80", {"a1"});
+    calls_.applyVersion({modelName, "a1", 2}, now_);
+    arrive("/s/x", "a1");
+    EXPECT_TRUE(take<SendCall>().empty()) << "the engine holds the first version only";
+    calls_.applyState("10.0.1.1:80", stateWith({"a1"}, 2), now_);
+    EXPECT_EQ(sent().version, 2U);
+}
+
+// Two entries send long prompts to one engine at the same moment. The second one learns through the sidecar what the
+// first has under way and takes an engine with the same adapter that is free.
+TEST_F(Calls, PromptsOfOtherEntriesCount)
+{
+    addEngine("e-1", "10.0.1.1:80", {"a1"});
+    addEngine("e-2", "10.0.1.2:80", {"a1"});
+    arrive("/s/x", "a1");
+    const auto usual = sent();
+    end(usual, AttemptEnd::Answered);
+    auto busy = stateWith({"a1"});
+    busy.set_unread_tokens(40'000);
+    calls_.applyState(usual.address, busy, now_);
+    arrive("/s/x", "a1");
+    EXPECT_NE(sent().endpointId, usual.endpointId);
+}
+
+TEST_F(Calls, AnIdempotentCallIsSentAgainWhenItsAnswerBreaks)
+{
+    addPlain();
+    arrive("/i/x");
+    const auto first = sent();
+    end(first, AttemptEnd::Broken);
+    const auto second = sent();
+    EXPECT_NE(second.endpointId, first.endpointId);
+    end(second, AttemptEnd::Broken);
+    EXPECT_TRUE(take<SendCall>().empty()) << "the route allows two endpoints";
+}
+
+// The answer to an admission is lost. It may have run, so the caller is told that the outcome is not known: neither is
+// it run again, nor is it called "not run".
+TEST_F(Calls, ANonIdempotentCallThatMayHaveRunIsNeitherRepeatedNorDenied)
+{
+    addPlain();
+    arrive("/n/x");
+    end(sent(), AttemptEnd::Broken);
+    const auto actions = calls_.takeActions();
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<AbandonCall>(actions[0]).reason, FailureReason::EndpointCut);
+}
+
+TEST_F(Calls, WhatProvablyDidNotRunIsSentElsewhereWhateverItsKind)
+{
+    addPlain();
+    arrive("/n/x");
+    const auto first = sent();
+    end(first, AttemptEnd::Refused, EndpointRefusal::Full);
+    const auto second = sent();
+    EXPECT_NE(second.endpointId, first.endpointId);
+    end(second, AttemptEnd::Refused, EndpointRefusal::Full);
+    const auto refused = take<RefuseCall>();
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused[0].status, 503U);
+    EXPECT_GT(refused[0].retryAfter, Duration(0));
+}
+
+// A first endpoint broke off an idempotent call and may have run it; the second one is full. "Not run" would be untrue.
+TEST_F(Calls, ARefusalAfterAnAttemptThatMayHaveRunIsNoProof)
+{
+    addPlain();
+    arrive("/i/x");
+    end(sent(), AttemptEnd::Broken);
+    end(sent(), AttemptEnd::Refused, EndpointRefusal::Full);
+    const auto actions = calls_.takeActions();
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<AbandonCall>(actions[0]));
+}
+
+// The address of an endpoint that is gone belongs to another one by now, which refuses the call. The record of the
+// old one is forgotten at once: every further call would be refused as well until the store tells.
+TEST_F(Calls, AnAddressThatChangedHandsIsForgotten)
+{
+    addPlain();
+    arrive("/n/x");
+    const auto first = sent();
+    end(first, AttemptEnd::Refused, EndpointRefusal::OtherIncarnation);
+    EXPECT_NE(sent().endpointId, first.endpointId);
+    for (const auto &id : calls_.endpointIds()) {
+        EXPECT_NE(id, first.endpointId);
+    }
+}
+
+TEST_F(Calls, ACallThatCannotBeServedIsRefusedAtOnce)
+{
+    arrive("/i/x");
+    auto refused = take<RefuseCall>();
+    ASSERT_EQ(refused.size(), 1U) << "no endpoint";
+    EXPECT_EQ(refused[0].reason, RefusalReason::NoEndpoint);
+    addEngine("e-1", "10.0.1.1:80", {"a1"});
+    auto swamped = stateWith({"a1"});
+    swamped.set_unread_tokens(1'000'000);
+    calls_.applyState("10.0.1.1:80", swamped, now_);
+    arrive("/s/x", "a1");
+    refused = take<RefuseCall>();
+    ASSERT_EQ(refused.size(), 1U) << "its answer would come after the caller has left";
+    EXPECT_EQ(refused[0].reason, RefusalReason::DeadlineUnreachable);
+    EXPECT_GT(refused[0].retryAfter, Seconds(5));
+}
+
+TEST_F(Calls, ARouteThatLastsTooLongIsEndedAtItsTime)
+{
+    addPlain();
+    const auto call = arrive("/n/x", "", Seconds(30));
+    sent();
+    pass(Seconds(4));
+    EXPECT_TRUE(take<AbandonCall>().empty());
+    pass(Milliseconds(1001));
+    const auto ended = take<AbandonCall>();
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0].call, call);
+    EXPECT_EQ(ended[0].reason, FailureReason::DeadlinePassed);
+}
+
+// A failing endpoint refuses every connection. The calls go to the other one without drawing on the retry budget,
+// since nothing was sent, and later calls avoid it.
+TEST_F(Calls, AnUnreachableEndpointIsAvoided)
+{
+    addPlain();
+    arrive("/n/x");
+    const auto first = sent();
+    end(first, AttemptEnd::Unreachable);
+    const auto second = sent();
+    EXPECT_NE(second.endpointId, first.endpointId);
+    for (int i = 0; i < 20; ++i) {
+        arrive("/n/x");
+        EXPECT_EQ(sent().endpointId, second.endpointId);
+    }
+}
+
+// An endpoint lapses from the store and comes back under its id while calls of before are still under way there. Their
+// ends must not make its counts wrap around: it would look infinitely loaded and get no call for the rest of the day.
+TEST_F(Calls, AnEndpointThatComesBackCountsFromZero)
+{
+    calls_.applyEndpoint(endpointOf("p-1", plainService, "10.0.0.1:80"), now_);
+    arrive("/n/x");
+    const auto before = sent();
+    calls_.removeEndpoint("p-1", now_);
+    calls_.applyEndpoint(endpointOf("p-1", plainService, "10.0.0.1:80"), now_);
+    end(before, AttemptEnd::Answered);
+    addPlain();
+    std::set<std::string> used;
+    for (int i = 0; i < 4; ++i) {
+        arrive("/n/x");
+        used.insert(sent().endpointId);
+    }
+    EXPECT_EQ(used.size(), 2U);
+}
+
+TEST_F(Calls, EveryEndedCallIsToldWithWhatDecidedIt)
+{
+    addPlain();
+    arrive("/n/x");
+    const auto send = sent();
+    now_ += Milliseconds(20);
+    calls_.answerBegan(send.call, send.attempt, now_);
+    now_ += Milliseconds(5);
+    end(send, AttemptEnd::Answered);
+    const auto ended = calls_.takeEnded();
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0].requestId, "r1");
+    EXPECT_EQ(ended[0].outcome, EndedOutcome::Answered);
+    EXPECT_EQ(ended[0].endpointId, send.endpointId);
+    EXPECT_EQ(ended[0].firstByte, std::optional<Duration>(Milliseconds(20)));
+    EXPECT_EQ(ended[0].total, Milliseconds(25));
+    EXPECT_EQ(ended[0].configVersion, 1U);
+}
+
+} // namespace
+} // namespace anvilscale
--- /dev/null
+++ b/tests/unit/site_dialect_test.cpp
@@ -0,0 +1,194 @@
+// The adapter to the users' platform: what its messages mean in the project's terms.
+#include "site_dialect.h"
+
+#include <gtest/gtest.h>
+
+namespace anvilscale {
+namespace {
+
+using site::SiteDialect;
+
+HttpRequestData clientRequest()
+{
+    HttpRequestData request;
+    request.method = "POST";
+    request.target = "/lohu930/2f?x=1";
+    request.headers = {{"Host", "Ficu95.example:8080"},
+                       {"X-Anvilscale-Request-Id", "9c41"},
+                       {"X-Anvilscale-Model", "daka/a3"},
+                       {"X-Anvilscale-Token-Usage", "1460,80"},
+                       {"X-Anvilscale-Prefix-Hash", "5c1e:800,91bd:410"},
+                       {"X-Anvilscale-Deadline-Ms", "5000"},
+                       {"X-Anvilscale-Hold", "h-1"},
+                       {"X-Anvilscale-Pin-Ms", "100"},
+                       {"Kv-From", "1.2.3.4:5/6"},
+                       {"X-Own", "kept"},
+                       {"Connection", "keep-alive, X-Hop"},
+                       {"X-Hop", "1"}};
+    request.body = "body";
+    return request;
+}
+
+std::string valueOf(const EndpointRequest &request, std::string_view name)
+{
+    const auto *found = findHeader(request.headers, name);
+    return found == nullptr ? "-" : *found;
+}
+
+HttpResponseHead headOf(std::uint32_t status, HttpHeaders headers)
+{
+    HttpResponseHead head;
+    head.status = status;
+    head.headers = std::move(headers);
+    return head;
+}
+
+TEST(SiteCalls, FactsOfARequest)
+{
+    const auto facts = SiteDialect::readCall(clientRequest());
+    ASSERT_TRUE(facts);
+    EXPECT_EQ(facts->requestId, "9c41");
+    EXPECT_EQ(facts->host, "ficu95.example");
+    EXPECT_EQ(facts->path, "/lohu930/2f");
+    EXPECT_EQ(facts->model, "daka");
+    EXPECT_EQ(facts->adapter, "a3");
+    EXPECT_EQ(facts->promptTokens, 1460U);
+    ASSERT_EQ(facts->parts.size(), 2U);
+    EXPECT_EQ(facts->parts[0].tokens, 800U);
+    EXPECT_EQ(facts->patience, Seconds(5));
+}
+
+TEST(SiteCalls, RequestsThatAreNoCallsAreTyped)
+{
+    auto request = clientRequest();
+    request.headers[5].second = "soon";
+    EXPECT_EQ(SiteDialect::readCall(request).error(), CallProblem::BadTimeLeft);
+    request.headers.erase(request.headers.begin() + 1);
+    EXPECT_EQ(SiteDialect::readCall(request).error(), CallProblem::NoRequestId);
+}
+
+// A caller could name a reservation, a cache or an incarnation that is not its own: what only the system may set is
+// never passed on as the caller sent it.
+TEST(SiteCalls, WhatOnlyTheSystemMaySetIsNotPassedOn)
+{
+    SendCall send;
+    send.endpointId = "i-1";
+    send.version = 3;
+    send.priority = 12;
+    const auto request = SiteDialect::callRequest(clientRequest(), send, Milliseconds(1234));
+    EXPECT_EQ(request.host, "Ficu95.example:8080");
+    EXPECT_EQ(request.target, "/lohu930/2f?x=1");
+    EXPECT_EQ(valueOf(request, "X-Own"), "kept");
+    for (const auto *name : {"X-Anvilscale-Hold", "X-Anvilscale-Pin-Ms", "Kv-From", "X-Hop"}) {
+        EXPECT_EQ(valueOf(request, name), "-") << name;
+    }
+    EXPECT_EQ(valueOf(request, "X-Anvilscale-Deadline-Ms"), "1234");
+    EXPECT_EQ(valueOf(request, "X-Anvilscale-Expect-Instance"), "i-1");
+    EXPECT_EQ(valueOf(request, "X-Anvilscale-Expect-Version"), "3");
+    EXPECT_EQ(valueOf(request, "X-Anvilscale-Request-Priority"), "9");
+    EXPECT_EQ(valueOf(request, "X-Anvilscale-Request-Id"), "9c41");
+}
+
+struct AnswerCase
+{
+    std::uint32_t status;
+    HttpHeaders headers;
+    AnswerKind kind;
+    EndpointRefusal refusal;
+};
+
+TEST(SiteCalls, WhatAnAnswerMeans)
+{
+    const std::pair<std::string, std::string> id{"X-Anvilscale-Request-Id", "9c41"};
+    const std::pair<std::string, std::string> signature{"X-Anvilscale-Server-Signature", "s"};
+    const std::pair<std::string, std::string> notRun{"X-Anvilscale-Not-Executed", "1"};
+    const std::vector<AnswerCase> cases{
+        {200, {id, signature}, AnswerKind::Success, EndpointRefusal::None},
+        {200, {id}, AnswerKind::Foreign, EndpointRefusal::None},
+        {200, {signature}, AnswerKind::Foreign, EndpointRefusal::None},
+        {200, {{"X-Anvilscale-Request-Id", "other"}, signature}, AnswerKind::Foreign, EndpointRefusal::None},
+        {200, {id, signature, {"Content-Encoding", "gzip"}}, AnswerKind::Foreign, EndpointRefusal::None},
+        {500, {id, signature}, AnswerKind::OwnFailure, EndpointRefusal::None},
+        {503, {id}, AnswerKind::Foreign, EndpointRefusal::None},
+        {503, {id, notRun}, AnswerKind::Refused, EndpointRefusal::Full},
+        {421, {{"X-Anvilscale-Instance-Id", "i-2"}}, AnswerKind::Refused, EndpointRefusal::OtherIncarnation},
+        {421, {{"X-Anvilscale-Instance-Id", "i-1"}}, AnswerKind::Refused, EndpointRefusal::NotLoaded},
+        {421, {}, AnswerKind::Refused, EndpointRefusal::NotLoaded},
+    };
+    for (const auto &one : cases) {
+        const auto answer = SiteDialect::readAnswer(headOf(one.status, one.headers), "9c41", "i-1");
+        EXPECT_EQ(toString(answer.kind), toString(one.kind)) << one.status;
+        EXPECT_EQ(toString(answer.refusal), toString(one.refusal)) << one.status;
+    }
+}
+
+TEST(SiteEngine, ReportsAndOrders)
+{
+    const auto report = SiteDialect::readReport(
+        R"({"stage":"unified","models":[{"name":"daka","version":1,"adapters":["a3@2","a4"]}],"busy":true,"sequence":7,)"
+        R"("queued":1,"active":12,"kv_used":41000,"kv_total":90000,"pending":["daka/a9@1"]})");
+    ASSERT_TRUE(report);
+    EXPECT_EQ(report->models, std::vector<std::string>{"daka"});
+    ASSERT_EQ(report->adapters.size(), 2U);
+    EXPECT_EQ(report->adapters[0], (HeldAdapter{"daka", "a3", 2}));
+    EXPECT_EQ(report->adapters[1], (HeldAdapter{"daka", "a4", 1}));
+    EXPECT_EQ(report->pending, (std::vector<HeldAdapter>{{"daka", "a9", 1}}));
+    EXPECT_TRUE(report->busy);
+    EXPECT_EQ(report->sequence, 7U);
+    EXPECT_EQ(report->running, 12U);
+    EXPECT_FALSE(SiteDialect::readReport("[]"));
+    EXPECT_FALSE(SiteDialect::readReport(R"({"sequence":"many"})"));
+
+    EngineOrder order;
+    order.kind = EngineOrderKind::Unload;
+    order.model = "daka";
+    order.adapter = "a3";
+    order.expected = 7;
+    order.fence = 41;
+    order.endpointId = "i-1";
+    const auto request = SiteDialect::orderRequest(order, "side-1");
+    EXPECT_EQ(request.body, R"({"adapter":"a3","expected":7,"fencing_token":41,"holder":"side-1","model":"daka",)"
+                            R"("operation":"unload"})");
+    EXPECT_EQ(valueOf(request, "X-Anvilscale-Expect-Instance"), "i-1");
+    EXPECT_EQ(SiteDialect::readOrderResult(headOf(412, {})), EngineOrderResult::FencedOff);
+    EXPECT_EQ(SiteDialect::readOrderResult(headOf(409, {})), EngineOrderResult::Conflict);
+    EXPECT_EQ(SiteDialect::readOrderResult(headOf(500, {})), EngineOrderResult::Rejected);
+}
+
+TEST(SiteStore, RecordsOfAPage)
+{
+    // {"service":"s","address":"10.1.0.40:80","zone":"z","slots":64,"state":"draining",
+    //  "models":[{"name":"m","version":1,"adapters":["a1@3"]}]}
+    const std::string endpoint =
+        "eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4xLjAuNDA6ODAiLCJ6b25lIjoieiIsInNsb3RzIjo2NCwic3RhdGUiOiJkcmFpbmluZyIs"
+        "Im1vZGVscyI6W3sibmFtZSI6Im0iLCJ2ZXJzaW9uIjoxLCJhZGFwdGVycyI6WyJhMUAzIl19XX0=";
+    // {"model":"m","adapter":"a1","version":4}
+    const std::string version = "eyJtb2RlbCI6Im0iLCJhZGFwdGVyIjoiYTEiLCJ2ZXJzaW9uIjo0fQ==";
+    const auto page = SiteDialect::readWatch(
+        R"({"events":[{"key":"servers/i-1","value":")" + endpoint
+        + R"(","revision":5},{"key":"servers/i-0","revision":6,"tombstone":true},{"key":"op/version/m.a1","value":")"
+        + version + R"(","revision":7},{"key":"servers/i-2","value":"e30=","revision":8}],"store_revision":9})");
+    ASSERT_TRUE(page);
+    EXPECT_EQ(page->revision, 9U);
+    EXPECT_EQ(page->rejected, 1U) << "a record without its fields is passed over and counted";
+    ASSERT_EQ(page->records.size(), 3U);
+    const auto &record = std::get<EndpointRecord>(page->records[0]);
+    EXPECT_EQ(record.id, "i-1");
+    EXPECT_EQ(record.dataCentre, "z");
+    EXPECT_TRUE(record.leaving);
+    EXPECT_EQ(record.adapters, (std::vector<HeldAdapter>{{"m", "a1", 3}}));
+    EXPECT_EQ(std::get<EndpointRemoved>(page->records[1]).id, "i-0");
+    EXPECT_EQ(std::get<NamedVersion>(page->records[2]).version, 4U);
+    EXPECT_FALSE(SiteDialect::readWatch("<html>"));
+}
+
+TEST(SiteStore, StatusesOfTheStore)
+{
+    EXPECT_EQ(SiteDialect::storeStatus(200), StoreStatus::Ok);
+    EXPECT_EQ(SiteDialect::storeStatus(410), StoreStatus::HistoryGone);
+    EXPECT_EQ(SiteDialect::storeStatus(429), StoreStatus::Unavailable);
+    EXPECT_EQ(SiteDialect::storeStatus(503), StoreStatus::Unavailable);
+}
+
+} // namespace
+} // namespace anvilscale
