--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -79,7 +79,8 @@
         server_->loop().post([this, settings] {
             if (settings.direct().store() != settings_.direct().store()) {
                 settings_.mutable_direct()->set_store(settings.direct().store());
-                follower_ = std::make_unique<StoreFollower<Dialect>>(server_->loop(), followerInit(), followerHandlers());
+                follower_ =
+                    std::make_unique<StoreFollower<Dialect>>(server_->loop(), followerInit(), followerHandlers());
                 follower_->start();
             }
             if (settings.SerializeAsString() != settings_.SerializeAsString()) {
