Processes on stand-ins of the platform; drain no longer crashes; readiness waits for the sidecars

Found by the new process tests: a stopped entry ended with SIGSEGV, since connections to endpoints outlived the loop that watches them; a call was refused as too late because its only endpoint was disliked; an entry that had just started refused calls whose adapter a sidecar could have loaded, with a Retry-After of 20 s.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -329,8 +329,8 @@
     std::vector<DirectAction> takeActions();
     std::vector<EndedCall> takeEnded();
     bool configured() const;
-    /// True if callers may be sent here: there is a configuration and an endpoint for it.
-    bool ready() const;
+    /// True if callers may be sent here: there are a configuration, endpoints and news of what they hold.
+    bool ready(TimePoint now) const;
     const DirectConfig &config() const;
     std::vector<std::string> engineAddresses() const;
     std::vector<std::string> endpointIds() const;
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -95,7 +95,10 @@
             return;
         }
         if (server_) {
-            server_->loop().post([this] { follower_.reset(); });
+            server_->loop().post([this] {
+                follower_.reset();
+                relay_.close();
+            });
             server_->shutdown();
         }
         for (auto *server : {ready_.get(), metrics_.get()}) {
@@ -355,7 +358,8 @@
     {
         const auto now = EventLoop::now();
         calls_.tick(now);
-        isReady_ = storeRead_ && calls_.ready();
+        // Once ready it stays so: an entry that loses the store or a sidecar serves better than none.
+        isReady_ = isReady_ || (storeRead_ && calls_.ready(now));
         if (now >= metricsDue_) {
             metricsDue_ = now + metricsInterval;
             renderMetrics();
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -121,9 +121,11 @@
                errorReply(late ? statusGatewayTimeout : statusBadGateway, toString(action.reason), Duration(0)));
     }
 
-    std::size_t open() const
+    /// Ends all connections to endpoints. Before the loop of the server goes, which they are watched by.
+    void close()
     {
-        return calls_.size();
+        calls_.clear();
+        clients_.clear();
     }
 
     RelayStats stats() const
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -11,6 +11,11 @@
 constexpr std::uint32_t unavailable = 503;
 // Told where nothing better is known: an endpoint that has crashed is replaced or avoided within about this time.
 constexpr Duration usualRetryAfter = Milliseconds(500);
+// Where the estimate is longer than this it is no longer a forecast of when there is room: things change within
+// seconds.
+constexpr Duration longestRetryAfter = Seconds(2);
+// After its first configuration an entry waits this long for the sidecars to tell what their engines hold.
+constexpr Duration sidecarsTime = Milliseconds(1500);
 // A call that is sent with less than this left would be cut before its first byte.
 constexpr Duration leastTimeToSend = Milliseconds(30);
 
@@ -48,12 +53,15 @@
 
 DirectCalls::~DirectCalls() = default;
 
-bool DirectCalls::applyConfig(const DirectConfig &config, TimePoint /*now*/)
+bool DirectCalls::applyConfig(const DirectConfig &config, TimePoint now)
 {
     // A late or stale read must never bring an older configuration back.
     if (impl_->config && config.version <= impl_->config->version) {
         return false;
     }
+    if (!impl_->config) {
+        impl_->configuredAt = now;
+    }
     impl_->config = config;
     impl_->routes = RouteTable(config.routes);
     return true;
@@ -170,7 +178,8 @@
     // The answer would come after the caller has left: refused now, the caller can come back when there is room.
     if (now + choice->firstByte > call.deadline) {
         const auto excess = choice->firstByte - call.objective;
-        giveUp(handle, call, RefusalReason::DeadlineUnreachable, std::max(usualRetryAfter, excess), now);
+        giveUp(handle, call, RefusalReason::DeadlineUnreachable, std::clamp(excess, usualRetryAfter, longestRetryAfter),
+               now);
         return;
     }
     place(handle, call, *choice, now);
@@ -447,9 +456,23 @@
     return impl_->config.has_value();
 }
 
-bool DirectCalls::ready() const
+// An entry that has just started does not know yet what the engines hold and would refuse calls that it could serve a
+// moment later. It is ready once half of the engines have told, or after a while: the rest may have no sidecar.
+bool DirectCalls::ready(TimePoint now) const
 {
-    return configured() && !impl_->endpoints.all().empty();
+    if (!configured() || impl_->endpoints.all().empty()) {
+        return false;
+    }
+    std::size_t engines = 0;
+    std::size_t told = 0;
+    for (const auto &[id, entry] : impl_->endpoints.all()) {
+        const auto *service = impl_->config->service(entry.record.service);
+        if (service != nullptr && service->engine) {
+            ++engines;
+            told += entry.state ? 1 : 0;
+        }
+    }
+    return 2 * told >= engines || now - impl_->configuredAt > sidecarsTime;
 }
 
 const DirectConfig &DirectCalls::config() const
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -62,6 +62,7 @@
 {
     DirectCallsInit init;
     std::optional<DirectConfig> config;
+    TimePoint configuredAt{}; // when the first configuration came
     RouteTable routes;
     EndpointTable endpoints;
     std::map<AdapterName, std::uint32_t> versions; // that the operator has named
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -40,7 +40,12 @@
     const EndpointEntry *entry = nullptr;
     Presence presence = Presence::Resident;
     double sharedTokens = 0;
-    double ms = 0;
+    double ms = 0; // until the first byte
+    double dislike = 0; // on top: what speaks against the endpoint without making a call late
+    double sum() const
+    {
+        return ms + dislike;
+    }
 };
 
 std::uint64_t rank(std::uint64_t key, const EndpointEntry &entry)
@@ -133,15 +138,16 @@
         const auto &entry = *scored.entry;
         scored.sharedTokens = &scored == keeper ? 0 : shared;
         scored.ms = presenceMs(entry, name, scored.presence, now) + backlogMs(entry, now)
-                    + scored.sharedTokens / readTokensPerMs + trouble(entry, engineSilence, now);
-        scored.ms -= &scored == home && keeper == nullptr ? homeMs : 0;
+                    + scored.sharedTokens / readTokensPerMs;
+        scored.dislike = trouble(entry, engineSilence, now) - (&scored == home && keeper == nullptr ? homeMs : 0);
     }
 }
 
 void scorePlain(std::vector<Scored> &list, TimePoint now)
 {
     for (auto &scored : list) {
-        scored.ms = plainCallMs * scored.entry->inFlight + trouble(*scored.entry, plainSilence, now);
+        scored.ms = plainCallMs * scored.entry->inFlight;
+        scored.dislike = trouble(*scored.entry, plainSilence, now);
     }
 }
 
@@ -165,17 +171,17 @@
     }
     const auto tie = hash64(query.facts->requestId);
     for (auto &scored : list) {
-        scored.ms += scored.entry->record.dataCentre == query.dataCentre ? 0 : otherCentreMs;
+        scored.dislike += scored.entry->record.dataCentre == query.dataCentre ? 0 : otherCentreMs;
     }
     const auto best = std::min_element(list.begin(), list.end(), [&](const Scored &a, const Scored &b) {
-        return a.ms != b.ms ? a.ms < b.ms : rank(tie, *a.entry) < rank(tie, *b.entry);
+        return a.sum() != b.sum() ? a.sum() < b.sum() : rank(tie, *a.entry) < rank(tie, *b.entry);
     });
     const double own = query.facts->parts.empty() ? query.facts->promptTokens : query.facts->parts.back().tokens;
     Choice choice;
     choice.endpointId = best->entry->record.id;
     choice.presence = best->presence;
     choice.unreadTokens = own + best->sharedTokens;
-    const double whole = std::max(0.0, best->ms) + (query.engine ? own / readTokensPerMs : plainCallMs);
+    const double whole = best->ms + (query.engine ? own / readTokensPerMs : plainCallMs);
     choice.firstByte = Duration(static_cast<std::int64_t>(whole * 1000));
     return choice;
 }
--- /dev/null
+++ b/tests/process/direct_test.cpp
@@ -0,0 +1,338 @@
+// The direct path as separate processes: an entry, a sidecar beside an engine and plain endpoints, with stand-ins of
+// the users' platform.
+#include "fleet.h"
+
+#include <array>
+#include <regex>
+
+namespace {
+
+using namespace fleet;
+
+constexpr auto sidecarAddress = "127.0.0.2"; // the sidecar takes the entry's control port on another number
+
+class Direct : public testing::Test
+{
+protected:
+    Direct()
+    {
+        store_ = fleet_.startStandin("site-store", {});
+        engine_ =
+            fleet_.startStandin("site-replica", {"--id", "e-1", "--slots", "2", "--address", sidecarAddress}, "engine");
+        plain_[0] = fleet_.startStandin("site-replica", {"--id", "p-1"}, "plain-1");
+        plain_[1] = fleet_.startStandin("site-replica", {"--id", "p-2"}, "plain-2");
+        put("op/config", config(1, "/n/"));
+        put("servers/e-1", record("engines", std::string(sidecarAddress) + ":" + std::to_string(engine_)));
+        put("servers/p-1", record("plain", "127.0.0.1:" + std::to_string(plain_[0])));
+        put("servers/p-2", record("plain", "127.0.0.1:" + std::to_string(plain_[1])));
+    }
+
+    void start()
+    {
+        startSidecar();
+        startEntry();
+        EXPECT_TRUE(eventually([&] { return ready() == 200; }));
+    }
+    void startEntry()
+    {
+        std::ostringstream out;
+        out << R"({"role":"direct-entry","name":"entry-1","dataCentre":"dc","control":{"address":"127.0.0.1","port":)"
+            << controlPort_ << R"(},"http":{"at":"127.0.0.1:)" << httpPort_ << R"("},"direct":{"store":)"
+            << R"("http://127.0.0.1:)" << store_ << R"(","ready":{"at":"127.0.0.1:)" << readyPort_
+            << R"("},"storePauseMs":50,"graceMs":8000},"log":{"file":"-"}})";
+        startDaemon("entry-1", out.str());
+    }
+    void startSidecar()
+    {
+        std::ostringstream out;
+        out << R"({"role":"direct-sidecar","name":"side-1","dataCentre":"dc","control":{"address":")" << sidecarAddress
+            << R"(","port":)" << controlPort_ << R"(},"direct":{"endpoint":"http://)" << sidecarAddress << ":"
+            << engine_ << R"("},"log":{"file":"-"}})";
+        startDaemon("side-1", out.str());
+    }
+    void startDaemon(const std::string &name, const std::string &settings)
+    {
+        std::ofstream(fleet_.settingsFile(name)) << settings;
+        daemons_.erase(name);
+        daemons_[name] = std::make_unique<Process>(
+            std::vector<std::string>{buildFolder() + "/bin/anvilscaled", "--settings", fleet_.settingsFile(name)},
+            fleet_.log(name));
+    }
+    std::string logOf(const std::string &name) const
+    {
+        std::ifstream in(fleet_.log(name));
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+
+    static std::string config(unsigned version, const std::string &plainPrefix)
+    {
+        const auto route = [](const std::string &prefix, const std::string &type, const std::string &service) {
+            return R"({"name":")" + prefix + R"(","hostname":"h.example","prefix":")" + prefix + R"(","type":")" + type
+                   + R"(","timeout_ms":6000,"target_latency_ms":1000,"max_attempts":2,"service":")" + service + R"("})";
+        };
+        return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("/s/", "streaming", "engines")
+               + "," + route("/i/", "idempotent", "plain") + "," + route(plainPrefix, "non_idempotent", "plain")
+               + R"(],"services":[{"name":"engines","engine":{"adapter_slots":2,"weights_mb":1000,"models":)"
+               + R"([{"name":"base","weights_mb":800,"adapter_mb":50}]}},{"name":"plain"}],"limits":{}})";
+    }
+    static std::string record(const std::string &service, const std::string &address,
+                              const std::string &state = "ready")
+    {
+        return R"({"service":")" + service + R"(","address":")" + address + R"(","zone":"dc","slots":4,"state":")"
+               + state + R"(","models":[]})";
+    }
+    void put(const std::string &key, const std::string &value) const
+    {
+        Poco::JSON::Object item;
+        item.set("key", key);
+        item.set("value", value);
+        Poco::JSON::Array puts;
+        puts.add(item);
+        Poco::JSON::Object body;
+        body.set("puts", puts);
+        std::ostringstream text;
+        body.stringify(text);
+        tell(store_, text.str());
+    }
+    static void tell(unsigned port, const std::string &body, const std::string &address = "127.0.0.1")
+    {
+        EXPECT_EQ(requestAt(address, port, "POST", "/standin", body).status, 200);
+    }
+    /// How often the endpoint has run the request.
+    static int ran(unsigned port, const std::string &id, const std::string &address = "127.0.0.1")
+    {
+        const auto list = parse(requestAt(address, port, "GET", "/standin").body)->getArray("ran");
+        int count = 0;
+        for (std::size_t i = 0; i < list->size(); ++i) {
+            count += list->getElement<std::string>(static_cast<unsigned>(i)) == id ? 1 : 0;
+        }
+        return count;
+    }
+    int ranPlain(const std::string &id) const
+    {
+        return ran(plain_[0], id) + ran(plain_[1], id);
+    }
+    Answer call(const std::string &path, const std::string &id, const std::string &adapter = {}) const
+    {
+        std::map<std::string, std::string> headers{
+            {"Host", "h.example"}, {"X-Anvilscale-Request-Id", id}, {"X-Anvilscale-Deadline-Ms", "5000"}};
+        if (!adapter.empty()) {
+            headers["X-Anvilscale-Model"] = "base/" + adapter;
+            headers["X-Anvilscale-Token-Usage"] = "100,20";
+        }
+        return request(httpPort_, "POST", path, "body " + id, headers);
+    }
+    /// All bytes of an answer, up to the end of its connection.
+    std::string rawCall(const std::string &path, const std::string &id, const std::string &adapter) const
+    {
+        Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(httpPort_)));
+        const auto text = "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
+                          + "\r\nX-Anvilscale-Model: base/" + adapter
+                          + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        socket.sendBytes(text.data(), static_cast<int>(text.size()));
+        std::string bytes;
+        std::array<char, 4096> buffer{};
+        while (true) {
+            const int got = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            if (got <= 0) {
+                return bytes;
+            }
+            bytes.append(buffer.data(), static_cast<std::size_t>(got));
+        }
+    }
+    int ready() const
+    {
+        return request(readyPort_, "GET", "/api/readyz").status;
+    }
+
+    Fleet fleet_;
+    unsigned store_ = 0;
+    unsigned engine_ = 0;
+    std::array<unsigned, 2> plain_{};
+    unsigned controlPort_ = freePort();
+    unsigned httpPort_ = freePort();
+    unsigned readyPort_ = freePort();
+    std::map<std::string, std::unique_ptr<Process>> daemons_;
+    int probes_ = 0;
+};
+
+TEST_F(Direct, PlainCallsAndStreamsAreAnsweredWhole)
+{
+    start();
+    const auto plain = call("/n/x", "r-1");
+    EXPECT_EQ(plain.status, 200);
+    EXPECT_EQ(plain.body, "answer to body r-1");
+    EXPECT_EQ(plain.headers.at("X-Anvilscale-Server-Signature"), "sig.r-1");
+    const auto stream = call("/s/x", "r-2", "a1");
+    EXPECT_EQ(stream.status, 200);
+    EXPECT_NE(stream.body.find("data: piece 5"), std::string::npos) << stream.body;
+    EXPECT_EQ(call("/unknown/x", "r-3").status, 404);
+    EXPECT_NE(logOf("entry-1").find(R"("request":"r-2","outcome":"answered")"), std::string::npos);
+}
+
+TEST_F(Direct, LogTimesAreInTheStandardForm)
+{
+    start();
+    const std::regex form(R"(\{"time":"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z","event":)");
+    EXPECT_TRUE(std::regex_search(logOf("entry-1"), form)) << logOf("entry-1");
+}
+
+// More adapters are asked for than the engine has slots. Their calls wait while others make room; every call is
+// answered, and at no moment is more ordered than the slots hold, on which the real engine crashes.
+TEST_F(Direct, AdaptersTakeTurnsInTheSlots)
+{
+    start();
+    for (int round = 0; round < 2; ++round) {
+        for (int adapter = 1; adapter <= 5; ++adapter) {
+            const auto name = "a" + std::to_string(adapter);
+            const auto answer = call("/s/x", "r-" + std::to_string(round) + name, name);
+            EXPECT_EQ(answer.status, 200) << name;
+        }
+    }
+    EXPECT_FALSE(parse(requestAt(sidecarAddress, engine_, "GET", "/standin").body)->getValue<bool>("overfull"));
+}
+
+// The engine carries orders out and their answers are lost. The sidecar sees the effect in the report, orders nothing
+// twice beyond the slots, and the caller's answer is only a little late.
+TEST_F(Direct, OrdersWithLostAnswersAreMadeUpFor)
+{
+    start();
+    tell(engine_, R"({"lostOrders":4})", sidecarAddress);
+    for (const auto *adapter : {"a1", "a2", "a3"}) {
+        EXPECT_EQ(call("/s/x", std::string("r-") + adapter, adapter).status, 200) << adapter;
+    }
+    EXPECT_FALSE(parse(requestAt(sidecarAddress, engine_, "GET", "/standin").body)->getValue<bool>("overfull"));
+}
+
+// The engine restarts empty under another incarnation. The store tells the entries, they tell the sidecar, which fills
+// the engine again; callers are served without anybody's help.
+TEST_F(Direct, AnEngineThatRestartsIsFilledAgain)
+{
+    start();
+    EXPECT_EQ(call("/s/x", "r-1", "a1").status, 200);
+    tell(engine_, R"({"id":"e-2"})", sidecarAddress);
+    tell(store_, R"({"deletes":["servers/e-1"]})");
+    put("servers/e-2", record("engines", std::string(sidecarAddress) + ":" + std::to_string(engine_)));
+    EXPECT_TRUE(eventually([&] { return call("/s/x", "r-2", "a1").status == 200; }));
+}
+
+// A sidecar is killed and started again while the engine goes on. Its orders are taken: the fencing number has grown.
+TEST_F(Direct, ARestartedSidecarMayOrder)
+{
+    start();
+    EXPECT_EQ(call("/s/x", "r-1", "a1").status, 200);
+    daemons_["side-1"]->signal(SIGKILL);
+    daemons_["side-1"]->wait();
+    startSidecar();
+    EXPECT_TRUE(eventually([&] { return call("/s/x", "r-2", "a2").status == 200; }));
+}
+
+// An answer breaks off in the middle. The idempotent call is run again at the other endpoint and its caller sees the
+// whole answer; the non-idempotent one has run once, and its caller is told that the outcome is not known.
+TEST_F(Direct, BrokenAnswersAreRepairedOnlyWhereThatIsAllowed)
+{
+    start();
+    for (const auto port : plain_) {
+        tell(port, R"({"fault":"break","times":1})");
+    }
+    EXPECT_EQ(call("/n/x", "r-1").status, 502);
+    EXPECT_EQ(ranPlain("r-1"), 1);
+    const auto repaired = call("/i/x", "r-2");
+    EXPECT_EQ(repaired.status, 200);
+    EXPECT_EQ(repaired.body, "answer to body r-2");
+}
+
+// A stream breaks after its second event. What the caller has seen must not look whole: the connection is cut.
+TEST_F(Direct, ABrokenStreamDoesNotLookWhole)
+{
+    start();
+    EXPECT_EQ(call("/s/x", "r-1", "a1").status, 200);
+    tell(engine_, R"({"fault":"break","times":1})", sidecarAddress);
+    const auto bytes = rawCall("/s/x", "r-2", "a1");
+    EXPECT_NE(bytes.find("piece 2"), std::string::npos) << bytes;
+    EXPECT_FALSE(bytes.ends_with("0\r\n\r\n")) << bytes;
+}
+
+// The late answer of another request comes where the call's own is due. It belongs to nobody and is never passed on.
+TEST_F(Direct, AnotherRequestsAnswerIsNotPassedOn)
+{
+    start();
+    for (const auto port : plain_) {
+        tell(port, R"({"fault":"foreign","times":1})");
+    }
+    EXPECT_EQ(call("/n/x", "r-1").status, 502);
+}
+
+// Both endpoints are full. The caller hears at once that the call has not run and when to come back; nothing has run.
+TEST_F(Direct, FullEndpointsAreTold)
+{
+    start();
+    for (const auto port : plain_) {
+        tell(port, R"({"fault":"refuse","times":5})");
+    }
+    const auto refused = call("/n/x", "r-1");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(refused.headers.count("Retry-After")) << "when to come back";
+    EXPECT_EQ(ranPlain("r-1"), 0);
+}
+
+// An endpoint announces that it leaves: as soon as the store has told, no call reaches it.
+TEST_F(Direct, ALeavingEndpointGetsNoCalls)
+{
+    start();
+    put("servers/p-1", record("plain", "127.0.0.1:" + std::to_string(plain_[0]), "draining"));
+    EXPECT_TRUE(eventually([&] {
+        const auto id = "probe-" + std::to_string(++probes_);
+        EXPECT_EQ(call("/n/x", id).status, 200);
+        return ran(plain_[1], id) == 1;
+    }));
+    for (int i = 0; i < 10; ++i) {
+        const auto id = "r-" + std::to_string(i);
+        EXPECT_EQ(call("/n/x", id).status, 200);
+        EXPECT_EQ(ran(plain_[0], id), 0);
+    }
+}
+
+// The store refuses this entry, then has lost its history. Calls go on at the last configuration meanwhile, and what
+// was changed is in force once it answers again, removed endpoints included.
+TEST_F(Direct, TheStoreMayBeAwayAndForget)
+{
+    start();
+    tell(store_, R"({"status":503})");
+    EXPECT_EQ(call("/n/x", "r-1").status, 200);
+    tell(store_, R"({"deletes":["servers/p-1"]})");
+    put("op/config", config(2, "/m/"));
+    tell(store_, R"({"status":0,"forget":true})");
+    EXPECT_TRUE(eventually([&] { return call("/m/x", "r-2").status == 200; }));
+    EXPECT_EQ(call("/n/x", "r-3").status, 404);
+    EXPECT_TRUE(eventually([&] { return logOf("entry-1").find(R"("endpoint":"p-1")") != std::string::npos; }));
+}
+
+// SIGTERM while a stream runs: the readiness check fails at once, callers that still come are served, the stream ends
+// whole and the process ends with 0.
+TEST_F(Direct, AStoppedEntryServesUntilTheBalancerKnows)
+{
+    start();
+    EXPECT_EQ(call("/s/x", "r-1", "a1").status, 200);
+    daemons_["entry-1"]->signal(SIGTERM);
+    EXPECT_TRUE(eventually([&] { return ready() != 200; }, std::chrono::seconds(1)));
+    const auto late = call("/s/x", "r-2", "a1");
+    EXPECT_EQ(late.status, 200);
+    EXPECT_EQ(late.headers.at("Connection"), "close");
+    EXPECT_EQ(daemons_["entry-1"]->wait(), 0);
+}
+
+// The settings file changes and the process gets SIGHUP. Its default action would end the process and cut all calls;
+// a file that is not valid changes nothing and is told.
+TEST_F(Direct, AChangedSettingsFileDoesNotEndTheProcess)
+{
+    start();
+    daemons_["entry-1"]->signal(SIGHUP);
+    EXPECT_TRUE(eventually([&] { return logOf("entry-1").find("settings_reloaded") != std::string::npos; }));
+    std::ofstream(fleet_.settingsFile("entry-1")) << "{";
+    daemons_["entry-1"]->signal(SIGHUP);
+    EXPECT_TRUE(eventually([&] { return logOf("entry-1").find("reload_rejected") != std::string::npos; }));
+    EXPECT_EQ(call("/n/x", "r-1").status, 200);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/standins/site_store.cpp
@@ -0,0 +1,172 @@
+// The store of the users' platform, by its published protocol: reads of all keys in pages and watches. POST /standin
+// writes ({"puts": [{"key", "value"}], "deletes": [...]}), makes it answer every call with a status ({"status": 503},
+// 0: well again), or drops its history ({"forget": true}).
+#include "http_host.h"
+#include "subcommands.h"
+
+#include <Poco/Base64Encoder.h>
+#include <Poco/JSON/Array.h>
+#include <Poco/URI.h>
+#include <cxxopts.hpp>
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <sstream>
+#include <vector>
+
+namespace standins {
+
+namespace {
+
+using Poco::JSON::Array;
+
+std::string encode(const std::string &value)
+{
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << value;
+    encoder.close();
+    return out.str();
+}
+
+class SiteStore
+{
+public:
+    explicit SiteStore(std::size_t page)
+        : page_(page)
+    {
+    }
+
+    void handle(HTTPServerRequest &request, HTTPServerResponse &response)
+    {
+        const Poco::URI uri(request.getURI());
+        std::map<std::string, std::string> query;
+        for (const auto &[name, value] : uri.getQueryParameters()) {
+            query[name] = value;
+        }
+        const auto body = readJson(request);
+        std::unique_lock lock(mutex_);
+        if (uri.getPath() == "/standin") {
+            control(*body);
+            sendJson(response, HTTPServerResponse::HTTP_OK, JsonObject());
+            return;
+        }
+        ++calls_;
+        if (status_ != 0) {
+            sendJson(response, status_, JsonObject());
+        } else if (uri.getPath() == "/api/kv-range") {
+            sendJson(response, HTTPServerResponse::HTTP_OK, range(query["after"]));
+        } else if (uri.getPath() == "/api/kv-watch") {
+            watch(lock, query, response);
+        } else {
+            sendJson(response, HTTPServerResponse::HTTP_NOT_FOUND, JsonObject());
+        }
+    }
+
+private:
+    struct Change
+    {
+        std::int64_t revision;
+        JsonObject event;
+    };
+
+    void control(const JsonObject &body)
+    {
+        status_ = option<int>(body, "status", status_);
+        const auto puts = body.getArray("puts");
+        for (std::size_t i = 0; puts && i < puts->size(); ++i) {
+            const auto put = puts->getObject(static_cast<unsigned>(i));
+            const auto key = put->getValue<std::string>("key");
+            JsonObject item;
+            item.set("key", key);
+            item.set("value", encode(put->getValue<std::string>("value")));
+            item.set("revision", ++revision_);
+            items_[key] = item;
+            history_.push_back({revision_, item});
+        }
+        const auto deletes = body.getArray("deletes");
+        for (std::size_t i = 0; deletes && i < deletes->size(); ++i) {
+            const auto key = deletes->getElement<std::string>(static_cast<unsigned>(i));
+            items_.erase(key);
+            JsonObject event;
+            event.set("key", key);
+            event.set("revision", ++revision_);
+            event.set("tombstone", true);
+            history_.push_back({revision_, event});
+        }
+        if (option(body, "forget", false)) {
+            history_.clear();
+            forgotten_ = ++revision_;
+        }
+        changed_.notify_all();
+    }
+
+    JsonObject range(const std::string &after)
+    {
+        Array items;
+        auto it = after.empty() ? items_.begin() : items_.upper_bound(after);
+        for (; it != items_.end() && items.size() < page_; ++it) {
+            items.add(it->second);
+        }
+        JsonObject result;
+        result.set("items", items);
+        result.set("has_more", it != items_.end());
+        result.set("store_revision", revision_);
+        return result;
+    }
+
+    void watch(std::unique_lock<std::mutex> &lock, std::map<std::string, std::string> &query,
+               HTTPServerResponse &response)
+    {
+        const auto after = std::stoll(query["after"]);
+        const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoll(query["wait_ms"]));
+        changed_.wait_until(lock, until, [&] { return revision_ > after || status_ != 0; });
+        if (status_ != 0) {
+            sendJson(response, status_, JsonObject());
+            return;
+        }
+        if (after < forgotten_) {
+            sendJson(response, HTTPServerResponse::HTTP_GONE, JsonObject());
+            return;
+        }
+        Array events;
+        for (const auto &change : history_) {
+            if (change.revision > after) {
+                events.add(change.event);
+            }
+        }
+        JsonObject result;
+        result.set("events", events);
+        result.set("store_revision", revision_);
+        sendJson(response, HTTPServerResponse::HTTP_OK, result);
+    }
+
+    std::mutex mutex_; // guards all below
+    std::condition_variable changed_;
+    std::size_t page_;
+    std::int64_t revision_ = 1;
+    std::int64_t forgotten_ = 0; // changes up to here are no longer told
+    std::map<std::string, JsonObject> items_;
+    std::vector<Change> history_;
+    int status_ = 0;
+    std::uint64_t calls_ = 0;
+};
+
+} // namespace
+
+void siteStoreOptions(cxxopts::Options &options)
+{
+    options.add_options()("page", "items of a page", cxxopts::value<unsigned>()->default_value("3"));
+}
+
+int runSiteStore(const cxxopts::ParseResult &options)
+{
+    SiteStore store(options["page"].as<unsigned>());
+    return serveUntilStopped(
+        [&store](HTTPServerRequest &request, HTTPServerResponse &response) { store.handle(request, response); },
+        options);
+}
+
+} // namespace standins
--- a/tests/standins/subcommands.h
+++ b/tests/standins/subcommands.h
@@ -19,6 +19,10 @@
 int runWeightStore(const cxxopts::ParseResult &options);
 void vmListOptions(cxxopts::Options &options);
 int runVmList(const cxxopts::ParseResult &options);
+void siteStoreOptions(cxxopts::Options &options);
+int runSiteStore(const cxxopts::ParseResult &options);
+void siteReplicaOptions(cxxopts::Options &options);
+int runSiteReplica(const cxxopts::ParseResult &options);
 void callerOptions(cxxopts::Options &options);
 int runCaller(const cxxopts::ParseResult &options);
 
