--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -76,6 +76,7 @@
     void readBody(Connection &connection);
     void onClosed(Connection &connection);
     void finish(Connection &connection, ExchangeEnd end);
+    static void resetOnClose(Connection &connection);
     void drop(Connection &connection);
     void keep(Connection &connection);
     Duration idleTimeOf(const HttpResponseHead &response) const;
@@ -244,6 +245,7 @@
 {
     const auto found = connections.find(id);
     if (found != connections.end() && found->second->step != Step::Idle) {
+        resetOnClose(*found->second);
         drop(*found->second);
     }
 }
@@ -430,6 +432,9 @@
     if (reusable) {
         keep(connection);
     } else {
+        if (end == ExchangeEnd::Broken) {
+            resetOnClose(connection);
+        }
         drop(connection);
     }
     if (handler) {
@@ -488,6 +493,17 @@
     scheduleSweep();
 }
 
+// While the network is cut, a request waits in the kernel. After a plain close it would still be delivered once the cut
+// is over, and run for a caller who has left; a reset throws it away.
+void HttpClient::Impl::resetOnClose(Connection &connection)
+{
+    try {
+        connection.socket.setLinger(true, 0);
+    } catch (const Poco::Exception &) {
+        return; // closed by the other side already: nothing waits
+    }
+}
+
 void HttpClient::Impl::drop(Connection &connection)
 {
     loop.timers().cancel(connection.timer);
