Messenger waits by epoll; sidecars tell news to waiting entries first

Change: the descriptors of the sockets are watched by epoll, and only those with news are read; entries without waiting calls get state messages 120 ms apart at least; a sidecar is told only when something has changed.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -416,6 +416,8 @@
     bool waits() const;
     /// What entries are to know; `sequence` is left to the caller.
     wire::DirectState state() const;
+    /// True if calls of this entry wait for an adapter.
+    bool waitsFor(PeerHandle peer) const;
     /// Changes whenever something changes that entries wait for.
     std::uint64_t revision() const;
     /// Prompt tokens that all entries together have under way at the engine.
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -96,9 +96,11 @@
     static constexpr Duration busyInterval = Milliseconds(25); // while a load is under way: its end is told at once
     static constexpr Duration stateInterval = Milliseconds(500); // an entry takes three that are missing as a loss
 
-    // Work that entries have sent is told to the others in steps of some 80 ms of reading, and not more often.
+    // Work that entries have sent is told to the others in steps of some 80 ms of reading.
     static constexpr std::uint64_t unreadStep = 3000; // tokens
-    static constexpr Duration unreadInterval = Milliseconds(80);
+    // Least time between two messages to an entry that waits for nothing: an engine's adapters and prompts change
+    // several times a second, and each change would go to every entry.
+    static constexpr Duration newsInterval = Milliseconds(120);
 
     explicit DirectSidecar(const settings::Settings &settings)
         : settings_(settings)
@@ -193,9 +195,11 @@
         }
         const auto unread = keeper_.unreadTokens();
         const auto moved = unread > toldUnread_ ? unread - toldUnread_ : toldUnread_ - unread;
-        const bool busier = moved >= unreadStep && now - toldAt_ >= unreadInterval;
-        if (keeper_.revision() != toldRevision_ || now >= stateDue_ || busier) {
-            tellState(now);
+        const bool news = keeper_.revision() != toldRevision_;
+        if (now >= stateDue_ || ((news || moved >= unreadStep) && now - toldAt_ >= newsInterval)) {
+            tellAll(now);
+        } else if (news && keeper_.revision() != urgentRevision_) {
+            tellWaiting(now);
         }
     }
 
@@ -220,28 +224,56 @@
             });
     }
 
-    void tellState(TimePoint now)
+    wire::Envelope stateMessage()
     {
-        toldRevision_ = keeper_.revision();
-        toldUnread_ = keeper_.unreadTokens();
-        toldAt_ = now;
-        stateDue_ = now + stateInterval;
-        control_.timers().subscribe(stateDue_, [](TimePoint) {});
         wire::Envelope message;
         *message.mutable_direct_state() = keeper_.state();
         message.mutable_direct_state()->set_sequence(++sequence_);
+        return message;
+    }
+
+    void tellAll(TimePoint now)
+    {
+        toldRevision_ = keeper_.revision();
+        urgentRevision_ = toldRevision_;
+        toldUnread_ = keeper_.unreadTokens();
+        toldAt_ = now;
+        wakeAt(now + stateInterval);
+        const auto message = stateMessage();
         for (const auto peer : peers_) {
             messenger_->sendTo(peer, message);
         }
     }
 
+    /// Entries whose calls wait for an adapter hear of every change at once, the others a little later.
+    void tellWaiting(TimePoint now)
+    {
+        urgentRevision_ = keeper_.revision();
+        if (stateDue_ > toldAt_ + newsInterval) {
+            wakeAt(std::max(now, toldAt_ + newsInterval));
+        }
+        const auto message = stateMessage();
+        for (const auto peer : peers_) {
+            if (keeper_.waitsFor(peer)) {
+                messenger_->sendTo(peer, message);
+            }
+        }
+    }
+
+    void wakeAt(TimePoint at)
+    {
+        stateDue_ = at;
+        control_.timers().subscribe(at, [](TimePoint) {});
+    }
+
     settings::Settings settings_;
     std::uint64_t incarnation_;
     AdapterKeeper keeper_; // control thread, as all below
     std::set<PeerHandle> peers_; // entries that have told what they want
     bool reading_ = false;
     bool reachable_ = true;
-    std::uint64_t toldRevision_ = 0;
+    std::uint64_t toldRevision_ = 0; // that all entries know
+    std::uint64_t urgentRevision_ = 0; // that the waiting entries know
     std::uint64_t sequence_ = 0;
     std::uint64_t toldUnread_ = 0;
     TimePoint toldAt_{};
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -371,6 +371,14 @@
     return underWay_ || awaited_;
 }
 
+bool AdapterKeeper::waitsFor(PeerHandle peer) const
+{
+    const auto found = wishes_.find(peer);
+    return found != wishes_.end() && std::any_of(found->second.begin(), found->second.end(), [](const auto &wish) {
+               return wish.second.waiting != 0;
+           });
+}
+
 std::uint64_t AdapterKeeper::unreadTokens() const
 {
     std::uint64_t sum = 0;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -99,6 +99,9 @@
 {
     auto &known = impl_->versions[{version.model, version.adapter}];
     known = std::max(known, version.version);
+    for (auto &[id, entry] : impl_->endpoints.all()) {
+        entry.changed = true;
+    }
 }
 
 void DirectCalls::applyState(const std::string &address, const wire::DirectState &state, TimePoint now)
@@ -108,6 +111,7 @@
         return;
     }
     entry->applyState(state, now);
+    entry->changed = true;
     impl_->sendWaiting(entry->record.id, now);
 }
 
@@ -205,6 +209,7 @@
     call.step = CallStep::Waiting;
     auto &entry = *endpoints.find(call.endpointId);
     entry.waiting.insert(handle);
+    entry.changed = true;
     ++stats.waitedForAdapter;
     tellSidecar(entry, now);
 }
@@ -212,6 +217,7 @@
 void DirectCalls::Impl::stopWaiting(EndpointEntry &entry, CallHandle handle, DirectCall &call, TimePoint now)
 {
     if (entry.waiting.erase(handle) != 0) {
+        entry.changed = true;
         call.adapterWait += now - call.stepSince;
     }
 }
@@ -228,6 +234,7 @@
     // refuses instead of running it.
     const auto named = namedVersion(name);
     call.version = named == 0 ? 0 : std::max(named, entry.heldVersion(name, now));
+    entry.changed = true;
     ++entry.inFlight;
     if (entry.unanswered++ == 0) {
         entry.oldestSilence = now;
@@ -262,6 +269,7 @@
         stopWaiting(*entry, handle, call, now);
         return;
     }
+    entry->changed = true;
     // An endpoint that was removed and came back under its id counts from zero, and calls from before still end.
     lower(entry->inFlight);
     entry->inFlightAtState = std::min(entry->inFlightAtState, entry->inFlight);
@@ -289,6 +297,7 @@
     call.firstByte = now - call.arrived;
     if (auto *entry = impl_->endpoints.find(call.endpointId)) {
         entry->countByte(now);
+        entry->changed = true;
         lower(entry->unanswered);
         entry->unreadTokens = std::max(0.0, entry->unreadTokens - call.unreadTokens);
     }
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -168,14 +168,18 @@
 void DirectCalls::Impl::tellSidecar(EndpointEntry &entry, TimePoint now)
 {
     auto &sent = wishes[entry.record.address];
+    const bool planNew = config && sent.planVersion < config->version;
+    const bool quiet = now - sent.at >= wishesKeepAlive;
+    if (!entry.changed && !planNew && !quiet) {
+        return;
+    }
     auto demand = demandFor(entry, now);
     auto text = demand.SerializeAsString();
-    const bool planNew = config && sent.planVersion < config->version;
+    entry.changed = text != sent.text;
     // The sidecar must not unload an adapter on which a call has just been sent: it hears of the first one at once.
     const bool urgent = (!entry.waiting.empty() || entry.newlyRunning) && text != sent.text;
     const bool due = text != sent.text && now - sent.at >= wishesInterval;
     const bool moved = std::abs(entry.unreadTokens - entry.toldUnread) >= unreadStep && now - sent.at >= unreadInterval;
-    const bool quiet = now - sent.at >= wishesKeepAlive;
     if (!planNew && !urgent && !due && !moved && !quiet) {
         return;
     }
@@ -185,6 +189,7 @@
     }
     entry.toldUnread = entry.unreadTokens;
     entry.newlyRunning = false;
+    entry.changed = !entry.startedOn.empty(); // what was told as started is not told again
     sent.at = now;
     sent.text = std::move(text);
     entry.startedOn.clear();
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -82,13 +82,14 @@
 double backlogMs(const EndpointEntry &entry, TimePoint now)
 {
     double ms = entry.unreadTokens / readTokensPerMs;
+    double running = 0;
     if (entry.stateFresh(now)) {
         const auto others = static_cast<double>(entry.state->unread_tokens()) - entry.toldUnread;
         ms += std::max(0.0, others) / readTokensPerMs;
         const auto there = entry.state->running() + entry.state->queued();
-        ms += othersCallMs * (there > entry.inFlightAtState ? there - entry.inFlightAtState : 0);
+        running = othersCallMs * (there > entry.inFlightAtState ? there - entry.inFlightAtState : 0);
     }
-    return ms;
+    return running + ms;
 }
 
 double presenceMs(const EndpointEntry &entry, const AdapterName &name, Presence presence, TimePoint now)
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -30,6 +30,7 @@
     std::uint32_t inFlightAtState = 0;
     double toldUnread = 0; // own unreadTokens as the sidecar was told last
     std::map<AdapterName, std::uint32_t> runningOn; // own calls by adapter
+    bool changed = true; // something of which the sidecar may have to be told
     bool newlyRunning = false; // a call was sent on an adapter of which the sidecar has not been told
     std::map<AdapterName, std::uint32_t> startedOn; // since the last wishes
     std::set<CallHandle> waiting; // own calls that wait for an adapter here
--- a/src/net/messenger.cpp
+++ b/src/net/messenger.cpp
@@ -1,5 +1,7 @@
 // The messenger: one thread that owns a ROUTER and a DEALER for each target. Other threads hand messages over through
 // a queue; an eventfd wakes the thread.
+#include "socket_watch.h"
+
 #include "anvilscale/net.h"
 
 #include <sys/eventfd.h>
@@ -20,11 +22,14 @@
 
 constexpr int socketQueue = 20'000; // messages that ZeroMQ keeps for one connection
 constexpr int receivesAtOnce = 256; // from one socket before the others get their turn
-constexpr auto longestWait = std::chrono::milliseconds(200);
+constexpr auto longestWait = std::chrono::milliseconds(200); // expiry of waiting messages is looked at this often
 constexpr auto retryWait = std::chrono::milliseconds(2); // while a connection that came up takes nothing yet
 constexpr int lingerMs = 200;
 constexpr int reconnectMs = 50;
 constexpr int reconnectMaxMs = 1000;
+// Names of targets are never of this form.
+const std::string wakeName = "\nwake";
+const std::string routerName = "\nrouter";
 constexpr std::uint16_t connectedEvent = ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
 constexpr std::uint16_t lostEvent = ZMQ_EVENT_DISCONNECTED;
 
@@ -109,6 +114,7 @@
     std::unordered_map<PeerHandle, std::string> identities;
     std::uint64_t lastPeer = 0;
     std::map<std::string, std::unique_ptr<Target>> targets;
+    SocketWatch watch; // of the wake-up and the router under reserved names, of targets under theirs
     bool stopping = false;
 
     ~Impl()
@@ -131,6 +137,7 @@
     void connectTarget(const std::string &name, const std::string &address, std::uint64_t epoch);
     void openDealer(Target &target);
     void reopen(Target &target);
+    void forgetTarget(const std::string &name);
     void send(Outgoing message);
     void sendToPeer(Outgoing message);
     void sendToTarget(Target &target, Outgoing message);
@@ -181,6 +188,8 @@
         return tl::unexpected(NetError{kind, text, error.what()});
     }
     impl->wakeFd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    impl->watch.add(impl->wakeFd, wakeName);
+    impl->watch.add(impl->router, routerName);
     return std::unique_ptr<Messenger>(new Messenger(std::move(impl)));
 }
 
@@ -318,35 +327,26 @@
 
 void Messenger::Impl::poll()
 {
-    std::vector<zmq::pollitem_t> items;
-    items.reserve(2 + 2 * targets.size());
-    items.push_back({nullptr, wakeFd, ZMQ_POLLIN, 0});
-    items.push_back({router.handle(), 0, ZMQ_POLLIN, 0});
-    std::vector<Target *> order;
-    for (auto &[name, target] : targets) {
-        items.push_back({target->dealer.handle(), 0, ZMQ_POLLIN, 0});
-        items.push_back({target->monitor.handle(), 0, ZMQ_POLLIN, 0});
-        order.push_back(target.get());
-    }
-    const bool anyWaits = std::any_of(order.begin(), order.end(),
-                                      [](const Target *target) { return target->up && !target->waiting.empty(); });
-    zmq::poll(items, anyWaits ? retryWait : longestWait);
-    if (items[0].revents != 0) {
+    const bool anyWaits = std::any_of(targets.begin(), targets.end(), [](const auto &entry) {
+        return entry.second->up && !entry.second->waiting.empty();
+    });
+    const auto due = watch.wait(anyWaits ? retryWait : longestWait);
+    if (due.count(wakeName) != 0) {
         std::uint64_t value = 0;
         [[maybe_unused]] const auto got = ::read(wakeFd, &value, sizeof value);
     }
-    if (items[1].revents != 0) {
+    if (due.count(routerName) != 0) {
         receivePeers();
     }
-    for (std::size_t i = 0; i < order.size(); ++i) {
-        if (items[2 + 2 * i].revents != 0) {
-            receiveTarget(*order[i]);
-        }
-        if (items[3 + 2 * i].revents != 0) {
-            watchTarget(*order[i]);
+    for (const auto &name : due) {
+        if (const auto found = targets.find(name); found != targets.end()) {
+            receiveTarget(*found->second);
+            watchTarget(*found->second);
         }
-        flushWaiting(*order[i]);
-        expireWaiting(*order[i]);
+    }
+    for (auto &[name, target] : targets) {
+        flushWaiting(*target);
+        expireWaiting(*target);
     }
 }
 
@@ -374,7 +374,7 @@
         connectTarget(command.name, command.address, 0);
         return;
     case Command::Kind::Disconnect:
-        targets.erase(command.name);
+        forgetTarget(command.name);
         return;
     case Command::Kind::ForgetPeer:
         if (const auto found = identities.find(command.peer); found != identities.end()) {
@@ -388,6 +388,17 @@
     }
 }
 
+void Messenger::Impl::forgetTarget(const std::string &name)
+{
+    const auto found = targets.find(name);
+    if (found == targets.end()) {
+        return;
+    }
+    watch.remove(found->second->dealer);
+    watch.remove(found->second->monitor);
+    targets.erase(found);
+}
+
 void Messenger::Impl::connectTarget(const std::string &name, const std::string &address, std::uint64_t epoch)
 {
     auto &slot = targets[name];
@@ -396,6 +407,8 @@
     }
     if (slot) {
         epoch = slot->epoch + 1;
+        watch.remove(slot->dealer);
+        watch.remove(slot->monitor);
     }
     slot = std::make_unique<Target>();
     slot->name = name;
@@ -428,12 +441,16 @@
     target.monitor.set(zmq::sockopt::linger, 0);
     target.monitor.connect(events);
     dealer.connect("tcp://" + target.address);
+    watch.add(dealer, target.name);
+    watch.add(target.monitor, target.name);
 }
 
 void Messenger::Impl::reopen(Target &target)
 {
     ++target.epoch;
     target.lostBefore = true;
+    watch.remove(target.dealer);
+    watch.remove(target.monitor);
     zmq_socket_monitor(target.dealer.handle(), nullptr, 0);
     target.monitor.close();
     target.dealer.set(zmq::sockopt::linger, 0);
@@ -466,6 +483,7 @@
 bool Messenger::Impl::push(zmq::socket_t &socket, Outgoing &message)
 {
     const auto size = message.data.size();
+    watch.used(message.peer ? routerName : message.target);
     if (!socket.send(message.data, zmq::send_flags::dontwait)) {
         return false;
     }
@@ -484,6 +502,7 @@
     try {
         zmq::message_t identity(found->second);
         if (!router.send(identity, zmq::send_flags::sndmore | zmq::send_flags::dontwait)) {
+            watch.used(routerName);
             count(MessageDrop::PeerBusy);
             return;
         }
@@ -609,6 +628,7 @@
         }
         handlers.fromPeer(handle, std::move(message));
     }
+    watch.used(routerName); // there may be more
 }
 
 void Messenger::Impl::receiveTarget(Target &target)
@@ -623,6 +643,7 @@
             handlers.fromTarget(target.name, std::move(message));
         }
     }
+    watch.used(target.name); // there may be more
 }
 
 void Messenger::Impl::watchTarget(Target &target)
