--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -279,6 +279,16 @@
     Duration patience{};
 };
 
+/// What is logged of an attempt that did not answer its call, with what the endpoint said.
+struct FailedAttempt
+{
+    std::string requestId;
+    std::uint32_t attempt = 0;
+    std::string endpointId;
+    AttemptResult result;
+    Duration after{}; ///< since it was sent
+};
+
 struct DirectCallsInit
 {
     std::string dataCentre;
@@ -310,7 +320,8 @@
     // Knowledge.
     /// Returns false for a version that is not newer than the one in force.
     bool applyConfig(const DirectConfig &config, TimePoint now);
-    void applyEndpoint(const EndpointRecord &record, TimePoint now);
+    /// True if the endpoint is new, or has begun or ceased to leave.
+    bool applyEndpoint(const EndpointRecord &record, TimePoint now);
     void removeEndpoint(const std::string &id, TimePoint now);
     void applyVersion(const NamedVersion &version, TimePoint now);
     /// The sidecar beside the endpoint at this address tells its engine's state.
@@ -328,6 +339,7 @@
 
     std::vector<DirectAction> takeActions();
     std::vector<EndedCall> takeEnded();
+    std::vector<FailedAttempt> takeFailedAttempts();
     bool configured() const;
     /// True if callers may be sent here: there are a configuration, endpoints and news of what they hold.
     bool ready(TimePoint now) const;
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -124,6 +124,8 @@
 private:
     // The balancer asks once a second and takes a process out after two answers that are not 200.
     static constexpr Duration balancerTime = Milliseconds(2600);
+    // Of the bound within which a change must be in force: the rest is for the answer and for a slow moment.
+    static constexpr std::uint32_t pausePercent = 45;
     // Kept of the grace time for closing down.
     static constexpr Duration closingTime = Milliseconds(600);
     static constexpr std::uint32_t statusUnavailable = 503;
@@ -277,8 +279,14 @@
         const auto lost = [this](const std::string &name) {
             control_.post([this, name](Now) { calls_.sidecarLost(name); });
         };
-        handlers.targetUp = lost; // a new conversation begins with everything
-        handlers.targetLost = lost;
+        handlers.targetUp = [lost](const std::string &name) {
+            logEvent(Event::MemberChanged, {{"sidecar", name}, {"state", "connected"}});
+            lost(name); // a new conversation begins with everything
+        };
+        handlers.targetLost = [lost](const std::string &name) {
+            logEvent(Event::PeerLost, {{"sidecar", name}});
+            lost(name);
+        };
         handlers.sendFailed = [](const std::string &, const wire::AttemptId &) {};
         return handlers;
     }
@@ -290,6 +298,10 @@
         init.address = direct.store().substr(std::string_view("http://").size());
         init.timeout = Milliseconds(direct.store_timeout_ms());
         init.pause = Milliseconds(direct.store_pause_ms());
+        if (init.pause == Duration(0)) {
+            const auto bound = std::min(direct.leave_ms(), direct.config_ms());
+            init.pause = Milliseconds(bound * pausePercent / 100);
+        }
         init.wait = Milliseconds(direct.watch_ms());
         init.seed = hash64(settings_.name(), incarnation_);
         return init;
@@ -309,7 +321,7 @@
     void applyRecord(const StoreRecord &record, TimePoint now)
     {
         std::visit(Overloaded{[&](const DirectConfig &config) { applyConfig(config, now); },
-                              [&](const EndpointRecord &endpoint) { calls_.applyEndpoint(endpoint, now); },
+                              [&](const EndpointRecord &endpoint) { applyEndpoint(endpoint, now); },
                               [&](const EndpointRemoved &removed) {
                                   logEvent(Event::EndpointRemoved, {{"endpoint", removed.id}});
                                   calls_.removeEndpoint(removed.id, now);
@@ -324,6 +336,16 @@
         connectSidecars();
     }
 
+    void applyEndpoint(const EndpointRecord &endpoint, TimePoint now)
+    {
+        if (calls_.applyEndpoint(endpoint, now)) {
+            logEvent(Event::EndpointChanged, {{"endpoint", endpoint.id},
+                                              {"service", endpoint.service},
+                                              {"address", endpoint.address},
+                                              {"leaving", endpoint.leaving}});
+        }
+    }
+
     void applyConfig(const DirectConfig &config, TimePoint now)
     {
         if (!calls_.applyConfig(config, now)) {
@@ -370,8 +392,12 @@
     void performActions()
     {
         auto actions = calls_.takeActions();
-        for (auto &ended : calls_.takeEnded()) {
-            log_.callEnded(ended, EventLoop::now());
+        const auto now = EventLoop::now();
+        for (const auto &failed : calls_.takeFailedAttempts()) {
+            log_.attemptFailed(failed, now);
+        }
+        for (const auto &ended : calls_.takeEnded()) {
+            log_.callEnded(ended, now);
         }
         std::vector<DirectAction> traffic;
         for (auto &action : actions) {
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -44,6 +44,21 @@
     return true;
 }
 
+void DirectLog::attemptFailed(const FailedAttempt &attempt, TimePoint now)
+{
+    if (!mayWrite(now)) {
+        return;
+    }
+    logEvent(Event::AttemptFailed, {{"request", attempt.requestId},
+                                    {"attempt", std::uint64_t{attempt.attempt}},
+                                    {"endpoint", attempt.endpointId},
+                                    {"end", std::string(toString(attempt.result.end))},
+                                    {"refusal", std::string(toString(attempt.result.refusal))},
+                                    {"status", std::uint64_t{attempt.result.status}},
+                                    {"callerHasBytes", attempt.result.callerHasBytes},
+                                    {"afterMs", inMs(attempt.after)}});
+}
+
 void DirectLog::callEnded(const EndedCall &call, TimePoint now)
 {
     total_.record(seconds(call.total));
--- a/src/daemon/direct_log.h
+++ b/src/daemon/direct_log.h
@@ -10,6 +10,7 @@
 {
 public:
     DirectLog();
+    void attemptFailed(const FailedAttempt &attempt, TimePoint now);
     void callEnded(const EndedCall &call, TimePoint now);
     void appendMetrics(MetricsText &text) const;
 
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -67,12 +67,15 @@
     return true;
 }
 
-void DirectCalls::applyEndpoint(const EndpointRecord &record, TimePoint now)
+bool DirectCalls::applyEndpoint(const EndpointRecord &record, TimePoint now)
 {
+    const auto *known = impl_->endpoints.find(record.id);
+    const bool changed = known == nullptr || known->record.leaving != record.leaving;
     impl_->endpoints.put(record);
     if (record.leaving) {
         impl_->rerouteWaiting(record.id, now);
     }
+    return changed;
 }
 
 void DirectCalls::removeEndpoint(const std::string &id, TimePoint now)
@@ -179,6 +182,8 @@
         giveUp(handle, call, RefusalReason::NoEndpoint, usualRetryAfter, now);
         return;
     }
+    call.endpointId = choice->endpointId;
+    call.estimate = choice->firstByte;
     // The answer would come after the caller has left: refused now, the caller can come back when there is room.
     if (now + choice->firstByte > call.deadline) {
         const auto excess = choice->firstByte - call.objective;
@@ -191,10 +196,8 @@
 
 void DirectCalls::Impl::place(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now)
 {
-    call.endpointId = choice.endpointId;
     call.unreadTokens = choice.unreadTokens;
     call.stepSince = now;
-    call.estimate = choice.firstByte;
     const auto &chosen = *endpoints.find(choice.endpointId);
     call.stateAge = chosen.state ? now - chosen.stateAt : Duration(-1);
     if (call.engine && choice.presence != Presence::Resident) {
@@ -312,6 +315,9 @@
     }
     auto &call = found->second;
     impl.stats.ends.add(result.end);
+    if (result.end != AttemptEnd::Answered) {
+        impl.failedAttempts.push_back({call.facts.requestId, attempt, call.endpointId, result, now - call.stepSince});
+    }
     const bool failed = result.end == AttemptEnd::Unreachable || result.end == AttemptEnd::Broken;
     impl.leaveEndpoint(handle, call, failed, now);
     call.step = CallStep::Waiting; // of no endpoint, until the next decision
@@ -450,6 +456,11 @@
     impl_->end(handle, EndedOutcome::CallerGone, toString(FailureReason::CallerGone), 0, now);
 }
 
+std::vector<FailedAttempt> DirectCalls::takeFailedAttempts()
+{
+    return std::exchange(impl_->failedAttempts, {});
+}
+
 std::vector<EndedCall> DirectCalls::takeEnded()
 {
     return std::exchange(impl_->ended, {});
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -72,6 +72,7 @@
     std::map<std::string, std::uint64_t> modelUse; // calls by model, to fill an empty engine
     std::vector<DirectAction> actions;
     std::vector<EndedCall> ended;
+    std::vector<FailedAttempt> failedAttempts;
     DirectCallsStats stats;
 
     std::uint32_t namedVersion(const AdapterName &name) const;
