--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -98,9 +98,9 @@
 
     // Work that entries have sent is told to the others in steps of some 80 ms of reading.
     static constexpr std::uint64_t unreadStep = 3000; // tokens
-    // Least time between two messages to an entry that waits for nothing: an engine's adapters and prompts change
-    // several times a second, and each change would go to every entry.
-    static constexpr Duration newsInterval = Milliseconds(120);
+    // Least time between two messages to an entry that waits for nothing, for each entry that listens: news age with
+    // the number of entries, while the messages of one sidecar stay at some 125 a second.
+    static constexpr Duration newsIntervalPerEntry = Milliseconds(8);
 
     explicit DirectSidecar(const settings::Settings &settings)
         : settings_(settings)
@@ -196,10 +196,12 @@
         const auto unread = keeper_.unreadTokens();
         const auto moved = unread > toldUnread_ ? unread - toldUnread_ : toldUnread_ - unread;
         const bool news = keeper_.revision() != toldRevision_;
-        if (now >= stateDue_ || ((news || moved >= unreadStep) && now - toldAt_ >= newsInterval)) {
+        if (now >= stateDue_ || ((news || moved >= unreadStep) && now - toldAt_ >= newsInterval())) {
             tellAll(now);
         } else if (news && keeper_.revision() != urgentRevision_) {
             tellWaiting(now);
+        } else if (moved >= unreadStep && stateDue_ > toldAt_ + newsInterval()) {
+            wakeAt(toldAt_ + newsInterval());
         }
     }
 
@@ -249,8 +251,8 @@
     void tellWaiting(TimePoint now)
     {
         urgentRevision_ = keeper_.revision();
-        if (stateDue_ > toldAt_ + newsInterval) {
-            wakeAt(std::max(now, toldAt_ + newsInterval));
+        if (stateDue_ > toldAt_ + newsInterval()) {
+            wakeAt(std::max(now, toldAt_ + newsInterval()));
         }
         const auto message = stateMessage();
         for (const auto peer : peers_) {
@@ -260,6 +262,11 @@
         }
     }
 
+    Duration newsInterval() const
+    {
+        return std::min<Duration>(stateInterval, newsIntervalPerEntry * peers_.size());
+    }
+
     void wakeAt(TimePoint at)
     {
         stateDue_ = at;
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -15,7 +15,7 @@
 // Prompt tokens that engines have to read are told sooner, so that entries which know nothing of each other do not send
 // long prompts to one engine at the same time: 3,000 tokens take an engine some 80 ms.
 constexpr double unreadStep = 3000;
-constexpr Duration unreadInterval = Milliseconds(80);
+constexpr Duration unreadInterval = Milliseconds(15);
 // And this often at least, so that it knows the entry is there.
 constexpr Duration wishesKeepAlive = Milliseconds(2000);
 
