--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -112,6 +112,7 @@
     std::string dataCentre;
     std::uint32_t slots = 0; ///< calls that it works on at the same time
     bool leaving = false;
+    std::uint64_t born = 0; ///< grows with each record that is created in the store
     std::vector<std::string> models;
     std::vector<HeldAdapter> adapters;
 };
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -71,7 +71,7 @@
 {
     const auto *known = impl_->endpoints.find(record.id);
     const bool changed = known == nullptr || known->record.leaving != record.leaving;
-    impl_->endpoints.put(record);
+    impl_->endpoints.put(record, now);
     if (record.leaving) {
         impl_->rerouteWaiting(record.id, now);
     }
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -203,7 +203,7 @@
     }
     for (auto &[id, entry] : endpoints.all()) {
         const auto *service = config->service(entry.record.service);
-        if (service != nullptr && service->engine && !entry.record.leaving) {
+        if (service != nullptr && service->engine && !entry.record.leaving && !entry.superseded) {
             tellSidecar(entry, now);
         }
     }
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -98,7 +98,7 @@
         return 0;
     }
     if (!entry.stateFresh(now)) {
-        return noSidecarMs;
+        return entry.stateExpected(now) ? loadMs : noSidecarMs;
     }
     double ms = entry.hasModel(name.first, now) ? 0 : modelLoadMs;
     if (!name.second.empty()) {
@@ -113,7 +113,7 @@
 
 bool mayTake(const EndpointEntry &entry, const ChoiceQuery &query)
 {
-    return entry.record.service == *query.service && !entry.record.leaving
+    return entry.record.service == *query.service && !entry.record.leaving && !entry.superseded
            && query.exclude->count(entry.record.id) == 0;
 }
 
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -9,6 +9,8 @@
 
 // A sidecar tells its state twice a second; three that are missed in a row mean that it is gone or cut off.
 constexpr Duration stateLife = Milliseconds(1800);
+// A sidecar is connected to and has told its state within this time after its endpoint was first seen.
+constexpr Duration firstStateTime = Milliseconds(1500);
 // An engine keeps some adapters that it held in its own memory: on the engines served, six for each slot.
 constexpr std::size_t memoryPerSlot = 6;
 // Weight of the newest call in failureShare: some twenty calls are remembered.
@@ -24,6 +26,11 @@
     return state && now - stateAt < stateLife;
 }
 
+bool EndpointEntry::stateExpected(TimePoint now) const
+{
+    return !state && now - since < firstStateTime;
+}
+
 bool EndpointEntry::loadsFast(const AdapterName &name) const
 {
     return heldBefore.count(name) != 0;
@@ -117,9 +124,22 @@
     ++failuresInRow;
 }
 
-void EndpointTable::put(const EndpointRecord &record)
+// After a crash of many endpoints the store holds records of both incarnations for some seconds. Calls sent to the
+// older ones would all be refused, and use up the retry budget.
+void EndpointTable::put(const EndpointRecord &record, TimePoint now)
 {
-    byId_[record.id].record = record;
+    auto &entry = byId_[record.id];
+    if (entry.since == TimePoint{}) {
+        entry.since = now;
+    }
+    entry.record = record;
+    for (auto &[id, other] : byId_) {
+        if (id == record.id || other.record.address != record.address) {
+            continue;
+        }
+        const bool younger = record.born > other.record.born;
+        (younger ? other : entry).superseded = true;
+    }
 }
 
 EndpointEntry *EndpointTable::find(const std::string &id)
@@ -130,10 +150,9 @@
 
 EndpointEntry *EndpointTable::findByAddress(const std::string &address)
 {
-    // An address may be used again by a later incarnation; the one that is not leaving is meant.
     EndpointEntry *result = nullptr;
     for (auto &[id, entry] : byId_) {
-        if (entry.record.address == address && (result == nullptr || result->record.leaving)) {
+        if (entry.record.address == address && !entry.superseded) {
             result = &entry;
         }
     }
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -18,6 +18,9 @@
 struct EndpointEntry
 {
     EndpointRecord record;
+    TimePoint since{}; // when it was first seen
+    // A younger incarnation has its address: the record only has not been removed yet.
+    bool superseded = false;
     std::uint32_t inFlight = 0; // own calls
     std::uint32_t unanswered = 0; // own calls without a first byte; invariant: at most inFlight
     double unreadTokens = 0; // prompt tokens of the unanswered ones that the engine probably has to read
@@ -44,6 +47,8 @@
     bool heldByRuns(const AdapterName &name, TimePoint now) const;
     bool hasModel(const std::string &model, TimePoint now) const;
     bool stateFresh(TimePoint now) const;
+    /// True if its sidecar has not told anything yet and probably will in a moment.
+    bool stateExpected(TimePoint now) const;
     /// True if the adapter is probably still in the engine's own memory, so that it loads without the weight store.
     bool loadsFast(const AdapterName &name) const;
     void applyState(const wire::DirectState &told, TimePoint now);
@@ -56,7 +61,7 @@
 class EndpointTable
 {
 public:
-    void put(const EndpointRecord &record);
+    void put(const EndpointRecord &record, TimePoint now);
     /// The entry, to be told of before it goes; nullptr if it is not known.
     EndpointEntry *find(const std::string &id);
     EndpointEntry *findByAddress(const std::string &address);
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -387,6 +387,36 @@
     EXPECT_TRUE(calls_.ready(now_));
 }
 
+// All endpoints have crashed and come back. For some seconds the store holds the records of both incarnations, and the
+// ids say nothing of their age. Calls sent to the older one would be refused, one after the other.
+TEST_F(Calls, TheYoungestRecordOfAnAddressCounts)
+{
+    auto young = endpointOf("a-young", plainService, "10.0.0.1:80");
+    young.born = 20;
+    auto old = endpointOf("z-old", plainService, "10.0.0.1:80");
+    old.born = 10;
+    calls_.applyEndpoint(young, now_);
+    calls_.applyEndpoint(old, now_);
+    for (int i = 0; i < 5; ++i) {
+        arrive("/n/x");
+        EXPECT_EQ(sent().endpointId, "a-young");
+    }
+    calls_.removeEndpoint("z-old", now_);
+    arrive("/n/x");
+    EXPECT_EQ(sent().endpointId, "a-young");
+}
+
+// An entry has just started, and callers are already sent to it since no other is left. A call whose adapter has to be
+// loaded is not refused for want of a sidecar's word: it waits for it, and is sent when the adapter is there.
+TEST_F(Calls, ASidecarThatHasNotSpokenYetIsWaitedFor)
+{
+    calls_.applyEndpoint(endpointOf("e-1", engineService, "10.0.1.1:80"), now_);
+    arrive("/s/x", "a1");
+    EXPECT_TRUE(take<RefuseCall>().empty());
+    calls_.applyState("10.0.1.1:80", stateWith({"a1"}), now_);
+    EXPECT_EQ(sent().endpointId, "e-1");
+}
+
 // An endpoint lapses from the store and comes back under its id while calls of before are still under way there. Their
 // ends must not make its counts wrap around: it would look infinitely loaded and get no call for the rest of the day.
 TEST_F(Calls, AnEndpointThatComesBackCountsFromZero)
--- a/tests/unit/site_dialect_test.cpp
+++ b/tests/unit/site_dialect_test.cpp
@@ -166,7 +166,7 @@
     const std::string version = "eyJtb2RlbCI6Im0iLCJhZGFwdGVyIjoiYTEiLCJ2ZXJzaW9uIjo0fQ==";
     const auto page = SiteDialect::readWatch(
         R"({"events":[{"key":"servers/i-1","value":")" + endpoint
-        + R"(","revision":5},{"key":"servers/i-0","revision":6,"tombstone":true},{"key":"op/version/m.a1","value":")"
+        + R"(","revision":5,"created":4},{"key":"servers/i-0","revision":6,"tombstone":true},{"key":"op/version/m.a1","value":")"
         + version + R"(","revision":7},{"key":"servers/i-2","value":"e30=","revision":8}],"store_revision":9})");
     ASSERT_TRUE(page);
     EXPECT_EQ(page->revision, 9U);
@@ -175,6 +175,7 @@
     const auto &record = std::get<EndpointRecord>(page->records[0]);
     EXPECT_EQ(record.id, "i-1");
     EXPECT_EQ(record.dataCentre, "z");
+    EXPECT_EQ(record.born, 4U);
     EXPECT_TRUE(record.leaving);
     EXPECT_EQ(record.adapters, (std::vector<HeldAdapter>{{"m", "a1", 3}}));
     EXPECT_EQ(std::get<EndpointRemoved>(page->records[1]).id, "i-0");
