An engine that reads prompts slower than estimated counts so

Change: the entry keeps, for each engine, the ratio of measured to estimated reading time of its last calls, for 3 s, and multiplies with it.

--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -197,6 +197,7 @@
 void DirectCalls::Impl::place(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now)
 {
     call.unreadTokens = choice.unreadTokens;
+    call.reading = choice.reading;
     call.stepSince = now;
     const auto &chosen = *endpoints.find(choice.endpointId);
     call.stateAge = chosen.state ? now - chosen.stateAt : Duration(-1);
@@ -300,6 +301,9 @@
     call.firstByte = now - call.arrived;
     if (auto *entry = impl_->endpoints.find(call.endpointId)) {
         entry->countByte(now);
+        if (call.engine) {
+            entry->countFirstByte(now - call.stepSince, call.reading, now);
+        }
         entry->changed = true;
         lower(entry->unanswered);
         entry->unreadTokens = std::max(0.0, entry->unreadTokens - call.unreadTokens);
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -36,6 +36,7 @@
     bool began = false; // the present attempt has sent its first byte
     std::uint32_t version = 0; // that the present attempt asks for
     Duration estimate{}; // of the last choice
+    Duration reading{}; // part of it that the engine spends on prompts
     Duration stateAge{}; // of the last choice's endpoint
     Duration adapterWait{};
     std::optional<Duration> firstByte;
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -41,6 +41,7 @@
     Presence presence = Presence::Resident;
     double sharedTokens = 0;
     double ms = 0; // until the first byte
+    double readingMs = 0; // part of it, without the endpoint's slowness
     double dislike = 0; // on top: what speaks against the endpoint without making a call late
     double sum() const
     {
@@ -62,6 +63,11 @@
     return sum;
 }
 
+double ownTokens(const CallFacts &facts)
+{
+    return facts.parts.empty() ? facts.promptTokens : facts.parts.back().tokens;
+}
+
 std::uint64_t prefixKey(const CallFacts &facts)
 {
     std::uint64_t key = hash64(facts.adapter, hash64(facts.model));
@@ -138,8 +144,9 @@
     for (auto &scored : list) {
         const auto &entry = *scored.entry;
         scored.sharedTokens = &scored == keeper ? 0 : shared;
-        scored.ms = presenceMs(entry, name, scored.presence, now) + backlogMs(entry, now)
-                    + scored.sharedTokens / readTokensPerMs;
+        scored.readingMs = backlogMs(entry, now) + (scored.sharedTokens + ownTokens(*query.facts)) / readTokensPerMs;
+        // Shared parts may have been dropped, and long answers slow the reading: what own calls have met there counts.
+        scored.ms = presenceMs(entry, name, scored.presence, now) + entry.slownessNow(now) * scored.readingMs;
         scored.dislike = trouble(entry, engineSilence, now) - (&scored == home && keeper == nullptr ? homeMs : 0);
     }
 }
@@ -177,12 +184,12 @@
     const auto best = std::min_element(list.begin(), list.end(), [&](const Scored &a, const Scored &b) {
         return a.sum() != b.sum() ? a.sum() < b.sum() : rank(tie, *a.entry) < rank(tie, *b.entry);
     });
-    const double own = query.facts->parts.empty() ? query.facts->promptTokens : query.facts->parts.back().tokens;
     Choice choice;
     choice.endpointId = best->entry->record.id;
     choice.presence = best->presence;
-    choice.unreadTokens = own + best->sharedTokens;
-    const double whole = best->ms + (query.engine ? own / readTokensPerMs : plainCallMs);
+    choice.unreadTokens = ownTokens(*query.facts) + best->sharedTokens;
+    choice.reading = Duration(static_cast<std::int64_t>(best->readingMs * 1000));
+    const double whole = best->ms + (query.engine ? 0 : plainCallMs);
     choice.firstByte = Duration(static_cast<std::int64_t>(whole * 1000));
     return choice;
 }
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -21,6 +21,7 @@
 {
     std::string endpointId;
     Duration firstByte{}; // estimate
+    Duration reading{}; // part of it: the prompts to be read there, as if the engine were as fast as declared
     Presence presence = Presence::Resident;
     double unreadTokens = 0; // that the engine probably has to read for this call
 };
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -11,6 +11,11 @@
 constexpr Duration stateLife = Milliseconds(1800);
 // A sidecar is connected to and has told its state within this time after its endpoint was first seen.
 constexpr Duration firstStateTime = Milliseconds(1500);
+// Weight of the newest call in slowness, and how long it is believed without a new one: bursts last some seconds.
+constexpr double slownessWeight = 0.3;
+constexpr Duration slownessLife = Seconds(3);
+constexpr double mostSlowness = 6;
+constexpr Duration leastEstimate = Milliseconds(30); // below this the ratio says nothing
 // An engine keeps some adapters that it held in its own memory: on the engines served, six for each slot.
 constexpr std::size_t memoryPerSlot = 6;
 // Weight of the newest call in failureShare: some twenty calls are remembered.
@@ -108,6 +113,20 @@
     return unanswered != 0 && now - oldestSilence > span;
 }
 
+double EndpointEntry::slownessNow(TimePoint now) const
+{
+    return now - slownessAt < slownessLife ? std::max(1.0, slowness) : 1.0;
+}
+
+void EndpointEntry::countFirstByte(Duration took, Duration estimated, TimePoint now)
+{
+    const double ratio =
+        std::chrono::duration<double>(took) / std::chrono::duration<double>(std::max(estimated, leastEstimate));
+    const double before = slownessNow(now);
+    slowness = before + slownessWeight * (std::min(ratio, mostSlowness) - before);
+    slownessAt = now;
+}
+
 void EndpointEntry::countByte(TimePoint now)
 {
     oldestSilence = now;
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -24,6 +24,8 @@
     std::uint32_t inFlight = 0; // own calls
     std::uint32_t unanswered = 0; // own calls without a first byte; invariant: at most inFlight
     double unreadTokens = 0; // prompt tokens of the unanswered ones that the engine probably has to read
+    double slowness = 1; // measured over estimated time to the first byte, of the last own calls
+    TimePoint slownessAt{};
     TimePoint oldestSilence{}; // since when calls are unanswered without any byte from the endpoint
     TimePoint avoidUntil{};
     std::uint32_t failuresInRow = 0;
@@ -54,6 +56,9 @@
     void applyState(const wire::DirectState &told, TimePoint now);
     /// True if it holds unanswered calls and has sent nothing for `span`.
     bool silentFor(Duration span, TimePoint now) const;
+    /// How much slower than estimated it reads prompts at present; at least 1.
+    double slownessNow(TimePoint now) const;
+    void countFirstByte(Duration took, Duration estimated, TimePoint now);
     void countByte(TimePoint now);
     void countEnd(bool failed, TimePoint now);
 };
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -253,6 +253,27 @@
     EXPECT_NE(sent().endpointId, usual.endpointId);
 }
 
+// All calls of a popular adapter went to the engine that keeps the shared parts of their prompts. There are more parts
+// than it can keep, every prompt is read whole, and callers wait for seconds while an engine beside it with the same
+// adapter is idle. What the calls have met there counts.
+TEST_F(Calls, AnEngineThatIsSlowerThanEstimatedIsLeft)
+{
+    addEngine("e-1", "10.0.1.1:80", {"a1"});
+    addEngine("e-2", "10.0.1.2:80", {"a1"});
+    arrive("/s/x", "a1");
+    const auto usual = sent();
+    now_ += Milliseconds(1500);
+    calls_.answerBegan(usual.call, usual.attempt, now_);
+    end(usual, AttemptEnd::Answered);
+    calls_.applyState("10.0.1.1:80", stateWith({"a1"}), now_);
+    calls_.applyState("10.0.1.2:80", stateWith({"a1"}), now_);
+    auto state = stateWith({"a1"});
+    state.set_unread_tokens(1500);
+    calls_.applyState(usual.address, state, now_);
+    arrive("/s/x", "a1");
+    EXPECT_NE(sent().endpointId, usual.endpointId);
+}
+
 TEST_F(Calls, AnIdempotentCallIsSentAgainWhenItsAnswerBreaks)
 {
     addPlain();
