--- a/tests/process/direct_test.cpp
+++ b/tests/process/direct_test.cpp
@@ -39,7 +39,7 @@
         out << R"({"role":"direct-entry","name":"entry-1","dataCentre":"dc","control":{"address":"127.0.0.1","port":)"
             << controlPort_ << R"(},"http":{"at":"127.0.0.1:)" << httpPort_ << R"("},"direct":{"store":)"
             << R"("http://127.0.0.1:)" << store_ << R"(","ready":{"at":"127.0.0.1:)" << readyPort_
-            << R"("},"storePauseMs":50,"graceMs":8000},"log":{"file":"-"}})";
+            << R"("},"storePauseMs":50,"graceMs":8000,"metricsPort":)" << metricsPort_ << R"(},"log":{"file":"-"}})";
         startDaemon("entry-1", out.str());
     }
     void startSidecar()
@@ -152,6 +152,7 @@
     unsigned controlPort_ = freePort();
     unsigned httpPort_ = freePort();
     unsigned readyPort_ = freePort();
+    unsigned metricsPort_ = freePort();
     std::map<std::string, std::unique_ptr<Process>> daemons_;
     int probes_ = 0;
 };
@@ -170,6 +171,19 @@
     EXPECT_NE(logOf("entry-1").find(R"("request":"r-2","outcome":"answered")"), std::string::npos);
 }
 
+TEST_F(Direct, MetricsCountCallsRefusalsAndLatencies)
+{
+    start();
+    EXPECT_EQ(call("/n/x", "r-1").status, 200);
+    EXPECT_EQ(call("/unknown/x", "r-2").status, 404);
+    EXPECT_TRUE(eventually([&] {
+        const auto text = request(metricsPort_, "GET", "/metrics").body;
+        return text.find("anvilscale_direct_calls_total 2") != std::string::npos
+               && text.find(R"(anvilscale_direct_refusals_total{reason="unknown_route"} 1)") != std::string::npos
+               && text.find("anvilscale_call_first_byte_seconds_count 1") != std::string::npos;
+    }));
+}
+
 TEST_F(Direct, LogTimesAreInTheStandardForm)
 {
     start();
