--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -19,6 +19,13 @@
 // And this often at least, so that it knows the entry is there.
 constexpr Duration wishesKeepAlive = Milliseconds(2000);
 
+/// What an engine of the service can hold; nullptr for a plain service or one that is not configured.
+const EngineLimits *engineOf(const std::optional<DirectConfig> &config, const std::string &name)
+{
+    const auto *service = config ? config->service(name) : nullptr;
+    return service != nullptr && service->engine ? &*service->engine : nullptr;
+}
+
 } // namespace
 
 void DirectCalls::tick(TimePoint now)
@@ -86,13 +93,13 @@
 
 std::string DirectCalls::Impl::favouriteModel(const std::string &service) const
 {
-    const auto *known = config ? config->service(service) : nullptr;
-    if (known == nullptr || !known->engine) {
+    const auto *engine = engineOf(config, service);
+    if (engine == nullptr) {
         return {};
     }
     std::string best;
     std::uint64_t most = 0;
-    for (const auto &model : known->engine->models) {
+    for (const auto &model : engine->models) {
         const auto used = modelUse.find(model.name);
         const auto count = used == modelUse.end() ? 0 : used->second;
         if (best.empty() || count > most) {
@@ -106,14 +113,14 @@
 wire::EnginePlan DirectCalls::Impl::planFor(const std::string &service) const
 {
     wire::EnginePlan plan;
-    const auto *known = config ? config->service(service) : nullptr;
-    if (known == nullptr || !known->engine) {
+    const auto *engine = engineOf(config, service);
+    if (engine == nullptr) {
         return plan;
     }
     plan.set_config_version(config->version);
-    plan.set_adapter_slots(known->engine->adapterSlots);
-    plan.set_weights_mb(known->engine->weightsMb);
-    for (const auto &model : known->engine->models) {
+    plan.set_adapter_slots(engine->adapterSlots);
+    plan.set_weights_mb(engine->weightsMb);
+    for (const auto &model : engine->models) {
         auto &size = *plan.add_models();
         size.set_name(model.name);
         size.set_weights_mb(model.weightsMb);
@@ -202,8 +209,8 @@
         return;
     }
     for (auto &[id, entry] : endpoints.all()) {
-        const auto *service = config->service(entry.record.service);
-        if (service != nullptr && service->engine && !entry.record.leaving && !entry.superseded) {
+        const bool takesCalls = !entry.record.leaving && !entry.superseded;
+        if (takesCalls && engineOf(config, entry.record.service) != nullptr) {
             tellSidecar(entry, now);
         }
     }
@@ -213,8 +220,7 @@
 {
     std::set<std::string> addresses;
     for (const auto &[id, entry] : impl_->endpoints.all()) {
-        const auto *service = impl_->config ? impl_->config->service(entry.record.service) : nullptr;
-        if (service != nullptr && service->engine) {
+        if (engineOf(impl_->config, entry.record.service) != nullptr) {
             addresses.insert(entry.record.address);
         }
     }
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -24,6 +24,17 @@
 constexpr Duration firstAvoidance = Milliseconds(500);
 constexpr std::uint32_t mostDoublings = 3;
 
+/// The adapter's line of a sidecar's state, loaded or on its way; nullptr if there is none.
+const wire::DirectAdapter *findAdapter(const wire::DirectState &state, const AdapterName &name, bool loading)
+{
+    for (const auto &adapter : state.adapters()) {
+        if (adapter.loading() == loading && adapter.model() == name.first && adapter.adapter() == name.second) {
+            return &adapter;
+        }
+    }
+    return nullptr;
+}
+
 } // namespace
 
 bool EndpointEntry::stateFresh(TimePoint now) const
@@ -66,20 +77,15 @@
 
 bool EndpointEntry::heldByRuns(const AdapterName &name, TimePoint now) const
 {
-    return stateFresh(now) && std::any_of(state->adapters().begin(), state->adapters().end(), [&](const auto &adapter) {
-               return adapter.model() == name.first && adapter.adapter() == name.second && adapter.running() != 0;
-           });
+    const auto *adapter = stateFresh(now) ? findAdapter(*state, name, false) : nullptr;
+    return adapter != nullptr && adapter->running() != 0;
 }
 
 std::uint32_t EndpointEntry::heldVersion(const AdapterName &name, TimePoint now) const
 {
     if (stateFresh(now)) {
-        for (const auto &adapter : state->adapters()) {
-            if (!adapter.loading() && adapter.model() == name.first && adapter.adapter() == name.second) {
-                return adapter.version();
-            }
-        }
-        return 0;
+        const auto *adapter = findAdapter(*state, name, false);
+        return adapter == nullptr ? 0 : adapter->version();
     }
     for (const auto &adapter : record.adapters) {
         if (adapter.model == name.first && adapter.adapter == name.second) {
@@ -101,10 +107,7 @@
     if (held != 0 && held >= leastVersion) {
         return Presence::Resident;
     }
-    const bool loading =
-        stateFresh(now) && std::any_of(state->adapters().begin(), state->adapters().end(), [&](const auto &adapter) {
-            return adapter.loading() && adapter.model() == name.first && adapter.adapter() == name.second;
-        });
+    const bool loading = stateFresh(now) && findAdapter(*state, name, true) != nullptr;
     return loading ? Presence::Loading : Presence::Absent;
 }
 
