Loads: one at a time on each engine while the weight store is slow, those for calls that can be in time first

Change: the sidecar takes a load that is on its way for over 400 ms as a sign and then loads one after the other; wishes tell how many waiting calls can still be in time, and these loads come first.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -442,6 +442,7 @@
     struct Wish
     {
         std::uint32_t waiting = 0;
+        std::uint32_t inTime = 0; // of the waiting ones; invariant: at most waiting
         std::uint32_t running = 0;
         std::uint32_t leastVersion = 0;
     };
@@ -461,6 +462,7 @@
     std::optional<AdapterKey> victim(TimePoint now) const;
     EngineOrder makeOrder(EngineOrderKind kind, const AdapterKey &key);
     void touch(const AdapterKey &key, std::uint32_t starts, TimePoint now);
+    void notePending(const EngineStateReport &report, TimePoint now);
     void takeIncarnation(const std::string &id);
 
     std::uint64_t fence_;
@@ -476,6 +478,8 @@
     std::optional<EngineOrder> underWay_; // invariant: no other order is sent meanwhile
     std::optional<EngineOrder> awaited_; // accepted, and no report has shown its effect yet
     TimePoint notBefore_{}; // after an order that failed
+    std::map<AdapterKey, TimePoint> pendingSince_; // loads under way, and when a report first showed them
+    TimePoint storeSlowUntil_{};
     std::uint64_t lastOrder_ = 0;
     std::uint64_t revision_ = 0;
     Counters<EngineOrderResult> results_;
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -10,6 +10,11 @@
 
 // Loads that may be on their way to one engine at the same time; the engine's own limit.
 constexpr std::size_t mostPending = 4;
+// A load from the weight store takes 250 to 290 ms on the engines served while the store keeps up. One that is on its way
+// for longer shows that the store is shared by more loads than it carries at full speed.
+constexpr Duration slowLoad = Milliseconds(400);
+// How long a slow load is taken as a sign for the next ones.
+constexpr Duration slowStoreLife = Milliseconds(1500);
 constexpr Duration afterConflict = Milliseconds(30);
 constexpr Duration afterRejection = Milliseconds(500);
 // An accepted order shows in the engine's report within some milliseconds; after this long it is taken as lost.
@@ -42,7 +47,7 @@
     wishes.clear();
     for (const auto &item : demand.wishes()) {
         const AdapterKey key{item.model(), item.adapter()};
-        wishes[key] = Wish{item.waiting(), item.running(), item.least_version()};
+        wishes[key] = Wish{item.waiting(), item.in_time(), item.running(), item.least_version()};
         touch(key, item.started() + item.waiting(), now);
     }
 }
@@ -88,6 +93,7 @@
     if (awaited_ && now > notBefore_ + longestAwait) {
         awaited_.reset();
     }
+    notePending(report, now);
     if (changed) {
         ++revision_;
         for (const auto &adapter : report.adapters) {
@@ -101,6 +107,21 @@
     reachable_ = true;
 }
 
+void AdapterKeeper::notePending(const EngineStateReport &report, TimePoint now)
+{
+    std::map<AdapterKey, TimePoint> pending;
+    for (const auto &adapter : report.pending) {
+        const AdapterKey key{adapter.model, adapter.adapter};
+        const auto known = pendingSince_.find(key);
+        const auto since = known == pendingSince_.end() ? now : known->second;
+        pending[key] = since;
+        if (now - since > slowLoad) {
+            storeSlowUntil_ = now + slowStoreLife;
+        }
+    }
+    pendingSince_ = std::move(pending);
+}
+
 void AdapterKeeper::reportFailed(TimePoint /*now*/)
 {
     revision_ += reachable_ ? 1 : 0;
@@ -150,6 +171,7 @@
     for (const auto &[peer, wishes] : wishes_) {
         if (const auto found = wishes.find(key); found != wishes.end()) {
             sum.waiting += found->second.waiting;
+            sum.inTime += found->second.inTime;
             sum.running += found->second.running;
             sum.leastVersion = std::max(sum.leastVersion, found->second.leastVersion);
         }
@@ -264,7 +286,9 @@
     if (present != nullptr && present->version >= wish.leastVersion) {
         return std::nullopt;
     }
-    if (report_->pending.size() >= mostPending) {
+    // All loads of the fleet share the store's bandwidth: those that go on side by side end together, and late. Where it
+    // is short, one after the other, what most calls wait for first, ends most of them earlier and none later.
+    if (report_->pending.size() >= (now < storeSlowUntil_ ? 1 : mostPending)) {
         return std::nullopt;
     }
     if (present != nullptr) {
@@ -292,7 +316,8 @@
     if (!known || underWay_ || awaited_ || now < notBefore_) {
         return std::nullopt;
     }
-    // What most calls wait for comes first.
+    // What lets most calls be in time comes first: a call that is late already loses little by a longer wait, while one
+    // that is loaded for behind it would become late too. Among the rest, what most calls wait for.
     std::map<AdapterKey, Wish> wanted;
     for (const auto &[peer, wishes] : wishes_) {
         for (const auto &[key, wish] : wishes) {
@@ -301,7 +326,10 @@
     }
     std::vector<std::pair<AdapterKey, Wish>> order(wanted.begin(), wanted.end());
     std::stable_sort(order.begin(), order.end(),
-                     [](const auto &a, const auto &b) { return a.second.waiting > b.second.waiting; });
+                     [](const auto &a, const auto &b) {
+                         return std::pair(a.second.inTime, a.second.waiting)
+                                > std::pair(b.second.inTime, b.second.waiting);
+                     });
     for (const auto &[key, wish] : order) {
         if (auto next = orderFor(key, wish, now)) {
             underWay_ = next;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -45,6 +45,11 @@
     {
         return {facts.model, facts.adapter};
     }
+    /// True while an adapter that came now would let the call's first byte come within its objective.
+    bool canBeInTime(TimePoint now) const
+    {
+        return now + reading <= arrived + objective;
+    }
     /// Nothing that a second run would do twice.
     bool repeatable() const
     {
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -140,8 +140,10 @@
         return wish;
     };
     for (const auto handle : entry.waiting) {
-        auto &wish = wishFor(calls.at(handle).adapterName());
+        const auto &call = calls.at(handle);
+        auto &wish = wishFor(call.adapterName());
         wish.set_waiting(wish.waiting() + 1);
+        wish.set_in_time(wish.in_time() + (call.canBeInTime(now) ? 1 : 0));
     }
     for (const auto &[name, count] : entry.runningOn) {
         wishFor(name).set_running(count);
@@ -211,6 +213,7 @@
     for (auto &[id, entry] : endpoints.all()) {
         const bool takesCalls = !entry.record.leaving && !entry.superseded;
         if (takesCalls && engineOf(config, entry.record.service) != nullptr) {
+            entry.changed = entry.changed || !entry.waiting.empty(); // a waiting call becomes late by itself
             tellSidecar(entry, now);
         }
     }
