Work that waits for adapters counts as an engine's backlog; forecasts of waits come from what sidecars measure

Cause: calls that wait for an adapter were counted nowhere until they were sent. Besides, a model's load counted 3 s where 0.6 s were left, so that callers were refused who could be served; and callers who leave a stream that has not begun after 3.2 to 4 s were held until then. Change: entries tell the prompt tokens that wait, sidecars sum them; a call that must wait itself comes behind them. The time left of a model's load, the store's present speed and the pairs of a long prompt's tokens count in the forecast, and a stream's first byte must come before its caller leaves it. Lines of ended calls hold the longest pause and the prompt.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -49,6 +49,7 @@
     bool resumable = false;
     Duration timeout{}; ///< longest time that the operator lets a call last
     Duration objective{}; ///< to the whole answer, or to the first event of a stream
+    Duration firstByteLimit{}; ///< callers leave an event stream that has not begun by then; 0: at their deadline
     std::uint32_t priority = 0; ///< 0 is the most urgent
     std::uint32_t maxEndpoints = 1; ///< that one call may be sent to
     std::vector<ServiceShare> services; ///< at least one
@@ -59,6 +60,8 @@
     std::string name;
     double weightsMb = 0;
     double adapterMb = 0;
+    /// Of the model into an engine that had it before, from the engine's own disk; 0: not told.
+    Duration reload{};
 };
 
 /// What an engine of a service can hold.
@@ -93,6 +96,8 @@
     CallerLimits limits;
 
     const DirectService *service(std::string_view name) const;
+    /// nullptr if no engine of the service is declared to hold the model.
+    const EngineModelSize *model(std::string_view serviceName, std::string_view modelName) const;
 };
 
 struct HeldAdapter
@@ -192,6 +197,7 @@
     EndpointRefusal refusal = EndpointRefusal::None;
     std::uint32_t status = 0; ///< of the endpoint's answer, 0 if there was none
     bool callerHasBytes = false; ///< part of the answer has gone to the caller
+    Duration longestPause{}; ///< between parts of an event stream, as they came from the endpoint
 };
 
 /// Actions for whoever owns the sockets.
@@ -276,8 +282,10 @@
     Duration stateAge{}; ///< of the endpoint's state at the last decision; negative: none
     Duration adapterWait{};
     std::optional<Duration> firstByte;
+    Duration longestPause{}; ///< between two parts of an event stream
     Duration total{};
     Duration patience{};
+    std::uint32_t promptTokens = 0;
 };
 
 /// What is logged of an attempt that did not answer its call, with what the endpoint said.
@@ -428,13 +436,15 @@
     /// True while an order's effect has not been seen, so that the next report is wanted soon.
     bool waits() const;
     /// What entries are to know; `sequence` is left to the caller.
-    wire::DirectState state() const;
+    wire::DirectState state(TimePoint now) const;
     /// True if calls of this entry wait for an adapter.
     bool waitsFor(PeerHandle peer) const;
     /// Changes whenever something changes that entries wait for.
     std::uint64_t revision() const;
     /// Prompt tokens that all entries together have under way at the engine.
     std::uint64_t unreadTokens() const;
+    /// Prompt tokens of the calls of all entries that wait for an adapter here.
+    std::uint64_t waitingTokens() const;
     const Counters<EngineOrderResult> &results() const;
 
 private:
@@ -463,6 +473,8 @@
     EngineOrder makeOrder(EngineOrderKind kind, const AdapterKey &key);
     void touch(const AdapterKey &key, std::uint32_t starts, TimePoint now);
     void notePending(const EngineStateReport &report, TimePoint now);
+    void noteSlowLoad(Duration took, TimePoint now);
+    void tellLoadsAhead(wire::DirectState &state, TimePoint now) const;
     void takeIncarnation(const std::string &id);
 
     std::uint64_t fence_;
@@ -471,7 +483,12 @@
     std::string toldId_; // what an entry said last
     wire::EnginePlan plan_;
     std::map<PeerHandle, std::map<AdapterKey, Wish>> wishes_; // what each entry said last
-    std::map<PeerHandle, std::uint64_t> unread_; // prompt tokens that each entry has under way at the engine
+    struct PromptTokens
+    {
+        std::uint64_t unread = 0; // under way at the engine
+        std::uint64_t waiting = 0; // to be sent once their adapters are loaded
+    };
+    std::map<PeerHandle, PromptTokens> prompts_; // of each entry
     std::map<AdapterKey, Use> uses_;
     std::optional<EngineStateReport> report_;
     bool reachable_ = false;
@@ -480,6 +497,7 @@
     TimePoint notBefore_{}; // after an order that failed
     std::map<AdapterKey, TimePoint> pendingSince_; // loads under way, and when a report first showed them
     TimePoint storeSlowUntil_{};
+    Duration slowLoad_{}; // mean of the last loads that were slow, of use before storeSlowUntil_
     std::uint64_t lastOrder_ = 0;
     std::uint64_t revision_ = 0;
     Counters<EngineOrderResult> results_;
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -86,6 +86,8 @@
               {"stateAgeMs", inMs(call.stateAge)},
               {"adapterWaitMs", inMs(call.adapterWait)},
               {"firstByteMs", call.firstByte ? inMs(*call.firstByte) : -1},
+              {"pauseMs", inMs(call.longestPause)},
+              {"promptTokens", std::uint64_t{call.promptTokens}},
               {"totalMs", inMs(call.total)},
               {"patienceMs", inMs(call.patience)}});
 }
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -164,6 +164,8 @@
         ExchangeId upstream = 0;
         EndpointAnswer answer;
         HttpReply held; // the answer as far as it has been read, while nothing of it is passed on
+        TimePoint lastPart{}; // of an answer that is passed on
+        Duration longestPause{}; // between its parts
         bool passing = false; // bytes of an answer have gone to the caller
         std::uint64_t untaken = 0; // passed on and not yet taken by the caller
     };
@@ -229,6 +231,7 @@
     void startPassing(HttpExchange exchange, RelayedCall &call)
     {
         call.passing = true;
+        call.lastPart = EventLoop::now();
         server_->begin(exchange, call.held.status, std::move(call.held.headers));
         if (!call.held.body.empty()) {
             pass(exchange, call, std::exchange(call.held.body, {}));
@@ -237,6 +240,8 @@
 
     void pass(HttpExchange exchange, RelayedCall &call, std::string data)
     {
+        const auto now = EventLoop::now();
+        call.longestPause = std::max(call.longestPause, now - std::exchange(call.lastPart, now));
         call.untaken += data.size();
         if (call.untaken > readAhead) {
             call.client->pause(call.upstream, true);
@@ -291,6 +296,7 @@
         AttemptResult result;
         result.end = AttemptEnd::Answered;
         result.status = status;
+        result.longestPause = call.longestPause;
         calls_.erase(found);
         handlers_.ended(exchange, attempt, result);
     }
@@ -302,6 +308,7 @@
         result.refusal = call.answer.refusal;
         result.status = status;
         result.callerHasBytes = call.passing;
+        result.longestPause = call.longestPause;
         handlers_.ended(exchange, call.attempt, result);
     }
 
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -226,10 +226,10 @@
             });
     }
 
-    wire::Envelope stateMessage()
+    wire::Envelope stateMessage(TimePoint now)
     {
         wire::Envelope message;
-        *message.mutable_direct_state() = keeper_.state();
+        *message.mutable_direct_state() = keeper_.state(now);
         message.mutable_direct_state()->set_sequence(++sequence_);
         return message;
     }
@@ -241,7 +241,7 @@
         toldUnread_ = keeper_.unreadTokens();
         toldAt_ = now;
         wakeAt(now + stateInterval);
-        const auto message = stateMessage();
+        const auto message = stateMessage(now);
         for (const auto peer : peers_) {
             messenger_->sendTo(peer, message);
         }
@@ -254,7 +254,7 @@
         if (stateDue_ > toldAt_ + newsInterval()) {
             wakeAt(std::max(now, toldAt_ + newsInterval()));
         }
-        const auto message = stateMessage();
+        const auto message = stateMessage(now);
         for (const auto peer : peers_) {
             if (keeper_.waitsFor(peer)) {
                 messenger_->sendTo(peer, message);
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -10,11 +10,12 @@
 
 // Loads that may be on their way to one engine at the same time; the engine's own limit.
 constexpr std::size_t mostPending = 4;
-// A load from the weight store takes 250 to 290 ms on the engines served while the store keeps up. One that is on its way
-// for longer shows that the store is shared by more loads than it carries at full speed.
+// A load from the weight store takes 250 to 290 ms on the engines served while the store keeps up. One that is on its
+// way for longer shows that the store is shared by more loads than it carries at full speed.
 constexpr Duration slowLoad = Milliseconds(400);
 // How long a slow load is taken as a sign for the next ones.
 constexpr Duration slowStoreLife = Milliseconds(1500);
+constexpr int slowLoadMemory = 8; // reports that the mean of slow loads goes back
 constexpr Duration afterConflict = Milliseconds(30);
 constexpr Duration afterRejection = Milliseconds(500);
 // An accepted order shows in the engine's report within some milliseconds; after this long it is taken as lost.
@@ -42,7 +43,7 @@
     if (endpointId_.empty() || endpointId_ == rejectedId_) {
         takeIncarnation(toldId_);
     }
-    unread_[peer] = demand.unread_tokens();
+    prompts_[peer] = PromptTokens{demand.unread_tokens(), demand.waiting_tokens()};
     auto &wishes = wishes_[peer];
     wishes.clear();
     for (const auto &item : demand.wishes()) {
@@ -65,7 +66,7 @@
 void AdapterKeeper::peerLost(PeerHandle peer)
 {
     wishes_.erase(peer);
-    unread_.erase(peer);
+    prompts_.erase(peer);
     ++revision_;
 }
 
@@ -116,12 +117,19 @@
         const auto since = known == pendingSince_.end() ? now : known->second;
         pending[key] = since;
         if (now - since > slowLoad) {
-            storeSlowUntil_ = now + slowStoreLife;
+            noteSlowLoad(now - since, now);
         }
     }
     pendingSince_ = std::move(pending);
 }
 
+void AdapterKeeper::noteSlowLoad(Duration took, TimePoint now)
+{
+    const bool first = now >= storeSlowUntil_;
+    slowLoad_ = first ? took : std::max(slowLoad_ + Duration((took - slowLoad_) / slowLoadMemory), slowLoad);
+    storeSlowUntil_ = now + slowStoreLife;
+}
+
 void AdapterKeeper::reportFailed(TimePoint /*now*/)
 {
     revision_ += reachable_ ? 1 : 0;
@@ -286,8 +294,8 @@
     if (present != nullptr && present->version >= wish.leastVersion) {
         return std::nullopt;
     }
-    // All loads of the fleet share the store's bandwidth: those that go on side by side end together, and late. Where it
-    // is short, one after the other, what most calls wait for first, ends most of them earlier and none later.
+    // All loads of the fleet share the store's bandwidth: those that go on side by side end together, and late. Where
+    // it is short, one after the other, what most calls wait for first, ends most of them earlier and none later.
     if (report_->pending.size() >= (now < storeSlowUntil_ ? 1 : mostPending)) {
         return std::nullopt;
     }
@@ -325,11 +333,9 @@
         }
     }
     std::vector<std::pair<AdapterKey, Wish>> order(wanted.begin(), wanted.end());
-    std::stable_sort(order.begin(), order.end(),
-                     [](const auto &a, const auto &b) {
-                         return std::pair(a.second.inTime, a.second.waiting)
-                                > std::pair(b.second.inTime, b.second.waiting);
-                     });
+    std::stable_sort(order.begin(), order.end(), [](const auto &a, const auto &b) {
+        return std::pair(a.second.inTime, a.second.waiting) > std::pair(b.second.inTime, b.second.waiting);
+    });
     for (const auto &[key, wish] : order) {
         if (auto next = orderFor(key, wish, now)) {
             underWay_ = next;
@@ -339,7 +345,25 @@
     return std::nullopt;
 }
 
-wire::DirectState AdapterKeeper::state() const
+void AdapterKeeper::tellLoadsAhead(wire::DirectState &state, TimePoint now) const
+{
+    std::map<AdapterKey, bool> ahead; // whether a call that waits for it can be in time
+    for (const auto &[peer, wishes] : wishes_) {
+        for (const auto &[key, wish] : wishes) {
+            if (wish.waiting != 0 && held(key) == nullptr && !isPending(key)) {
+                ahead[key] = ahead[key] || wish.inTime != 0;
+            }
+        }
+    }
+    const auto inTime = std::count_if(ahead.begin(), ahead.end(), [](const auto &item) { return item.second; });
+    state.set_loads_ahead(static_cast<std::uint32_t>(ahead.size()));
+    state.set_loads_in_time(static_cast<std::uint32_t>(inTime));
+    if (now < storeSlowUntil_) {
+        state.set_slow_load_ms(static_cast<std::uint32_t>(slowLoad_ / Milliseconds(1)));
+    }
+}
+
+wire::DirectState AdapterKeeper::state(TimePoint now) const
 {
     wire::DirectState state;
     state.set_endpoint_id(endpointId_);
@@ -347,6 +371,7 @@
     state.set_reachable(reachable_);
     state.set_slots(plan_.adapter_slots());
     state.set_unread_tokens(unreadTokens());
+    state.set_waiting_tokens(waitingTokens());
     if (!report_) {
         return state;
     }
@@ -375,15 +400,7 @@
     for (const auto &adapter : report_->pending) {
         add(adapter, true);
     }
-    std::set<AdapterKey> ahead;
-    for (const auto &[peer, wishes] : wishes_) {
-        for (const auto &[key, wish] : wishes) {
-            if (wish.waiting != 0 && held(key) == nullptr && !isPending(key)) {
-                ahead.insert(key);
-            }
-        }
-    }
-    state.set_loads_ahead(static_cast<std::uint32_t>(ahead.size()));
+    tellLoadsAhead(state, now);
     const auto taken = report_->adapters.size() + report_->pending.size();
     const auto free = plan_.adapter_slots() > taken ? plan_.adapter_slots() - taken : 0;
     state.set_room(static_cast<std::uint32_t>(free) + idle);
@@ -410,8 +427,17 @@
 std::uint64_t AdapterKeeper::unreadTokens() const
 {
     std::uint64_t sum = 0;
-    for (const auto &[peer, tokens] : unread_) {
-        sum += tokens;
+    for (const auto &[peer, tokens] : prompts_) {
+        sum += tokens.unread;
+    }
+    return sum;
+}
+
+std::uint64_t AdapterKeeper::waitingTokens() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[peer, tokens] : prompts_) {
+        sum += tokens.waiting;
     }
     return sum;
 }
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -92,7 +92,9 @@
 // An endpoint that leaves takes no new calls, also none that have waited there since before.
 void DirectCalls::Impl::rerouteWaiting(const std::string &id, TimePoint now)
 {
-    const auto waiting = std::exchange(endpoints.find(id)->waiting, {});
+    auto &entry = *endpoints.find(id);
+    entry.waitingTokens = 0;
+    const auto waiting = std::exchange(entry.waiting, {});
     for (const auto handle : waiting) {
         route(handle, calls.at(handle), now);
     }
@@ -153,6 +155,8 @@
     call.arrived = now;
     call.deadline = now + facts.patience;
     call.cutAt = std::min(call.deadline, now + route->timeout);
+    const bool limited = route->firstByteLimit > Duration(0);
+    call.firstByteBy = limited ? std::min(call.deadline, now + route->firstByteLimit) : call.deadline;
     call.facts = std::move(facts);
     impl.budgets[call.service].countFirst(now);
     if (call.engine) {
@@ -175,6 +179,9 @@
     query.service = &call.service;
     query.engine = call.engine;
     query.leastVersion = namedVersion(call.adapterName());
+    const auto *model = config->model(call.service, call.facts.model);
+    query.modelReload = model == nullptr ? Duration(0) : model->reload;
+    query.inTime = now < call.arrived + call.objective;
     query.exclude = &call.tried;
     query.dataCentre = init.dataCentre;
     const auto choice = chooseEndpoint(endpoints, query, now);
@@ -185,7 +192,7 @@
     call.endpointId = choice->endpointId;
     call.estimate = choice->firstByte;
     // The answer would come after the caller has left: refused now, the caller can come back when there is room.
-    if (now + choice->firstByte > call.deadline) {
+    if (now + choice->firstByte > call.firstByteBy) {
         const auto excess = choice->firstByte - call.objective;
         giveUp(handle, call, RefusalReason::DeadlineUnreachable, std::clamp(excess, usualRetryAfter, longestRetryAfter),
                now);
@@ -213,6 +220,7 @@
     call.step = CallStep::Waiting;
     auto &entry = *endpoints.find(call.endpointId);
     entry.waiting.insert(handle);
+    entry.waitingTokens += call.unreadTokens;
     entry.changed = true;
     ++stats.waitedForAdapter;
     tellSidecar(entry, now);
@@ -222,6 +230,7 @@
 {
     if (entry.waiting.erase(handle) != 0) {
         entry.changed = true;
+        entry.waitingTokens = std::max(0.0, entry.waitingTokens - call.unreadTokens);
         call.adapterWait += now - call.stepSince;
     }
 }
@@ -239,6 +248,7 @@
     const auto named = namedVersion(name);
     call.version = named == 0 ? 0 : std::max(named, entry.heldVersion(name, now));
     entry.changed = true;
+    call.reading = readingTime(entry, call.unreadTokens, now);
     ++entry.inFlight;
     if (entry.unanswered++ == 0) {
         entry.oldestSilence = now;
@@ -319,6 +329,7 @@
     }
     auto &call = found->second;
     impl.stats.ends.add(result.end);
+    call.longestPause = result.longestPause;
     if (result.end != AttemptEnd::Answered) {
         impl.failedAttempts.push_back({call.facts.requestId, attempt, call.endpointId, result, now - call.stepSince});
     }
@@ -444,6 +455,8 @@
     done.stateAge = call.stateAge;
     done.adapterWait = call.adapterWait;
     done.firstByte = call.firstByte;
+    done.longestPause = call.longestPause;
+    done.promptTokens = call.facts.promptTokens;
     done.total = now - call.arrived;
     done.patience = call.facts.patience;
     ended.push_back(std::move(done));
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -25,6 +25,7 @@
     Duration objective{};
     TimePoint arrived;
     TimePoint deadline; // of the caller
+    TimePoint firstByteBy; // then the caller leaves; never later than the deadline
     TimePoint cutAt; // of the route; never later than the deadline
     CallStep step = CallStep::Waiting;
     TimePoint stepSince;
@@ -40,6 +41,7 @@
     Duration stateAge{}; // of the last choice's endpoint
     Duration adapterWait{};
     std::optional<Duration> firstByte;
+    Duration longestPause{}; // between parts of its answer
 
     AdapterName adapterName() const
     {
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -166,6 +166,7 @@
     wire::DirectDemand demand;
     demand.set_endpoint_id(entry.record.id);
     demand.set_unread_tokens(static_cast<std::uint64_t>(entry.unreadTokens));
+    demand.set_waiting_tokens(static_cast<std::uint64_t>(entry.waitingTokens));
     for (auto &[name, wish] : items) {
         if (!name.first.empty()) {
             *demand.add_wishes() = std::move(wish);
@@ -197,6 +198,7 @@
         sent.planVersion = config->version;
     }
     entry.toldUnread = entry.unreadTokens;
+    entry.toldWaiting = entry.waitingTokens;
     entry.newlyRunning = false;
     entry.changed = !entry.startedOn.empty(); // what was told as started is not told again
     sent.at = now;
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -9,10 +9,16 @@
 
 // Prompt tokens that an engine reads in a millisecond; from the sheet of the engines served.
 constexpr double readTokensPerMs = 38.4;
-// A load from the weight store takes 250 ms while few are on their way, and slows all others beyond that; it is weighed
-// with more than its time. With 450 ms calls spread and loaded copies that cost more waits than they saved: 1,161 loads
-// against 1,070 and worth 0.625 against 0.665, measured on a day with failing engines, 24 VMs.
-constexpr double loadMs = 900;
+// A prompt's token is also compared with each one before it: 0.647 ms for a million pairs on the engines served, told
+// here in tokens read in that time. A prompt of 30,000 tokens takes 1.4 times as long as its tokens alone, one of
+// 3,000 1.04.
+constexpr double pairTokens = 0.647e-6 * readTokensPerMs;
+// A load from the weight store takes 250 to 290 ms on the engines served while few are on their way.
+constexpr double loadMs = 270;
+// It slows all others and is paid for, so that it is weighed with more than its time. With 180 in place of 630 calls
+// spread and loaded copies that cost more waits than they saved: 1,161 loads against 1,070 and worth 0.625 against
+// 0.665, measured on a day with failing engines, 24 VMs.
+constexpr double loadPriceMs = 630;
 // From the engine's own memory: a tenth of the store's time.
 constexpr double fastLoadMs = 60;
 constexpr double loadingMs = 150; // on its way already: half of it is left in the mean
@@ -20,7 +26,7 @@
 constexpr double noRoomMs = 1500;
 // Orders go to an engine one after the other, an unload and a load for each adapter.
 constexpr double loadAheadMs = 60;
-constexpr double modelLoadMs = 3000;
+constexpr double modelLoadMs = 3000; // of a model where the operator does not tell how long it takes
 // Nobody beside the engine takes orders: as long as that lasts the adapter does not come.
 constexpr double noSidecarMs = 20'000;
 // A call of somebody else that runs at the engine slows the reading of prompts a little.
@@ -40,7 +46,7 @@
 {
     const EndpointEntry *entry = nullptr;
     Presence presence = Presence::Resident;
-    double sharedTokens = 0;
+    double work = 0; // of reading the call's prompt, in tokens
     double ms = 0; // until the first byte
     double readingMs = 0; // part of it, without the endpoint's slowness
     double dislike = 0; // on top: what speaks against the endpoint without making a call late
@@ -69,6 +75,12 @@
     return facts.parts.empty() ? facts.promptTokens : facts.parts.back().tokens;
 }
 
+/// Work of reading `fresh` tokens behind `kept` ones that need not be read, as tokens of a short prompt.
+double readingWork(double fresh, double kept)
+{
+    return fresh + pairTokens * fresh * (kept + fresh / 2);
+}
+
 std::uint64_t prefixKey(const CallFacts &facts)
 {
     std::uint64_t key = hash64(facts.adapter, hash64(facts.model));
@@ -99,25 +111,79 @@
     return running + ms;
 }
 
-double presenceMs(const EndpointEntry &entry, const AdapterName &name, Presence presence, TimePoint now)
+// Prompts of calls that wait for an adapter at the engine are read before one that begins to wait now. While they were
+// not counted, calls were sent where the work was only about to come, and met it: they waited for up to a second where
+// a quarter had been estimated.
+double plannedMs(const EndpointEntry &entry, TimePoint now)
+{
+    double tokens = entry.waitingTokens;
+    if (entry.stateFresh(now)) {
+        tokens += std::max(0.0, static_cast<double>(entry.state->waiting_tokens()) - entry.toldWaiting);
+    }
+    return tokens / readTokensPerMs;
+}
+
+// An engine that has restarted is empty, and its model is ordered at once: what is left of that load counts. With a
+// fixed long time for it, callers were refused that could be served a second later, and the first engine to be ready
+// got all calls of the others.
+double modelMs(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
+{
+    if (entry.hasModel(query.facts->model, now)) {
+        return 0;
+    }
+    if (query.modelReload <= Duration(0)) {
+        return modelLoadMs;
+    }
+    const auto passed = entry.emptySince ? now - *entry.emptySince : Duration(0);
+    const auto left = std::max(query.modelReload - passed, query.modelReload / 4);
+    return std::chrono::duration<double, std::milli>(left).count();
+}
+
+// Until an absent adapter is there, as long as the weight store keeps up.
+double adapterMs(const EndpointEntry &entry, const CallFacts &facts)
+{
+    const double alone = entry.loadsFast({facts.model, facts.adapter}) ? fastLoadMs : loadMs;
+    return alone + loadAheadMs * entry.state->loads_ahead();
+}
+
+// How much later an absent adapter comes while the weight store is slow: the sidecar loads one after the other, those
+// for calls that can be in time first. This is no reason to prefer another engine, whose loads come from the same
+// store: with it in the choice, adapters spread and 3 % of the callers in time became late (four days, four seeds).
+double slowStoreMs(const EndpointEntry &entry, const ChoiceQuery &query, Presence presence, TimePoint now)
+{
+    const double slow = entry.stateFresh(now) ? entry.state->slow_load_ms() : 0;
+    if (slow == 0 || presence != Presence::Absent || query.facts->adapter.empty()) {
+        return 0;
+    }
+    const auto ahead = query.inTime ? entry.state->loads_in_time() : entry.state->loads_ahead();
+    return std::max(0.0, slow * (1 + ahead) - adapterMs(entry, *query.facts));
+}
+
+double presenceMs(const EndpointEntry &entry, const ChoiceQuery &query, Presence presence, TimePoint now)
 {
+    const AdapterName name{query.facts->model, query.facts->adapter};
     if (presence == Presence::Resident) {
         return 0;
     }
     if (!entry.stateFresh(now)) {
         return entry.stateExpected(now) ? loadMs : noSidecarMs;
     }
-    double ms = entry.hasModel(name.first, now) ? 0 : modelLoadMs;
+    double ms = modelMs(entry, query, now);
     if (!name.second.empty()) {
-        const double load = entry.loadsFast(name) ? fastLoadMs : loadMs;
-        ms += presence == Presence::Loading ? std::min(loadingMs, load) : load;
+        ms += presence == Presence::Loading ? loadingMs : adapterMs(entry, *query.facts);
         ms += presence == Presence::Absent && entry.state->room() == 0 ? noRoomMs : 0;
         ms += presence == Presence::Absent && entry.heldByRuns(name, now) ? noRoomMs : 0;
-        ms += presence == Presence::Absent ? loadAheadMs * entry.state->loads_ahead() : 0;
     }
     return ms;
 }
 
+/// What a load costs the others.
+double loadPrice(const EndpointEntry &entry, const CallFacts &facts, Presence presence)
+{
+    const bool fromStore = presence == Presence::Absent && !facts.adapter.empty();
+    return fromStore && !entry.loadsFast({facts.model, facts.adapter}) ? loadPriceMs : 0;
+}
+
 bool mayTake(const EndpointEntry &entry, const ChoiceQuery &query)
 {
     return entry.record.service == *query.service && !entry.record.leaving && !entry.superseded
@@ -144,11 +210,20 @@
     }
     for (auto &scored : list) {
         const auto &entry = *scored.entry;
-        scored.sharedTokens = &scored == keeper ? 0 : shared;
-        scored.readingMs = backlogMs(entry, now) + (scored.sharedTokens + ownTokens(*query.facts)) / readTokensPerMs;
+        const double kept = &scored == keeper ? shared : 0;
+        scored.work = readingWork(shared + ownTokens(*query.facts) - kept, kept);
+        scored.readingMs = backlogMs(entry, now) + scored.work / readTokensPerMs;
         // Shared parts may have been dropped, and long answers slow the reading: what own calls have met there counts.
-        scored.ms = presenceMs(entry, name, scored.presence, now) + entry.slownessNow(now) * scored.readingMs;
-        scored.dislike = trouble(entry, engineSilence, now) - (&scored == home && keeper == nullptr ? homeMs : 0);
+        const double slowness = entry.slownessNow(now);
+        scored.ms = slowness * scored.readingMs;
+        if (scored.presence != Presence::Resident) {
+            // The engine goes on reading while the adapter is loaded.
+            const double loading = presenceMs(entry, query, scored.presence, now);
+            const double reading = slowness * (plannedMs(entry, now) + scored.work / readTokensPerMs);
+            scored.ms = std::max(loading, slowness * backlogMs(entry, now)) + reading;
+        }
+        scored.dislike = trouble(entry, engineSilence, now) + loadPrice(entry, *query.facts, scored.presence)
+                         - (&scored == home && keeper == nullptr ? homeMs : 0);
     }
 }
 
@@ -162,6 +237,12 @@
 
 } // namespace
 
+Duration readingTime(const EndpointEntry &entry, double work, TimePoint now)
+{
+    const double ms = backlogMs(entry, now) + work / readTokensPerMs;
+    return Duration(static_cast<std::int64_t>(ms * 1000));
+}
+
 std::optional<Choice> chooseEndpoint(const EndpointTable &table, const ChoiceQuery &query, TimePoint now)
 {
     std::vector<Scored> list;
@@ -188,9 +269,10 @@
     Choice choice;
     choice.endpointId = best->entry->record.id;
     choice.presence = best->presence;
-    choice.unreadTokens = ownTokens(*query.facts) + best->sharedTokens;
+    choice.unreadTokens = best->work;
     choice.reading = Duration(static_cast<std::int64_t>(best->readingMs * 1000));
-    const double whole = best->ms + (query.engine ? 0 : plainCallMs);
+    const double extra = query.engine ? slowStoreMs(*best->entry, query, best->presence, now) : plainCallMs;
+    const double whole = best->ms + extra;
     choice.firstByte = Duration(static_cast<std::int64_t>(whole * 1000));
     return choice;
 }
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -13,6 +13,8 @@
     const std::string *service = nullptr;
     bool engine = false;
     std::uint32_t leastVersion = 0;
+    bool inTime = true; // it can still be answered within its objective
+    Duration modelReload{}; // into an engine that has restarted; 0: not known
     const std::set<std::string> *exclude = nullptr; // ids that the call must not go to again
     std::string_view dataCentre; // of this entry
 };
@@ -23,9 +25,12 @@
     Duration firstByte{}; // estimate
     Duration reading{}; // part of it: the prompts to be read there, as if the engine were as fast as declared
     Presence presence = Presence::Resident;
-    double unreadTokens = 0; // that the engine probably has to read for this call
+    double unreadTokens = 0; // that the engine probably has to read for this call; long prompts count for more
 };
 
+/// Until an engine has read a prompt of so much work that is sent now, as if it were as fast as declared.
+Duration readingTime(const EndpointEntry &entry, double work, TimePoint now);
+
 /// The endpoint with the lowest estimate; no value if none may take the call.
 std::optional<Choice> chooseEndpoint(const EndpointTable &table, const ChoiceQuery &query, TimePoint now);
 
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -57,6 +57,11 @@
     state = told;
     stateAt = now;
     inFlightAtState = inFlight;
+    if (!told.models().empty()) {
+        emptySince.reset();
+    } else if (!emptySince) {
+        emptySince = now;
+    }
     for (const auto &adapter : told.adapters()) {
         heldBefore[{adapter.model(), adapter.adapter()}] = now;
     }
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -32,8 +32,11 @@
     double failureShare = 0; // decayed share of own calls that it failed
     std::optional<wire::DirectState> state;
     TimePoint stateAt{};
+    std::optional<TimePoint> emptySince; // the engine holds no model since then, as its sidecar told
     std::uint32_t inFlightAtState = 0;
     double toldUnread = 0; // own unreadTokens as the sidecar was told last
+    double waitingTokens = 0; // prompt tokens of own calls that wait for an adapter here
+    double toldWaiting = 0; // own waitingTokens as the sidecar was told last
     std::map<AdapterName, std::uint32_t> runningOn; // own calls by adapter
     bool changed = true; // something of which the sidecar may have to be told
     bool newlyRunning = false; // a call was sent on an adapter of which the sidecar has not been told
--- a/src/direct/route_table.cpp
+++ b/src/direct/route_table.cpp
@@ -12,6 +12,18 @@
     return found == services.end() ? nullptr : &*found;
 }
 
+const EngineModelSize *DirectConfig::model(std::string_view serviceName, std::string_view modelName) const
+{
+    const auto *owner = service(serviceName);
+    if (owner == nullptr || !owner->engine) {
+        return nullptr;
+    }
+    const auto &models = owner->engine->models;
+    const auto found = std::find_if(models.begin(), models.end(),
+                                    [&](const EngineModelSize &model) { return model.name == modelName; });
+    return found == models.end() ? nullptr : &*found;
+}
+
 RouteTable::RouteTable(const std::vector<DirectRoute> &routes)
 {
     for (const auto &route : routes) {
--- /dev/null
+++ b/tests/unit/direct_fixture.h
@@ -0,0 +1,147 @@
+// One entry's decisions on the direct path under a virtual clock, with two routes to plain services and one to engines.
+#pragma once
+
+#include "anvilscale/direct.h"
+
+#include <gtest/gtest.h>
+
+namespace anvilscale::test {
+
+inline const std::string host = "h.example";
+inline const std::string engineService = "engines";
+inline const std::string plainService = "plain";
+inline const std::string modelName = "base";
+
+inline DirectRoute routeTo(const std::string &prefix, const std::string &service, RepeatRule repeat)
+{
+    DirectRoute route;
+    route.name = prefix;
+    route.host = host;
+    route.prefix = prefix;
+    route.repeat = repeat;
+    route.timeout = Seconds(5);
+    route.objective = Seconds(1);
+    route.maxEndpoints = 2;
+    route.services = {{service, 1}};
+    return route;
+}
+
+inline DirectConfig configOf(std::uint64_t version)
+{
+    DirectConfig config;
+    config.version = version;
+    config.routes = {routeTo("/s/", engineService, RepeatRule::Stream),
+                     routeTo("/i/", plainService, RepeatRule::Idempotent),
+                     routeTo("/n/", plainService, RepeatRule::NonIdempotent)};
+    DirectService engines;
+    engines.name = engineService;
+    engines.engine = EngineLimits{2, 1000, {{modelName, 800, 50}}};
+    DirectService plain;
+    plain.name = plainService;
+    config.services = {engines, plain};
+    return config;
+}
+
+inline EndpointRecord endpointOf(const std::string &id, const std::string &service, const std::string &address)
+{
+    EndpointRecord record;
+    record.id = id;
+    record.service = service;
+    record.address = address;
+    record.dataCentre = "dc";
+    record.slots = 4;
+    return record;
+}
+
+inline wire::DirectState stateWith(const std::vector<std::string> &adapters, std::uint32_t version = 1)
+{
+    wire::DirectState state;
+    state.add_models(modelName);
+    state.set_reachable(true);
+    state.set_slots(2);
+    state.set_room(2);
+    for (const auto &adapter : adapters) {
+        auto &item = *state.add_adapters();
+        item.set_model(modelName);
+        item.set_adapter(adapter);
+        item.set_version(version);
+    }
+    return state;
+}
+
+class Calls : public testing::Test
+{
+protected:
+    Calls()
+        : calls_(init())
+    {
+        calls_.applyConfig(configOf(1), now_);
+    }
+    static DirectCallsInit init()
+    {
+        DirectCallsInit init;
+        init.dataCentre = "dc";
+        return init;
+    }
+    void addPlain()
+    {
+        calls_.applyEndpoint(endpointOf("p-1", plainService, "10.0.0.1:80"), now_);
+        calls_.applyEndpoint(endpointOf("p-2", plainService, "10.0.0.2:80"), now_);
+    }
+    void addEngine(const std::string &id, const std::string &address, const std::vector<std::string> &adapters)
+    {
+        calls_.applyEndpoint(endpointOf(id, engineService, address), now_);
+        calls_.applyState(address, stateWith(adapters), now_);
+    }
+    CallHandle arrive(const std::string &path, const std::string &adapter = "", Duration patience = Seconds(4))
+    {
+        CallFacts facts;
+        facts.requestId = "r" + std::to_string(++last_);
+        facts.host = host;
+        facts.path = path;
+        facts.patience = patience;
+        if (path.starts_with("/s/")) {
+            facts.model = modelName;
+            facts.adapter = adapter;
+            facts.promptTokens = 3000;
+            facts.parts = {{"shared", 2000}, {"own" + std::to_string(last_), 1000}};
+        }
+        calls_.arrive(CallHandle{last_}, facts, now_);
+        return CallHandle{last_};
+    }
+    template<class Action>
+    std::vector<Action> take()
+    {
+        std::vector<Action> result;
+        for (auto &action : calls_.takeActions()) {
+            if (auto *one = std::get_if<Action>(&action)) {
+                result.push_back(std::move(*one));
+            }
+        }
+        return result;
+    }
+    SendCall sent()
+    {
+        const auto list = take<SendCall>();
+        EXPECT_EQ(list.size(), 1U);
+        return list.empty() ? SendCall{} : list.front();
+    }
+    void end(const SendCall &send, AttemptEnd how, EndpointRefusal refusal = EndpointRefusal::None)
+    {
+        AttemptResult result;
+        result.end = how;
+        result.refusal = refusal;
+        calls_.attemptEnded(send.call, send.attempt, result, now_);
+    }
+    void pass(Duration span)
+    {
+        now_ += span;
+        calls_.tick(now_);
+    }
+
+    TimePoint now_{Seconds(100)};
+    DirectCalls calls_;
+    std::uint64_t last_ = 0;
+};
+
+} // namespace anvilscale::test
--- a/tests/unit/direct_keeper_test.cpp
+++ b/tests/unit/direct_keeper_test.cpp
@@ -11,13 +11,14 @@
 constexpr std::uint32_t slotsOfEngine = 2;
 const std::string modelName = "base";
 
-wire::DirectDemand demandFor(const std::string &endpointId, const std::vector<std::string> &waiting)
+wire::DirectDemand demandFor(const std::string &endpointId, const std::vector<std::string> &waiting,
+                             std::uint32_t slots = slotsOfEngine)
 {
     wire::DirectDemand demand;
     demand.set_endpoint_id(endpointId);
     auto &plan = *demand.mutable_plan();
     plan.set_config_version(1);
-    plan.set_adapter_slots(slotsOfEngine);
+    plan.set_adapter_slots(slots);
     plan.set_weights_mb(1000);
     auto &model = *plan.add_models();
     model.set_name(modelName);
@@ -48,7 +49,7 @@
 protected:
     void want(const std::vector<std::string> &waiting, const std::string &endpointId = "i-1")
     {
-        keeper_.applyDemand(PeerHandle{1}, demandFor(endpointId, waiting), now_);
+        keeper_.applyDemand(PeerHandle{1}, demandFor(endpointId, waiting, slots_), now_);
     }
     void pass(Duration span)
     {
@@ -56,6 +57,7 @@
     }
 
     TimePoint now_{Seconds(100)};
+    std::uint32_t slots_ = slotsOfEngine;
     AdapterKeeper keeper_{firstFence};
 };
 
@@ -102,7 +104,7 @@
     keeper_.applyReport(reportOf(1, {"a1", "a2"}), now_);
     pass(Seconds(1));
     EXPECT_FALSE(keeper_.nextOrder(now_));
-    EXPECT_EQ(keeper_.state().room(), 0U);
+    EXPECT_EQ(keeper_.state(now_).room(), 0U);
 }
 
 // The answer to a load is lost, and the engine may carry it out seconds later. The next order goes out at once and
@@ -153,6 +155,45 @@
     EXPECT_GT(next->fence, refused->fence + 2000);
 }
 
+// The weight store is asked for more than it carries: a load is still on its way after half a second. Loads that go on
+// side by side would all end late, so that the next ones wait until it is there; then what lets most callers be in time
+// comes first, also before what more callers wait for who are late already.
+TEST_F(Keeper, LoadsOneAfterTheOtherWhileTheStoreIsSlow)
+{
+    slots_ = 4;
+    want({"a1"});
+    auto report = reportOf(1, {});
+    report.pending.push_back({modelName, "a1", 1});
+    keeper_.applyReport(report, now_);
+    auto demand = demandFor("i-1", {"a1", "a2", "a3"}, slots_);
+    demand.mutable_wishes(1)->set_waiting(5);
+    demand.mutable_wishes(2)->set_in_time(1);
+    keeper_.applyDemand(PeerHandle{1}, demand, now_);
+    pass(Milliseconds(500));
+    keeper_.applyReport(report, now_);
+    EXPECT_FALSE(keeper_.nextOrder(now_));
+    EXPECT_GE(keeper_.state(now_).slow_load_ms(), 500U);
+    EXPECT_EQ(keeper_.state(now_).loads_ahead(), 2U);
+    EXPECT_EQ(keeper_.state(now_).loads_in_time(), 1U);
+    keeper_.applyReport(reportOf(2, {"a1"}), now_);
+    const auto order = keeper_.nextOrder(now_);
+    ASSERT_TRUE(order);
+    EXPECT_EQ(order->adapter, "a3");
+}
+
+TEST_F(Keeper, LoadsSideBySideWhileTheStoreKeepsUp)
+{
+    slots_ = 4;
+    auto report = reportOf(1, {});
+    report.pending.push_back({modelName, "a1", 1});
+    want({"a1", "a2"});
+    keeper_.applyReport(report, now_);
+    pass(Milliseconds(200));
+    keeper_.applyReport(report, now_);
+    ASSERT_TRUE(keeper_.nextOrder(now_));
+    EXPECT_EQ(keeper_.state(now_).slow_load_ms(), 0U);
+}
+
 TEST_F(Keeper, ReplacesAnOlderVersionOnceANewerOneIsNamed)
 {
     auto demand = demandFor("i-1", {});
--- /dev/null
+++ b/tests/unit/direct_load_test.cpp
@@ -0,0 +1,135 @@
+// An entry of the direct path under load: how long a call will wait is forecast from what the sidecars tell, and calls
+// that cannot begin in time are refused while their callers can still go elsewhere.
+#include "direct_fixture.h"
+
+namespace anvilscale::test {
+
+class CallsUnderLoad : public Calls
+{
+protected:
+    void tell(const std::string &address, const wire::DirectState &state)
+    {
+        calls_.applyState(address, state, now_);
+    }
+};
+
+// Callers see an answer a second late, though an engine beside was idle. Other calls waited for their adapters at the
+// engine that was chosen: nothing of them was sent yet, so that it seemed free, and their prompts were read first.
+TEST_F(CallsUnderLoad, PromptsThatWaitForAdaptersCount)
+{
+    addEngine("e-1", "10.0.1.1:80", {});
+    addEngine("e-2", "10.0.1.2:80", {});
+    arrive("/s/x", "a1");
+    const auto usual = take<SendWishes>();
+    ASSERT_EQ(usual.size(), 1U);
+    auto state = stateWith({});
+    state.set_waiting_tokens(60'000);
+    tell(usual.front().address, state);
+    arrive("/s/x", "a1");
+    EXPECT_EQ(calls_.stats().waitedForAdapter, 2U);
+    const auto second = take<SendWishes>();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second.front().address, usual.front().address);
+}
+
+TEST_F(CallsUnderLoad, AnEntryTellsWhatWaits)
+{
+    addEngine("e-1", "10.0.1.1:80", {});
+    arrive("/s/x", "a1");
+    const auto wishes = take<SendWishes>();
+    ASSERT_EQ(wishes.size(), 1U);
+    EXPECT_GE(wishes.front().demand.waiting_tokens(), 3000U);
+    EXPECT_EQ(wishes.front().demand.unread_tokens(), 0U);
+    ASSERT_EQ(wishes.front().demand.wishes_size(), 1);
+    EXPECT_EQ(wishes.front().demand.wishes(0).in_time(), 1U);
+}
+
+// A call waits for its adapter until its objective has passed. The sidecar loads for others first from then on, so it
+// must hear of that without any event.
+TEST_F(CallsUnderLoad, AWaitingCallBecomesLateByItself)
+{
+    addEngine("e-1", "10.0.1.1:80", {});
+    arrive("/s/x", "a1");
+    take<SendWishes>();
+    pass(Milliseconds(1100));
+    const auto wishes = take<SendWishes>();
+    ASSERT_FALSE(wishes.empty());
+    EXPECT_EQ(wishes.back().demand.wishes(0).waiting(), 1U);
+    EXPECT_EQ(wishes.back().demand.wishes(0).in_time(), 0U);
+}
+
+// All engines have lost their contents. An adapter comes in four seconds, and callers leave a stream that has not begun
+// after two: the call is refused at once, and told when to come back, in place of being held until its caller leaves.
+TEST_F(CallsUnderLoad, ACallWhoseAdapterComesTooLateIsRefusedAtOnce)
+{
+    auto config = configOf(2);
+    config.routes.front().firstByteLimit = Seconds(2);
+    calls_.applyConfig(config, now_);
+    addEngine("e-1", "10.0.1.1:80", {});
+    auto state = stateWith({});
+    state.set_slow_load_ms(1000);
+    state.set_loads_ahead(3);
+    state.set_loads_in_time(3);
+    tell("10.0.1.1:80", state);
+    arrive("/s/x", "a1", Seconds(15));
+    const auto refused = take<RefuseCall>();
+    ASSERT_EQ(refused.size(), 1U);
+    EXPECT_EQ(refused.front().reason, RefusalReason::DeadlineUnreachable);
+    EXPECT_GT(refused.front().retryAfter, Seconds(1));
+}
+
+// The same store, with loads ahead for calls that are late already: those give way, and the call is taken.
+TEST_F(CallsUnderLoad, LoadsForLateCallsAreNotWaitedFor)
+{
+    auto config = configOf(2);
+    config.routes.front().firstByteLimit = Seconds(2);
+    calls_.applyConfig(config, now_);
+    addEngine("e-1", "10.0.1.1:80", {});
+    auto state = stateWith({});
+    state.set_slow_load_ms(1000);
+    state.set_loads_ahead(3);
+    tell("10.0.1.1:80", state);
+    arrive("/s/x", "a1", Seconds(15));
+    EXPECT_TRUE(take<RefuseCall>().empty());
+}
+
+// An engine has restarted and loads its model for 600 ms. Its callers were refused as if that took three seconds, and
+// came back to an engine that had been ready for long.
+TEST_F(CallsUnderLoad, WhatIsLeftOfAModelsLoadCounts)
+{
+    auto config = configOf(2);
+    config.services.front().engine->models.front().reload = Milliseconds(600);
+    config.routes.front().firstByteLimit = Seconds(2);
+    calls_.applyConfig(config, now_);
+    calls_.applyEndpoint(endpointOf("e-1", engineService, "10.0.1.1:80"), now_);
+    auto empty = stateWith({});
+    empty.clear_models();
+    tell("10.0.1.1:80", empty);
+    arrive("/s/x", "a1");
+    EXPECT_TRUE(take<RefuseCall>().empty());
+    EXPECT_EQ(calls_.stats().waitedForAdapter, 1U);
+}
+
+// A prompt of 30,000 tokens takes an engine 1.4 times as long as its tokens alone, since each is compared with all
+// before it. Counted by its tokens it seemed to fit behind another one.
+TEST_F(CallsUnderLoad, LongPromptsCountForMore)
+{
+    addEngine("e-1", "10.0.1.1:80", {"a1"});
+    CallFacts facts;
+    facts.requestId = "long";
+    facts.host = host;
+    facts.path = "/s/x";
+    facts.patience = Seconds(5);
+    facts.model = modelName;
+    facts.adapter = "a1";
+    facts.promptTokens = 30'000;
+    facts.parts = {{"own", 30'000}};
+    calls_.arrive(CallHandle{77}, facts, now_);
+    pass(Milliseconds(500));
+    const auto wishes = take<SendWishes>();
+    ASSERT_FALSE(wishes.empty());
+    EXPECT_GT(wishes.back().demand.unread_tokens(), 40'000U);
+    EXPECT_LT(wishes.back().demand.unread_tokens(), 43'000U);
+}
+
+} // namespace anvilscale::test
--- a/tests/unit/site_dialect_test.cpp
+++ b/tests/unit/site_dialect_test.cpp
@@ -183,6 +183,35 @@
     EXPECT_FALSE(SiteDialect::readWatch("<html>"));
 }
 
+TEST(SiteStore, ConfigurationOfEnginesAndStreams)
+{
+    // {"version":7,"routes":[{"name":"r","hostname":"H.example","prefix":"/a/","type":"streaming","timeout_ms":600
+    // 0,"target_latency_ms":1000,"priority":1,"service":"s","max_attempts":2,"resumable":true,"target_gap_ms":400}
+    // ],"services":[{"name":"s","max_conns":370,"engine":{"models":[{"name":"m","weights_mb":42700.0,"load_s":0.6,
+    // "adapter_mb":66.0,"disk_load_s":0.57},{"name":"n","weights_mb":1,"load_s":2.1}],"weights_mb":44200.0,"adapte
+    // r_slots":9}}]}
+    const std::string config =
+        "eyJ2ZXJzaW9uIjo3LCJyb3V0ZXMiOlt7Im5hbWUiOiJyIiwiaG9zdG5hbWUiOiJILmV4YW1wbGUiLCJwcmVmaXgiOiIvYS8iLCJ0eXBlIjoic3"
+        "RyZWFtaW5nIiwidGltZW91dF9tcyI6NjAwMCwidGFyZ2V0X2xhdGVuY3lfbXMiOjEwMDAsInByaW9yaXR5IjoxLCJzZXJ2aWNlIjoicyIsIm1h"
+        "eF9hdHRlbXB0cyI6MiwicmVzdW1hYmxlIjp0cnVlLCJ0YXJnZXRfZ2FwX21zIjo0MDB9XSwic2VydmljZXMiOlt7Im5hbWUiOiJzIiwibWF4X2"
+        "Nvbm5zIjozNzAsImVuZ2luZSI6eyJtb2RlbHMiOlt7Im5hbWUiOiJtIiwid2VpZ2h0c19tYiI6NDI3MDAuMCwibG9hZF9zIjowLjYsImFkYXB0"
+        "ZXJfbWIiOjY2LjAsImRpc2tfbG9hZF9zIjowLjU3fSx7Im5hbWUiOiJuIiwid2VpZ2h0c19tYiI6MSwibG9hZF9zIjoyLjF9XSwid2VpZ2h0c1"
+        "9tYiI6NDQyMDAuMCwiYWRhcHRlcl9zbG90cyI6OX19XX0=";
+    const auto page = SiteDialect::readWatch(R"({"events":[{"key":"op/config","value":")" + config
+                                             + R"(","revision":5,"created":4}],"store_revision":9})");
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page->records.size(), 1U);
+    const auto &read = std::get<DirectConfig>(page->records[0]);
+    const auto &route = read.routes.front();
+    EXPECT_EQ(route.host, "h.example");
+    EXPECT_TRUE(route.resumable);
+    EXPECT_EQ(route.firstByteLimit, Seconds(4)) << "four times the objective is the longest of the three";
+    ASSERT_NE(read.model("s", "m"), nullptr);
+    EXPECT_EQ(read.model("s", "m")->reload, Milliseconds(570));
+    EXPECT_EQ(read.model("s", "n")->reload, Milliseconds(2100)) << "without a time from the disk, that from the store";
+    EXPECT_EQ(read.model("s", "o"), nullptr);
+}
+
 TEST(SiteStore, StatusesOfTheStore)
 {
     EXPECT_EQ(SiteDialect::storeStatus(200), StoreStatus::Ok);
