--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -89,14 +89,16 @@
     impl_->endpoints.remove(id);
 }
 
-// An endpoint that leaves takes no new calls, also none that have waited there since before.
+// An endpoint that leaves or has crashed takes no new calls, also none that have waited there since before.
 void DirectCalls::Impl::rerouteWaiting(const std::string &id, TimePoint now)
 {
     auto &entry = *endpoints.find(id);
     entry.waitingTokens = 0;
     const auto waiting = std::exchange(entry.waiting, {});
     for (const auto handle : waiting) {
-        route(handle, calls.at(handle), now);
+        auto &call = calls.at(handle);
+        call.adapterWait += now - call.stepSince;
+        route(handle, call, now);
     }
 }
 
@@ -117,6 +119,10 @@
     }
     entry->applyState(state, now);
     entry->changed = true;
+    if (!state.reachable()) {
+        impl_->rerouteWaiting(entry->record.id, now);
+        return;
+    }
     impl_->sendWaiting(entry->record.id, now);
 }
 
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -95,6 +95,7 @@
     double ms = failingMs * entry.failureShare;
     ms += now < entry.avoidUntil ? avoidedMs : 0;
     ms += entry.silentFor(silence, now) ? avoidedMs : 0;
+    ms += entry.toldUnreachable(now) ? avoidedMs : 0;
     return ms;
 }
 
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -42,6 +42,11 @@
     return state && now - stateAt < stateLife;
 }
 
+bool EndpointEntry::toldUnreachable(TimePoint now) const
+{
+    return stateFresh(now) && !state->reachable();
+}
+
 bool EndpointEntry::stateExpected(TimePoint now) const
 {
     return !state && now - since < firstStateTime;
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -52,6 +52,8 @@
     bool heldByRuns(const AdapterName &name, TimePoint now) const;
     bool hasModel(const std::string &model, TimePoint now) const;
     bool stateFresh(TimePoint now) const;
+    /// True if the sidecar beside it cannot reach it: it has crashed, long before its record lapses in the store.
+    bool toldUnreachable(TimePoint now) const;
     /// True if its sidecar has not told anything yet and probably will in a moment.
     bool stateExpected(TimePoint now) const;
     /// True if the adapter is probably still in the engine's own memory, so that it loads without the weight store.
