The queue for adapter slots counts, and what is awaited at one engine is not loaded into others

The forecast knew 'no room' as a fixed time, however many waited; and calls on one absent adapter that came to several entries took slots of several engines. Change: a slot comes free each slotHoldMs divided by the slots, those who wait first; sidecars tell the adapters that are awaited, and a call on one of them pays no price of a load there.

--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -355,6 +355,11 @@
             }
         }
     }
+    for (const auto &[key, inTime] : ahead) {
+        auto &item = *state.add_awaited();
+        item.set_model(key.first);
+        item.set_adapter(key.second);
+    }
     const auto inTime = std::count_if(ahead.begin(), ahead.end(), [](const auto &item) { return item.second; });
     state.set_loads_ahead(static_cast<std::uint32_t>(ahead.size()));
     state.set_loads_in_time(static_cast<std::uint32_t>(inTime));
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -24,6 +24,14 @@
     count -= count == 0 ? 0 : 1;
 }
 
+void removeOne(std::map<AdapterName, std::uint32_t> &counts, const AdapterName &name)
+{
+    const auto found = counts.find(name);
+    if (found != counts.end() && --found->second == 0) {
+        counts.erase(found);
+    }
+}
+
 std::string pickService(const DirectRoute &route, std::string_view requestId)
 {
     std::uint64_t sum = 0;
@@ -94,6 +102,7 @@
 {
     auto &entry = *endpoints.find(id);
     entry.waitingTokens = 0;
+    entry.waitingOn.clear();
     const auto waiting = std::exchange(entry.waiting, {});
     for (const auto handle : waiting) {
         auto &call = calls.at(handle);
@@ -226,6 +235,7 @@
     call.step = CallStep::Waiting;
     auto &entry = *endpoints.find(call.endpointId);
     entry.waiting.insert(handle);
+    ++entry.waitingOn[call.adapterName()];
     entry.waitingTokens += call.unreadTokens;
     entry.changed = true;
     ++stats.waitedForAdapter;
@@ -236,6 +246,7 @@
 {
     if (entry.waiting.erase(handle) != 0) {
         entry.changed = true;
+        removeOne(entry.waitingOn, call.adapterName());
         entry.waitingTokens = std::max(0.0, entry.waitingTokens - call.unreadTokens);
         call.adapterWait += now - call.stepSince;
     }
@@ -298,10 +309,7 @@
         entry->unreadTokens = std::max(0.0, entry->unreadTokens - call.unreadTokens);
     }
     if (call.engine) {
-        const auto running = entry->runningOn.find(call.adapterName());
-        if (running != entry->runningOn.end() && --running->second == 0) {
-            entry->runningOn.erase(running);
-        }
+        removeOne(entry->runningOn, call.adapterName());
     }
     entry->countEnd(failed, now);
 }
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -22,8 +22,11 @@
 // From the engine's own memory: a tenth of the store's time.
 constexpr double fastLoadMs = 60;
 constexpr double loadingMs = 150; // on its way already: half of it is left in the mean
-// No slot is without a running call: one has to end first.
-constexpr double noRoomMs = 1500;
+// An older version with running calls is in the way: they have to end first.
+constexpr double heldByRunsMs = 1500;
+// A call runs some two seconds on the engines served. With calls on all slots, one comes free each so many milliseconds
+// divided by the slots.
+constexpr double slotHoldMs = 2000;
 // Orders go to an engine one after the other, an unload and a load for each adapter.
 constexpr double loadAheadMs = 60;
 constexpr double modelLoadMs = 3000; // of a model where the operator does not tell how long it takes
@@ -160,6 +163,16 @@
     return std::max(0.0, slow * (1 + ahead) - adapterMs(entry, *query.facts));
 }
 
+// Until a slot is free for one more adapter: those that are waited for already come first. Where each slot has a
+// running call, the queue for slots and not the load makes callers wait: for seconds, on the days with most calls for
+// an engine.
+double slotMs(const EndpointEntry &entry, bool awaited)
+{
+    const auto wanted = entry.state->loads_ahead() + (awaited ? 0 : 1);
+    const auto missing = wanted > entry.state->room() ? wanted - entry.state->room() : 0;
+    return missing * slotHoldMs / std::max<std::uint32_t>(1, entry.state->slots());
+}
+
 double presenceMs(const EndpointEntry &entry, const ChoiceQuery &query, Presence presence, TimePoint now)
 {
     const AdapterName name{query.facts->model, query.facts->adapter};
@@ -172,17 +185,19 @@
     double ms = modelMs(entry, query, now);
     if (!name.second.empty()) {
         ms += presence == Presence::Loading ? loadingMs : adapterMs(entry, *query.facts);
-        ms += presence == Presence::Absent && entry.state->room() == 0 ? noRoomMs : 0;
-        ms += presence == Presence::Absent && entry.heldByRuns(name, now) ? noRoomMs : 0;
+        ms += presence == Presence::Absent ? slotMs(entry, entry.awaits(name, now)) : 0;
+        ms += presence == Presence::Absent && entry.heldByRuns(name, now) ? heldByRunsMs : 0;
     }
     return ms;
 }
 
-/// What a load costs the others.
-double loadPrice(const EndpointEntry &entry, const CallFacts &facts, Presence presence)
+// What a load costs the others; nothing where it is awaited already. While entries did not know what waits where, calls
+// on one absent adapter that came within a moment had it loaded into several engines.
+double loadPrice(const EndpointEntry &entry, const CallFacts &facts, Presence presence, TimePoint now)
 {
+    const AdapterName name{facts.model, facts.adapter};
     const bool fromStore = presence == Presence::Absent && !facts.adapter.empty();
-    return fromStore && !entry.loadsFast({facts.model, facts.adapter}) ? loadPriceMs : 0;
+    return fromStore && !entry.loadsFast(name) && !entry.awaits(name, now) ? loadPriceMs : 0;
 }
 
 bool mayTake(const EndpointEntry &entry, const ChoiceQuery &query)
@@ -223,7 +238,7 @@
             const double reading = slowness * (plannedMs(entry, now) + scored.work / readTokensPerMs);
             scored.ms = std::max(loading, slowness * backlogMs(entry, now)) + reading;
         }
-        scored.dislike = trouble(entry, engineSilence, now) + loadPrice(entry, *query.facts, scored.presence)
+        scored.dislike = trouble(entry, engineSilence, now) + loadPrice(entry, *query.facts, scored.presence, now)
                          - (&scored == home && keeper == nullptr ? homeMs : 0);
     }
 }
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -85,6 +85,17 @@
     return std::find(record.models.begin(), record.models.end(), model) != record.models.end();
 }
 
+bool EndpointEntry::awaits(const AdapterName &name, TimePoint now) const
+{
+    if (waitingOn.count(name) != 0) {
+        return true;
+    }
+    return stateFresh(now)
+           && std::any_of(state->awaited().begin(), state->awaited().end(), [&](const wire::DirectAdapter &adapter) {
+                  return adapter.model() == name.first && adapter.adapter() == name.second;
+              });
+}
+
 bool EndpointEntry::heldByRuns(const AdapterName &name, TimePoint now) const
 {
     const auto *adapter = stateFresh(now) ? findAdapter(*state, name, false) : nullptr;
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -42,12 +42,15 @@
     bool newlyRunning = false; // a call was sent on an adapter of which the sidecar has not been told
     std::map<AdapterName, std::uint32_t> startedOn; // since the last wishes
     std::set<CallHandle> waiting; // own calls that wait for an adapter here
+    std::map<AdapterName, std::uint32_t> waitingOn; // the same by adapter
     // Adapters it has held, and when it was last seen with them: it loads these from its own memory.
     std::map<AdapterName, TimePoint> heldBefore;
 
     Presence presence(const AdapterName &name, std::uint32_t leastVersion, TimePoint now) const;
     /// Version of a resident adapter, 0 if it is not known.
     std::uint32_t heldVersion(const AdapterName &name, TimePoint now) const;
+    /// True if calls wait for it here, so that it will be loaded without any more of them.
+    bool awaits(const AdapterName &name, TimePoint now) const;
     /// True if an older version is there with calls on it: it cannot be replaced before they end.
     bool heldByRuns(const AdapterName &name, TimePoint now) const;
     bool hasModel(const std::string &model, TimePoint now) const;
--- a/tests/unit/direct_load_test.cpp
+++ b/tests/unit/direct_load_test.cpp
@@ -88,11 +88,79 @@
     auto state = stateWith({});
     state.set_slow_load_ms(1000);
     state.set_loads_ahead(3);
+    state.set_room(9);
+    state.set_slots(9);
     tell("10.0.1.1:80", state);
     arrive("/s/x", "a1", Seconds(15));
     EXPECT_TRUE(take<RefuseCall>().empty());
 }
 
+// Calls on one absent adapter come to two entries within a moment. The second entry hears that the adapter is awaited
+// at an engine and sends its call there too: loaded twice, it would take a slot of two engines, and callers wait for
+// slots.
+TEST_F(CallsUnderLoad, WhatIsAwaitedSomewhereIsNotLoadedElsewhere)
+{
+    for (int i = 1; i <= 6; ++i) {
+        addEngine("e-" + std::to_string(i), "10.0.1." + std::to_string(i) + ":80", {});
+    }
+    arrive("/s/x", "a1");
+    const auto home = take<SendWishes>().front().address;
+    const std::string elsewhere = home == "10.0.1.1:80" ? "10.0.1.2:80" : "10.0.1.1:80";
+    auto state = stateWith({});
+    auto &awaited = *state.add_awaited();
+    awaited.set_model(modelName);
+    awaited.set_adapter("a2");
+    state.set_loads_ahead(1);
+    for (const auto *adapter : {"a2", "a2"}) {
+        tell(elsewhere, state);
+        arrive("/s/x", adapter);
+        const auto wishes = take<SendWishes>();
+        ASSERT_EQ(wishes.size(), 1U);
+        EXPECT_EQ(wishes.front().address, elsewhere);
+    }
+}
+
+// Each slot of an engine has a running call, and five adapters wait there for one. A call that joins them begins when
+// its caller has left, though an engine with one running call in each slot and nothing that waits is as good for the
+// load.
+TEST_F(CallsUnderLoad, TheQueueForSlotsCounts)
+{
+    addEngine("e-1", "10.0.1.1:80", {});
+    addEngine("e-2", "10.0.1.2:80", {});
+    for (int i = 1; i <= 8; ++i) {
+        auto full = stateWith({"b1", "b2"});
+        full.set_room(0);
+        tell("10.0.1.2:80", full);
+        full.set_loads_ahead(2);
+        tell("10.0.1.1:80", full);
+        arrive("/s/x", "a" + std::to_string(i));
+        const auto wishes = take<SendWishes>();
+        ASSERT_EQ(wishes.size(), 1U);
+        EXPECT_EQ(wishes.front().address, "10.0.1.2:80") << "whichever engine the adapter would go to otherwise";
+        pass(Milliseconds(1));
+        calls_.callerGone(CallHandle{last_}, now_);
+        take<SendWishes>();
+    }
+}
+
+// An engine crashes, and its record stays in the store for three more seconds. Its sidecar knows at once: a call that
+// waits there for an adapter is placed anew, and new calls go elsewhere, though the adapter was there.
+TEST_F(CallsUnderLoad, AnEngineThatItsSidecarCannotReachIsLeft)
+{
+    addEngine("e-1", "10.0.1.1:80", {});
+    addEngine("e-2", "10.0.1.2:80", {});
+    arrive("/s/x", "a1");
+    const auto first = take<SendWishes>().front().address;
+    auto crashed = stateWith({"a2"});
+    crashed.set_reachable(false);
+    tell(first, crashed);
+    const auto placed = take<SendWishes>();
+    ASSERT_FALSE(placed.empty());
+    EXPECT_NE(placed.back().address, first);
+    arrive("/s/x", "a2");
+    EXPECT_TRUE(take<SendCall>().empty()) << "the adapter is loaded into the other engine";
+}
+
 // An engine has restarted and loads its model for 600 ms. Its callers were refused as if that took three seconds, and
 // came back to an engine that had been ready for long.
 TEST_F(CallsUnderLoad, WhatIsLeftOfAModelsLoadCounts)
