--- a/tests/unit/direct_load_test.cpp
+++ b/tests/unit/direct_load_test.cpp
@@ -70,6 +70,8 @@
     state.set_slow_load_ms(1000);
     state.set_loads_ahead(3);
     state.set_loads_in_time(3);
+    state.set_room(9);
+    state.set_slots(9);
     tell("10.0.1.1:80", state);
     arrive("/s/x", "a1", Seconds(15));
     const auto refused = take<RefuseCall>();
