Streams that may be resumed are begun anew while their caller has nothing of them

Cause: a resumable stream whose endpoint broke off before its first event ended as 'outcome unknown' (the route allows two endpoints). Change: it is sent again like an idempotent call.

--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -52,10 +52,11 @@
     {
         return now + reading <= arrived + objective;
     }
-    /// Nothing that a second run would do twice.
+    /// Nothing that a second run would do twice. A stream that may be resumed may also be begun anew, as long as its
+    /// caller has nothing of it.
     bool repeatable() const
     {
-        return repeat == RepeatRule::Idempotent;
+        return repeat == RepeatRule::Idempotent || (repeat == RepeatRule::Stream && resumable);
     }
 };
 
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -134,6 +134,27 @@
     EXPECT_NE(sent().endpointId, usual.endpointId);
 }
 
+// The engine crashes before it has begun a stream. One that may be resumed is begun anew at another engine; others may
+// have run, and their callers are told that the outcome is not known.
+TEST_F(Calls, AResumableStreamIsBegunAnewWhileItsCallerHasNothingOfIt)
+{
+    auto config = configOf(2);
+    config.routes.front().resumable = true;
+    calls_.applyConfig(config, now_);
+    addEngine("e-1", "10.0.1.1:80", {"a1"});
+    addEngine("e-2", "10.0.1.2:80", {"a1"});
+    arrive("/s/x", "a1");
+    const auto first = sent();
+    end(first, AttemptEnd::Broken);
+    const auto second = sent();
+    EXPECT_NE(second.endpointId, first.endpointId);
+    AttemptResult cut;
+    cut.end = AttemptEnd::Broken;
+    cut.callerHasBytes = true;
+    calls_.attemptEnded(second.call, second.attempt, cut, now_);
+    EXPECT_TRUE(take<SendCall>().empty());
+}
+
 TEST_F(Calls, AnIdempotentCallIsSentAgainWhenItsAnswerBreaks)
 {
     addPlain();
