--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -173,7 +173,7 @@
     const bool limited = route->firstByteLimit > Duration(0);
     call.firstByteBy = limited ? std::min(call.deadline, now + route->firstByteLimit) : call.deadline;
     call.facts = std::move(facts);
-    impl.budgets[call.service].countFirst(now);
+    impl.retries[call.service].countFirst(impl.init.retryRatio);
     if (call.engine) {
         ++impl.modelUse[call.facts.model];
     }
@@ -412,7 +412,7 @@
 
 bool DirectCalls::Impl::mayRetry(const DirectCall &call, TimePoint now)
 {
-    return now + leastTimeToSend < call.cutAt && budgets[call.service].take(init.retryRatio, now);
+    return now + leastTimeToSend < call.cutAt && retries[call.service].take();
 }
 
 void DirectCalls::Impl::retryOrGiveUp(CallHandle handle, DirectCall &call, RetryReason why, RefusalReason otherwise,
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -3,7 +3,7 @@
 
 #include "endpoint_choice.h"
 #include "endpoint_table.h"
-#include "retry_budget.h"
+#include "retry_allowance.h"
 
 namespace anvilscale {
 
@@ -76,7 +76,7 @@
     EndpointTable endpoints;
     std::map<AdapterName, std::uint32_t> versions; // that the operator has named
     std::map<CallHandle, DirectCall> calls;
-    std::map<std::string, RetryBudget> budgets; // by service
+    std::map<std::string, RetryAllowance> retries; // by service
     std::map<std::string, SentWishes> wishes; // by address
     std::map<std::string, std::uint64_t> modelUse; // calls by model, to fill an empty engine
     std::vector<DirectAction> actions;
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -155,6 +155,30 @@
     EXPECT_TRUE(take<SendCall>().empty());
 }
 
+// All endpoints of a service fail their calls for some seconds, after minutes without a failure. What is sent again
+// within that time must stay at the share of the calls that came within it; the quiet minutes before earn nothing.
+TEST_F(Calls, ABurstOfFailuresSpendsNoMoreThanItsShareOfRetries)
+{
+    addPlain();
+    std::size_t sentAgain = 0;
+    for (int i = 0; i < 400; ++i) {
+        arrive("/i/x");
+        const auto first = sent();
+        if (i < 300) {
+            end(first, AttemptEnd::Answered);
+        } else {
+            end(first, AttemptEnd::OwnFailure);
+            for (const auto &again : take<SendCall>()) {
+                ++sentAgain;
+                end(again, AttemptEnd::OwnFailure);
+            }
+        }
+        now_ += Milliseconds(100);
+    }
+    EXPECT_GE(sentAgain, 20U);
+    EXPECT_LE(sentAgain, 23U) << "a fifth of 100 calls, and three for a lone failure";
+}
+
 TEST_F(Calls, AnIdempotentCallIsSentAgainWhenItsAnswerBreaks)
 {
     addPlain();
