Fault matrix: a change of an operator whose tool was killed is made once the tool runs again

The random search died with a segmentation fault after some 20 s (): a change was given to a process that an earlier fault had ended. The change is tried again after the restart, as an operator would.

--- a/tests/faults/callers.cpp
+++ b/tests/faults/callers.cpp
@@ -32,6 +32,10 @@
 void World::applyChange(const std::string &operatorName, const std::string &route, const std::string &version)
 {
     Node &by = node(operatorName);
+    if (by.process == nullptr) { // killed: the operator makes the change once the tool can be started again
+        at(restartAfter, [this, operatorName, route, version] { applyChange(operatorName, route, version); });
+        return;
+    }
     config::Change change = *parseRecord(R"({"schemaVersion":2,"name":")" + route + R"(","route":{"adapter":"a)"
                                          + route.substr(1) + R"(","version":")" + version + R"(","deadlineMs":4000}})");
     if (std::exchange(by.process->writing, true)) {
--- a/tests/faults/faults.cmake
+++ b/tests/faults/faults.cmake
@@ -7,6 +7,8 @@
              CONFIGURATIONS pairs)
 endforeach()
 add_test(NAME faults.random COMMAND faultmatrix --random 400 --seed 20261202)
+# Once ended the matrix itself: a change was given to an operator's tool that an earlier fault had killed.
+add_test(NAME faults.random.killed_operator COMMAND faultmatrix --random 3000 --seed 902177)
 # Cells that random search found. Each stays as it is; one whose fault stands is in KNOWN-RED.txt.
 function(fault_cell name cell)
     add_test(NAME faults.cell.${name} COMMAND faultmatrix --cell ${cell})
--- a/tests/faults/world.cpp
+++ b/tests/faults/world.cpp
@@ -7,7 +7,6 @@
 
 constexpr std::int64_t wallStart = 1'764'700'000'000;
 constexpr std::size_t fewKeys = 4; // so that the table of seen keys is full during the calls
-constexpr Duration restartAfter = Seconds(2);
 constexpr Duration vmListEvery = Milliseconds(500);
 constexpr Duration warmUp = Seconds(8);
 constexpr Duration faultTime = Seconds(16);
--- a/tests/faults/world.h
+++ b/tests/faults/world.h
@@ -63,6 +63,8 @@
     Count
 };
 
+constexpr Duration restartAfter = Seconds(2); // a killed process is started again
+
 struct Node
 {
     std::string name;
