Endpoints that start again under their id, and records of another writer

A process is known by its id and its birth now. The birth stands in the record, the engine's report, the sidecar's state and the entry's demand; everything an entry remembers of an endpoint belongs to one life, and so do the counts that calls take back when they end. Records that lack a field of an endpoint, or have it in another type, name none: one that stood under that key before is gone at once, and the others of the page hold. A record of a service that is not configured takes no address from an endpoint. An order lost before a restart under the same id finds a slot free where the sequence comes by its number again.

Cause: EndpointRecord::born was the revision at which the record was created, which a restart under the same id keeps; fields that were missing were read as defaults. Today's deployments tell no birth yet; where it is missing, the created revision decides as before.

Tests: Restarts.* (5 of 6 fail with the comparison of births off, the sixth guards against the stale record), two Keeper tests (fail without the guard), the table of foreign records.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -111,13 +111,14 @@
 /// One endpoint as it declares itself in the platform's store.
 struct EndpointRecord
 {
-    std::string id; ///< of this incarnation
+    std::string id; ///< may be used again by the next incarnation
     std::string service;
     std::string address; ///< "IP:PORT"
     std::string dataCentre;
     std::uint32_t slots = 0; ///< calls that it works on at the same time
     bool leaving = false;
-    std::uint64_t born = 0; ///< grows with each record that is created in the store
+    std::uint64_t born = 0; ///< Unix millisecond of its start; tells incarnations of one id apart; 0: not told
+    std::uint64_t created = 0; ///< grows with each record that is created in the store
     std::vector<std::string> models;
     std::vector<HeldAdapter> adapters;
 };
@@ -134,6 +135,7 @@
 struct EndpointRemoved
 {
     std::string id;
+    bool unreadable = false; ///< its record is there, but is not that of an endpoint
 };
 using StoreRecord = std::variant<DirectConfig, EndpointRecord, EndpointRemoved, NamedVersion>;
 
@@ -236,7 +238,12 @@
     std::string address; ///< of the endpoint
     wire::DirectDemand demand;
 };
-using DirectAction = std::variant<SendCall, RefuseCall, PassAnswer, AbandonCall, SendWishes>;
+/// The process at this address has ended: connections to it that are kept for later calls lead nowhere.
+struct DropConnections
+{
+    std::string address;
+};
+using DirectAction = std::variant<SendCall, RefuseCall, PassAnswer, AbandonCall, SendWishes, DropConnections>;
 
 /// Finds the route of a host and path: the longest prefix that begins the path.
 class RouteTable
@@ -329,7 +336,7 @@
     // Knowledge.
     /// Returns false for a version that is not newer than the one in force.
     bool applyConfig(const DirectConfig &config, TimePoint now);
-    /// True if the endpoint is new, or has begun or ceased to leave.
+    /// True if the endpoint is new, has started again, or has begun or ceased to leave.
     bool applyEndpoint(const EndpointRecord &record, TimePoint now);
     void removeEndpoint(const std::string &id, TimePoint now);
     void applyVersion(const NamedVersion &version, TimePoint now);
@@ -369,6 +376,7 @@
 
 struct EngineStateReport
 {
+    std::uint64_t born = 0; ///< Unix millisecond of the engine's start; 0: not told
     std::vector<std::string> models;
     std::vector<HeldAdapter> adapters;
     std::vector<HeldAdapter> pending; ///< loads under way; they count toward the adapter slots
@@ -476,6 +484,9 @@
     void noteSlowLoad(Duration took, TimePoint now);
     void tellLoadsAhead(wire::DirectState &state, TimePoint now) const;
     void takeIncarnation(const std::string &id);
+    void onRestart(TimePoint now);
+    void noteLost(const EngineOrder &order, TimePoint now);
+    bool lateLoadMayFollow(TimePoint now) const;
 
     std::uint64_t fence_;
     std::string endpointId_; // of the engine's present incarnation, as far as it is known
@@ -494,6 +505,13 @@
     bool reachable_ = false;
     std::optional<EngineOrder> underWay_; // invariant: no other order is sent meanwhile
     std::optional<EngineOrder> awaited_; // accepted, and no report has shown its effect yet
+    struct LostLoad
+    {
+        std::uint64_t expected = 0;
+        TimePoint sentAt{};
+        bool ofEarlierStart = false; // the engine has started again since
+    };
+    std::vector<LostLoad> lostLoads_; // unanswered; the engine may carry them out seconds later
     TimePoint notBefore_{}; // after an order that failed
     std::map<AdapterKey, TimePoint> pendingSince_; // loads under way, and when a report first showed them
     TimePoint storeSlowUntil_{};
--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -353,6 +353,8 @@
     /// Closes the connection at once and forgets the exchange: none of its handlers is called any more.
     void abort(ExchangeId id);
     void pause(ExchangeId id, bool paused);
+    /// Closes the connections that are kept for later exchanges; those in use go on.
+    void dropIdle();
     const HttpClientCounts &counts() const;
 
 private:
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -114,6 +114,14 @@
         finish(action.call, std::move(found->second.held));
     }
 
+    void perform(const DropConnections &action)
+    {
+        const auto found = clients_.find(action.address);
+        if (found != clients_.end()) {
+            found->second->dropIdle();
+        }
+    }
+
     void perform(const AbandonCall &action)
     {
         const bool late = action.reason == FailureReason::DeadlinePassed;
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -155,16 +155,23 @@
                 seen_.insert(endpoint->id);
                 lapsed_.erase(endpoint->id);
             } else if (const auto *removed = std::get_if<EndpointRemoved>(&record)) {
-                onRemoved(removed->id);
+                onRemoved(*removed);
                 continue;
             }
             handlers_.record(std::move(record));
         }
     }
 
-    void onRemoved(const std::string &id)
+    void onRemoved(const EndpointRemoved &removed)
     {
-        lapse(id);
+        if (!removed.unreadable) {
+            lapse(removed.id);
+            return;
+        }
+        // Written over, not lapsed: there is nothing to wait for. Most such records never were an endpoint's.
+        if (present_.count(removed.id) != 0) {
+            forget(removed.id);
+        }
     }
 
     void forget(const std::string &id)
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -26,6 +26,8 @@
 constexpr Duration settleTime = Milliseconds(300);
 // Raised by more than any step of a clock, for an engine that knows a higher number from an earlier start.
 constexpr std::uint64_t fenceStep = 60'000;
+// The platform carries an unanswered order out seconds later, without a bound. Longer than any that was seen.
+constexpr Duration lostOrderLife = Seconds(30);
 
 } // namespace
 
@@ -80,12 +82,12 @@
 
 void AdapterKeeper::applyReport(const EngineStateReport &report, TimePoint now)
 {
-    const bool restarted = report_ && report.sequence < report_->sequence;
+    const bool otherBirth = report_ && report.born != 0 && report_->born != 0 && report.born != report_->born;
+    const bool restarted = report_ && (otherBirth || report.sequence < report_->sequence);
     const bool changed = !report_ || !reachable_ || report_->adapters != report.adapters
                          || report_->models != report.models || report_->pending != report.pending;
     if (restarted) {
-        underWay_.reset();
-        awaited_.reset();
+        onRestart(now);
     }
     // The awaited order shows once the report counts it.
     if (awaited_ && report.sequence > awaited_->expected) {
@@ -108,6 +110,38 @@
     reachable_ = true;
 }
 
+// The engine's process is another one than before, perhaps under the same id.
+void AdapterKeeper::onRestart(TimePoint now)
+{
+    if (underWay_) {
+        noteLost(*underWay_, now); // its answer is of no use any more
+        underWay_.reset();
+    }
+    awaited_.reset();
+    pendingSince_.clear();
+    for (auto &lost : lostLoads_) {
+        lost.ofEarlierStart = true;
+    }
+}
+
+void AdapterKeeper::noteLost(const EngineOrder &order, TimePoint now)
+{
+    std::erase_if(lostLoads_, [now](const LostLoad &lost) { return now - lost.sentAt > lostOrderLife; });
+    if (order.kind == EngineOrderKind::Load) {
+        lostLoads_.push_back({order.expected, now});
+    }
+}
+
+// Within one start of the engine a lost order is harmless: the next order expects the same sequence, so that the engine
+// takes only one of them. After a restart the sequence counts from zero and comes by the lost order's number again. If
+// the engine were full just then, it would be ordered to hold more than it can, and crash: a slot stays free there.
+bool AdapterKeeper::lateLoadMayFollow(TimePoint now) const
+{
+    return std::any_of(lostLoads_.begin(), lostLoads_.end(), [&](const LostLoad &lost) {
+        return lost.ofEarlierStart && lost.expected == report_->sequence + 1 && now - lost.sentAt <= lostOrderLife;
+    });
+}
+
 void AdapterKeeper::notePending(const EngineStateReport &report, TimePoint now)
 {
     std::map<AdapterKey, TimePoint> pending;
@@ -163,6 +197,7 @@
         notBefore_ = now + afterConflict;
         return;
     case EngineOrderResult::NoAnswer:
+        noteLost(order, now);
         // It may still be carried out, even seconds later. The next order goes out at once and expects the same
         // sequence: whichever comes first moves the sequence on, and the engine refuses the other.
         return;
@@ -308,8 +343,10 @@
         return std::nullopt;
     }
     const auto *size = sizeOf(key.first);
-    const bool slotFree = report_->adapters.size() + report_->pending.size() < plan_.adapter_slots();
-    const bool fits = size != nullptr && usedMb() + size->adapter_mb() <= plan_.weights_mb();
+    const std::size_t needed = lateLoadMayFollow(now) ? 2 : 1;
+    const bool slotFree = report_->adapters.size() + report_->pending.size() + needed <= plan_.adapter_slots();
+    const double most = plan_.weights_mb();
+    const bool fits = size != nullptr && usedMb() + static_cast<double>(needed) * size->adapter_mb() <= most;
     if (slotFree && fits) {
         return makeOrder(EngineOrderKind::Load, key);
     }
@@ -372,6 +409,7 @@
 {
     wire::DirectState state;
     state.set_endpoint_id(endpointId_);
+    state.set_born(report_ ? report_->born : 0);
     state.set_entries(static_cast<std::uint32_t>(wishes_.size()));
     state.set_reachable(reachable_);
     state.set_slots(plan_.adapter_slots());
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -72,18 +72,37 @@
     }
     impl_->config = config;
     impl_->routes = RouteTable(config.routes);
+    std::set<std::string> services;
+    for (const auto &service : config.services) {
+        services.insert(service.name);
+    }
+    impl_->endpoints.nameServices(std::move(services));
     return true;
 }
 
 bool DirectCalls::applyEndpoint(const EndpointRecord &record, TimePoint now)
 {
-    const auto *known = impl_->endpoints.find(record.id);
-    const bool changed = known == nullptr || known->record.leaving != record.leaving;
-    impl_->endpoints.put(record, now);
-    if (record.leaving) {
-        impl_->rerouteWaiting(record.id, now);
+    auto *known = impl_->endpoints.find(record.id);
+    const bool restarted = known != nullptr && known->endedBefore(record.born);
+    if (restarted) {
+        impl_->onRestarted(*known, record.born, now);
+    }
+    const auto effect = impl_->endpoints.put(record, now);
+    if (record.leaving && effect != RecordEffect::Stale) {
+        impl_->rerouteWaiting(*impl_->endpoints.find(record.id), now);
     }
-    return changed;
+    return restarted || effect == RecordEffect::Changed;
+}
+
+// The endpoint's process has ended and another one has its id, so that no refusal tells the two apart. Calls that were
+// sent to the one before end with their connections; what they counted there is forgotten with it. Calls that wait for
+// an adapter there are thought over: the new process holds none.
+void DirectCalls::Impl::onRestarted(EndpointEntry &entry, std::uint64_t born, TimePoint now)
+{
+    const auto waiting = std::exchange(entry.waiting, {});
+    endpoints.startAnew(entry, born, now);
+    actions.emplace_back(DropConnections{entry.record.address});
+    routeAgain(waiting, now);
 }
 
 void DirectCalls::removeEndpoint(const std::string &id, TimePoint now)
@@ -93,17 +112,20 @@
         return;
     }
     entry->record.leaving = true;
-    impl_->rerouteWaiting(id, now);
+    impl_->rerouteWaiting(*entry, now);
     impl_->endpoints.remove(id);
 }
 
 // An endpoint that leaves or has crashed takes no new calls, also none that have waited there since before.
-void DirectCalls::Impl::rerouteWaiting(const std::string &id, TimePoint now)
+void DirectCalls::Impl::rerouteWaiting(EndpointEntry &entry, TimePoint now)
 {
-    auto &entry = *endpoints.find(id);
     entry.waitingTokens = 0;
     entry.waitingOn.clear();
-    const auto waiting = std::exchange(entry.waiting, {});
+    routeAgain(std::exchange(entry.waiting, {}), now);
+}
+
+void DirectCalls::Impl::routeAgain(const std::set<CallHandle> &waiting, TimePoint now)
+{
     for (const auto handle : waiting) {
         auto &call = calls.at(handle);
         call.adapterWait += now - call.stepSince;
@@ -123,13 +145,18 @@
 void DirectCalls::applyState(const std::string &address, const wire::DirectState &state, TimePoint now)
 {
     auto *entry = impl_->endpoints.findByAddress(address);
-    if (entry == nullptr) {
+    if (entry == nullptr || entry->isOutdated(state)) {
         return;
     }
+    // The sidecar sees a restart before the store does.
+    const bool sameId = state.endpoint_id() == entry->record.id;
+    if (sameId && entry->endedBefore(state.born())) {
+        impl_->onRestarted(*entry, state.born(), now);
+    }
     entry->applyState(state, now);
     entry->changed = true;
     if (!state.reachable()) {
-        impl_->rerouteWaiting(entry->record.id, now);
+        impl_->rerouteWaiting(*entry, now);
         return;
     }
     impl_->sendWaiting(entry->record.id, now);
@@ -181,6 +208,12 @@
     impl.route(handle, stored, now);
 }
 
+EndpointEntry *DirectCalls::Impl::endpointOf(const DirectCall &call)
+{
+    auto *entry = endpoints.find(call.endpointId);
+    return entry != nullptr && entry->life == call.endpointLife ? entry : nullptr;
+}
+
 std::uint32_t DirectCalls::Impl::namedVersion(const AdapterName &name) const
 {
     const auto found = versions.find(name);
@@ -222,6 +255,7 @@
     call.reading = choice.reading;
     call.stepSince = now;
     const auto &chosen = *endpoints.find(choice.endpointId);
+    call.endpointLife = chosen.life;
     call.stateAge = chosen.state ? now - chosen.stateAt : Duration(-1);
     if (call.engine && choice.presence != Presence::Resident) {
         wait(handle, call, now);
@@ -292,7 +326,7 @@
 
 void DirectCalls::Impl::leaveEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now)
 {
-    auto *entry = endpoints.find(call.endpointId);
+    auto *entry = endpointOf(call);
     if (entry == nullptr) {
         return; // it has gone in the meantime, and what was counted of it too
     }
@@ -301,7 +335,6 @@
         return;
     }
     entry->changed = true;
-    // An endpoint that was removed and came back under its id counts from zero, and calls from before still end.
     lower(entry->inFlight);
     entry->inFlightAtState = std::min(entry->inFlightAtState, entry->inFlight);
     if (!call.began) {
@@ -323,7 +356,7 @@
     auto &call = found->second;
     call.began = true;
     call.firstByte = now - call.arrived;
-    if (auto *entry = impl_->endpoints.find(call.endpointId)) {
+    if (auto *entry = impl_->endpointOf(call)) {
         entry->countByte(now);
         if (call.engine) {
             entry->countFirstByte(now - call.stepSince, call.reading, now);
@@ -390,12 +423,12 @@
 
 void DirectCalls::Impl::onRefused(CallHandle handle, DirectCall &call, EndpointRefusal refusal, TimePoint now)
 {
-    if (refusal == EndpointRefusal::OtherIncarnation) {
+    if (refusal == EndpointRefusal::OtherIncarnation && endpointOf(call) != nullptr) {
         endpoints.remove(call.endpointId); // another one has its address: the one meant is gone
     }
     if (refusal == EndpointRefusal::NotLoaded) {
         // The adapter has just gone, or is an older version: asked for again at once.
-        if (auto *entry = endpoints.find(call.endpointId); entry != nullptr && entry->state) {
+        if (auto *entry = endpointOf(call); entry != nullptr && entry->state) {
             auto &held = *entry->state->mutable_adapters();
             const auto name = call.adapterName();
             held.erase(std::remove_if(held.begin(), held.end(),
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -30,6 +30,7 @@
     CallStep step = CallStep::Waiting;
     TimePoint stepSince;
     std::string endpointId;
+    std::uint64_t endpointLife = 0; // of the endpoint's process that the call is counted at
     double unreadTokens = 0;
     std::uint32_t attempt = 0;
     std::set<std::string> tried; // ids it must not go to again
@@ -86,7 +87,11 @@
 
     std::uint32_t namedVersion(const AdapterName &name) const;
     void route(CallHandle handle, DirectCall &call, TimePoint now);
-    void rerouteWaiting(const std::string &id, TimePoint now);
+    void rerouteWaiting(EndpointEntry &entry, TimePoint now);
+    void routeAgain(const std::set<CallHandle> &waiting, TimePoint now);
+    void onRestarted(EndpointEntry &entry, std::uint64_t born, TimePoint now);
+    /// What is known of the process that the call was placed at; nullptr if that process is over.
+    EndpointEntry *endpointOf(const DirectCall &call);
     void place(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now);
     void send(CallHandle handle, DirectCall &call, TimePoint now);
     void wait(CallHandle handle, DirectCall &call, TimePoint now);
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -35,6 +35,13 @@
     return nullptr;
 }
 
+/// By the starts of their processes; where one is not told, by when the records were created.
+bool isYounger(const EndpointRecord &a, const EndpointRecord &b)
+{
+    const bool told = a.born != 0 && b.born != 0;
+    return told ? a.born > b.born : a.created > b.created;
+}
+
 } // namespace
 
 bool EndpointEntry::stateFresh(TimePoint now) const
@@ -57,6 +64,16 @@
     return heldBefore.count(name) != 0;
 }
 
+bool EndpointEntry::endedBefore(std::uint64_t born) const
+{
+    return record.born != 0 && born > record.born;
+}
+
+bool EndpointEntry::isOutdated(const wire::DirectState &told) const
+{
+    return told.endpoint_id() == record.id && told.born() != 0 && told.born() < record.born;
+}
+
 void EndpointEntry::applyState(const wire::DirectState &told, TimePoint now)
 {
     state = told;
@@ -167,21 +184,68 @@
     ++failuresInRow;
 }
 
-// After a crash of many endpoints the store holds records of both incarnations for some seconds. Calls sent to the
-// older ones would all be refused, and use up the retry budget.
-void EndpointTable::put(const EndpointRecord &record, TimePoint now)
+RecordEffect EndpointTable::put(const EndpointRecord &record, TimePoint now)
 {
-    auto &entry = byId_[record.id];
-    if (entry.since == TimePoint{}) {
+    const auto known = byId_.find(record.id);
+    if (known == byId_.end()) {
+        auto &entry = byId_[record.id];
+        entry.life = ++lastLife_;
         entry.since = now;
+        entry.record = record;
+        markSuperseded();
+        return RecordEffect::Changed;
     }
+    auto &entry = known->second;
+    if (record.born != 0 && record.born < entry.record.born) {
+        return RecordEffect::Stale;
+    }
+    const auto born = std::max(record.born, entry.record.born); // a record may not tell it
+    const bool changed = entry.record.leaving != record.leaving;
     entry.record = record;
-    for (auto &[id, other] : byId_) {
-        if (id == record.id || other.record.address != record.address) {
-            continue;
+    entry.record.born = born;
+    markSuperseded();
+    return changed ? RecordEffect::Changed : RecordEffect::None;
+}
+
+void EndpointTable::startAnew(EndpointEntry &entry, std::uint64_t born, TimePoint now)
+{
+    EndpointEntry fresh;
+    fresh.record = entry.record;
+    fresh.record.born = born;
+    fresh.record.models.clear();
+    fresh.record.adapters.clear();
+    fresh.life = ++lastLife_;
+    fresh.since = now;
+    fresh.superseded = entry.superseded;
+    entry = std::move(fresh);
+}
+
+void EndpointTable::nameServices(std::set<std::string> services)
+{
+    services_ = std::move(services);
+    markSuperseded();
+}
+
+bool EndpointTable::namesEndpoint(const EndpointEntry &entry) const
+{
+    return !services_ || services_->count(entry.record.service) != 0;
+}
+
+// After a crash of many endpoints the store holds records of both incarnations for some seconds. Calls sent to the
+// older ones would all be refused, and use up the retry budget. A record of a service that nobody has configured may be
+// written by anyone with any address: it hides nothing.
+void EndpointTable::markSuperseded()
+{
+    std::map<std::string, const EndpointEntry *> youngest; // by address
+    for (const auto &[id, entry] : byId_) {
+        auto &best = youngest[entry.record.address];
+        if (namesEndpoint(entry) && (best == nullptr || isYounger(entry.record, best->record))) {
+            best = &entry;
         }
-        const bool younger = record.born > other.record.born;
-        (younger ? other : entry).superseded = true;
+    }
+    for (auto &[id, entry] : byId_) {
+        const auto *best = youngest[entry.record.address];
+        entry.superseded = best != nullptr && best != &entry;
     }
 }
 
@@ -205,6 +269,7 @@
 void EndpointTable::remove(const std::string &id)
 {
     byId_.erase(id);
+    markSuperseded();
 }
 
 std::map<std::string, EndpointEntry> &EndpointTable::all()
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -15,9 +15,19 @@
     Count
 };
 
+/// What a record of an endpoint changes.
+enum class RecordEffect : std::uint8_t {
+    None, ///< nothing that decides where calls go
+    Changed, ///< it is new, or has begun or ceased to leave
+    Stale, ///< it speaks of a process that is over
+    Count
+};
+
+/// Everything here belongs to one start of the endpoint's process: another one under the same id begins anew.
 struct EndpointEntry
 {
     EndpointRecord record;
+    std::uint64_t life = 0; // unique for each start that the table has seen; what calls count is of one life
     TimePoint since{}; // when it was first seen
     // A younger incarnation has its address: the record only has not been removed yet.
     bool superseded = false;
@@ -61,6 +71,10 @@
     bool stateExpected(TimePoint now) const;
     /// True if the adapter is probably still in the engine's own memory, so that it loads without the weight store.
     bool loadsFast(const AdapterName &name) const;
+    /// True if a process that was born then is a later one under the same id.
+    bool endedBefore(std::uint64_t born) const;
+    /// True if the state speaks of a process before the one that is known.
+    bool isOutdated(const wire::DirectState &told) const;
     void applyState(const wire::DirectState &told, TimePoint now);
     /// True if it holds unanswered calls and has sent nothing for `span`.
     bool silentFor(Duration span, TimePoint now) const;
@@ -74,7 +88,12 @@
 class EndpointTable
 {
 public:
-    void put(const EndpointRecord &record, TimePoint now);
+    /// Of the process that is known under this id, or of one under a new id; startAnew goes before.
+    RecordEffect put(const EndpointRecord &record, TimePoint now);
+    /// The endpoint's process has started again under its id: what was known of the one before is forgotten.
+    void startAnew(EndpointEntry &entry, std::uint64_t born, TimePoint now);
+    /// Records of services that are not configured name no endpoint, and take no address from one.
+    void nameServices(std::set<std::string> services);
     /// The entry, to be told of before it goes; nullptr if it is not known.
     EndpointEntry *find(const std::string &id);
     EndpointEntry *findByAddress(const std::string &address);
@@ -83,7 +102,12 @@
     const std::map<std::string, EndpointEntry> &all() const;
 
 private:
+    bool namesEndpoint(const EndpointEntry &entry) const;
+    void markSuperseded();
+
     std::map<std::string, EndpointEntry> byId_;
+    std::optional<std::set<std::string>> services_; // none: no configuration yet
+    std::uint64_t lastLife_ = 0;
 };
 
 } // namespace anvilscale
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -493,6 +493,14 @@
     scheduleSweep();
 }
 
+void HttpClient::dropIdle()
+{
+    const auto kept = impl_->idle;
+    for (const auto key : kept) {
+        impl_->drop(*impl_->connections.at(key));
+    }
+}
+
 // While the network is cut, a request waits in the kernel. After a plain close it would still be delivered once the cut
 // is over, and run for a caller who has left; a reset throws it away.
 void HttpClient::Impl::resetOnClose(Connection &connection)
--- a/tests/process/direct_test.cpp
+++ b/tests/process/direct_test.cpp
@@ -78,8 +78,8 @@
     static std::string record(const std::string &service, const std::string &address,
                               const std::string &state = "ready")
     {
-        return R"({"service":")" + service + R"(","address":")" + address + R"(","zone":"dc","slots":4,"state":")"
-               + state + R"(","models":[]})";
+        return R"({"service":")" + service + R"(","address":")" + address + R"(","zone":"dc","version":"v1","slots":4,)"
+               + R"("state":")" + state + R"(","cold_left_ms":0,"sequence":1,"models":[]})";
     }
     void put(const std::string &key, const std::string &value) const
     {
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -318,9 +318,9 @@
 TEST_F(Calls, TheYoungestRecordOfAnAddressCounts)
 {
     auto young = endpointOf("a-young", plainService, "10.0.0.1:80");
-    young.born = 20;
+    young.created = 20;
     auto old = endpointOf("z-old", plainService, "10.0.0.1:80");
-    old.born = 10;
+    old.created = 10;
     calls_.applyEndpoint(young, now_);
     calls_.applyEndpoint(old, now_);
     for (int i = 0; i < 5; ++i) {
--- a/tests/unit/direct_keeper_test.cpp
+++ b/tests/unit/direct_keeper_test.cpp
@@ -221,5 +221,49 @@
     EXPECT_TRUE(order->adapter.empty());
 }
 
+// An order to load is lost, and the engine starts again under the same id. Its sequence counts from zero and comes by
+// the lost order's number again; carried out then, in a full engine, the lost order makes it hold more than it can, and
+// it crashes. A slot stays free at that number, and is used again after it.
+TEST_F(Keeper, AnOrderOfBeforeARestartFindsASlotFree)
+{
+    auto before = reportOf(1, {});
+    before.born = 1000;
+    want({"a1", "a2", "a3"});
+    keeper_.applyReport(before, now_);
+    const auto lost = keeper_.nextOrder(now_);
+    ASSERT_TRUE(lost);
+    keeper_.orderEnded(lost->id, EngineOrderResult::NoAnswer, "", now_);
+    auto after = reportOf(0, {"a1"});
+    after.born = 2000;
+    keeper_.applyReport(after, now_);
+    const auto careful = keeper_.nextOrder(now_);
+    ASSERT_FALSE(careful && careful->kind == EngineOrderKind::Load) << "with it the engine would be full at sequence 1";
+    after.sequence = 1;
+    keeper_.applyReport(after, now_);
+    const auto next = keeper_.nextOrder(now_);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->kind, EngineOrderKind::Load) << "it expects the same number: the engine takes only one of the two";
+}
+
+// The engine has started again under its id while an order was on its way. Its late answer must neither be taken for an
+// order's effect nor hold up the next one.
+TEST_F(Keeper, TheAnswerToAnOrderOfBeforeARestartIsOfNoUse)
+{
+    auto before = reportOf(300, {});
+    before.born = 1000;
+    want({"a1"});
+    keeper_.applyReport(before, now_);
+    const auto order = keeper_.nextOrder(now_);
+    ASSERT_TRUE(order);
+    auto after = reportOf(301, {}); // by chance it counts further than the one before
+    after.born = 2000;
+    keeper_.applyReport(after, now_);
+    keeper_.orderEnded(order->id, EngineOrderResult::Accepted, "", now_);
+    const auto next = keeper_.nextOrder(now_);
+    ASSERT_TRUE(next);
+    EXPECT_EQ(next->expected, 301U);
+    EXPECT_EQ(keeper_.state(now_).born(), 2000U);
+}
+
 } // namespace
 } // namespace anvilscale
--- /dev/null
+++ b/tests/unit/direct_restart_test.cpp
@@ -0,0 +1,127 @@
+// Endpoints that start again under the id that they had: what an entry knew of the process before, and what calls still
+// report of it, must not count for the new one.
+#include "direct_fixture.h"
+
+namespace anvilscale::test {
+
+class Restarts : public Calls
+{
+protected:
+    static constexpr std::uint64_t firstBirth = 1'767'883'170'000;
+    static constexpr std::uint64_t secondBirth = firstBirth + 9000;
+
+    static EndpointRecord recordOf(std::uint64_t born, const std::string &id = "e-1",
+                                   const std::string &address = "10.0.1.1:80")
+    {
+        auto record = endpointOf(id, engineService, address);
+        record.born = born;
+        return record;
+    }
+    static wire::DirectState stateOf(std::uint64_t born, const std::vector<std::string> &adapters)
+    {
+        auto state = stateWith(adapters);
+        state.set_endpoint_id("e-1");
+        state.set_born(born);
+        return state;
+    }
+    void tell(const wire::DirectState &state)
+    {
+        calls_.applyState("10.0.1.1:80", state, now_);
+    }
+};
+
+// An engine crashes and starts again under its id. The store says so first. Until the sidecar has looked, callers must
+// not be sent there for an adapter that only the process before had: they would be refused, one after the other.
+TEST_F(Restarts, WhatTheProcessBeforeHeldIsForgotten)
+{
+    calls_.applyEndpoint(recordOf(firstBirth), now_);
+    tell(stateOf(firstBirth, {"a1"}));
+    EXPECT_TRUE(calls_.applyEndpoint(recordOf(secondBirth), now_));
+    arrive("/s/x", "a1");
+    EXPECT_TRUE(take<SendCall>().empty());
+    tell(stateOf(firstBirth, {"a1"})); // was on its way when the engine ended
+    EXPECT_TRUE(take<SendCall>().empty());
+    tell(stateOf(secondBirth, {"a1"}));
+    EXPECT_EQ(sent().endpointId, "e-1");
+}
+
+// The sidecar sees the new process a second before the store does. Its word counts, and a record of the process before
+// that comes later, as the store lags, brings nothing back.
+TEST_F(Restarts, TheSidecarsWordOfARestartCounts)
+{
+    calls_.applyEndpoint(recordOf(firstBirth), now_);
+    tell(stateOf(firstBirth, {"a1"}));
+    tell(stateOf(secondBirth, {}));
+    auto late = recordOf(firstBirth);
+    late.models = {modelName};
+    late.adapters = {{modelName, "a1", 1}};
+    EXPECT_FALSE(calls_.applyEndpoint(late, now_));
+    arrive("/s/x", "a1");
+    EXPECT_TRUE(take<SendCall>().empty());
+}
+
+// Calls that ran on the process before end after the new one has begun, each with a broken connection. Counted against
+// the new process they would make callers avoid it for seconds, and let its work look negative.
+TEST_F(Restarts, EndsOfCallsBeforeDoNotCountForTheNewProcess)
+{
+    calls_.applyEndpoint(recordOf(firstBirth), now_);
+    calls_.applyEndpoint(recordOf(firstBirth, "e-2", "10.0.1.2:80"), now_);
+    tell(stateOf(firstBirth, {"a1"}));
+    std::vector<SendCall> before;
+    for (int i = 0; i < 4; ++i) {
+        arrive("/s/x", "a1");
+        before.push_back(sent());
+    }
+    tell(stateOf(secondBirth, {"a1"}));
+    for (const auto &send : before) {
+        EXPECT_EQ(send.endpointId, "e-1");
+        end(send, AttemptEnd::Broken);
+    }
+    arrive("/s/x", "a1");
+    EXPECT_EQ(sent().endpointId, "e-1");
+}
+
+// A call waits for its adapter at an engine that starts again. Its load went with the process: the call is thought over
+// at once and not when its patience is nearly over.
+TEST_F(Restarts, CallsThatWaitThereAreThoughtOver)
+{
+    calls_.applyEndpoint(recordOf(firstBirth), now_);
+    tell(stateOf(firstBirth, {}));
+    arrive("/s/x", "a1");
+    calls_.applyEndpoint(recordOf(firstBirth, "e-2", "10.0.1.2:80"), now_);
+    calls_.applyState("10.0.1.2:80", stateWith({"a1"}), now_);
+    EXPECT_TRUE(take<SendCall>().empty()) << "nothing has happened to the engine it waits at";
+    calls_.applyEndpoint(recordOf(secondBirth), now_);
+    EXPECT_EQ(sent().endpointId, "e-2");
+}
+
+// Connections that were kept for later calls lead to the process that is over. A call sent on one of them would be lost
+// with it, and may not be repeated.
+TEST_F(Restarts, KeptConnectionsAreDropped)
+{
+    calls_.applyEndpoint(recordOf(firstBirth), now_);
+    EXPECT_TRUE(take<DropConnections>().empty());
+    calls_.applyEndpoint(recordOf(secondBirth), now_);
+    const auto drops = take<DropConnections>();
+    ASSERT_EQ(drops.size(), 1U);
+    EXPECT_EQ(drops.front().address, "10.0.1.1:80");
+}
+
+// Another program writes a record of a service that nobody has configured, with an engine's address. Taken as a younger
+// process at that address it would hide the engine, and its callers would be refused for want of endpoints.
+TEST_F(Restarts, ARecordOfAnUnknownServiceHidesNoEndpoint)
+{
+    calls_.applyEndpoint(recordOf(firstBirth), now_);
+    tell(stateOf(firstBirth, {"a1"}));
+    auto foreign = endpointOf("x-1", "nobody's", "10.0.1.1:80");
+    foreign.created = 1000;
+    foreign.born = secondBirth;
+    calls_.applyEndpoint(foreign, now_);
+    arrive("/s/x", "a1");
+    EXPECT_EQ(sent().endpointId, "e-1");
+    tell(stateOf(firstBirth, {"a1", "a2"}));
+    arrive("/s/x", "a2");
+    EXPECT_EQ(sent().endpointId, "e-1") << "the sidecar at this address still speaks for the engine";
+}
+
+} // namespace anvilscale::test
--- a/tests/unit/site_dialect_test.cpp
+++ b/tests/unit/site_dialect_test.cpp
@@ -1,8 +1,12 @@
 // The adapter to the users' platform: what its messages mean in the project's terms.
 #include "site_dialect.h"
 
+#include <Poco/Base64Encoder.h>
+
 #include <gtest/gtest.h>
 
+#include <sstream>
+
 namespace anvilscale {
 namespace {
 
@@ -89,6 +93,16 @@
     EXPECT_EQ(valueOf(request, "X-Anvilscale-Request-Id"), "9c41");
 }
 
+std::string base64(const std::string &text)
+{
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << text;
+    encoder.close();
+    return out.str();
+}
+
 struct AnswerCase
 {
     std::uint32_t status;
@@ -136,6 +150,9 @@
     EXPECT_TRUE(report->busy);
     EXPECT_EQ(report->sequence, 7U);
     EXPECT_EQ(report->running, 12U);
+    EXPECT_EQ(report->born, 0U) << "not told";
+    EXPECT_EQ(SiteDialect::readReport(R"({"born":1767883170666,"sequence":0})")->born, 1767883170666U);
+    EXPECT_FALSE(SiteDialect::readReport(R"({"born":"yesterday","sequence":0})"));
     EXPECT_FALSE(SiteDialect::readReport("[]"));
     EXPECT_FALSE(SiteDialect::readReport(R"({"sequence":"many"})"));
 
@@ -157,11 +174,9 @@
 
 TEST(SiteStore, RecordsOfAPage)
 {
-    // {"service":"s","address":"10.1.0.40:80","zone":"z","slots":64,"state":"draining",
-    //  "models":[{"name":"m","version":1,"adapters":["a1@3"]}]}
-    const std::string endpoint =
-        "eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4xLjAuNDA6ODAiLCJ6b25lIjoieiIsInNsb3RzIjo2NCwic3RhdGUiOiJkcmFpbmluZyIs"
-        "Im1vZGVscyI6W3sibmFtZSI6Im0iLCJ2ZXJzaW9uIjoxLCJhZGFwdGVycyI6WyJhMUAzIl19XX0=";
+    const auto endpoint = base64(
+        R"({"service":"s","address":"10.1.0.40:80","zone":"z","version":"v1","slots":64,"state":"draining",)"
+        R"("cold_left_ms":0,"sequence":3,"born":1767883170666,"models":[{"name":"m","version":1,"adapters":["a1@3"]}]})");
     // {"model":"m","adapter":"a1","version":4}
     const std::string version = "eyJtb2RlbCI6Im0iLCJhZGFwdGVyIjoiYTEiLCJ2ZXJzaW9uIjo0fQ==";
     const auto page = SiteDialect::readWatch(
@@ -171,11 +186,13 @@
     ASSERT_TRUE(page);
     EXPECT_EQ(page->revision, 9U);
     EXPECT_EQ(page->rejected, 1U) << "a record without its fields is passed over and counted";
-    ASSERT_EQ(page->records.size(), 3U);
+    ASSERT_EQ(page->records.size(), 4U);
+    EXPECT_TRUE(std::get<EndpointRemoved>(page->records[3]).unreadable);
     const auto &record = std::get<EndpointRecord>(page->records[0]);
     EXPECT_EQ(record.id, "i-1");
     EXPECT_EQ(record.dataCentre, "z");
-    EXPECT_EQ(record.born, 4U);
+    EXPECT_EQ(record.created, 4U);
+    EXPECT_EQ(record.born, 1767883170666U);
     EXPECT_TRUE(record.leaving);
     EXPECT_EQ(record.adapters, (std::vector<HeldAdapter>{{"m", "a1", 3}}));
     EXPECT_EQ(std::get<EndpointRemoved>(page->records[1]).id, "i-0");
@@ -183,6 +200,55 @@
     EXPECT_FALSE(SiteDialect::readWatch("<html>"));
 }
 
+// Another program writes below the endpoints' prefix: a field is missing or of another type, a state is unknown, the
+// bytes are no JSON. Taken with defaults such a record draws calls to an address at which nobody listens; taken for
+// nothing it leaves an endpoint in use whose record it has written over. It removes what its key named before, and the
+// other records of its page hold.
+TEST(SiteStore, ARecordOfAnotherWriterNamesNoEndpointAndHidesNone)
+{
+    const std::vector<std::pair<std::string, std::string>> changes{
+        {R"("service":"s")", R"("service":7)"},
+        {R"("service":"s",)", ""},
+        {R"("address":"10.1.0.40:80")", R"("address":"somewhere")"},
+        {R"("address":"10.1.0.40:80")", R"("address":"host.example:80")"},
+        {R"("address":"10.1.0.40:80")", R"("address":"10.1.0.40:0")"},
+        {R"("address":"10.1.0.40:80",)", ""},
+        {R"("zone":"z")", R"("zone":null)"},
+        {R"("version":"v1")", R"("version":1)"},
+        {R"("slots":64)", R"("slots":"64")"},
+        {R"("slots":64)", R"("slots":-1)"},
+        {R"("slots":64)", R"("slots":true)"},
+        {R"("state":"ready")", R"("state":"resting")"},
+        {R"("state":"ready",)", ""},
+        {R"("cold_left_ms":0)", R"("cold_left_ms":"0")"},
+        {R"("sequence":3)", R"("sequence":3.5)"},
+        {R"("born":17)", R"("born":"17")"},
+        {R"("models":[])", R"("models":{})"},
+        {R"("models":[])", R"("models":[7])"},
+        {R"("models":[])", R"("models":[{"name":5}])"},
+        {R"({"service")", R"(["service")"},
+    };
+    const std::string good = R"({"service":"s","address":"10.1.0.40:80","zone":"z","version":"v1","slots":64,)"
+                             R"("state":"ready","cold_left_ms":0,"sequence":3,"born":17,"models":[]})";
+    for (const auto &[from, to] : changes) {
+        auto bad = good;
+        bad.replace(bad.find(from), from.size(), to);
+        const auto page =
+            SiteDialect::readRange(R"({"items":[{"key":"servers/i-1","value":")" + base64(bad) + R"("},7,)"
+                                   + R"({"key":"servers/i-2","value":"*"},{"key":"servers/i-3","value":")"
+                                   + base64(good) + R"("}],"store_revision":9})");
+        ASSERT_TRUE(page) << bad;
+        EXPECT_EQ(page->rejected, 3U) << bad;
+        ASSERT_EQ(page->records.size(), 3U) << bad;
+        for (const std::size_t i : {0U, 1U}) {
+            const auto *removed = std::get_if<EndpointRemoved>(&page->records[i]);
+            ASSERT_NE(removed, nullptr) << bad;
+            EXPECT_TRUE(removed->unreadable);
+        }
+        EXPECT_EQ(std::get<EndpointRecord>(page->records[2]).id, "i-3");
+    }
+}
+
 TEST(SiteStore, ConfigurationOfEnginesAndStreams)
 {
     // {"version":7,"routes":[{"name":"r","hostname":"H.example","prefix":"/a/","type":"streaming","timeout_ms":600
