Loads side by side: the window begins at one; refusals rest on measured parts, waiting calls are asked for hope

Causes: (1) all sidecars began with four loads at once; on a fleet of 18 engines the store was asked for nine times what it carries, and the slow times of that moment were learned as usual ones (logged as loads_learned: 519 to 670 ms where 254 is right). The window begins at one and widens by one a load until the store has once shown that it is short. Refusals count the measured and declared parts of the wait now, and a waiting call is asked every 250 ms whether its adapter can still come before its caller leaves.

--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -58,6 +58,7 @@
     EndpointRemoved,
     EndpointChanged,
     VersionNamed,
+    LoadsLearned,
     CallFailed,
     CallRefused,
     AnswerBroken,
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -99,6 +99,7 @@
     static constexpr Duration orderTime = Milliseconds(80);
     static constexpr Duration calmInterval = Milliseconds(200); // between reports
     static constexpr Duration busyInterval = Milliseconds(25); // while a load is under way: its end is told at once
+    static constexpr Duration learnedInterval = Seconds(10); // between lines of what was learned
     static constexpr Duration stateInterval = Milliseconds(500); // an entry takes three that are missing as a loss
 
     // Work that entries have sent is told to the others in steps of some 80 ms of reading.
@@ -174,6 +175,7 @@
                 noteReachable(report.has_value());
                 if (report) {
                     keeper_.applyReport(*report, now.mono);
+                    logLearned(now.mono);
                 } else {
                     keeper_.reportFailed(now.mono);
                 }
@@ -186,6 +188,21 @@
             });
     }
 
+    void logLearned(TimePoint now)
+    {
+        if (now < learnedDue_) {
+            return;
+        }
+        learnedDue_ = now + learnedInterval;
+        const auto state = keeper_.state();
+        logEvent(Event::LoadsLearned, {{"loadMs", std::uint64_t{state.load_ms()}},
+                                       {"recentLoadMs", std::uint64_t{state.recent_load_ms()}},
+                                       {"copyMs", std::uint64_t{state.copy_ms()}},
+                                       {"copies", std::uint64_t{state.copies()}},
+                                       {"modelMs", std::uint64_t{state.model_ms()}},
+                                       {"loadsAtOnce", std::uint64_t{state.loads_at_once()}}});
+    }
+
     void noteReachable(bool reachable)
     {
         if (std::exchange(reachable_, reachable) != reachable) {
@@ -290,6 +307,7 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t toldUnread_ = 0;
     TimePoint toldAt_{};
+    TimePoint learnedDue_{};
     TimePoint stateDue_{};
     bool down_ = false;
     ControlLoop control_;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -256,8 +256,8 @@
     call.estimate = choice->firstByte;
     // The answer would come after the caller has left: refused now, the caller can come back when there is room. A
     // guess refuses nobody.
-    const bool certain = choice->measured && init.policy.has(Mechanism::EarlyRefusal);
-    if (certain && now + choice->firstByte > call.firstByteBy) {
+    const bool refuses = init.policy.has(Mechanism::EarlyRefusal);
+    if (refuses && now + choice->certain > call.firstByteBy) {
         const auto excess = choice->firstByte - call.objective;
         giveUp(handle, call, RefusalReason::DeadlineUnreachable, std::clamp(excess, usualRetryAfter, longestRetryAfter),
                now);
@@ -271,6 +271,7 @@
     call.freshTokens = choice.freshTokens;
     call.unreadTokens = choice.unreadTokens;
     call.reading = choice.reading;
+    call.checkAt = now;
     call.thinkAgainAt = now + std::max(loadsThought * choice.load, waitsThought * choice.firstByte / 2);
     call.stepSince = now;
     const auto &chosen = *endpoints.find(choice.endpointId);
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -36,6 +36,7 @@
     double unreadTokens = 0; // the same as work: long prompts count for more
     double tokensAhead = 0; // that the endpoint reads before it, when it was sent
     bool alone = false; // no other call of this entry was there when it was sent
+    TimePoint checkAt{}; // of a waiting call: whether there is still hope
     TimePoint thinkAgainAt{}; // of a waiting call: its adapter should have come long before
     std::uint32_t attempt = 0;
     std::set<std::string> tried; // ids it must not go to again
@@ -121,6 +122,7 @@
     void sendWaiting(const std::string &endpointId, TimePoint now);
     void checkDeadlines(TimePoint now);
     void checkWaiting(TimePoint now);
+    bool isHopeless(const DirectCall &call, TimePoint now);
     void tellSidecars(TimePoint now);
     void tellSidecar(EndpointEntry &entry, TimePoint now);
     wire::DirectDemand demandFor(const EndpointEntry &entry, TimePoint now) const;
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+// So often a waiting call is asked whether there is still hope at its endpoint.
+constexpr Duration hopeInterval = Milliseconds(250);
 // A sidecar hears from each entry this often while calls are running, so that what it evicts is not in use.
 constexpr Duration wishesInterval = Milliseconds(400);
 // Prompt tokens that engines have to read are told sooner, so that entries which know nothing of each other do not send
@@ -55,11 +57,29 @@
     }
 }
 
+// The adapter cannot come before the caller leaves. Told only when the caller's patience is over, the caller could not
+// come back in time.
+bool DirectCalls::Impl::isHopeless(const DirectCall &call, TimePoint now)
+{
+    const auto *entry = endpointOf(call);
+    if (entry == nullptr || !init.policy.has(Mechanism::EarlyRefusal)) {
+        return false;
+    }
+    const auto query = queryFor(call, now);
+    const WaitForecast forecast(*entry, query, now);
+    const auto presence = entry->presence(call.adapterName(), query.leastVersion, now);
+    return now + fromMilliseconds(forecast.certainRestMs(presence)) > call.firstByteBy;
+}
+
 void DirectCalls::Impl::checkWaiting(TimePoint now)
 {
     std::vector<CallHandle> due;
-    for (const auto &[handle, call] : calls) {
-        if (call.step == CallStep::Waiting && now > call.thinkAgainAt) {
+    for (auto &[handle, call] : calls) {
+        if (call.step != CallStep::Waiting || now < call.checkAt) {
+            continue;
+        }
+        call.checkAt = now + hopeInterval;
+        if (now > call.thinkAgainAt || isHopeless(call, now)) {
             due.push_back(handle);
         }
     }
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -148,6 +148,20 @@
     }
 }
 
+Duration certainFirstByte(const Scored &best, const ChoiceQuery &query, const WaitForecast &wait, Duration whole)
+{
+    if (!query.engine) {
+        return query.learned->plainMs.count() != 0 ? whole : Duration(0);
+    }
+    const double presence = wait.certainPresenceMs(best.presence);
+    if (!query.learned->reading.measured()) {
+        return fromMilliseconds(presence);
+    }
+    // Without a measured load the whole rests on a guess.
+    const bool guessed = best.presence != Presence::Resident && query.learned->loadMs == 0;
+    return guessed ? fromMilliseconds(std::max(presence, best.readingMs)) : whole;
+}
+
 } // namespace
 
 std::optional<Choice> chooseEndpoint(const EndpointTable &table, const ChoiceQuery &query, TimePoint now)
@@ -182,8 +196,8 @@
     const WaitForecast wait(*best->entry, query, now);
     const double extra = query.engine ? wait.storeDelayMs(best->presence) : plainWorkMs(query);
     const double whole = best->ms + extra;
-    choice.measured = query.engine ? wait.measured(best->presence) : query.learned->plainMs.count() != 0;
     choice.firstByte = fromMilliseconds(whole);
+    choice.certain = certainFirstByte(*best, query, wait, choice.firstByte);
     choice.load = fromMilliseconds(wait.loadMs());
     return choice;
 }
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -28,7 +28,7 @@
     std::string endpointId;
     Duration firstByte{}; // estimate
     Duration load{}; // of one adapter from the weight store there
-    bool measured = false; // the estimate rests on nothing but measured times
+    Duration certain{}; // part of it that rests on measured or declared times
     Duration reading{}; // part of it: the prompts to be read there, as if the engine were as fast as its service
     Presence presence = Presence::Resident;
     double freshTokens = 0; // of the prompt, that are not kept there
--- a/src/direct/load_times.cpp
+++ b/src/direct/load_times.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t recentSamples = 6;
 constexpr std::size_t copySamples = 24;
 // Loads of an idle store take this quantile: busy times make single ones longer, none shorter.
-constexpr double idleQuantile = 0.25;
+constexpr double idleQuantile = 0.1;
 // An adapter that is kept loads ten times as fast; the report that shows it may come later.
 constexpr double copyShare = 0.5;
 // The store is shared by all engines. Up to here a load is as fast as it can be; from the second ratio on, further ones
@@ -21,7 +21,10 @@
 constexpr double fullSpeed = 1.25;
 constexpr double overloaded = 1.6;
 constexpr double narrowing = 0.7;
-constexpr std::size_t leastForWindow = 4;
+constexpr std::size_t leastToNarrow = 4;
+// All sidecars start together, and each may be one of many: with all places taken at once the store was asked for nine
+// times what it carries, and no load showed how fast it can be.
+constexpr double firstWindow = 1;
 constexpr std::size_t mostRemembered = 512; // adapters held before
 constexpr double copiesWeight = 0.25; // of a load that shows another number of copies
 
@@ -31,7 +34,7 @@
     : store_(usualSamples)
     , recentStore_(recentSamples)
     , copy_(copySamples)
-    , window_(mostAtOnce)
+    , window_(firstWindow)
 {
 }
 
@@ -94,12 +97,18 @@
 {
     store_.add(ms);
     recentStore_.add(ms);
-    if (store_.count() < leastForWindow) {
-        return;
-    }
     if (ms <= fullSpeed * usualMs()) {
-        window_ = std::min(mostAtOnce, window_ + 1 / window_);
-    } else if (ms > overloaded * usualMs() && milliseconds(now - narrowedAt_) > ms) {
+        // Fast until the store has once shown that it is short, then with care.
+        window_ = std::min(mostAtOnce, window_ + (narrowedAt_ == TimePoint{} ? 1 : 1 / window_));
+    }
+    narrowIfSlow(ms, now);
+}
+
+void LoadTimes::narrowIfSlow(double ms, TimePoint now)
+{
+    const bool slow = store_.count() >= leastToNarrow && ms > overloaded * usualMs();
+    // Loads that went on side by side show the same slowness only once.
+    if (slow && milliseconds(now - narrowedAt_) > ms) {
         window_ = std::max(1.0, window_ * narrowing);
         narrowedAt_ = now;
     }
@@ -107,15 +116,8 @@
 
 void LoadTimes::checkOverdue(TimePoint now)
 {
-    if (store_.count() < leastForWindow) {
-        return;
-    }
     for (const auto &[name, load] : underWay_) {
-        const double ms = milliseconds(now - load.since);
-        if (ms > overloaded * usualMs() && milliseconds(now - narrowedAt_) > ms) {
-            window_ = std::max(1.0, window_ * narrowing);
-            narrowedAt_ = now;
-        }
+        narrowIfSlow(milliseconds(now - load.since), now);
     }
 }
 
--- a/src/direct/load_times.h
+++ b/src/direct/load_times.h
@@ -54,6 +54,7 @@
         std::uint32_t version = 0;
     };
     void noteStoreLoad(double ms, TimePoint now);
+    void narrowIfSlow(double ms, TimePoint now);
     void learnCopies(const Load &load, bool fast);
     void touch(const Name &name, std::uint32_t version);
 
--- a/src/direct/wait_forecast.cpp
+++ b/src/direct/wait_forecast.cpp
@@ -100,7 +100,7 @@
     if (!counts || !query_.policy->has(Mechanism::StoreForecast)) {
         return 0;
     }
-    const double recent = entry_.state->recent_load_ms();
+    const double recent = recentLoadMs();
     const auto ahead = query_.inTime ? entry_.state->loads_in_time() : entry_.state->loads_ahead();
     return std::max(0.0, recent + aheadMs(recent, ahead) - adapterMs());
 }
@@ -162,10 +162,36 @@
     return ms + adapterMs() + slotMs() + (entry_.heldByRuns(name_, now_) ? runMs() : 0);
 }
 
-bool WaitForecast::measured(Presence presence) const
+bool WaitForecast::loadsMeasured() const
 {
-    const bool load = presence == Presence::Resident || learned().loadMs > 0 || !fresh() || name_.second.empty();
-    return load && learned().reading.measured();
+    return learned().loadMs > 0;
+}
+
+double WaitForecast::recentLoadMs() const
+{
+    return entry_.state->recent_load_ms();
+}
+
+double WaitForecast::certainPresenceMs(Presence presence) const
+{
+    if (presence == Presence::Resident || !fresh()) {
+        return 0;
+    }
+    const bool declared = query_.modelReload > Duration(0) || entry_.state->model_ms() != 0;
+    if (!loadsMeasured()) {
+        return declared ? modelMs() : 0;
+    }
+    return presenceMs(presence) + storeDelayMs(presence);
+}
+
+double WaitForecast::certainRestMs(Presence presence) const
+{
+    if (presence != Presence::Absent || !fresh() || !loadsMeasured()) {
+        return 0;
+    }
+    const auto ahead = query_.inTime ? entry_.state->loads_in_time() : entry_.state->loads_ahead();
+    const double load = std::max(loadMs(), recentLoadMs());
+    return modelMs() + (name_.second.empty() ? 0 : aheadMs(load, ahead) / 2);
 }
 
 } // namespace anvilscale
--- a/src/direct/wait_forecast.h
+++ b/src/direct/wait_forecast.h
@@ -23,13 +23,17 @@
     double storeDelayMs(Presence presence) const;
     /// One load from the weight store while that is not busy.
     double loadMs() const;
-    /// Every figure that this forecast rests on was measured.
-    bool measured(Presence presence) const;
+    /// The part of the wait for the adapter that rests on measured or declared times: a guess counts for nothing.
+    double certainPresenceMs(Presence presence) const;
+    /// The same for a call that has been waiting there: on average half of the other loads come before its own.
+    double certainRestMs(Presence presence) const;
 
 private:
     double modelMs() const;
     double copyMs() const;
     double adapterMs() const;
+    bool loadsMeasured() const;
+    double recentLoadMs() const;
     double slotMs() const;
     double aheadMs(double loadTime, std::uint32_t ahead) const;
     double runMs() const;
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -34,6 +34,8 @@
     {421, LogLevel::Info, "endpoint_removed", "an endpoint is gone from the store and gets no more calls"},
     {422, LogLevel::Info, "endpoint_changed", "an endpoint has appeared in the store, or begins to leave"},
     {423, LogLevel::Info, "version_named", "the operator has named a new version of an adapter"},
+    {424, LogLevel::Info, "loads_learned",
+     "what a sidecar has measured of the loads into its engine, every ten seconds"},
     {500, LogLevel::Warn, "call_failed", "a call ended in an error after it was started"},
     {501, LogLevel::Debug, "call_refused", "a call was refused as not run"},
     {502, LogLevel::Warn, "answer_broken", "the end frame did not agree with the frames"},
