--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -164,6 +164,7 @@
     LearnedReading, ///< how fast engines read prompts is measured
     LearnedLoads, ///< how long loads take is measured
     LearnedRuns, ///< how long calls last is measured
+    LearnedOrders, ///< how long an order's answer takes is measured
     Count
 };
 template<>
@@ -173,7 +174,7 @@
         "kept_parts",    "home",           "load_price",    "others_work", "planned_work",    "awaited",
         "slot_queue",    "store_forecast", "copies",        "slowness",    "avoidance",       "unreachable",
         "early_refusal", "late_rank",      "in_time_first", "load_window", "learned_reading", "learned_loads",
-        "learned_runs"};
+        "learned_runs",  "learned_orders"};
 };
 
 /// Weights of the choice, as times by which a caller may wait longer for what they stand for. None is a property of a
@@ -505,6 +506,8 @@
     void orderEnded(OrderHandle id, EngineOrderResult result, const std::string &incarnation, TimePoint now);
     /// The next order, if one is due now. At most one is under way.
     std::optional<EngineOrder> nextOrder(TimePoint now);
+    /// An answer to an order that takes longer was lost: calls wait for the next one.
+    Duration orderTimeout() const;
     /// True while an order's effect has not been seen, so that the next report is wanted soon.
     bool waits() const;
     /// What entries are to know; `sequence` is left to the caller.
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -94,9 +94,6 @@
 private:
     // The engine answers on the same VM within a millisecond; beyond this it is stopped or overloaded.
     static constexpr Duration answerTime = Milliseconds(500);
-    // An order is only accepted or not: an answer that is not there by then was lost, and calls wait for the next
-    // order.
-    static constexpr Duration orderTime = Milliseconds(80);
     static constexpr Duration calmInterval = Milliseconds(200); // between reports
     static constexpr Duration busyInterval = Milliseconds(25); // while a load is under way: its end is told at once
     static constexpr Duration learnedInterval = Seconds(10); // between lines of what was learned
@@ -230,7 +227,7 @@
 
     void sendOrder(const EngineOrder &order)
     {
-        ask(Dialect::orderRequest(order, settings_.name()), orderTime,
+        ask(Dialect::orderRequest(order, settings_.name()), keeper_.orderTimeout(),
             [this, order](Now now, const std::optional<HttpResponseHead> &head, const std::string &) {
                 const auto result = head ? Dialect::readOrderResult(*head) : EngineOrderResult::NoAnswer;
                 const auto incarnation = head ? Dialect::incarnationOf(*head) : std::string();
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -312,6 +312,11 @@
     return impl_->state();
 }
 
+Duration AdapterKeeper::orderTimeout() const
+{
+    return impl_->orderTimeout();
+}
+
 bool AdapterKeeper::waits() const
 {
     return impl_->underWay || impl_->awaited;
--- a/src/direct/adapter_keeper_impl.h
+++ b/src/direct/adapter_keeper_impl.h
@@ -61,6 +61,7 @@
     void noteLost(const EngineOrder &order, TimePoint now);
     bool lateLoadMayFollow(TimePoint now) const;
     std::size_t loadsAtOnce() const;
+    Duration orderTimeout() const;
 
     // What entries are told.
     wire::DirectState state() const;
@@ -80,6 +81,8 @@
     std::optional<EngineStateReport> report;
     bool reachable = false;
     std::optional<EngineOrder> underWay; // invariant: no other order is sent meanwhile
+    TimePoint sentAt{}; // of the order that is under way
+    RecentSamples answerMs{32}; // of orders
     std::optional<EngineOrder> awaited; // accepted, and no report has shown its effect yet
     std::vector<LostLoad> lostLoads; // unanswered; the engine may carry them out seconds later
     TimePoint notBefore{}; // after an order that failed
--- a/src/direct/keeper_orders.cpp
+++ b/src/direct/keeper_orders.cpp
@@ -20,6 +20,11 @@
 constexpr Duration lostOrderLife = Seconds(30);
 // Loads that may be on their way to one engine at the same time; the engine's own limit.
 constexpr std::size_t mostPending = 4;
+// An order's answer that takes so many times as long as nearly all others was lost.
+constexpr double lostAfter = 8;
+constexpr Duration shortestOrderTime = Milliseconds(15); // a process that shares its core may be held up so long
+constexpr Duration longestOrderTime = Milliseconds(80); // until answers have been seen
+constexpr std::size_t leastAnswers = 8;
 
 double decayed(double rate, TimePoint since, TimePoint now)
 {
@@ -79,6 +84,17 @@
     return policy.has(Mechanism::LoadWindow) ? std::min(mostPending, loads.window()) : mostPending;
 }
 
+// An order is only accepted or not, which the engine on the same VM says within milliseconds. While each lost answer
+// was waited for 80 ms, adapters came that much later on days when a third of the answers is lost.
+Duration AdapterKeeper::Impl::orderTimeout() const
+{
+    if (answerMs.count() < leastAnswers || !policy.has(Mechanism::LearnedOrders)) {
+        return longestOrderTime;
+    }
+    const auto usual = fromMilliseconds(lostAfter * answerMs.quantile(0.9));
+    return std::clamp<Duration>(usual, shortestOrderTime, longestOrderTime);
+}
+
 std::optional<EngineOrder> AdapterKeeper::Impl::orderFor(const AdapterKey &key, const Wish &wish, TimePoint now)
 {
     if (!hasModel(key.first)) {
@@ -144,6 +160,7 @@
     for (const auto &[key, wish] : order) {
         if (auto next = orderFor(key, wish, now)) {
             underWay = next;
+            sentAt = now;
             return next;
         }
     }
@@ -159,6 +176,9 @@
     }
     const auto order = *std::exchange(underWay, std::nullopt);
     notBefore = now;
+    if (result != EngineOrderResult::NoAnswer) {
+        answerMs.add(milliseconds(now - sentAt));
+    }
     switch (result) {
     case EngineOrderResult::Accepted:
     case EngineOrderResult::AlreadyHolds:
--- a/tests/unit/direct_keeper_test.cpp
+++ b/tests/unit/direct_keeper_test.cpp
@@ -136,6 +136,23 @@
     EXPECT_EQ(next->expected, lost->expected);
 }
 
+// Answers to orders come within milliseconds, and now and then one is lost. Callers whose adapters wait for the next
+// order must not wait for the lost answer any longer than it could still come.
+TEST_F(Keeper, ALostAnswerIsNotWaitedForLong)
+{
+    const auto before = keeper_.orderTimeout();
+    for (int i = 0; i < 10; ++i) {
+        want({"b" + std::to_string(i)});
+        keeper_.applyReport(reportOf(i, {}), now_);
+        const auto order = keeper_.nextOrder(now_);
+        ASSERT_TRUE(order);
+        pass(Milliseconds(3));
+        keeper_.orderEnded(order->id, EngineOrderResult::Accepted, "", now_);
+    }
+    EXPECT_LT(keeper_.orderTimeout(), before / 2);
+    EXPECT_GE(keeper_.orderTimeout(), Milliseconds(15));
+}
+
 // The engine restarts under a new incarnation and refuses every order that names the old one, without always saying
 // who it is. The callers of its adapters wait until the sidecar takes over the incarnation that the entries read from
 // the store; until then no further order is sent, which could only be refused.
