Forecasts of waits: only adapters for calls in time count as ahead of such a call

Cause: after a loss of all engines, long prompts (season reviews) that could be in time were refused with forecasts of two to four seconds, while those that were taken waited for one: adapters for late calls, which are loaded after theirs, were counted as ahead. Test: CallsUnderLoad.ALongQueueOfLateCallsRefusesNobodyWhoCanBeInTime. TheQueueForSlotsCounts names the loads ahead as loads in time now, as sidecars would tell them.

--- a/src/direct/wait_forecast.cpp
+++ b/src/direct/wait_forecast.cpp
@@ -80,16 +80,24 @@
     return told ? entry_.state->copy_ms() : copyShare * loadMs();
 }
 
-double WaitForecast::aheadMs(double loadTime, std::uint32_t ahead) const
+// Adapters for calls that can be in time come first. While all were counted, long prompts were refused after a loss of
+// all engines for waits of three to four seconds; those that were taken waited for one.
+std::uint32_t WaitForecast::ahead() const
+{
+    const bool first = query_.inTime && query_.policy->has(Mechanism::InTimeFirst);
+    return first ? entry_.state->loads_in_time() : entry_.state->loads_ahead();
+}
+
+double WaitForecast::aheadMs(double loadTime) const
 {
     const auto told = entry_.state->loads_at_once();
-    return loadTime * ahead / (told != 0 ? told : usualLoadsAtOnce);
+    return loadTime * ahead() / (told != 0 ? told : usualLoadsAtOnce);
 }
 
 double WaitForecast::adapterMs() const
 {
     const bool copy = query_.policy->has(Mechanism::Copies) && entry_.loadsFast(name_);
-    return (copy ? copyMs() : loadMs()) + aheadMs(loadMs(), entry_.state->loads_ahead());
+    return (copy ? copyMs() : loadMs()) + aheadMs(loadMs());
 }
 
 // This is no reason to prefer another engine, whose loads come from the same store: with it in the choice, adapters
@@ -101,8 +109,7 @@
         return 0;
     }
     const double recent = recentLoadMs();
-    const auto ahead = query_.inTime ? entry_.state->loads_in_time() : entry_.state->loads_ahead();
-    return std::max(0.0, recent + aheadMs(recent, ahead) - adapterMs());
+    return std::max(0.0, recent + aheadMs(recent) - adapterMs());
 }
 
 // An engine that has restarted is empty, and its model is ordered at once: what is left of that load counts. With a
@@ -138,7 +145,7 @@
         return 0;
     }
     const bool awaited = entry_.awaits(name_, now_);
-    const auto wanted = entry_.state->loads_ahead() + (awaited ? 0 : 1);
+    const auto wanted = ahead() + (awaited ? 0 : 1);
     const auto missing = wanted > entry_.state->room() ? wanted - entry_.state->room() : 0;
     return missing * runMs() / std::max<std::uint32_t>(1, entry_.state->slots());
 }
@@ -189,9 +196,8 @@
     if (presence != Presence::Absent || !fresh() || !loadsMeasured()) {
         return 0;
     }
-    const auto ahead = query_.inTime ? entry_.state->loads_in_time() : entry_.state->loads_ahead();
     const double load = std::max(loadMs(), recentLoadMs());
-    return modelMs() + (name_.second.empty() ? 0 : aheadMs(load, ahead) / 2);
+    return modelMs() + (name_.second.empty() ? 0 : aheadMs(load) / 2);
 }
 
 } // namespace anvilscale
--- a/src/direct/wait_forecast.h
+++ b/src/direct/wait_forecast.h
@@ -35,7 +35,9 @@
     bool loadsMeasured() const;
     double recentLoadMs() const;
     double slotMs() const;
-    double aheadMs(double loadTime, std::uint32_t ahead) const;
+    /// Adapters that are loaded before this call's.
+    std::uint32_t ahead() const;
+    double aheadMs(double loadTime) const;
     double runMs() const;
     bool fresh() const;
     const ServiceEstimates &learned() const;
--- a/tests/unit/direct_load_test.cpp
+++ b/tests/unit/direct_load_test.cpp
@@ -106,6 +106,31 @@
     EXPECT_TRUE(take<RefuseCall>().empty());
 }
 
+// After a loss of all engines a dozen adapters are waited for by calls that are late already. A call that can be in
+// time is loaded for before all of them; counted behind them, its wait was forecast as seconds and it was refused.
+TEST_F(CallsUnderLoad, ALongQueueOfLateCallsRefusesNobodyWhoCanBeInTime)
+{
+    auto config = configOf(2);
+    config.routes.front().firstByteLimit = Seconds(2);
+    calls_.applyConfig(config, now_);
+    addEngine("e-1", "10.0.1.1:80", {"a9"});
+    learnReading("a9", 40);
+    auto state = stateWith({});
+    state.set_load_ms(250);
+    state.set_recent_load_ms(300);
+    state.set_loads_at_once(1);
+    state.set_loads_ahead(12);
+    state.set_room(12);
+    state.set_slots(12);
+    tell("10.0.1.1:80", state);
+    arrive("/s/x", "a1");
+    EXPECT_TRUE(take<RefuseCall>().empty());
+    state.set_loads_in_time(12);
+    tell("10.0.1.1:80", state);
+    arrive("/s/x", "a2");
+    EXPECT_EQ(take<RefuseCall>().size(), 1U) << "these do come before it";
+}
+
 // Calls on one absent adapter come to two entries within a moment. The second entry hears that the adapter is awaited
 // at an engine and sends its call there too: loaded twice, it would take a slot of two engines, and callers wait for
 // slots.
@@ -144,6 +169,7 @@
         full.set_room(0);
         tell("10.0.1.2:80", full);
         full.set_loads_ahead(2);
+        full.set_loads_in_time(2);
         tell("10.0.1.1:80", full);
         arrive("/s/x", "a" + std::to_string(i));
         const auto wishes = take<SendWishes>();
