--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -8,9 +8,6 @@
 namespace {
 
 constexpr std::uint32_t notFound = 404;
-constexpr std::uint32_t unavailable = 503;
-// Told where nothing better is known: an endpoint that has crashed is replaced or avoided within about this time.
-constexpr Duration usualRetryAfter = Milliseconds(500);
 // Where the estimate is longer than this it is no longer a forecast of when there is room: things change within
 // seconds.
 constexpr Duration longestRetryAfter = Seconds(2);
@@ -20,8 +17,6 @@
 // may be faster by now, or the call hopeless.
 constexpr int loadsThought = 4;
 constexpr int waitsThought = 3; // halves of the estimate
-// A call that is sent with less than this left would be cut before its first byte.
-constexpr Duration leastTimeToSend = Milliseconds(30);
 
 void lower(std::uint32_t &count)
 {
@@ -84,99 +79,6 @@
     return true;
 }
 
-bool DirectCalls::applyEndpoint(const EndpointRecord &record, TimePoint now)
-{
-    auto *known = impl_->endpoints.find(record.id);
-    const bool restarted = known != nullptr && known->endedBefore(record.born);
-    if (restarted) {
-        impl_->onRestarted(*known, record.born, now);
-    }
-    const auto effect = impl_->endpoints.put(record, now);
-    if (record.leaving && effect != RecordEffect::Stale) {
-        impl_->rerouteWaiting(*impl_->endpoints.find(record.id), now);
-    }
-    return restarted || effect == RecordEffect::Changed;
-}
-
-// The endpoint's process has ended and another one has its id, so that no refusal tells the two apart. Calls that were
-// sent to the one before end with their connections; what they counted there is forgotten with it. Calls that wait for
-// an adapter there are thought over: the new process holds none.
-void DirectCalls::Impl::onRestarted(EndpointEntry &entry, std::uint64_t born, TimePoint now)
-{
-    const auto waiting = std::exchange(entry.waiting, {});
-    endpoints.startAnew(entry, born, now);
-    actions.emplace_back(DropConnections{entry.record.address});
-    routeAgain(waiting, now);
-}
-
-void DirectCalls::removeEndpoint(const std::string &id, TimePoint now)
-{
-    auto *entry = impl_->endpoints.find(id);
-    if (entry == nullptr) {
-        return;
-    }
-    entry->record.leaving = true;
-    impl_->rerouteWaiting(*entry, now);
-    impl_->endpoints.remove(id);
-}
-
-// An endpoint that leaves or has crashed takes no new calls, also none that have waited there since before.
-void DirectCalls::Impl::rerouteWaiting(EndpointEntry &entry, TimePoint now)
-{
-    entry.waitingTokens = 0;
-    entry.waitingOn.clear();
-    routeAgain(std::exchange(entry.waiting, {}), now);
-}
-
-void DirectCalls::Impl::routeAgain(const std::set<CallHandle> &waiting, TimePoint now)
-{
-    for (const auto handle : waiting) {
-        auto &call = calls.at(handle);
-        call.adapterWait += now - call.stepSince;
-        route(handle, call, now);
-    }
-}
-
-void DirectCalls::applyVersion(const NamedVersion &version, TimePoint /*now*/)
-{
-    auto &known = impl_->versions[{version.model, version.adapter}];
-    known = std::max(known, version.version);
-    for (auto &[id, entry] : impl_->endpoints.all()) {
-        entry.changed = true;
-    }
-}
-
-void DirectCalls::applyState(const std::string &address, const wire::DirectState &state, TimePoint now)
-{
-    auto *entry = impl_->endpoints.findByAddress(address);
-    if (entry == nullptr || entry->isOutdated(state)) {
-        return;
-    }
-    // The sidecar sees a restart before the store does.
-    const bool sameId = state.endpoint_id() == entry->record.id;
-    if (sameId && entry->endedBefore(state.born())) {
-        impl_->onRestarted(*entry, state.born(), now);
-    }
-    entry->applyState(state, now);
-    entry->changed = true;
-    if (state.load_ms() != 0) {
-        impl_->learned[entry->record.service].loadMs = state.load_ms();
-    }
-    if (!state.reachable()) {
-        impl_->rerouteWaiting(*entry, now);
-        return;
-    }
-    impl_->sendWaiting(entry->record.id, now);
-}
-
-void DirectCalls::sidecarLost(const std::string &address)
-{
-    if (auto *entry = impl_->endpoints.findByAddress(address)) {
-        entry->state.reset();
-    }
-    impl_->wishes.erase(address);
-}
-
 void DirectCalls::arrive(CallHandle handle, CallFacts facts, TimePoint now)
 {
     auto &impl = *impl_;
@@ -390,160 +292,6 @@
     }
 }
 
-void DirectCalls::attemptEnded(CallHandle handle, std::uint32_t attempt, const AttemptResult &result, TimePoint now)
-{
-    auto &impl = *impl_;
-    const auto found = impl.calls.find(handle);
-    if (found == impl.calls.end() || found->second.attempt != attempt || found->second.step != CallStep::Sent) {
-        return;
-    }
-    auto &call = found->second;
-    impl.stats.ends.add(result.end);
-    call.longestPause = result.longestPause;
-    if (result.end != AttemptEnd::Answered) {
-        impl.failedAttempts.push_back({call.facts.requestId, attempt, call.endpointId, result, now - call.stepSince});
-    }
-    const bool failed = result.end == AttemptEnd::Unreachable || result.end == AttemptEnd::Broken;
-    impl.leaveEndpoint(handle, call, failed, now);
-    call.step = CallStep::Waiting; // of no endpoint, until the next decision
-    switch (result.end) {
-    case AttemptEnd::Answered:
-        impl.learnRun(call, now);
-        impl.end(handle, EndedOutcome::Answered, "", result.status, now);
-        return;
-    case AttemptEnd::Refused:
-        impl.stats.endpointRefusals.add(result.refusal);
-        impl.onRefused(handle, call, result.refusal, now);
-        return;
-    case AttemptEnd::Unreachable:
-        call.tried.insert(call.endpointId);
-        impl.stats.retries.add(RetryReason::SidecarLost);
-        impl.route(handle, call, now);
-        return;
-    case AttemptEnd::OwnFailure:
-        ++call.ranAt;
-        call.tried.insert(call.endpointId);
-        if (call.repeatable() && call.ranAt < call.maxEndpoints && impl.mayRetry(call, now)) {
-            impl.stats.retries.add(RetryReason::EngineFailed);
-            impl.route(handle, call, now);
-            return;
-        }
-        impl.actions.emplace_back(PassAnswer{handle});
-        impl.end(handle, EndedOutcome::OwnFailure, toString(result.end), result.status, now);
-        return;
-    case AttemptEnd::Broken:
-    case AttemptEnd::Count:
-        break;
-    }
-    ++call.ranAt;
-    call.tried.insert(call.endpointId);
-    const bool again = call.repeatable() && !result.callerHasBytes && call.ranAt < call.maxEndpoints;
-    if (again) {
-        impl.retryOrGiveUp(handle, call, RetryReason::BrokenAnswer, RefusalReason::RetryBudgetSpent, now);
-        return;
-    }
-    impl.abandon(handle, FailureReason::EndpointCut, now);
-}
-
-void DirectCalls::Impl::onRefused(CallHandle handle, DirectCall &call, EndpointRefusal refusal, TimePoint now)
-{
-    if (refusal == EndpointRefusal::OtherIncarnation && endpointOf(call) != nullptr) {
-        endpoints.remove(call.endpointId); // another one has its address: the one meant is gone
-    }
-    if (refusal == EndpointRefusal::NotLoaded) {
-        // The adapter has just gone, or is an older version: asked for again at once.
-        if (auto *entry = endpointOf(call); entry != nullptr && entry->state) {
-            auto &held = *entry->state->mutable_adapters();
-            const auto name = call.adapterName();
-            held.erase(std::remove_if(held.begin(), held.end(),
-                                      [&](const auto &adapter) {
-                                          return adapter.model() == name.first && adapter.adapter() == name.second;
-                                      }),
-                       held.end());
-        }
-    } else {
-        call.tried.insert(call.endpointId);
-    }
-    retryOrGiveUp(handle, call, RetryReason::Refused, RefusalReason::QueueFull, now);
-}
-
-bool DirectCalls::Impl::mayRetry(const DirectCall &call, TimePoint now)
-{
-    return now + leastTimeToSend < call.cutAt && retries[call.service].take();
-}
-
-void DirectCalls::Impl::retryOrGiveUp(CallHandle handle, DirectCall &call, RetryReason why, RefusalReason otherwise,
-                                      TimePoint now)
-{
-    if (!mayRetry(call, now)) {
-        giveUp(handle, call, otherwise, usualRetryAfter, now);
-        return;
-    }
-    stats.retries.add(why);
-    route(handle, call, now);
-}
-
-void DirectCalls::Impl::giveUp(CallHandle handle, DirectCall &call, RefusalReason reason, Duration retryAfter,
-                               TimePoint now)
-{
-    if (call.ranAt != 0) {
-        abandon(handle, FailureReason::EndpointCut, now);
-        return;
-    }
-    refuse(handle, unavailable, reason, retryAfter, now);
-}
-
-void DirectCalls::Impl::refuse(CallHandle handle, std::uint32_t status, RefusalReason reason, Duration retryAfter,
-                               TimePoint now)
-{
-    stats.refusals.add(reason);
-    actions.emplace_back(RefuseCall{handle, status, retryAfter, reason});
-    end(handle, EndedOutcome::Refused, toString(reason), 0, now);
-}
-
-void DirectCalls::Impl::abandon(CallHandle handle, FailureReason reason, TimePoint now)
-{
-    actions.emplace_back(AbandonCall{handle, reason});
-    end(handle, EndedOutcome::Abandoned, toString(reason), 0, now);
-}
-
-void DirectCalls::Impl::end(CallHandle handle, EndedOutcome outcome, std::string_view reason, std::uint32_t status,
-                            TimePoint now)
-{
-    const auto node = calls.extract(handle);
-    const auto &call = node.mapped();
-    EndedCall done;
-    done.requestId = call.facts.requestId;
-    done.outcome = outcome;
-    done.reason = reason;
-    done.status = status;
-    done.service = call.service;
-    done.adapter = call.facts.adapter;
-    done.endpointId = call.endpointId;
-    done.attempts = call.attempt;
-    done.configVersion = config ? config->version : 0;
-    done.estimate = call.estimate;
-    done.stateAge = call.stateAge;
-    done.adapterWait = call.adapterWait;
-    done.firstByte = call.firstByte;
-    done.longestPause = call.longestPause;
-    done.promptTokens = call.facts.promptTokens;
-    done.total = now - call.arrived;
-    done.patience = call.facts.patience;
-    ended.push_back(std::move(done));
-}
-
-void DirectCalls::callerGone(CallHandle handle, TimePoint now)
-{
-    const auto found = impl_->calls.find(handle);
-    if (found == impl_->calls.end()) {
-        return;
-    }
-    const bool failed = false;
-    impl_->leaveEndpoint(handle, found->second, failed, now);
-    impl_->end(handle, EndedOutcome::CallerGone, toString(FailureReason::CallerGone), 0, now);
-}
-
 std::vector<FailedAttempt> DirectCalls::takeFailedAttempts()
 {
     return std::exchange(impl_->failedAttempts, {});
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -8,6 +8,10 @@
 
 namespace anvilscale {
 
+constexpr std::uint32_t unavailable = 503;
+// Told where nothing better is known: an endpoint that has crashed is replaced or avoided within about this time.
+constexpr Duration usualRetryAfter = Milliseconds(500);
+
 enum class CallStep : std::uint8_t {
     Waiting, ///< for its adapter at `endpointId`
     Sent,
--- /dev/null
+++ b/src/direct/endpoint_news.cpp
@@ -0,0 +1,101 @@
+// News of endpoints: records of the store, states that sidecars tell, and what they mean for calls that wait there.
+#include "direct_calls_impl.h"
+
+#include <algorithm>
+
+namespace anvilscale {
+
+bool DirectCalls::applyEndpoint(const EndpointRecord &record, TimePoint now)
+{
+    auto *known = impl_->endpoints.find(record.id);
+    const bool restarted = known != nullptr && known->endedBefore(record.born);
+    if (restarted) {
+        impl_->onRestarted(*known, record.born, now);
+    }
+    const auto effect = impl_->endpoints.put(record, now);
+    if (record.leaving && effect != RecordEffect::Stale) {
+        impl_->rerouteWaiting(*impl_->endpoints.find(record.id), now);
+    }
+    return restarted || effect == RecordEffect::Changed;
+}
+
+// The endpoint's process has ended and another one has its id, so that no refusal tells the two apart. Calls that were
+// sent to the one before end with their connections; what they counted there is forgotten with it. Calls that wait for
+// an adapter there are thought over: the new process holds none.
+void DirectCalls::Impl::onRestarted(EndpointEntry &entry, std::uint64_t born, TimePoint now)
+{
+    const auto waiting = std::exchange(entry.waiting, {});
+    endpoints.startAnew(entry, born, now);
+    actions.emplace_back(DropConnections{entry.record.address});
+    routeAgain(waiting, now);
+}
+
+void DirectCalls::removeEndpoint(const std::string &id, TimePoint now)
+{
+    auto *entry = impl_->endpoints.find(id);
+    if (entry == nullptr) {
+        return;
+    }
+    entry->record.leaving = true;
+    impl_->rerouteWaiting(*entry, now);
+    impl_->endpoints.remove(id);
+}
+
+// An endpoint that leaves or has crashed takes no new calls, also none that have waited there since before.
+void DirectCalls::Impl::rerouteWaiting(EndpointEntry &entry, TimePoint now)
+{
+    entry.waitingTokens = 0;
+    entry.waitingOn.clear();
+    routeAgain(std::exchange(entry.waiting, {}), now);
+}
+
+void DirectCalls::Impl::routeAgain(const std::set<CallHandle> &waiting, TimePoint now)
+{
+    for (const auto handle : waiting) {
+        auto &call = calls.at(handle);
+        call.adapterWait += now - call.stepSince;
+        route(handle, call, now);
+    }
+}
+
+void DirectCalls::applyVersion(const NamedVersion &version, TimePoint /*now*/)
+{
+    auto &known = impl_->versions[{version.model, version.adapter}];
+    known = std::max(known, version.version);
+    for (auto &[id, entry] : impl_->endpoints.all()) {
+        entry.changed = true;
+    }
+}
+
+void DirectCalls::applyState(const std::string &address, const wire::DirectState &state, TimePoint now)
+{
+    auto *entry = impl_->endpoints.findByAddress(address);
+    if (entry == nullptr || entry->isOutdated(state)) {
+        return;
+    }
+    // The sidecar sees a restart before the store does.
+    const bool sameId = state.endpoint_id() == entry->record.id;
+    if (sameId && entry->endedBefore(state.born())) {
+        impl_->onRestarted(*entry, state.born(), now);
+    }
+    entry->applyState(state, now);
+    entry->changed = true;
+    if (state.load_ms() != 0) {
+        impl_->learned[entry->record.service].loadMs = state.load_ms();
+    }
+    if (!state.reachable()) {
+        impl_->rerouteWaiting(*entry, now);
+        return;
+    }
+    impl_->sendWaiting(entry->record.id, now);
+}
+
+void DirectCalls::sidecarLost(const std::string &address)
+{
+    if (auto *entry = impl_->endpoints.findByAddress(address)) {
+        entry->state.reset();
+    }
+    impl_->wishes.erase(address);
+}
+
+} // namespace anvilscale
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -201,9 +201,13 @@
     }
     const auto born = std::max(record.born, entry.record.born); // a record may not tell it
     const bool changed = entry.record.leaving != record.leaving;
+    const bool moved = entry.record.address != record.address || entry.record.service != record.service
+                       || entry.record.created != record.created || entry.record.born != born;
     entry.record = record;
     entry.record.born = born;
-    markSuperseded();
+    if (moved) {
+        markSuperseded();
+    }
     return changed ? RecordEffect::Changed : RecordEffect::None;
 }
 
--- a/src/direct/estimates.cpp
+++ b/src/direct/estimates.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t fitEvery = 8;
 constexpr double leastGap = 100; // tokens between two samples whose difference says something
 constexpr double longFactor = 6; // a prompt of so many times the usual length shows how the time a token grows
+constexpr double alone = 0.8; // of what was read belongs to the prompt itself
 constexpr std::size_t growthSamples = 16;
 constexpr double mostGrowth = 1e-3;
 // Until measured: an engine of the middle class. It orders endpoints, and no caller is refused by it.
@@ -94,12 +95,8 @@
 {
     const double ms = milliseconds(took);
     const Sample sample{tokens, ms};
-    if (measured_ && ownTokens > 0.8 * tokens && samples_.size() == fitSamples) {
-        auto lengths = std::vector<double>();
-        for (const auto &one : samples_) {
-            lengths.push_back(one.tokens);
-        }
-        if (ownTokens > longFactor * median(lengths)) {
+    if (measured_ && ownTokens > alone * tokens && samples_.size() == fitSamples) {
+        if (ownTokens > longFactor * usualTokens()) {
             const double linear = baseMs_ + tokens * msPerToken_;
             growths_.add((ms - linear) / (msPerToken_ * ownTokens * ownTokens / 2));
             fitGrowth();
@@ -117,6 +114,16 @@
     }
 }
 
+double ReadingSpeed::usualTokens() const
+{
+    std::vector<double> lengths;
+    lengths.reserve(samples_.size());
+    for (const auto &sample : samples_) {
+        lengths.push_back(sample.tokens);
+    }
+    return median(lengths);
+}
+
 // The slope is the median of the slopes between short and long prompts: a sample that met a busy engine, or parts that
 // were not kept, is outvoted. The base is the median of what the slope leaves.
 void ReadingSpeed::fit()
@@ -139,6 +146,7 @@
         return;
     }
     std::vector<double> rests;
+    rests.reserve(sorted.size());
     for (const auto &sample : sorted) {
         rests.push_back(sample.ms - slope * sample.tokens);
     }
--- a/src/direct/estimates.h
+++ b/src/direct/estimates.h
@@ -57,6 +57,7 @@
         double tokens = 0;
         double ms = 0;
     };
+    double usualTokens() const;
     void fit();
     void fitGrowth();
 
--- a/src/direct/keeper_orders.cpp
+++ b/src/direct/keeper_orders.cpp
@@ -12,6 +12,9 @@
 constexpr Duration afterRejection = Milliseconds(500);
 // Half-life of an adapter's use, against the seconds in which popularity shifts.
 constexpr double useHalfLifeSeconds = 6.0;
+// Adapters whose use is remembered: a sidecar lives for months and sees tens of thousands of them.
+constexpr std::size_t mostUses = 4096;
+constexpr Duration useLife = Seconds(60); // a use of before counts for less than a thousandth
 // An adapter just loaded is kept for its first call: the news of the load takes some milliseconds to the entries.
 constexpr Duration settleTime = Milliseconds(300);
 // Raised by more than any step of a clock, for an engine that knows a higher number from an earlier start.
@@ -36,6 +39,9 @@
 
 void AdapterKeeper::Impl::touch(const AdapterKey &key, std::uint32_t starts, TimePoint now)
 {
+    if (uses.size() >= mostUses) {
+        std::erase_if(uses, [now](const auto &item) { return now - item.second.last > useLife; });
+    }
     auto &use = uses[key];
     use.rate = decayed(use.rate, use.last, now) + starts;
     use.last = now;
