Relayed path: a load time that was seen long ago refuses nobody

Cause: a sidecar that is paused during a load counts the pause as the load's time. With that as its first sample it refused every call on an absent adapter as deadline_unreachable, and the estimate faded over minutes only, since no call came through whose load could have shown a better time. A load time is believed for ten seconds and twice its length.

--- a/src/residency/estimator.h
+++ b/src/residency/estimator.h
@@ -27,6 +27,12 @@
             std::llround(static_cast<double>(mean_.count()) * std::exp(-std::max(age, 0.0) / memorySeconds)));
     }
 
+    /// The same, or 0 where the last sample is older than `life` and twice the mean.
+    Duration recentAt(TimePoint now, Duration life) const
+    {
+        return now - asOf_ > life + 2 * mean_ ? Duration(0) : at(now);
+    }
+
 private:
     Duration mean_{};
     TimePoint asOf_;
--- a/src/residency/sidecar_admission.cpp
+++ b/src/residency/sidecar_admission.cpp
@@ -12,6 +12,9 @@
 constexpr Duration longestRetry = Seconds(30);
 constexpr Duration recoveryRetry = Seconds(1);
 constexpr Duration endpointRetry = Seconds(2);
+// So long a load time may refuse calls. One load that a pause had made long refused every call on an absent adapter for
+// good: no call came through whose load could have shown a better time.
+constexpr Duration loadMemory = Seconds(10);
 
 Duration until(TimePoint at, TimePoint now)
 {
@@ -260,7 +263,7 @@
         const bool waitsForLoad = call.record != nullptr && call.record->state == ResidencyState::Absent;
         oldest = waitsForLoad ? std::min(oldest, call.arrived) : oldest;
     }
-    return std::max(loadTime_.at(now), now - oldest);
+    return std::max(loadTime_.recentAt(now, loadMemory), now - oldest);
 }
 
 /// A call that waits for its adapter and can no longer be answered in time is turned away now: its load would go to
@@ -275,7 +278,7 @@
     }
     const Duration service =
         std::min(serviceTimes * serviceTime_.at(now), (call.deadline - call.arrived) / deadlineParts);
-    return now + loadTime_.at(now) + service > call.deadline;
+    return now + loadTime_.recentAt(now, loadMemory) + service > call.deadline;
 }
 
 Duration SidecarDecisions::Impl::retryAfterQueue(TimePoint now)
--- a/tests/faults/faults.cmake
+++ b/tests/faults/faults.cmake
@@ -24,6 +24,10 @@
 fault_cell(load_lost_after_kill "load:endpoint_first_byte:7:process_killed,load_order:8:message_lost")
 fault_cell(sent_after_leaving "load:load_result:1:process_paused,heartbeat:1:endpoint_leaving")
 fault_cell(sent_after_leaving_late "load:load_order:1:endpoint_leaving,load_result:1:process_paused")
+fault_cell(long_load_refuses_for_good
+           "call_stream:endpoint_first_byte:4:process_paused,endpoint_first_byte:1:process_paused")
+fault_cell(long_load_refuses_after_drain
+           "drain:endpoint_answer:2:process_paused,endpoint_first_byte:1:process_paused")
 fault_cell(yields_for_nobody "load:load_grant:1:message_lost,call_request:2:message_lost")
 fault_cell(yields_after_kill "evict:call_frame:2:process_killed")
 fault_cell(yields_after_take_over "lease_take_over:load_result:1:process_killed,call_to_endpoint:5:message_delayed")
