Sight for stale knowledge of the store: which call failed, how, since when nothing was heard

Cause looked for: nothing in log or metrics tells how old the knowledge is on which an entry sends a call. Change: 600 and 602 tell the call, how it failed, how long it took and since when the store was not heard; 601 the gap; 421 how long a removal was held back; 422 the store's revision; 505 and 506 the age of the store's knowledge at the last decision; histogram of the time between answers, counters of failures by kind. The follower takes its loop and client as parameters, for a test in virtual time. No decision is changed.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -120,6 +120,7 @@
     bool leaving = false;
     std::uint64_t born = 0; ///< Unix millisecond of its start; tells incarnations of one id apart; 0: not told
     std::uint64_t created = 0; ///< grows with each record that is created in the store
+    std::uint64_t revision = 0; ///< of the store, at the record's last change
     std::vector<std::string> models;
     std::vector<HeldAdapter> adapters;
 };
@@ -137,6 +138,7 @@
 {
     std::string id;
     bool unreadable = false; ///< its record is there, but is not that of an endpoint
+    Duration heldBack{}; ///< since it was seen to be gone: it might have come back
 };
 using StoreRecord = std::variant<DirectConfig, EndpointRecord, EndpointRemoved, NamedVersion>;
 
@@ -348,6 +350,7 @@
     std::uint64_t configVersion = 0;
     Duration estimate{}; ///< of the time to the first byte, at the last decision
     Duration stateAge{}; ///< of the endpoint's state at the last decision; negative: none
+    Duration storeAge{}; ///< since the last answer of the store, at the last decision
     Duration adapterWait{};
     std::optional<Duration> firstByte;
     Duration longestPause{}; ///< between two parts of an event stream
@@ -405,6 +408,8 @@
     /// The sidecar beside the endpoint at this address tells its engine's state.
     void applyState(const std::string &address, const wire::DirectState &state, TimePoint now);
     void sidecarLost(const std::string &address);
+    /// The store has answered: what it has told up to now is known.
+    void storeAnswered(TimePoint now);
 
     // Calls.
     void arrive(CallHandle call, CallFacts facts, TimePoint now);
--- a/include/anvilscale/direct_path.h
+++ b/include/anvilscale/direct_path.h
@@ -62,11 +62,32 @@
     std::size_t rejected = 0; ///< records that could not be read, and were passed over
 };
 
+/// The part of an adapter that speaks to the platform's store.
+template<class T>
+concept StoreDialect = requires(const std::string &text, Duration span, std::uint64_t number)
+{
+    {
+        T::rangeRequest(text)
+        } -> std::same_as<EndpointRequest>;
+    {
+        T::watchRequest(number, span)
+        } -> std::same_as<EndpointRequest>;
+    {
+        T::readRange(text)
+        } -> std::same_as<std::optional<StorePage>>;
+    {
+        T::readWatch(text)
+        } -> std::same_as<std::optional<StorePage>>;
+    {
+        T::storeStatus(std::uint32_t{})
+        } -> std::same_as<StoreStatus>;
+};
+
 /// An adapter to a platform. No state, no I/O.
 template<class T>
-concept DirectDialect = requires(const HttpRequestData &request, const SendCall &send, const HttpResponseHead &head,
-                                 const EngineOrder &order, const std::string &text, std::string_view view,
-                                 Duration span, std::uint64_t number)
+concept DirectDialect = StoreDialect<T> && requires(const HttpRequestData &request, const SendCall &send,
+                                                    const HttpResponseHead &head, const EngineOrder &order,
+                                                    const std::string &text, std::string_view view, Duration span)
 {
     {
         T::readCall(request)
@@ -95,21 +116,6 @@
     {
         T::readReport(text)
         } -> std::same_as<std::optional<EngineStateReport>>;
-    {
-        T::rangeRequest(text)
-        } -> std::same_as<EndpointRequest>;
-    {
-        T::watchRequest(number, span)
-        } -> std::same_as<EndpointRequest>;
-    {
-        T::readRange(text)
-        } -> std::same_as<std::optional<StorePage>>;
-    {
-        T::readWatch(text)
-        } -> std::same_as<std::optional<StorePage>>;
-    {
-        T::storeStatus(std::uint32_t{})
-        } -> std::same_as<StoreStatus>;
 };
 
 } // namespace anvilscale
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -69,6 +69,7 @@
     AttemptFailed,
     KeyValueDown,
     KeyValueBack,
+    StoreCallFailed,
     VmListDown,
     StoreRecordRejected,
     UnexpectedError,
@@ -105,6 +106,12 @@
 /// Any thread.
 void setLogLevel(LogLevel level);
 /// Logs one event. Any thread.
+/// A span as a log field.
+constexpr std::int64_t wholeMs(Duration span)
+{
+    return std::chrono::duration_cast<Milliseconds>(span).count();
+}
+
 void logEvent(Event event, std::initializer_list<LogField> fields = {});
 /// The line as it is written, without the time; for tests.
 std::string formatEvent(Event event, std::initializer_list<LogField> fields);
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -8,6 +8,7 @@
 #include "direct_settings.h"
 #include "process.h"
 #include "store_follower.h"
+#include "store_log.h"
 
 #include "anvilscale/daemon.h"
 #include "anvilscale/telemetry.h"
@@ -311,7 +312,15 @@
             control_.post([this, record = std::move(record)](Now now) { applyRecord(record, now.mono); });
         };
         handlers.complete = [this] { control_.post([this](Now) { storeRead_ = true; }); };
-        handlers.reachable = [](bool reachable) { logEvent(reachable ? Event::KeyValueBack : Event::KeyValueDown); };
+        handlers.answered = [this](Duration unheard, bool returned) {
+            control_.post([this, unheard, returned](Now now) {
+                calls_.storeAnswered(now.mono);
+                storeLog_.answered(unheard, returned);
+            });
+        };
+        handlers.failed = [this](const StoreFailure &failure) {
+            control_.post([this, failure](Now) { storeLog_.failed(failure); });
+        };
         return handlers;
     }
 
@@ -320,7 +329,8 @@
         std::visit(Overloaded{[&](const DirectConfig &config) { applyConfig(config, now); },
                               [&](const EndpointRecord &endpoint) { applyEndpoint(endpoint, now); },
                               [&](const EndpointRemoved &removed) {
-                                  logEvent(Event::EndpointRemoved, {{"endpoint", removed.id}});
+                                  logEvent(Event::EndpointRemoved,
+                                           {{"endpoint", removed.id}, {"heldBackMs", wholeMs(removed.heldBack)}});
                                   calls_.removeEndpoint(removed.id, now);
                               },
                               [&](const NamedVersion &version) {
@@ -339,7 +349,8 @@
             logEvent(Event::EndpointChanged, {{"endpoint", endpoint.id},
                                               {"service", endpoint.service},
                                               {"address", endpoint.address},
-                                              {"leaving", endpoint.leaving}});
+                                              {"leaving", endpoint.leaving},
+                                              {"revision", endpoint.revision}});
         }
     }
 
@@ -422,6 +433,7 @@
         MetricsText text;
         appendDirectMetrics(text, calls_.stats());
         log_.appendMetrics(text);
+        storeLog_.appendMetrics(text);
         appendMessengerMetrics(text, messenger_->stats());
         appendHttpMetrics(text, server_->stats());
         const std::lock_guard lock(metricsMutex_);
@@ -435,6 +447,7 @@
     DirectCalls calls_; // control thread
     DirectRelay<Dialect> relay_; // traffic thread
     DirectLog log_; // control thread
+    StoreLog storeLog_; // control thread
     std::set<std::string> sidecars_; // control thread: names of the messenger's targets
     bool storeRead_ = false; // control thread
     TimePoint metricsDue_{}; // control thread
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -15,11 +15,6 @@
     return std::chrono::duration<double>(span).count();
 }
 
-std::int64_t inMs(Duration span)
-{
-    return std::chrono::duration_cast<Milliseconds>(span).count();
-}
-
 } // namespace
 
 DirectLog::DirectLog()
@@ -56,7 +51,7 @@
                                     {"refusal", std::string(toString(attempt.result.refusal))},
                                     {"status", std::uint64_t{attempt.result.status}},
                                     {"callerHasBytes", attempt.result.callerHasBytes},
-                                    {"afterMs", inMs(attempt.after)}});
+                                    {"afterMs", wholeMs(attempt.after)}});
 }
 
 void DirectLog::callEnded(const EndedCall &call, TimePoint now)
@@ -82,14 +77,15 @@
               {"endpoint", call.endpointId},
               {"attempts", std::uint64_t{call.attempts}},
               {"config", call.configVersion},
-              {"estimateMs", inMs(call.estimate)},
-              {"stateAgeMs", inMs(call.stateAge)},
-              {"adapterWaitMs", inMs(call.adapterWait)},
-              {"firstByteMs", call.firstByte ? inMs(*call.firstByte) : -1},
-              {"pauseMs", inMs(call.longestPause)},
+              {"estimateMs", wholeMs(call.estimate)},
+              {"stateAgeMs", wholeMs(call.stateAge)},
+              {"storeAgeMs", wholeMs(call.storeAge)},
+              {"adapterWaitMs", wholeMs(call.adapterWait)},
+              {"firstByteMs", call.firstByte ? wholeMs(*call.firstByte) : -1},
+              {"pauseMs", wholeMs(call.longestPause)},
               {"promptTokens", std::uint64_t{call.promptTokens}},
-              {"totalMs", inMs(call.total)},
-              {"patienceMs", inMs(call.patience)}});
+              {"totalMs", wholeMs(call.total)},
+              {"patienceMs", wholeMs(call.patience)}});
 }
 
 void DirectLog::appendMetrics(MetricsText &text) const
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -19,22 +19,58 @@
     std::uint64_t seed = 1;
 };
 
+/// How a call to the store failed.
+enum class StoreFailureKind : std::uint8_t {
+    Unreachable, ///< no connection
+    Broken, ///< cut before the whole answer was there
+    Silent, ///< no whole answer within the time that it may take
+    Refused, ///< answered with a status that says it did nothing
+    Unreadable, ///< answered with a body that is none of the store's
+    Count
+};
+template<>
+struct EnumNames<StoreFailureKind>
+{
+    static constexpr std::array<std::string_view, enumCount<StoreFailureKind>> table{"unreachable", "broken", "silent",
+                                                                                     "refused", "unreadable"};
+};
+
+/// What explains afterwards why this process did not know something that the store had told.
+struct StoreFailure
+{
+    StoreFailureKind kind = StoreFailureKind::Broken;
+    bool watching = false; ///< the call was a watch, not a read
+    std::uint32_t status = 0; ///< of the answer; 0: none
+    Duration took{}; ///< since the call was sent
+    Duration unheard{}; ///< since the last answer of the store
+    bool first = false; ///< the store answered the call before
+};
+
 struct StoreFollowerHandlers
 {
     std::function<void(StoreRecord)> record;
     /// Everything was read for the first time.
     std::function<void()> complete;
-    /// The first failed call, and the first answered one after it.
-    std::function<void(bool reachable)> reachable;
+    /// Each answer, with the time since the one before, and whether calls have failed in between.
+    std::function<void(Duration unheard, bool returned)> answered;
+    std::function<void(const StoreFailure &)> failed;
+};
+
+template<class T>
+concept StoreClient = requires(T client, const EndpointRequest &request, Duration span, ExchangeHandlers handlers)
+{
+    {
+        client.start(request, span, handlers)
+        } -> std::same_as<ExchangeId>;
 };
 
 /// Every call to the store is paid for, a refused one too: one watch covers all records, changes that come close
 /// together arrive in one answer, and failures are followed by growing pauses.
-template<DirectDialect Dialect>
+template<StoreDialect Dialect, class Loop = EventLoop, StoreClient Client = HttpClient>
 class StoreFollower
 {
 public:
-    StoreFollower(EventLoop &loop, StoreFollowerInit init, StoreFollowerHandlers handlers)
+    StoreFollower(Loop &loop, StoreFollowerInit init, StoreFollowerHandlers handlers)
         : loop_(loop)
         , init_(std::move(init))
         , handlers_(std::move(handlers))
@@ -54,10 +90,6 @@
     {
         startReading();
     }
-    std::uint64_t calls() const
-    {
-        return calls_;
-    }
 
 private:
     static constexpr Duration firstBackoff = Milliseconds(250);
@@ -68,6 +100,12 @@
     // than it may.
     static constexpr Duration lapseTime = Milliseconds(1800);
 
+    struct Lapse
+    {
+        TimePoint since; // seen to be gone
+        TimePoint due; // that is believed
+    };
+
     static HttpClientInit clientInit(const StoreFollowerInit &init)
     {
         HttpClientInit result;
@@ -95,7 +133,7 @@
     {
         auto page = Dialect::readRange(body);
         if (!page) {
-            onFailure();
+            onFailure(StoreFailureKind::Unreadable);
             return;
         }
         if (first) {
@@ -130,7 +168,7 @@
     {
         auto page = Dialect::readWatch(body);
         if (!page) {
-            onFailure();
+            onFailure(StoreFailureKind::Unreadable);
             return;
         }
         onAnswered();
@@ -176,19 +214,23 @@
 
     void forget(const std::string &id)
     {
+        EndpointRemoved removed{id};
+        if (const auto held = lapsed_.find(id); held != lapsed_.end()) {
+            removed.heldBack = Loop::now() - held->second.since;
+            lapsed_.erase(held);
+        }
         present_.erase(id);
-        lapsed_.erase(id);
-        handlers_.record(EndpointRemoved{id});
+        handlers_.record(std::move(removed));
     }
 
     void lapse(const std::string &id)
     {
         const auto due = returnedAt_ + lapseTime;
-        if (EventLoop::now() >= due) {
+        if (Loop::now() >= due) {
             forget(id);
             return;
         }
-        lapsed_.emplace(id, due);
+        lapsed_.emplace(id, Lapse{Loop::now(), due});
         if (!lapseTimer_) {
             lapseTimer_ = loop_.timers().subscribe(due, [this](TimePoint now) { checkLapsed(now); });
         }
@@ -199,11 +241,11 @@
         lapseTimer_ = TimerHandle{};
         const auto lapsed = lapsed_;
         std::optional<TimePoint> next;
-        for (const auto &[id, due] : lapsed) {
-            if (due <= now) {
+        for (const auto &[id, lapse] : lapsed) {
+            if (lapse.due <= now) {
                 forget(id);
-            } else if (!next || due < *next) {
-                next = due;
+            } else if (!next || lapse.due < *next) {
+                next = lapse.due;
             }
         }
         if (next) {
@@ -213,15 +255,20 @@
 
     void call(const EndpointRequest &request, Duration timeout, std::function<void(const std::string &)> done)
     {
-        ++calls_;
         status_ = 0;
         body_.clear();
+        calledAt_ = Loop::now();
         ExchangeHandlers handlers;
         handlers.head = [this](const HttpResponseHead &head) { status_ = head.status; };
         handlers.data = [this](const std::string &data) { body_ += data; };
-        handlers.end = [this, done = std::move(done)](ExchangeEnd end) {
+        handlers.end = [this, timeout, done = std::move(done)](ExchangeEnd end) {
+            if (end == ExchangeEnd::Unreachable) {
+                onFailure(StoreFailureKind::Unreachable);
+                return;
+            }
             if (end != ExchangeEnd::Complete) {
-                onFailure();
+                const bool silent = Loop::now() >= calledAt_ + timeout;
+                onFailure(silent ? StoreFailureKind::Silent : StoreFailureKind::Broken);
                 return;
             }
             onStatus(Dialect::storeStatus(status_), done);
@@ -239,23 +286,31 @@
             startReading();
             return;
         }
-        onFailure();
+        onFailure(StoreFailureKind::Refused);
     }
 
     void onAnswered()
     {
+        const auto now = Loop::now();
         backoff_ = firstBackoff;
-        if (!std::exchange(reachable_, true)) {
-            returnedAt_ = EventLoop::now();
-            handlers_.reachable(true);
+        const bool returned = !std::exchange(reachable_, true);
+        if (returned) {
+            returnedAt_ = now;
         }
+        handlers_.answered(now - std::exchange(answeredAt_, now), returned);
     }
 
-    void onFailure()
+    void onFailure(StoreFailureKind kind)
     {
-        if (std::exchange(reachable_, false)) {
-            handlers_.reachable(false);
-        }
+        const auto now = Loop::now();
+        StoreFailure failure;
+        failure.kind = kind;
+        failure.watching = !reading_;
+        failure.status = status_;
+        failure.took = now - calledAt_;
+        failure.unheard = now - answeredAt_;
+        failure.first = std::exchange(reachable_, false);
+        handlers_.failed(failure);
         later(random_.jitter(backoff_), [this] {
             if (reading_) {
                 startReading();
@@ -269,28 +324,29 @@
     void later(Duration span, std::function<void()> task)
     {
         loop_.timers().cancel(timer_);
-        timer_ = loop_.timers().subscribe(EventLoop::now() + span, [task = std::move(task)](TimePoint) { task(); });
+        timer_ = loop_.timers().subscribe(Loop::now() + span, [task = std::move(task)](TimePoint) { task(); });
     }
 
-    EventLoop &loop_;
+    Loop &loop_;
     StoreFollowerInit init_;
     StoreFollowerHandlers handlers_;
     Random random_;
-    HttpClient client_;
+    Client client_;
     TimerHandle timer_;
     TimerHandle lapseTimer_;
     bool reading_ = true; // the next call is a read, not a watch
     bool completed_ = false;
     bool reachable_ = true;
     std::uint64_t revision_ = 0;
-    std::uint64_t calls_ = 0;
+    TimePoint calledAt_ = Loop::now(); // the present call was sent
+    TimePoint answeredAt_ = Loop::now(); // the last answer came; the start where there was none yet
     std::uint32_t status_ = 0; // of the present call
     std::string body_;
     Duration backoff_ = firstBackoff;
-    TimePoint returnedAt_ = EventLoop::now() - lapseTime; // the first answer after the last trouble
+    TimePoint returnedAt_ = Loop::now() - lapseTime; // the first answer after the last trouble
     std::set<std::string> present_; // endpoints that were told and not removed
     std::set<std::string> seen_; // endpoints of the present full read
-    std::map<std::string, TimePoint> lapsed_; // gone from the store, and when that is believed
+    std::map<std::string, Lapse> lapsed_; // gone from the store
 };
 
 } // namespace anvilscale
--- /dev/null
+++ b/src/daemon/store_log.cpp
@@ -0,0 +1,44 @@
+// Lines and metrics of an entry's calls to the platform's store.
+#include "store_log.h"
+
+namespace anvilscale {
+
+namespace {
+
+const std::vector<double> unheardBounds{0.1, 0.25, 0.5, 1, 1.5, 2, 3, 5, 10, 30};
+
+} // namespace
+
+StoreLog::StoreLog()
+    : unheard_("anvilscale_store_unheard_seconds", "time between two answers of the store", unheardBounds)
+{
+}
+
+void StoreLog::answered(Duration unheard, bool returned)
+{
+    ++answers_;
+    unheard_.record(std::chrono::duration<double>(unheard).count());
+    if (returned) {
+        logEvent(Event::KeyValueBack, {{"unheardMs", wholeMs(unheard)}});
+    }
+}
+
+void StoreLog::failed(const StoreFailure &failure)
+{
+    failures_.add(failure.kind);
+    logEvent(failure.first ? Event::KeyValueDown : Event::StoreCallFailed,
+             {{"call", failure.watching ? "watch" : "read"},
+              {"failure", std::string(toString(failure.kind))},
+              {"status", std::uint64_t{failure.status}},
+              {"tookMs", wholeMs(failure.took)},
+              {"unheardMs", wholeMs(failure.unheard)}});
+}
+
+void StoreLog::appendMetrics(MetricsText &text) const
+{
+    text.add(unheard_);
+    text.counter("anvilscale_store_answers_total", "answered calls to the store", answers_);
+    text.counters("anvilscale_store_failures_total", "failed calls to the store", "failure", failures_);
+}
+
+} // namespace anvilscale
--- /dev/null
+++ b/src/daemon/store_log.h
@@ -0,0 +1,25 @@
+// What an entry logs and counts of its calls to the platform's store: how long it has heard nothing, and why.
+#pragma once
+
+#include "store_follower.h"
+
+#include "anvilscale/telemetry.h"
+
+namespace anvilscale {
+
+class StoreLog
+{
+public:
+    StoreLog();
+    /// `unheard`: since the answer before. `returned`: calls have failed in between.
+    void answered(Duration unheard, bool returned);
+    void failed(const StoreFailure &failure);
+    void appendMetrics(MetricsText &text) const;
+
+private:
+    HistogramMetric unheard_;
+    std::uint64_t answers_ = 0;
+    Counters<StoreFailureKind> failures_;
+};
+
+} // namespace anvilscale
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -146,6 +146,7 @@
     done.configVersion = config ? config->version : 0;
     done.estimate = call.estimate;
     done.stateAge = call.stateAge;
+    done.storeAge = call.storeAge;
     done.adapterWait = call.adapterWait;
     done.firstByte = call.firstByte;
     done.longestPause = call.longestPause;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -178,6 +178,7 @@
     call.stepSince = now;
     const auto &chosen = *endpoints.find(choice.endpointId);
     call.endpointLife = chosen.life;
+    call.storeAge = now - storeAnsweredAt;
     call.stateAge = chosen.state ? now - chosen.stateAt : Duration(-1);
     if (call.engine && choice.presence != Presence::Resident) {
         wait(handle, call, now);
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -50,6 +50,7 @@
     Duration estimate{}; // of the last choice
     Duration reading{}; // part of it that the engine spends on prompts
     Duration stateAge{}; // of the last choice's endpoint
+    Duration storeAge{}; // at the last choice: since the store's last answer
     Duration adapterWait{};
     std::optional<Duration> firstByte;
     Duration longestPause{}; // between parts of its answer
@@ -96,6 +97,7 @@
     std::vector<EndedCall> ended;
     std::vector<FailedAttempt> failedAttempts;
     DirectCallsStats stats;
+    TimePoint storeAnsweredAt{};
 
     std::uint32_t namedVersion(const AdapterName &name) const;
     ChoiceQuery queryFor(const DirectCall &call, TimePoint now);
--- a/src/direct/endpoint_news.cpp
+++ b/src/direct/endpoint_news.cpp
@@ -90,6 +90,11 @@
     impl_->sendWaiting(entry->record.id, now);
 }
 
+void DirectCalls::storeAnswered(TimePoint now)
+{
+    impl_->storeAnsweredAt = now;
+}
+
 void DirectCalls::sidecarLost(const std::string &address)
 {
     if (auto *entry = impl_->endpoints.findByAddress(address)) {
