Tests of what an entry knows of the store, and how soon: they fail on the code as it is

Virtual clock, no network. Troubles of the store (silent, refusing, not reached) and of the connection to it, over all phases of the entry's calls; bounds from direct.leaveMs. The figures of the follower are now made from the settings in direct_settings, where a test reaches them; none is changed.

--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -7,7 +7,6 @@
 #include "direct_relay.h"
 #include "direct_settings.h"
 #include "process.h"
-#include "store_follower.h"
 #include "store_log.h"
 
 #include "anvilscale/daemon.h"
@@ -46,7 +45,8 @@
         control_.post([this](Now) { onTick(); });
         messenger_->start();
         server_->loop().post([this] {
-            follower_ = std::make_unique<StoreFollower<Dialect>>(server_->loop(), followerInit(), followerHandlers());
+            follower_ = std::make_unique<StoreFollower<Dialect>>(
+                server_->loop(), storeFollowerInit(settings_, incarnation_), followerHandlers());
             follower_->start();
         });
         server_->start();
@@ -85,8 +85,8 @@
         server_->loop().post([this, settings] {
             if (settings.direct().store() != settings_.direct().store()) {
                 settings_.mutable_direct()->set_store(settings.direct().store());
-                follower_ =
-                    std::make_unique<StoreFollower<Dialect>>(server_->loop(), followerInit(), followerHandlers());
+                follower_ = std::make_unique<StoreFollower<Dialect>>(
+                    server_->loop(), storeFollowerInit(settings_, incarnation_), followerHandlers());
                 follower_->start();
             }
             if (settings.SerializeAsString() != settings_.SerializeAsString()) {
@@ -130,8 +130,6 @@
 private:
     // The balancer asks once a second and takes a process out after two answers that are not 200.
     static constexpr Duration balancerTime = Milliseconds(2600);
-    // Of the bound within which a change must be in force: the rest is for the answer and for a slow moment.
-    static constexpr std::uint32_t pausePercent = 45;
     // Kept of the grace time for closing down.
     static constexpr Duration closingTime = Milliseconds(600);
     static constexpr std::uint32_t statusUnavailable = 503;
@@ -289,22 +287,6 @@
         return handlers;
     }
 
-    StoreFollowerInit followerInit() const
-    {
-        const auto &direct = settings_.direct();
-        StoreFollowerInit init;
-        init.address = direct.store().substr(std::string_view("http://").size());
-        init.timeout = Milliseconds(direct.store_timeout_ms());
-        init.pause = Milliseconds(direct.store_pause_ms());
-        if (init.pause == Duration(0)) {
-            const auto bound = std::min(direct.leave_ms(), direct.config_ms());
-            init.pause = Milliseconds(bound * pausePercent / 100);
-        }
-        init.wait = Milliseconds(direct.watch_ms());
-        init.seed = hash64(settings_.name(), incarnation_);
-        return init;
-    }
-
     StoreFollowerHandlers followerHandlers()
     {
         StoreFollowerHandlers handlers;
--- a/src/daemon/direct_settings.cpp
+++ b/src/daemon/direct_settings.cpp
@@ -3,6 +3,13 @@
 
 namespace anvilscale {
 
+namespace {
+
+// Of the bound within which a change must be in force: the rest is for the answer and for a slow moment.
+constexpr std::uint32_t pausePercent = 45;
+
+} // namespace
+
 tl::expected<DirectPolicy, StartError> directPolicy(const settings::Settings &settings)
 {
     const auto without = readMechanisms(settings.direct().without());
@@ -25,4 +32,20 @@
     return init;
 }
 
+StoreFollowerInit storeFollowerInit(const settings::Settings &settings, std::uint64_t incarnation)
+{
+    const auto &direct = settings.direct();
+    StoreFollowerInit init;
+    init.address = direct.store().substr(std::string_view("http://").size());
+    init.timeout = Milliseconds(direct.store_timeout_ms());
+    init.pause = Milliseconds(direct.store_pause_ms());
+    if (init.pause == Duration(0)) {
+        const auto bound = std::min(direct.leave_ms(), direct.config_ms());
+        init.pause = Milliseconds(bound * pausePercent / 100);
+    }
+    init.wait = Milliseconds(direct.watch_ms());
+    init.seed = hash64(settings.name(), incarnation);
+    return init;
+}
+
 } // namespace anvilscale
--- a/src/daemon/direct_settings.h
+++ b/src/daemon/direct_settings.h
@@ -1,6 +1,8 @@
 // What the decisions of the direct path take from the settings.
 #pragma once
 
+#include "store_follower.h"
+
 #include "anvilscale/daemon.h"
 #include "anvilscale/direct.h"
 
@@ -9,5 +11,6 @@
 /// The policy with the mechanisms that the settings switch off.
 tl::expected<DirectPolicy, StartError> directPolicy(const settings::Settings &settings);
 DirectCallsInit directCallsInit(const settings::Settings &settings, const DirectPolicy &policy);
+StoreFollowerInit storeFollowerInit(const settings::Settings &settings, std::uint64_t incarnation);
 
 } // namespace anvilscale
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -216,7 +216,7 @@
     {
         EndpointRemoved removed{id};
         if (const auto held = lapsed_.find(id); held != lapsed_.end()) {
-            removed.heldBack = Loop::now() - held->second.since;
+            removed.heldBack = loop_.now() - held->second.since;
             lapsed_.erase(held);
         }
         present_.erase(id);
@@ -226,11 +226,11 @@
     void lapse(const std::string &id)
     {
         const auto due = returnedAt_ + lapseTime;
-        if (Loop::now() >= due) {
+        if (loop_.now() >= due) {
             forget(id);
             return;
         }
-        lapsed_.emplace(id, Lapse{Loop::now(), due});
+        lapsed_.emplace(id, Lapse{loop_.now(), due});
         if (!lapseTimer_) {
             lapseTimer_ = loop_.timers().subscribe(due, [this](TimePoint now) { checkLapsed(now); });
         }
@@ -257,7 +257,7 @@
     {
         status_ = 0;
         body_.clear();
-        calledAt_ = Loop::now();
+        calledAt_ = loop_.now();
         ExchangeHandlers handlers;
         handlers.head = [this](const HttpResponseHead &head) { status_ = head.status; };
         handlers.data = [this](const std::string &data) { body_ += data; };
@@ -267,7 +267,7 @@
                 return;
             }
             if (end != ExchangeEnd::Complete) {
-                const bool silent = Loop::now() >= calledAt_ + timeout;
+                const bool silent = loop_.now() >= calledAt_ + timeout;
                 onFailure(silent ? StoreFailureKind::Silent : StoreFailureKind::Broken);
                 return;
             }
@@ -291,7 +291,7 @@
 
     void onAnswered()
     {
-        const auto now = Loop::now();
+        const auto now = loop_.now();
         backoff_ = firstBackoff;
         const bool returned = !std::exchange(reachable_, true);
         if (returned) {
@@ -302,7 +302,7 @@
 
     void onFailure(StoreFailureKind kind)
     {
-        const auto now = Loop::now();
+        const auto now = loop_.now();
         StoreFailure failure;
         failure.kind = kind;
         failure.watching = !reading_;
@@ -324,7 +324,7 @@
     void later(Duration span, std::function<void()> task)
     {
         loop_.timers().cancel(timer_);
-        timer_ = loop_.timers().subscribe(Loop::now() + span, [task = std::move(task)](TimePoint) { task(); });
+        timer_ = loop_.timers().subscribe(loop_.now() + span, [task = std::move(task)](TimePoint) { task(); });
     }
 
     Loop &loop_;
@@ -338,12 +338,12 @@
     bool completed_ = false;
     bool reachable_ = true;
     std::uint64_t revision_ = 0;
-    TimePoint calledAt_ = Loop::now(); // the present call was sent
-    TimePoint answeredAt_ = Loop::now(); // the last answer came; the start where there was none yet
+    TimePoint calledAt_ = loop_.now(); // the present call was sent
+    TimePoint answeredAt_ = loop_.now(); // the last answer came; the start where there was none yet
     std::uint32_t status_ = 0; // of the present call
     std::string body_;
     Duration backoff_ = firstBackoff;
-    TimePoint returnedAt_ = Loop::now() - lapseTime; // the first answer after the last trouble
+    TimePoint returnedAt_ = loop_.now() - lapseTime; // the first answer after the last trouble
     std::set<std::string> present_; // endpoints that were told and not removed
     std::set<std::string> seen_; // endpoints of the present full read
     std::map<std::string, Lapse> lapsed_; // gone from the store
--- /dev/null
+++ b/tests/unit/store_follower_test.cpp
@@ -0,0 +1,251 @@
+// What an entry knows of the store, and how soon, under troubles of the store and of connections to it. Virtual clock.
+#include "daemon/direct_settings.h"
+#include "support/virtual_store.h"
+
+#include "anvilscale/settings.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace anvilscale {
+namespace {
+
+using test::StoreMood;
+using test::VirtualClient;
+using test::VirtualDialect;
+using test::VirtualLoop;
+
+settings::Settings entrySettings(std::uint32_t leaveMs)
+{
+    const auto text = std::to_string(leaveMs);
+    const auto result = parseSettings(R"({"role":"direct-entry","name":"e1","dataCentre":"dc","region":"r",)"
+                                      R"("direct":{"store":"http://127.0.0.1:1","leaveMs":)"
+                                      + text + R"(,"configMs":)" + text + "}}");
+    EXPECT_TRUE(result);
+    return *result;
+}
+
+/// An entry's follower as the settings make it, and when it told what.
+class FollowedStore
+{
+public:
+    /// `prepare` sets the store up before the entry starts.
+    explicit FollowedStore(
+        std::uint32_t leaveMs = 2000, std::uint64_t incarnation = 1,
+        const std::function<void(VirtualLoop &)> &prepare = [](VirtualLoop &) {})
+        : bound_(Milliseconds(leaveMs))
+        , follower_(loop, storeFollowerInit(entrySettings(leaveMs), incarnation), handlers())
+    {
+        loop.change("a", false);
+        loop.change("b", false);
+        prepare(loop);
+        follower_.start();
+        loop.run(Seconds(5));
+    }
+
+    VirtualLoop loop;
+
+    /// At which an endpoint was told to be gone or leaving.
+    std::optional<TimePoint> toldGone(const std::string &id) const
+    {
+        const auto found = gone_.find(id);
+        return found == gone_.end() ? std::nullopt : std::optional(found->second);
+    }
+    /// Time between the store's acknowledgement and this entry's knowledge, if it came to it.
+    std::optional<Duration> lateness(const std::string &id, TimePoint acknowledged) const
+    {
+        const auto told = toldGone(id);
+        return told ? std::optional(*told - acknowledged) : std::nullopt;
+    }
+    bool knownInTime(const std::string &id, TimePoint acknowledged) const
+    {
+        const auto late = lateness(id, acknowledged);
+        return late && *late <= bound_;
+    }
+    Duration bound() const
+    {
+        return bound_;
+    }
+
+private:
+    StoreFollowerHandlers handlers()
+    {
+        StoreFollowerHandlers result;
+        result.record = [this](const StoreRecord &record) {
+            if (const auto *endpoint = std::get_if<EndpointRecord>(&record); endpoint != nullptr && endpoint->leaving) {
+                gone_.emplace(endpoint->id, loop.now());
+            }
+            if (const auto *removed = std::get_if<EndpointRemoved>(&record)) {
+                gone_.emplace(removed->id, loop.now());
+            }
+        };
+        result.complete = [] {};
+        result.answered = [](Duration, bool) {};
+        result.failed = [](const StoreFailure &) {};
+        return result;
+    }
+
+    Duration bound_;
+    std::map<std::string, TimePoint> gone_;
+    StoreFollower<VirtualDialect, VirtualLoop, VirtualClient> follower_;
+};
+
+std::string inMs(Duration span)
+{
+    return std::to_string(wholeMs(span)) + " ms";
+}
+
+// The longest lateness over outages that begin at each phase of the entry's calls and last from `shortest` on.
+template<class Outage>
+Duration longestLateness(std::uint32_t leaveMs, Duration shortest, const Outage &outage)
+{
+    Duration longest{};
+    for (Duration length = shortest; length <= Seconds(13); length += Milliseconds(310)) {
+        for (Duration phase{}; phase < Seconds(5); phase += Milliseconds(170)) {
+            FollowedStore entry(leaveMs);
+            entry.loop.run(phase);
+            const auto acknowledged = outage(entry, length);
+            entry.loop.run(Seconds(20));
+            const auto late = entry.lateness("a", acknowledged);
+            longest = std::max(longest, late.value_or(Seconds(20)));
+        }
+    }
+    return longest;
+}
+
+TimePoint leaveNow(FollowedStore &entry)
+{
+    entry.loop.change("a", true);
+    return entry.loop.now();
+}
+
+TimePoint removeNow(FollowedStore &entry)
+{
+    entry.loop.change("a", false, true);
+    return entry.loop.now();
+}
+
+// A caller's request reaches an endpoint seconds after the store acknowledged that the endpoint leaves.
+// The store takes calls and answers none for a while. The entry's watch, sent just before that ends, is never answered.
+// The store is well again, the endpoint leaves, and the entry goes on waiting for that watch.
+// How long it waits came from constants that had nothing to do with the time within which it has to know.
+// Sweeping the outage over all phases of the entry's calls showed up to 4.8 s, of 2 s that are allowed.
+TEST(StoreFollower, KnowsInTimeWhoLeavesOnceASilentStoreIsWell)
+{
+    for (const std::uint32_t leaveMs : {2000U, 3000U, 5000U}) {
+        const auto longest = longestLateness(leaveMs, Milliseconds(100), [](FollowedStore &entry, Duration length) {
+            entry.loop.setMood(StoreMood::Silent);
+            entry.loop.run(length);
+            entry.loop.setMood(StoreMood::Well);
+            return leaveNow(entry);
+        });
+        EXPECT_LE(longest, Milliseconds(leaveMs)) << inMs(longest);
+    }
+}
+
+// The same for an outage that first refuses calls and then goes silent: the pauses between calls have grown by then,
+// and come on top of the call that is never answered.
+TEST(StoreFollower, KnowsInTimeWhoLeavesAfterRefusalsAndSilence)
+{
+    const auto longest = longestLateness(3000, Milliseconds(900), [](FollowedStore &entry, Duration length) {
+        entry.loop.setMood(StoreMood::Refusing);
+        entry.loop.run(length - Milliseconds(800));
+        entry.loop.setMood(StoreMood::Silent);
+        entry.loop.run(Milliseconds(800));
+        entry.loop.setMood(StoreMood::Well);
+        return leaveNow(entry);
+    });
+    EXPECT_LE(longest, Milliseconds(3000)) << inMs(longest);
+}
+
+// The same where nobody could connect: the pause that has grown over the failures is what the entry is late by.
+TEST(StoreFollower, KnowsInTimeWhoLeavesOnceTheStoreIsReachedAgain)
+{
+    const auto longest = longestLateness(2000, Milliseconds(100), [](FollowedStore &entry, Duration length) {
+        entry.loop.setMood(StoreMood::Dark);
+        entry.loop.run(length);
+        entry.loop.setMood(StoreMood::Well);
+        return leaveNow(entry);
+    });
+    EXPECT_LE(longest, Milliseconds(2000)) << inMs(longest);
+}
+
+// A caller's request reaches an endpoint seconds after its record was removed, though no disturbance is left.
+// Endpoints that live write their records again within two seconds of the store's return; a removal that comes later is
+// one. The entry counted those two seconds from its own first answer, which came up to 7 s after the return.
+TEST(StoreFollower, KnowsInTimeWhoIsRemovedTwoSecondsAfterTheReturn)
+{
+    for (const std::uint32_t leaveMs : {2000U, 3000U}) {
+        const auto longest = longestLateness(leaveMs, Milliseconds(100), [](FollowedStore &entry, Duration length) {
+            entry.loop.setMood(StoreMood::Silent);
+            entry.loop.run(length);
+            entry.loop.setMood(StoreMood::Well);
+            entry.loop.run(Seconds(2));
+            return removeNow(entry);
+        });
+        EXPECT_LE(longest, Milliseconds(leaveMs)) << inMs(longest);
+    }
+}
+
+// The entry's connection to the store goes silent for good while the store is well and others go on: an idle connection
+// as well as one on which a watch waits. What leaves then is known in time all the same.
+TEST(StoreFollower, KnowsInTimeWhoLeavesWhileItsConnectionIsSilent)
+{
+    for (const std::uint32_t leaveMs : {2000U, 3000U}) {
+        const auto longest = longestLateness(leaveMs, Milliseconds(0), [](FollowedStore &entry, Duration length) {
+            entry.loop.silenceConnections();
+            entry.loop.run(length % Seconds(1));
+            return leaveNow(entry);
+        });
+        EXPECT_LE(longest, Milliseconds(leaveMs)) << inMs(longest);
+    }
+}
+
+// An entry on a small link starts beside a large configuration, which takes longer to read than any call takes to be
+// answered. Giving the read up by the clock, though bytes keep coming, means that the entry never has a configuration
+// and refuses every caller.
+TEST(StoreFollower, ReadsALargeAnswerOverASmallLink)
+{
+    FollowedStore entry(2000, 1, [](VirtualLoop &loop) {
+        loop.bodyPadding = 3'000'000;
+        loop.bytesPerMs = 1250; // 10 Mbit/s
+        loop.change("a", true);
+    });
+    EXPECT_TRUE(entry.toldGone("a"));
+}
+
+// Calls to the store are paid for. With changes at all times an entry asks no more often than the pause between two
+// answers allows, and without any no more often than that.
+TEST(StoreFollower, AsksNoMoreOftenThanThePauseAllows)
+{
+    for (const std::uint32_t leaveMs : {2000U, 3000U}) {
+        const auto pause = storeFollowerInit(entrySettings(leaveMs), 1).pause;
+        FollowedStore calm(leaveMs);
+        const auto before = calm.loop.calls;
+        calm.loop.run(Seconds(60));
+        const auto most = static_cast<std::uint64_t>(Seconds(60) / pause) + 1;
+        EXPECT_LE(calm.loop.calls - before, most);
+
+        FollowedStore busy(leaveMs);
+        const auto start = busy.loop.calls;
+        for (int i = 0; i < 600; ++i) {
+            busy.loop.change("b", false);
+            busy.loop.run(Milliseconds(100));
+        }
+        EXPECT_LE(busy.loop.calls - start, most);
+    }
+}
+
+// A store that refuses for a long time is asked about once a second at the most: each of these calls is paid for too.
+TEST(StoreFollower, AsksARefusingStoreAboutOnceASecond)
+{
+    FollowedStore entry(2000);
+    entry.loop.setMood(StoreMood::Refusing);
+    entry.loop.run(Seconds(10));
+    const auto before = entry.loop.calls;
+    entry.loop.run(Seconds(60));
+    EXPECT_LE(entry.loop.calls - before, 121U); // pauses are jittered down to half
+}
+
+} // namespace
+} // namespace anvilscale
