What an entry knows of the store never goes back

And a follower of another store, after a change of direct.store, did not know which endpoints the one before had told. Change: each endpoint's revision is kept, and nothing at or below it is told; a new follower is given the endpoints known so far.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -139,6 +139,7 @@
     std::string id;
     bool unreadable = false; ///< its record is there, but is not that of an endpoint
     Duration heldBack{}; ///< since it was seen to be gone: it might have come back
+    std::uint64_t revision = 0; ///< of the store, at the removal; 0: not told
 };
 using StoreRecord = std::variant<DirectConfig, EndpointRecord, EndpointRemoved, NamedVersion>;
 
@@ -401,7 +402,7 @@
     // Knowledge.
     /// Returns false for a version that is not newer than the one in force.
     bool applyConfig(const DirectConfig &config, TimePoint now);
-    /// True if the endpoint is new, has started again, or has begun or ceased to leave.
+    /// True if the endpoint is new, has started again, or has begun to leave.
     bool applyEndpoint(const EndpointRecord &record, TimePoint now);
     void removeEndpoint(const std::string &id, TimePoint now);
     void applyVersion(const NamedVersion &version, TimePoint now);
@@ -444,6 +445,7 @@
 struct EngineStateReport
 {
     std::uint64_t born = 0; ///< Unix millisecond of the engine's start; 0: not told
+    bool leaving = false; ///< it takes no new calls
     std::vector<std::string> models;
     std::vector<HeldAdapter> adapters;
     std::vector<HeldAdapter> pending; ///< loads under way; they count toward the adapter slots
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -44,11 +44,7 @@
         control_.start();
         control_.post([this](Now) { onTick(); });
         messenger_->start();
-        server_->loop().post([this] {
-            follower_ = std::make_unique<StoreFollower<Dialect>>(
-                server_->loop(), storeFollowerInit(settings_, incarnation_), followerHandlers());
-            follower_->start();
-        });
+        server_->loop().post([this] { follow({}); });
         server_->start();
         ready_->start();
         if (metrics_) {
@@ -85,9 +81,7 @@
         server_->loop().post([this, settings] {
             if (settings.direct().store() != settings_.direct().store()) {
                 settings_.mutable_direct()->set_store(settings.direct().store());
-                follower_ = std::make_unique<StoreFollower<Dialect>>(
-                    server_->loop(), storeFollowerInit(settings_, incarnation_), followerHandlers());
-                follower_->start();
+                follow(follower_->known());
             }
             if (settings.SerializeAsString() != settings_.SerializeAsString()) {
                 logEvent(Event::RestartNeeded);
@@ -287,6 +281,15 @@
         return handlers;
     }
 
+    /// `known`: endpoints that the store followed before has told.
+    void follow(std::set<std::string> known)
+    {
+        auto init = storeFollowerInit(settings_, incarnation_);
+        init.known = std::move(known);
+        follower_ = std::make_unique<StoreFollower<Dialect>>(server_->loop(), init, followerHandlers());
+        follower_->start();
+    }
+
     StoreFollowerHandlers followerHandlers()
     {
         StoreFollowerHandlers handlers;
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -17,6 +17,9 @@
     std::string address; ///< "IP:PORT"
     StoreTimes times;
     std::uint64_t seed = 1;
+    /// Endpoints that another store has told. Those that this one does not hold are told as removed: calls would go to
+    /// them until each has refused one.
+    std::set<std::string> known;
 };
 
 /// How a call to the store failed.
@@ -79,6 +82,9 @@
         , random_(init_.seed)
         , client_(loop, clientInit(init_))
     {
+        for (const auto &id : init_.known) {
+            present_.emplace(id, 0);
+        }
     }
     ~StoreFollower()
     {
@@ -93,6 +99,15 @@
     {
         startReading();
     }
+    /// Endpoints that were told and not removed.
+    std::set<std::string> known() const
+    {
+        std::set<std::string> ids;
+        for (const auto &[id, revision] : present_) {
+            ids.insert(id);
+        }
+        return ids;
+    }
 
 private:
     // An answer that still grows is not given up by StoreTimes. A page holds 1 MB, which the smallest links (10 Mbit/s)
@@ -151,7 +166,7 @@
         }
         reading_ = false;
         const auto present = present_;
-        for (const auto &id : present) {
+        for (const auto &[id, revision] : present) {
             if (seen_.count(id) == 0) {
                 lapse(id);
             }
@@ -194,19 +209,39 @@
         }
         for (auto &record : page.records) {
             if (const auto *endpoint = std::get_if<EndpointRecord>(&record)) {
-                present_.insert(endpoint->id);
-                seen_.insert(endpoint->id);
-                lapsed_.erase(endpoint->id);
+                onEndpoint(*endpoint);
             } else if (const auto *removed = std::get_if<EndpointRemoved>(&record)) {
                 onRemoved(*removed);
-                continue;
+            } else {
+                handlers_.record(std::move(record));
             }
-            handlers_.record(std::move(record));
         }
     }
 
+    void onEndpoint(const EndpointRecord &endpoint)
+    {
+        seen_.insert(endpoint.id);
+        lapsed_.erase(endpoint.id);
+        if (!isOld(endpoint.id, endpoint.revision)) {
+            present_[endpoint.id] = endpoint.revision;
+            handlers_.record(endpoint);
+        }
+    }
+
+    /// The pages of a read are no snapshot: the watch that follows begins at the first one, and tells again how records
+    /// of the others were before. Taken up, that would make a leaving endpoint seem ready, or one that has come back
+    /// seem gone, for a moment in which calls are sent.
+    bool isOld(const std::string &id, std::uint64_t revision) const
+    {
+        const auto known = present_.find(id);
+        return known != present_.end() && revision != 0 && revision <= known->second;
+    }
+
     void onRemoved(const EndpointRemoved &removed)
     {
+        if (isOld(removed.id, removed.revision)) {
+            return;
+        }
         if (!removed.unreadable) {
             lapse(removed.id);
             return;
@@ -386,7 +421,7 @@
     TimePoint silentAt_{}; // it is given up then, unless bytes come
     Duration retry_ = init_.times.firstRetry;
     TimePoint returnedAt_ = loop_.now() - lapseTime; // the first answer after the last trouble
-    std::set<std::string> present_; // endpoints that were told and not removed
+    std::map<std::string, std::uint64_t> present_; // endpoints that were told and not removed, and at which revision
     std::set<std::string> seen_; // endpoints of the present full read
     std::map<std::string, Lapse> lapsed_; // gone from the store
 };
--- a/tests/support/virtual_store.h
+++ b/tests/support/virtual_store.h
@@ -43,15 +43,22 @@
             items_.erase(id);
         }
     }
-    /// Everything, as a read tells it.
-    std::vector<Item> all() const
+    /// What stands behind `after`, as a read tells it: at most a page.
+    std::vector<Item> pageAfter(const std::string &after) const
     {
         std::vector<Item> list;
-        for (const auto &[id, item] : items_) {
-            list.push_back(item);
+        for (auto it = items_.upper_bound(after); it != items_.end() && list.size() < pageSize; ++it) {
+            list.push_back(it->second);
         }
         return list;
     }
+    bool hasMore(const std::string &after) const
+    {
+        return items_.upper_bound(after) != items_.end();
+    }
+
+    std::size_t pageSize = 100;
+
     std::vector<Item> changesAfter(std::uint64_t after) const
     {
         std::vector<Item> list;
@@ -129,13 +136,14 @@
     TimePoint time_{Seconds(1000)};
 };
 
-/// What the tests' store speaks: lines of "id leaving removed revision".
+/// What the tests' store speaks: its revision and the last id of a page that others follow, or "-"; then lines of
+/// "id leaving removed revision".
 struct VirtualDialect
 {
-    static EndpointRequest rangeRequest(const std::string & /*after*/)
+    static EndpointRequest rangeRequest(const std::string &after)
     {
         EndpointRequest request;
-        request.target = "read";
+        request.target = "read " + after;
         return request;
     }
     static EndpointRequest watchRequest(std::uint64_t after, Duration wait)
@@ -152,11 +160,14 @@
     {
         std::istringstream in(body);
         StorePage page;
-        in >> page.revision;
+        in >> page.revision >> page.lastKey;
+        page.more = page.lastKey != "-";
         VirtualStore::Item item;
         while (in >> item.id >> item.leaving >> item.removed >> item.revision) {
             if (item.removed) {
-                page.records.emplace_back(EndpointRemoved{item.id});
+                EndpointRemoved removed{item.id};
+                removed.revision = item.revision;
+                page.records.emplace_back(removed);
                 continue;
             }
             EndpointRecord record;
@@ -219,7 +230,8 @@
         ExchangeId id = 0; // 0: none
         ExchangeHandlers handlers;
         bool watching = false;
-        std::uint64_t after = 0;
+        std::uint64_t after = 0; // of a watch: a revision
+        std::string afterId; // of a read
         Duration wait{};
         bool swallowed = false; // never answered
         bool answering = false;
@@ -235,7 +247,9 @@
         if (current_.watching) {
             in >> current_.after >> wait;
             current_.wait = Duration(wait);
+            return;
         }
+        in >> current_.afterId;
     }
 
     void arrive()
@@ -291,9 +305,12 @@
 
     std::string body() const
     {
+        const auto &store = loop_.store;
+        const auto items = current_.watching ? store.changesAfter(current_.after) : store.pageAfter(current_.afterId);
+        const bool more = !current_.watching && !items.empty() && store.hasMore(items.back().id);
         std::ostringstream out;
-        out << loop_.store.revision() << '\n';
-        for (const auto &item : current_.watching ? loop_.store.changesAfter(current_.after) : loop_.store.all()) {
+        out << store.revision() << ' ' << (more ? items.back().id : "-") << '\n';
+        for (const auto &item : items) {
             out << item.id << ' ' << item.leaving << ' ' << item.removed << ' ' << item.revision << '\n';
         }
         return out.str() + std::string(loop_.bodyPadding, ' ');
--- a/tests/unit/store_follower_test.cpp
+++ b/tests/unit/store_follower_test.cpp
@@ -32,9 +32,9 @@
     /// `prepare` sets the store up before the entry starts.
     explicit FollowedStore(
         std::uint32_t leaveMs = 2000, std::uint64_t incarnation = 1,
-        const std::function<void(VirtualLoop &)> &prepare = [](VirtualLoop &) {})
+        const std::function<void(VirtualLoop &)> &prepare = [](VirtualLoop &) {}, std::set<std::string> known = {})
         : bound_(Milliseconds(leaveMs))
-        , follower_(loop, storeFollowerInit(entrySettings(leaveMs), incarnation), handlers())
+        , follower_(loop, initOf(leaveMs, incarnation, std::move(known)), handlers())
     {
         loop.change("a", false);
         loop.change("b", false);
@@ -66,16 +66,33 @@
     {
         return bound_;
     }
+    /// Something was told that is older than what had been told of the same endpoint.
+    bool wentBack() const
+    {
+        return wentBack_;
+    }
 
 private:
+    static StoreFollowerInit initOf(std::uint32_t leaveMs, std::uint64_t incarnation, std::set<std::string> known)
+    {
+        auto init = storeFollowerInit(entrySettings(leaveMs), incarnation);
+        init.known = std::move(known);
+        return init;
+    }
+
     StoreFollowerHandlers handlers()
     {
         StoreFollowerHandlers result;
         result.record = [this](const StoreRecord &record) {
-            if (const auto *endpoint = std::get_if<EndpointRecord>(&record); endpoint != nullptr && endpoint->leaving) {
-                gone_.emplace(endpoint->id, loop.now());
+            if (const auto *endpoint = std::get_if<EndpointRecord>(&record)) {
+                wentBack_ = wentBack_ || endpoint->revision < told_[endpoint->id];
+                told_[endpoint->id] = endpoint->revision;
+                if (endpoint->leaving) {
+                    gone_.emplace(endpoint->id, loop.now());
+                }
             }
             if (const auto *removed = std::get_if<EndpointRemoved>(&record)) {
+                wentBack_ = wentBack_ || removed->revision < told_[removed->id];
                 gone_.emplace(removed->id, loop.now());
             }
         };
@@ -87,6 +104,8 @@
 
     Duration bound_;
     std::map<std::string, TimePoint> gone_;
+    std::map<std::string, std::uint64_t> told_; // revisions
+    bool wentBack_ = false;
     StoreFollower<VirtualDialect, VirtualLoop, VirtualClient> follower_;
 };
 
@@ -201,6 +220,146 @@
     }
 }
 
+// A call goes to an endpoint that is known to leave. The entry reads the store in pages, which are no snapshot: a later
+// page holds a record as it became after the first page. The watch then begins at the first page and tells all changes
+// since, the older ones of that record too: for a moment the endpoint seems to be ready, or an endpoint that has come
+// back seems to be gone.
+TEST(StoreFollower, TellsNothingOlderThanWhatItHasTold)
+{
+    const auto prepare = [](VirtualLoop &loop) {
+        loop.store.pageSize = 1;
+        loop.change("c", false);
+        loop.at(loop.now() + Milliseconds(6), [&loop] { // between the first page and the others
+            loop.change("b", false);
+            loop.change("b", true);
+            loop.change("c", false, true);
+            loop.change("c", false);
+        });
+    };
+    FollowedStore entry(2000, 1, prepare);
+    EXPECT_TRUE(entry.toldGone("b"));
+    EXPECT_FALSE(entry.wentBack());
+}
+
+// The settings name another store, and an endpoint has gone while the entry moved over: nobody ever tells its removal,
+// and calls go to an address where nobody listens.
+TEST(StoreFollower, EndpointsOfTheStoreBeforeThatThisOneLacksAreRemoved)
+{
+    FollowedStore entry(2000, 1, [](VirtualLoop &) {}, {"a", "gone"});
+    EXPECT_TRUE(entry.toldGone("gone"));
+    EXPECT_FALSE(entry.toldGone("a"));
+}
+
+enum class Happening : std::uint8_t {
+    Leave,
+    Silent,
+    Refusing,
+    Dark,
+    Well,
+    SilentConnection,
+    Count
+};
+
+/// Plays what happens, and remembers who left when, and since when the store and the connection to it were well.
+class RandomDay
+{
+public:
+    explicit RandomDay(std::uint32_t leaveMs)
+        : entry_(leaveMs)
+    {
+        changes_.push_back({entry_.loop.now(), true});
+    }
+
+    void take(Happening happening, Duration pause)
+    {
+        switch (happening) {
+        case Happening::Leave:
+            leave();
+            break;
+        case Happening::SilentConnection:
+            entry_.loop.silenceConnections();
+            changes_.push_back({entry_.loop.now(), entry_.loop.mood == StoreMood::Well});
+            break;
+        case Happening::Silent:
+            setMood(StoreMood::Silent);
+            break;
+        case Happening::Refusing:
+            setMood(StoreMood::Refusing);
+            break;
+        case Happening::Dark:
+            setMood(StoreMood::Dark);
+            break;
+        default:
+            setMood(StoreMood::Well);
+            break;
+        }
+        entry_.loop.run(pause);
+    }
+
+    /// How much longer than the bound it took at the most until the entry knew who left, counted from the first moment
+    /// after which nothing went wrong for as long as the bound.
+    Duration longestExcess() const
+    {
+        Duration longest{};
+        for (const auto &[id, acknowledged] : left_) {
+            const auto told = entry_.toldGone(id).value_or(entry_.loop.now() + Seconds(60));
+            longest = std::max(longest, told - calmFrom(acknowledged) - entry_.bound());
+        }
+        return longest;
+    }
+
+private:
+    struct Change
+    {
+        TimePoint at;
+        bool well = false; // from then on
+    };
+
+    void leave()
+    {
+        const auto id = "l" + std::to_string(left_.size());
+        entry_.loop.change(id, true);
+        left_.emplace(id, entry_.loop.now());
+    }
+
+    void setMood(StoreMood mood)
+    {
+        entry_.loop.setMood(mood);
+        changes_.push_back({entry_.loop.now(), mood == StoreMood::Well});
+    }
+
+    TimePoint calmFrom(TimePoint since) const
+    {
+        for (std::size_t i = 0; i + 1 < changes_.size(); ++i) {
+            const auto begin = std::max(since, changes_[i].at);
+            if (changes_[i].well && changes_[i + 1].at >= begin + entry_.bound()) {
+                return begin;
+            }
+        }
+        return std::max(since, changes_.back().at);
+    }
+
+    FollowedStore entry_;
+    std::map<std::string, TimePoint> left_; // acknowledged
+    std::vector<Change> changes_;
+};
+
+// Troubles of the store and of the connection in series, overlapping, with endpoints that leave at any moment: once
+// nothing has gone wrong for as long as the bound, the entry knows of each of them.
+RC_GTEST_PROP(StoreFollowerRandom, KnowsInTimeWhoLeavesInAnySeriesOfTroubles, ())
+{
+    RandomDay day(*rc::gen::element(2000U, 3000U));
+    const auto happenings = *rc::gen::container<std::vector<std::pair<Happening, int>>>(
+        rc::gen::pair(rc::gen::element(Happening::Leave, Happening::Leave, Happening::Silent, Happening::Refusing,
+                                       Happening::Dark, Happening::Well, Happening::Well, Happening::SilentConnection),
+                      rc::gen::inRange(0, 6000)));
+    for (const auto &[happening, pause] : happenings) {
+        day.take(happening, Milliseconds(pause));
+    }
+    day.take(Happening::Well, Seconds(10));
+    RC_ASSERT(day.longestExcess() == Duration(0));
+}
+
 // An entry on a small link starts beside a large configuration, which takes longer to read than any call takes to be
 // answered. Giving the read up by the clock, though bytes keep coming, means that the entry never has a configuration
 // and refuses every caller.
