Leaving is for good, and is heard from the sidecar as well as from the store

A write of an endpoint's own record that is carried out late made it ready again. And an entry that does not hear the store for a while sent calls to engines whose sidecars had read in the engine's report that it leaves. Change: a record cannot take leaving back but for a later process; the sidecar tells it in its state message, at once. Tests failed before: three of direct_leaving_test. Looked for elsewhere: configuration and versions come by the same follower and its bound; the state of sidecars is believed for 1.8 s and their connections have heartbeats; the relayed path has its own guard, the sidecar, which refuses calls once it leaves.

--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -102,7 +102,7 @@
     const bool otherBirth = report && fresh.born != 0 && report->born != 0 && fresh.born != report->born;
     const bool restarted = report && (otherBirth || fresh.sequence < report->sequence);
     const bool changed = !report || !reachable || report->adapters != fresh.adapters || report->models != fresh.models
-                         || report->pending != fresh.pending;
+                         || report->pending != fresh.pending || report->leaving != fresh.leaving;
     if (restarted) {
         onRestart(now);
     }
@@ -125,6 +125,7 @@
     }
     report = fresh;
     reachable = true;
+    leavingId = fresh.leaving ? endpointId : "";
 }
 
 // The engine's process is another one than before, perhaps under the same id.
@@ -295,6 +296,7 @@
         return state;
     }
     state.set_born(report->born);
+    state.set_leaving(report->leaving && leavingId == endpointId);
     for (const auto &model : report->models) {
         state.add_models(model);
     }
--- a/src/direct/adapter_keeper_impl.h
+++ b/src/direct/adapter_keeper_impl.h
@@ -72,6 +72,8 @@
     DirectPolicy policy;
     std::uint64_t fence = 0;
     std::string endpointId; // of the engine's present incarnation, as far as it is known
+    // The incarnation whose last report said that it leaves; its successor may be known before that has reported.
+    std::string leavingId;
     std::string rejectedId; // that the engine said not to be; no order is sent under it
     std::string toldId; // what an entry said last
     wire::EnginePlan plan;
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -232,7 +232,7 @@
         return;
     }
     for (auto &[id, entry] : endpoints.all()) {
-        const bool takesCalls = !entry.record.leaving && !entry.superseded;
+        const bool takesCalls = !entry.leaves(now) && !entry.superseded;
         if (takesCalls && engineOf(config, entry.record.service) != nullptr) {
             entry.changed = entry.changed || !entry.waiting.empty(); // a waiting call becomes late by itself
             tellSidecar(entry, now);
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -82,9 +82,9 @@
     return paid && policy.has(Mechanism::LoadPrice) ? policy.loadPriceMs : 0;
 }
 
-bool mayTake(const EndpointEntry &entry, const ChoiceQuery &query)
+bool mayTake(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
 {
-    return entry.record.service == *query.service && !entry.record.leaving && !entry.superseded
+    return entry.record.service == *query.service && !entry.leaves(now) && !entry.superseded
            && query.exclude->count(entry.record.id) == 0;
 }
 
@@ -168,7 +168,7 @@
 {
     std::vector<Scored> list;
     for (const auto &[id, entry] : table.all()) {
-        if (mayTake(entry, query)) {
+        if (mayTake(entry, query, now)) {
             list.push_back({&entry});
         }
     }
--- a/src/direct/endpoint_news.cpp
+++ b/src/direct/endpoint_news.cpp
@@ -83,7 +83,7 @@
     if (state.load_ms() != 0) {
         impl_->learned[entry->record.service].loadMs = state.load_ms();
     }
-    if (!state.reachable()) {
+    if (!state.reachable() || entry->leaves(now)) {
         impl_->rerouteWaiting(*entry, now);
         return;
     }
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -54,6 +54,11 @@
     return stateFresh(now) && !state->reachable();
 }
 
+bool EndpointEntry::leaves(TimePoint now) const
+{
+    return record.leaving || (stateFresh(now) && state->leaving() && state->endpoint_id() == record.id);
+}
+
 bool EndpointEntry::stateExpected(TimePoint now) const
 {
     return !state && now - since < firstStateTime;
@@ -200,11 +205,15 @@
         return RecordEffect::Stale;
     }
     const auto born = std::max(record.born, entry.record.born); // a record may not tell it
-    const bool changed = entry.record.leaving != record.leaving;
+    // Leaving is for good. A write that the endpoint sent while it was ready may be carried out seconds later, and
+    // would draw calls to it again; only a later process, which begins with startAnew, is ready once more.
+    const bool leaving = entry.record.leaving || record.leaving;
+    const bool changed = entry.record.leaving != leaving;
     const bool moved = entry.record.address != record.address || entry.record.service != record.service
                        || entry.record.created != record.created || entry.record.born != born;
     entry.record = record;
     entry.record.born = born;
+    entry.record.leaving = leaving;
     if (moved) {
         markSuperseded();
     }
@@ -216,6 +225,7 @@
     EndpointEntry fresh;
     fresh.record = entry.record;
     fresh.record.born = born;
+    fresh.record.leaving = false;
     fresh.record.models.clear();
     fresh.record.adapters.clear();
     fresh.life = ++lastLife_;
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -18,7 +18,7 @@
 /// What a record of an endpoint changes.
 enum class RecordEffect : std::uint8_t {
     None, ///< nothing that decides where calls go
-    Changed, ///< it is new, or has begun or ceased to leave
+    Changed, ///< it is new, or has begun to leave
     Stale, ///< it speaks of a process that is over
     Count
 };
@@ -67,6 +67,8 @@
     bool stateFresh(TimePoint now) const;
     /// True if the sidecar beside it cannot reach it: it has crashed, long before its record lapses in the store.
     bool toldUnreachable(TimePoint now) const;
+    /// True if it has said that it takes no new calls, in the store or to its sidecar: whichever is heard first.
+    bool leaves(TimePoint now) const;
     /// True if its sidecar has not told anything yet and probably will in a moment.
     bool stateExpected(TimePoint now) const;
     /// True if the adapter is probably still in the engine's own memory, so that it loads without the weight store.
--- /dev/null
+++ b/tests/unit/direct_leaving_test.cpp
@@ -0,0 +1,89 @@
+// Endpoints that leave, as one entry's decisions see them.
+#include "direct_fixture.h"
+
+namespace anvilscale::test {
+
+class Leaving : public Calls
+{
+protected:
+    void addEngines()
+    {
+        addEngine("e-1", "10.0.1.1:80", {"a1"});
+        addEngine("e-2", "10.0.1.2:80", {"a1"});
+    }
+    void tellLeaving(const std::string &id, std::uint64_t born, bool leaving)
+    {
+        auto record = endpointOf(id, engineService, "10.0.1.1:80");
+        record.born = born;
+        record.leaving = leaving;
+        calls_.applyEndpoint(record, now_);
+    }
+    wire::DirectState stateOf(const std::string &id, bool leaving)
+    {
+        auto state = stateWith({"a1"});
+        state.set_endpoint_id(id);
+        state.set_leaving(leaving);
+        return state;
+    }
+    /// Endpoints that get calls on an adapter that all hold.
+    std::set<std::string> used()
+    {
+        std::set<std::string> result;
+        for (int i = 0; i < 12; ++i) {
+            arrive("/s/x", "a1");
+            result.insert(sent().endpointId);
+        }
+        return result;
+    }
+};
+
+// An endpoint has said that it leaves, and gets a call all the same. An earlier write of its record, which it had sent
+// while it was ready and whose answer it never had, was carried out seconds later. Leaving is for good: only another
+// process can be ready again.
+TEST_F(Leaving, ALateRecordDoesNotBringALeavingEndpointBack)
+{
+    addEngines();
+    tellLeaving("e-1", 0, true);
+    tellLeaving("e-1", 0, false);
+    EXPECT_EQ(used(), std::set<std::string>{"e-2"});
+}
+
+TEST_F(Leaving, TheNextProcessUnderTheIdTakesCallsAgain)
+{
+    addEngines();
+    tellLeaving("e-1", 1000, true);
+    tellLeaving("e-1", 2000, false);
+    auto state = stateOf("e-1", false);
+    state.set_born(2000);
+    calls_.applyState("10.0.1.1:80", state, now_);
+    EXPECT_EQ(used(), (std::set<std::string>{"e-1", "e-2"}));
+}
+
+// An engine leaves while this entry does not hear the store. The sidecar beside the engine has read it in the engine's
+// own report: calls go elsewhere at once, also those that wait for an adapter there.
+TEST_F(Leaving, ASidecarTellsThatItsEngineLeaves)
+{
+    addEngines();
+    calls_.applyState("10.0.1.1:80", stateOf("e-1", true), now_);
+    EXPECT_EQ(used(), std::set<std::string>{"e-2"});
+}
+
+TEST_F(Leaving, WaitingCallsGoElsewhereWhenASidecarTellsThatItsEngineLeaves)
+{
+    addEngine("e-1", "10.0.1.1:80", {});
+    arrive("/s/x", "a2");
+    EXPECT_TRUE(take<SendCall>().empty());
+    addEngine("e-2", "10.0.1.2:80", {"a2"});
+    calls_.applyState("10.0.1.1:80", stateOf("e-1", true), now_);
+    EXPECT_EQ(sent().endpointId, "e-2");
+}
+
+// The sidecar still has the last report of a process that is over: it says nothing of the one that has followed.
+TEST_F(Leaving, ASidecarsWordOnAnotherProcessDoesNotCount)
+{
+    addEngines();
+    calls_.applyState("10.0.1.1:80", stateOf("e-before", true), now_);
+    EXPECT_EQ(used(), (std::set<std::string>{"e-1", "e-2"}));
+}
+
+} // namespace anvilscale::test
