--- a/tests/process/direct_test.cpp
+++ b/tests/process/direct_test.cpp
@@ -322,6 +322,26 @@
     EXPECT_TRUE(eventually([&] { return logOf("entry-1").find(R"("endpoint":"p-1")") != std::string::npos; }));
 }
 
+// The store takes calls and answers none, then is well again. The entry gives its calls up and says so; what was
+// changed meanwhile is in force, and the endpoint that has left gets no call, though nobody ever answered the watch of
+// before.
+TEST_F(Direct, AStoreThatNeverAnswersIsAskedAnew)
+{
+    start();
+    tell(store_, R"({"hang":true})");
+    EXPECT_TRUE(eventually([&] { return logOf("entry-1").find(R"("failure":"silent")") != std::string::npos; }));
+    put("servers/p-1", record("plain", "127.0.0.1:" + std::to_string(plain_[0]), "draining"));
+    put("op/config", config(2, "/m/"));
+    tell(store_, R"({"hang":false})");
+    EXPECT_TRUE(eventually([&] { return call("/m/x", "r-1").status == 200; }));
+    EXPECT_TRUE(eventually([&] { return logOf("entry-1").find("key_value_back") != std::string::npos; }));
+    for (int i = 0; i < 10; ++i) {
+        const auto id = "s-" + std::to_string(i);
+        EXPECT_EQ(call("/m/x", id).status, 200);
+        EXPECT_EQ(ran(plain_[0], id), 0);
+    }
+}
+
 // SIGTERM while a stream runs: the readiness check fails at once, callers that still come are served, the stream ends
 // whole and the process ends with 0.
 TEST_F(Direct, AStoppedEntryServesUntilTheBalancerKnows)
--- a/tests/standins/site_store.cpp
+++ b/tests/standins/site_store.cpp
@@ -1,11 +1,13 @@
 // The store of the users' platform, by its published protocol: reads of all keys in pages and watches. POST /standin
 // writes ({"puts": [{"key", "value"}], "deletes": [...]}), makes it answer every call with a status ({"status": 503},
-// 0: well again), or drops its history ({"forget": true}).
+// 0: well again), take calls and answer none ({"hang": true}; those taken meanwhile are never answered), or drops its
+// history ({"forget": true}).
 #include "http_host.h"
 #include "subcommands.h"
 
 #include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Array.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/URI.h>
 #include <cxxopts.hpp>
 
@@ -54,6 +56,7 @@
             return;
         }
         ++calls_;
+        hangIfTold(lock);
         if (status_ != 0) {
             sendJson(response, status_, JsonObject());
         } else if (uri.getPath() == "/api/kv-range") {
@@ -72,9 +75,20 @@
         JsonObject event;
     };
 
+    /// A call that was taken while the store hangs ends without an answer once the store is well.
+    void hangIfTold(std::unique_lock<std::mutex> &lock)
+    {
+        if (!hanging_) {
+            return;
+        }
+        changed_.wait(lock, [&] { return !hanging_; });
+        throw Poco::Net::NetException("never answered");
+    }
+
     void control(const JsonObject &body)
     {
         status_ = option<int>(body, "status", status_);
+        hanging_ = option(body, "hang", hanging_);
         const auto puts = body.getArray("puts");
         for (std::size_t i = 0; puts && i < puts->size(); ++i) {
             const auto put = puts->getObject(static_cast<unsigned>(i));
@@ -122,7 +136,8 @@
     {
         const auto after = std::stoll(query["after"]);
         const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoll(query["wait_ms"]));
-        changed_.wait_until(lock, until, [&] { return revision_ > after || status_ != 0; });
+        changed_.wait_until(lock, until, [&] { return revision_ > after || status_ != 0 || hanging_; });
+        hangIfTold(lock);
         if (status_ != 0) {
             sendJson(response, status_, JsonObject());
             return;
@@ -151,6 +166,7 @@
     std::map<std::string, JsonObject> items_;
     std::vector<Change> history_;
     int status_ = 0;
+    bool hanging_ = false;
     std::uint64_t calls_ = 0;
 };
 
