--- a/tests/unit/residency_faults_test.cpp
+++ b/tests/unit/residency_faults_test.cpp
@@ -38,16 +38,10 @@
     fixture.end(fixture.started[0].execution, CallOutcome::Unknown, FailureReason::EndpointCut, false);
     EXPECT_EQ(fixture.state(lounge).pins(), 1U);
     fixture.call(transit);
-    for (int i = 0; i < 20; ++i) {
-        fixture.advance(Seconds(1));
-        fixture.answerOrders();
-    }
+    fixture.settle(20);
     EXPECT_EQ(fixture.residency(lounge), ResidencyState::Resident);
     fixture.engine.running.clear();
-    for (int i = 0; i < 5; ++i) {
-        fixture.advance(Seconds(1));
-        fixture.answerOrders();
-    }
+    fixture.settle(5);
     EXPECT_EQ(fixture.residency(transit), ResidencyState::Resident);
     EXPECT_TRUE(fixture.engine.violations.empty());
 }
@@ -164,10 +158,7 @@
     fixture.answerOrders();
     EXPECT_TRUE(fixture.started.empty());
     fixture.engine.apply(unload);
-    for (int i = 0; i < 15; ++i) {
-        fixture.advance(Seconds(1));
-        fixture.answerOrders();
-    }
+    fixture.settle(15);
     EXPECT_FALSE(fixture.started.empty());
     EXPECT_TRUE(fixture.engine.violations.empty());
 }
@@ -196,16 +187,10 @@
     fixture.recover();
     EXPECT_EQ(fixture.residency(lounge), ResidencyState::Resident);
     fixture.call(transit);
-    for (int i = 0; i < 12; ++i) {
-        fixture.advance(Seconds(1));
-        fixture.answerOrders();
-    }
+    fixture.settle(12);
     EXPECT_EQ(fixture.residency(lounge), ResidencyState::Resident);
     fixture.engine.running.clear();
-    for (int i = 0; i < 5; ++i) {
-        fixture.advance(Seconds(1));
-        fixture.answerOrders();
-    }
+    fixture.settle(5);
     EXPECT_EQ(fixture.residency(transit), ResidencyState::Resident);
     EXPECT_TRUE(fixture.engine.violations.empty());
 }
@@ -348,10 +333,7 @@
     fixture.answerOrders();
     EXPECT_TRUE(fixture.started.empty());
     fixture.engine.apply(unload);
-    for (int i = 0; i < 12; ++i) {
-        fixture.advance(Seconds(1));
-        fixture.answerOrders();
-    }
+    fixture.settle(12);
     EXPECT_FALSE(fixture.started.empty());
     EXPECT_TRUE(fixture.engine.violations.empty());
 }
--- a/tests/unit/residency_fixture.h
+++ b/tests/unit/residency_fixture.h
@@ -212,6 +212,14 @@
             answerOrder();
         }
     }
+    /// Lets so many seconds pass; the endpoint answers all orders after each.
+    void settle(int seconds)
+    {
+        for (int i = 0; i < seconds; ++i) {
+            advance(Seconds(1));
+            answerOrders();
+        }
+    }
     SendOrder takeOrder(OrderKind kind)
     {
         const auto place = std::ranges::find(orders, kind, &SendOrder::kind);
