--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -191,6 +191,7 @@
             onFailure(StoreFailureKind::Unreadable);
             return;
         }
+        historyGone_ = false;
         onAnswered();
         revision_ = std::max(revision_, page->revision);
         const bool changed = !page->records.empty();
@@ -352,11 +353,18 @@
             done(body_);
             return;
         }
-        if (status == StoreStatus::HistoryGone) {
-            startReading();
+        if (status != StoreStatus::HistoryGone) {
+            onFailure(StoreFailureKind::Refused);
             return;
         }
-        onFailure(StoreFailureKind::Refused);
+        // Reads and watches by turns without a pause would be hundreds of calls a second.
+        const bool again = std::exchange(historyGone_, true);
+        reading_ = true;
+        if (again) {
+            onFailure(StoreFailureKind::Refused);
+        } else {
+            startReading();
+        }
     }
 
     void onAnswered()
@@ -366,7 +374,7 @@
         if (std::exchange(wasAway_, false)) {
             returnedAt_ = now;
         }
-        retry_ = init_.times.firstRetry;
+        retry_ = historyGone_ ? retry_ : init_.times.firstRetry;
         retrySilence_ = init_.times.silenceOfRetry;
         handlers_.answered(now - std::exchange(answeredAt_, now), returned);
     }
@@ -416,6 +424,7 @@
     TimerHandle lapseTimer_;
     bool reading_ = true; // the next call is a read, not a watch
     bool completed_ = false;
+    bool historyGone_ = false; // the last watch was told so: another one that is comes right after a read
     bool reachable_ = true; // the last call was answered
     bool wasAway_ = false; // since its last answer the store may have been away long enough for records to lapse
     std::uint64_t revision_ = 0;
--- a/src/daemon/store_times.h
+++ b/src/daemon/store_times.h
@@ -17,8 +17,7 @@
 ///   the answer.
 struct StoreTimes
 {
-    Duration
-        pause{}; ///< least time between an answer with changes and the next watch: changes in between come together
+    Duration pause{}; ///< least time from an answer with changes to the next watch: changes in between come together
     Duration waitAfterPause{}; ///< of a watch in the store
     Duration waitAlone{}; ///< the same where no pause went before
     Duration silence{}; ///< without a byte, beyond the wait: the call is given up
--- a/tests/support/virtual_store.h
+++ b/tests/support/virtual_store.h
@@ -15,6 +15,7 @@
     Well,
     Silent, ///< takes calls and never answers them, also those that wait in it already
     Refusing, ///< answers at once that it did nothing
+    Forgetful, ///< answers reads, and each watch that it has no history
     Dark, ///< nobody can connect; calls that wait in it are never answered
     Count
 };
@@ -180,6 +181,9 @@
     }
     static StoreStatus storeStatus(std::uint32_t status)
     {
+        if (status == 410) {
+            return StoreStatus::HistoryGone;
+        }
         return status == 200 ? StoreStatus::Ok : StoreStatus::Unavailable;
     }
 };
@@ -264,6 +268,10 @@
             answer(503);
             return;
         }
+        if (loop_.mood == StoreMood::Forgetful && current_.watching) {
+            answer(410);
+            return;
+        }
         if (!current_.watching || hasNews() || current_.wait == Duration(0)) {
             answer(200);
             return;
--- a/tests/unit/store_follower_test.cpp
+++ b/tests/unit/store_follower_test.cpp
@@ -448,5 +448,19 @@
     EXPECT_LE(entry.loop.calls - before, 121U); // pauses are jittered down to half
 }
 
+// A store that has lost its history over and over sends the entry from each watch to a read and back. Without a pause
+// in between, one entry makes hundreds of calls a second, all of them paid for. What it reads is known all the same.
+TEST(StoreFollower, AsksAForgetfulStoreNoMoreOftenThanARefusingOne)
+{
+    FollowedStore entry(2000);
+    entry.loop.setMood(StoreMood::Forgetful);
+    entry.loop.run(Seconds(10));
+    const auto before = entry.loop.calls;
+    const auto acknowledged = leaveNow(entry);
+    entry.loop.run(Seconds(60));
+    EXPECT_LE(entry.loop.calls - before, 2 * 121U); // a read and a watch each time
+    EXPECT_TRUE(entry.knownInTime("a", acknowledged));
+}
+
 } // namespace
 } // namespace anvilscale
