Messenger: a connection never has the name of the one before

Cause: disconnectFrom and connectTo of one target in the same moment, as when an engine is replaced at its address, opened a connection with number 0 again. While the old one lived, the other end did not take the new one, and the monitor's address was still bound: it never counted as up, and all that was sent to the sidecar waited for good. Change: numbers of connections are never used twice within a process. Test failed before, in its second round each time; 500 rounds now.

--- a/src/net/messenger_thread.cpp
+++ b/src/net/messenger_thread.cpp
@@ -5,6 +5,8 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <atomic>
+
 namespace anvilscale {
 
 namespace {
@@ -24,6 +26,15 @@
     return {text.data(), static_cast<std::size_t>(length)};
 }
 
+/// Part of a connection's name at the other end, never used twice. A target that is connected to anew before its last
+/// connection is gone had the same name again: the new connection never counted as up, and what was sent to it was lost
+/// for good.
+std::uint64_t nextEpoch()
+{
+    static std::atomic<std::uint64_t> last = 0;
+    return ++last;
+}
+
 } // namespace
 
 void Messenger::Impl::run()
@@ -88,7 +99,7 @@
         send(std::move(command.message));
         return;
     case Command::Kind::Connect:
-        connectTarget(command.name, command.address, 0);
+        connectTarget(command.name, command.address, nextEpoch());
         return;
     case Command::Kind::Disconnect:
         forgetTarget(command.name);
@@ -123,7 +134,6 @@
         return;
     }
     if (slot) {
-        epoch = slot->epoch + 1;
         watch.remove(slot->dealer);
         watch.remove(slot->monitor);
     }
@@ -164,7 +174,7 @@
 
 void Messenger::Impl::reopen(Target &target)
 {
-    ++target.epoch;
+    target.epoch = nextEpoch();
     target.lostBefore = true;
     watch.remove(target.dealer);
     watch.remove(target.monitor);
--- a/tests/unit/net_test.cpp
+++ b/tests/unit/net_test.cpp
@@ -142,6 +142,26 @@
     ASSERT_TRUE(newNotes.wait([&] { return newNotes.fromPeers.size() == 1; }));
 }
 
+// An engine is replaced by another one at its address, and the sidecar there never hears of the calls that wait for it:
+// no adapter is loaded for this entry again. The entry ended its connection to the sidecar and opened a new one at
+// once, under the same name at the other end, before the old one was gone: the new one never counts as up.
+TEST(MessengerTest, ATargetThatIsConnectedToAnewAtOnceComesUp)
+{
+    Notes entryNotes;
+    Notes sidecarNotes;
+    const auto entry = make(entryNotes, "entry");
+    const auto sidecar = make(sidecarNotes, "sidecar");
+    constexpr int rounds = 500;
+    for (int i = 1; i <= rounds; ++i) {
+        entry->connectTo("sidecar", address(*sidecar));
+        entry->sendTo("sidecar", request(static_cast<std::uint64_t>(i)));
+        const auto heard = static_cast<std::size_t>(i);
+        ASSERT_TRUE(entryNotes.wait([&] { return entryNotes.targetsUp == i; })) << "round " << i;
+        ASSERT_TRUE(sidecarNotes.wait([&] { return sidecarNotes.fromPeers.size() == heard; })) << "round " << i;
+        entry->disconnectFrom("sidecar");
+    }
+}
+
 TEST(MessengerTest, CallForAProcessThatNeverCameUpFails)
 {
     Notes notes;
