Control traffic of a large fleet: heartbeats in place of whole states, one watch of the store for all entries

Cause: each sidecar told each entry its whole state twice a second (some 350 bytes for a full engine), and each entry followed the store by itself, with every change of what an engine holds in every answer.

Change: a state is told whole when it has changed or the entry lacks it, else a heartbeat with the load (some 35 bytes). One sidecar, chosen alike by all entries, asks the store for all of them; an entry asks the store itself when that one does not tell in time. Sidecars are heard every 250 ms where few entries listen, and one that falls silent marks its engine as doubtful at once.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -123,6 +123,7 @@
     std::uint64_t revision = 0; ///< of the store, at the record's last change
     std::vector<std::string> models;
     std::vector<HeldAdapter> adapters;
+    bool operator==(const EndpointRecord &) const = default;
 };
 
 /// A new version of an adapter that the operator has named.
@@ -408,9 +409,16 @@
     void applyVersion(const NamedVersion &version, TimePoint now);
     /// The sidecar beside the endpoint at this address tells its engine's state.
     void applyState(const std::string &address, const wire::DirectState &state, TimePoint now);
+    /// Nothing but the load has changed since a state that it told before.
+    void applyHeartbeat(const std::string &address, const wire::DirectHeartbeat &heartbeat, TimePoint now);
     void sidecarLost(const std::string &address);
     /// The store has answered: what it has told up to now is known.
     void storeAnswered(TimePoint now);
+    /// Address of the endpoint whose sidecar asks the store for this entry; empty: none does. All entries choose the
+    /// same one, so that one call of it serves them all.
+    std::string storeSharer(TimePoint now) const;
+    /// That sidecar could not tell, or did not answer: another one is chosen for a while.
+    void storeSharerFailed(const std::string &address, TimePoint now);
 
     // Calls.
     void arrive(CallHandle call, CallFacts facts, TimePoint now);
@@ -517,7 +525,7 @@
     Duration orderTimeout() const;
     /// True while an order's effect has not been seen, so that the next report is wanted soon.
     bool waits() const;
-    /// What entries are to know; `sequence` is left to the caller.
+    /// What entries are to know; `sequence` and `interval_ms` are left to the caller.
     wire::DirectState state() const;
     /// True if calls of this entry wait for an adapter.
     bool waitsFor(PeerHandle peer) const;
@@ -532,4 +540,30 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// Chooses what each entry is told of an engine: the whole state where it lacks it, else a heartbeat with the figures
+/// that every call moves. Between many entries and engines nearly all messages are of the second kind.
+class StateNews
+{
+public:
+    /// The engine's state at present; `sequence` is set here.
+    void update(const wire::DirectState &state);
+    wire::Envelope messageFor(PeerHandle entry);
+    /// The entry has said which state it has, 0: none. One that was lost on the way is told again. An entry that has
+    /// never named one may be of a release that knows no heartbeats, and gets whole states.
+    void entryHas(PeerHandle entry, std::uint64_t sequence);
+    void entryLost(PeerHandle entry);
+
+private:
+    struct Told
+    {
+        std::uint64_t sequence = 0; // of the last whole state
+        bool takesHeartbeats = false;
+    };
+
+    wire::DirectState state_;
+    std::string text_; // of the state without the figures that a heartbeat tells
+    std::uint64_t sequence_ = 0;
+    std::unordered_map<PeerHandle, Told> told_;
+};
+
 } // namespace anvilscale
--- a/include/anvilscale/direct_path.h
+++ b/include/anvilscale/direct_path.h
@@ -62,6 +62,21 @@
     std::size_t rejected = 0; ///< records that could not be read, and were passed over
 };
 
+/// One change as the store wrote it, to be passed on, and what it says.
+struct StoreItem
+{
+    StoreRecord record;
+    std::uint64_t revision = 0; ///< of the store, at the change
+    std::string text;
+};
+
+/// Changes that the store has told, in its order.
+struct StoreChanges
+{
+    std::uint64_t revision = 0; ///< of the store, up to which these are all
+    std::vector<StoreItem> items; ///< without those that the system has no use for
+};
+
 /// The part of an adapter that speaks to the platform's store.
 template<class T>
 concept StoreDialect = requires(const std::string &text, Duration span, std::uint64_t number)
@@ -83,11 +98,26 @@
         } -> std::same_as<StoreStatus>;
 };
 
+/// The part that lets one process watch the store for others.
+template<class T>
+concept SharedStoreDialect = StoreDialect<T> && requires(const std::string &text, std::uint64_t number,
+                                                         const std::vector<std::string> &texts)
+{
+    /// Of the answer to a watch.
+    {
+        T::splitWatch(text)
+        } -> std::same_as<std::optional<StoreChanges>>;
+    /// Such an answer again, for readWatch.
+    {
+        T::joinWatch(number, texts)
+        } -> std::same_as<std::string>;
+};
+
 /// An adapter to a platform. No state, no I/O.
 template<class T>
-concept DirectDialect = StoreDialect<T> && requires(const HttpRequestData &request, const SendCall &send,
-                                                    const HttpResponseHead &head, const EngineOrder &order,
-                                                    const std::string &text, std::string_view view, Duration span)
+concept DirectDialect = SharedStoreDialect<T> && requires(const HttpRequestData &request, const SendCall &send,
+                                                          const HttpResponseHead &head, const EngineOrder &order,
+                                                          const std::string &text, std::string_view view, Duration span)
 {
     {
         T::readCall(request)
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -70,6 +70,7 @@
     KeyValueDown,
     KeyValueBack,
     StoreCallFailed,
+    StoreSharerFailed,
     VmListDown,
     StoreRecordRejected,
     UnexpectedError,
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -264,6 +264,12 @@
                 control_.post([this, name, state = message.direct_state()](Now now) {
                     calls_.applyState(name, state, now.mono);
                 });
+            } else if (message.has_direct_heartbeat()) {
+                control_.post([this, name, heartbeat = message.direct_heartbeat()](Now now) {
+                    calls_.applyHeartbeat(name, heartbeat, now.mono);
+                });
+            } else if (message.has_store_news()) {
+                onStoreNews(std::move(*message.mutable_store_news()));
             }
         };
         const auto lost = [this](const std::string &name) {
@@ -306,9 +312,57 @@
         handlers.failed = [this](const StoreFailure &failure) {
             control_.post([this, failure](Now) { storeLog_.failed(failure); });
         };
+        handlers.askShared = [this](std::uint64_t call, std::uint64_t after, Duration wait) {
+            return askSharer(call, after, wait);
+        };
+        handlers.sharedFailed = [this] {
+            control_.post([this, name = askedSharer_](Now now) {
+                logEvent(Event::StoreSharerFailed, {{"sidecar", name}});
+                calls_.storeSharerFailed(name, now.mono);
+                chooseSharer(now.mono);
+            });
+        };
         return handlers;
     }
 
+    bool askSharer(std::uint64_t call, std::uint64_t after, Duration wait)
+    {
+        {
+            const std::lock_guard lock(sharerMutex_);
+            askedSharer_ = sharer_;
+        }
+        if (askedSharer_.empty()) {
+            return false;
+        }
+        wire::Envelope message;
+        auto &ask = *message.mutable_store_ask();
+        ask.set_call(call);
+        ask.set_after(after);
+        ask.set_wait_ms(static_cast<std::uint32_t>(wholeMs(wait)));
+        messenger_->sendTo(askedSharer_, message);
+        return true;
+    }
+
+    void onStoreNews(wire::StoreNews news)
+    {
+        server_->loop().post([this, news = std::move(news)] {
+            std::optional<std::string> body;
+            if (news.answered()) {
+                body = Dialect::joinWatch(news.revision(), {news.items().begin(), news.items().end()});
+            }
+            if (follower_) {
+                follower_->onShared(news.call(), body);
+            }
+        });
+    }
+
+    void chooseSharer(TimePoint now)
+    {
+        auto chosen = calls_.storeSharer(now);
+        const std::lock_guard lock(sharerMutex_);
+        sharer_ = std::move(chosen);
+    }
+
     void applyRecord(const StoreRecord &record, TimePoint now)
     {
         std::visit(Overloaded{[&](const DirectConfig &config) { applyConfig(config, now); },
@@ -373,6 +427,10 @@
     {
         const auto now = EventLoop::now();
         calls_.tick(now);
+        if (now >= sharerDue_) {
+            sharerDue_ = now + sharerInterval;
+            chooseSharer(now);
+        }
         // Once ready it stays so: an entry that loses the store or a sidecar serves better than none.
         isReady_ = isReady_ || (storeRead_ && calls_.ready(now));
         if (now >= metricsDue_) {
@@ -426,6 +484,7 @@
     }
 
     static constexpr Duration metricsInterval = Seconds(2);
+    static constexpr Duration sharerInterval = Milliseconds(200); // between choices of the sidecar that asks the store
 
     settings::Settings settings_;
     std::uint64_t incarnation_;
@@ -436,6 +495,10 @@
     std::set<std::string> sidecars_; // control thread: names of the messenger's targets
     bool storeRead_ = false; // control thread
     TimePoint metricsDue_{}; // control thread
+    TimePoint sharerDue_{}; // control thread
+    std::mutex sharerMutex_; // guards sharer_
+    std::string sharer_; // address of the endpoint whose sidecar asks the store for this entry; empty: none
+    std::string askedSharer_; // traffic thread: the one that was asked last
     std::atomic<bool> isReady_ = false;
     std::atomic<bool> draining_ = false;
     bool down_ = false;
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -4,6 +4,7 @@
 #include "control_loop.h"
 #include "direct_settings.h"
 #include "process.h"
+#include "store_share.h"
 
 #include "anvilscale/daemon.h"
 #include "anvilscale/direct_path.h"
@@ -50,6 +51,7 @@
             init.keepIdle = Milliseconds(700);
             init.keepMargin = Milliseconds(300);
             client_ = std::make_unique<HttpClient>(loop_, init);
+            shareStore();
         });
         control_.post([this](Now) { readReport(); });
         logEvent(Event::ProcessStarted, {{"role", settings_.role()}, {"incarnation", incarnation_}});
@@ -75,7 +77,10 @@
             return;
         }
         control_.stop();
-        loop_.post([this] { client_.reset(); });
+        loop_.post([this] {
+            client_.reset();
+            storeShare_.reset();
+        });
         loop_.stop();
         if (messenger_) {
             messenger_->shutdown();
@@ -97,7 +102,10 @@
     static constexpr Duration calmInterval = Milliseconds(200); // between reports
     static constexpr Duration busyInterval = Milliseconds(25); // while a load is under way: its end is told at once
     static constexpr Duration learnedInterval = Seconds(10); // between lines of what was learned
-    static constexpr Duration stateInterval = Milliseconds(500); // an entry takes three that are missing as a loss
+    // An entry takes three messages that are missing as a loss, and one as a sign that the VM has stopped: where few
+    // entries listen, it costs little to be heard more often.
+    static constexpr Duration longestInterval = Milliseconds(500);
+    static constexpr Duration shortestInterval = Milliseconds(250);
 
     // Work that entries have sent is told to the others in steps of some 80 ms of reading.
     static constexpr std::uint64_t unreadStep = 3000; // tokens
@@ -119,11 +127,15 @@
     {
         Messenger::Handlers handlers;
         handlers.fromPeer = [this](PeerHandle peer, wire::Envelope &&message) {
+            if (message.has_store_ask()) {
+                onStoreAsk(peer, message.store_ask());
+            }
             if (!message.has_direct_demand()) {
                 return;
             }
             control_.post([this, peer, demand = message.direct_demand()](Now now) {
                 keeper_.applyDemand(peer, demand, now.mono);
+                news_.entryHas(peer, demand.state_sequence());
                 if (peers_.insert(peer).second) {
                     stateDue_ = now.mono;
                 }
@@ -132,6 +144,7 @@
         handlers.peerLost = [this](PeerHandle peer) {
             control_.post([this, peer](Now) {
                 peers_.erase(peer);
+                news_.entryLost(peer);
                 keeper_.peerLost(peer);
             });
         };
@@ -142,6 +155,30 @@
         return handlers;
     }
 
+    /// Asks the store for entries that put their questions here.
+    void shareStore()
+    {
+        if (settings_.direct().store().empty()) {
+            return;
+        }
+        const auto follower = storeFollowerInit(settings_, incarnation_);
+        storeShare_ = std::make_unique<StoreShare<Dialect>>(loop_, StoreShareInit{follower.address, follower.times},
+                                                            [this](PeerHandle entry, const wire::StoreNews &news) {
+                                                                wire::Envelope message;
+                                                                *message.mutable_store_news() = news;
+                                                                messenger_->sendTo(entry, message);
+                                                            });
+    }
+
+    void onStoreAsk(PeerHandle entry, const wire::StoreAsk &ask)
+    {
+        loop_.post([this, question = StoreQuestion{entry, ask.call(), ask.after(), Milliseconds(ask.wait_ms())}] {
+            if (storeShare_) {
+                storeShare_->ask(question);
+            }
+        });
+    }
+
     /// One exchange with the engine; `done` gets its head and body, or none, in the control thread.
     void ask(EndpointRequest request, Duration timeout,
              std::function<void(Now, std::optional<HttpResponseHead>, std::string)> done)
@@ -246,12 +283,12 @@
             });
     }
 
-    wire::Envelope stateMessage()
+    void updateNews()
     {
-        wire::Envelope message;
-        *message.mutable_direct_state() = keeper_.state();
-        message.mutable_direct_state()->set_sequence(++sequence_);
-        return message;
+        auto state = keeper_.state();
+        state.set_interval_ms(static_cast<std::uint32_t>(wholeMs(stateInterval())));
+        state.set_shares_store(!settings_.direct().store().empty());
+        news_.update(state);
     }
 
     void tellAll(TimePoint now)
@@ -260,10 +297,10 @@
         urgentRevision_ = toldRevision_;
         toldUnread_ = keeper_.unreadTokens();
         toldAt_ = now;
-        wakeAt(now + stateInterval);
-        const auto message = stateMessage();
+        wakeAt(now + stateInterval());
+        updateNews();
         for (const auto peer : peers_) {
-            messenger_->sendTo(peer, message);
+            messenger_->sendTo(peer, news_.messageFor(peer));
         }
     }
 
@@ -274,17 +311,23 @@
         if (stateDue_ > toldAt_ + newsInterval()) {
             wakeAt(std::max(now, toldAt_ + newsInterval()));
         }
-        const auto message = stateMessage();
+        updateNews();
         for (const auto peer : peers_) {
             if (keeper_.waitsFor(peer)) {
-                messenger_->sendTo(peer, message);
+                messenger_->sendTo(peer, news_.messageFor(peer));
             }
         }
     }
 
     Duration newsInterval() const
     {
-        return std::min<Duration>(stateInterval, newsIntervalPerEntry * peers_.size());
+        return std::min<Duration>(longestInterval, newsIntervalPerEntry * peers_.size());
+    }
+
+    /// Longest time between two messages to an entry.
+    Duration stateInterval() const
+    {
+        return std::max<Duration>(shortestInterval, newsInterval());
     }
 
     void wakeAt(TimePoint at)
@@ -297,11 +340,11 @@
     std::uint64_t incarnation_;
     AdapterKeeper keeper_; // control thread, as all below
     std::set<PeerHandle> peers_; // entries that have told what they want
+    StateNews news_;
     bool reading_ = false;
     bool reachable_ = true;
     std::uint64_t toldRevision_ = 0; // that all entries know
     std::uint64_t urgentRevision_ = 0; // that the waiting entries know
-    std::uint64_t sequence_ = 0;
     std::uint64_t toldUnread_ = 0;
     TimePoint toldAt_{};
     TimePoint learnedDue_{};
@@ -310,6 +353,7 @@
     ControlLoop control_;
     EventLoop loop_;
     std::unique_ptr<HttpClient> client_; // the loop's thread
+    std::unique_ptr<StoreShare<Dialect>> storeShare_; // the loop's thread; none: the settings name no store
     std::unique_ptr<Messenger> messenger_;
 };
 
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -57,6 +57,11 @@
     /// Each answer, with the time since the one before, and whether calls have failed in between.
     std::function<void(Duration unheard, bool returned)> answered;
     std::function<void(const StoreFailure &)> failed;
+    /// Asks a sidecar what has changed behind this revision; onShared brings the answer to this call. False: there is
+    /// none to ask. May be empty.
+    std::function<bool(std::uint64_t call, std::uint64_t after, Duration wait)> askShared;
+    /// The sidecar that was asked last could not tell, or did not answer.
+    std::function<void()> sharedFailed;
 };
 
 template<class T>
@@ -70,7 +75,8 @@
 
 /// Every call to the store is paid for, a refused one too: one watch covers all records, changes that come close
 /// together arrive in one answer, and failures are followed by growing pauses. A call that is not answered is given up
-/// after so short a time that the next one still tells in time what has changed (StoreTimes).
+/// after so short a time that the next one still tells in time what has changed (StoreTimes). Where a sidecar asks the
+/// store for several entries, it takes the place of the watches; the store itself is called when that fails.
 template<StoreDialect Dialect, class Loop = EventLoop, StoreClient Client = HttpClient>
 class StoreFollower
 {
@@ -99,6 +105,20 @@
     {
         startReading();
     }
+    /// A sidecar's answer to a question: as the store would answer a watch, or none.
+    void onShared(std::uint64_t call, const std::optional<std::string> &body)
+    {
+        if (!sharedAsked_ || call != sharedCall_) {
+            return; // given up since
+        }
+        if (!body) {
+            onSharedFailed();
+            return;
+        }
+        sharedAsked_ = false;
+        loop_.timers().cancel(silenceTimer_);
+        onWatch(*body);
+    }
     /// Endpoints that were told and not removed.
     std::set<std::string> known() const
     {
@@ -179,6 +199,35 @@
     }
 
     void watch(Duration wait)
+    {
+        if (!askShared()) {
+            watchStore(wait);
+        }
+    }
+
+    bool askShared()
+    {
+        const auto wait = init_.times.sharedWait;
+        if (!handlers_.askShared || !handlers_.askShared(++sharedCall_, revision_, wait)) {
+            return false;
+        }
+        sharedAsked_ = true;
+        loop_.timers().cancel(silenceTimer_);
+        silenceTimer_ =
+            loop_.timers().subscribe(loop_.now() + wait + init_.times.silence, [this](TimePoint) { onSharedFailed(); });
+        return true;
+    }
+
+    // It may be the sidecar, the way to it, or the store: only a call of the entry's own tells.
+    void onSharedFailed()
+    {
+        sharedAsked_ = false;
+        loop_.timers().cancel(silenceTimer_);
+        handlers_.sharedFailed();
+        watchStore(Duration(0));
+    }
+
+    void watchStore(Duration wait)
     {
         const auto &times = init_.times;
         const auto silence = wait == Duration(0) ? retrySilence_ : wait + times.silence;
@@ -197,8 +246,11 @@
         revision_ = std::max(revision_, page->revision);
         const bool changed = !page->records.empty();
         tell(*page);
+        if (askShared()) {
+            return;
+        }
         if (!changed) {
-            watch(init_.times.waitAlone);
+            watchStore(init_.times.waitAlone);
             return;
         }
         later(init_.times.pause, [this] { watch(init_.times.waitAfterPause); });
@@ -305,6 +357,7 @@
         body_.clear();
         calledAt_ = loop_.now();
         silentAt_ = calledAt_ + silence;
+        checkSilence(); // before the call begins: it may end at once
         ExchangeHandlers handlers;
         handlers.head = [this](const HttpResponseHead &head) {
             status_ = head.status;
@@ -327,7 +380,6 @@
             onStatus(Dialect::storeStatus(status_), done);
         };
         exchange_ = client_.start(request, Duration(0), std::move(handlers));
-        checkSilence();
     }
 
     void onByte()
@@ -441,6 +493,8 @@
     std::map<std::string, std::uint64_t> present_; // endpoints that were told and not removed, and at which revision
     std::set<std::string> seen_; // endpoints of the present full read
     std::map<std::string, Lapse> lapsed_; // gone from the store
+    bool sharedAsked_ = false; // invariant: no call of its own is under way meanwhile
+    std::uint64_t sharedCall_ = 0; // the last question to a sidecar
 };
 
 } // namespace anvilscale
--- a/src/daemon/store_times.h
+++ b/src/daemon/store_times.h
@@ -14,12 +14,16 @@
 /// - its connection has gone silent: `pause` and `waitAfterPause` 60 (or `waitAlone` 60), `silence` 20,
 ///   `shortestRetry` 10, and the answer: 90;
 /// - the store was away, counted from its return: `longestSilence` 80 and `shortestRetry` 10, or `longestRetry` 50, and
-///   the answer.
+///   the answer;
+/// - a sidecar that asks for several entries tells: `sharedWait` 25, and the answer. Where it is silent: `silence` 20,
+///   then a call of the entry's own, which is answered after 45, or given up after `silenceOfRetry` 40 and followed by
+///   another one at 95.
 struct StoreTimes
 {
     Duration pause{}; ///< least time from an answer with changes to the next watch: changes in between come together
     Duration waitAfterPause{}; ///< of a watch in the store
     Duration waitAlone{}; ///< the same where no pause went before
+    Duration sharedWait{}; ///< of a question to a sidecar that asks for several entries: they wait for one call
     Duration silence{}; ///< without a byte, beyond the wait: the call is given up
     Duration silenceOfRetry{}; ///< the same of reads and of calls after a failure, which do not wait in the store
     /// The same once such a call has been given up: over a crowded link an answer may take that long, and an entry that
@@ -37,6 +41,7 @@
     times.pause = share(45);
     times.waitAfterPause = share(15);
     times.waitAlone = share(60);
+    times.sharedWait = share(25);
     times.silence = share(20);
     times.silenceOfRetry = share(40);
     times.longestSilence = share(80);
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -260,7 +260,8 @@
         item.set_adapter(adapter.adapter);
         item.set_version(adapter.version);
         item.set_loading(loading);
-        item.set_running(wishFor({adapter.model, adapter.adapter}).running);
+        const auto wish = wishFor({adapter.model, adapter.adapter});
+        item.set_in_use(wish.running != 0 && adapter.version < wish.leastVersion);
     };
     std::uint32_t idle = 0;
     for (const auto &adapter : report->adapters) {
@@ -302,10 +303,6 @@
     }
     tellAdapters(state);
     tellLoadsAhead(state);
-    state.set_running(report->running);
-    state.set_queued(report->queued);
-    state.set_kv_used(report->kvUsed);
-    state.set_kv_total(report->kvTotal);
     return state;
 }
 
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -264,7 +264,6 @@
     }
     entry->changed = true;
     lower(entry->inFlight);
-    entry->inFlightAtState = std::min(entry->inFlightAtState, entry->inFlight);
     if (!call.began) {
         lower(entry->unanswered);
         entry->unreadTokens = std::max(0.0, entry->unreadTokens - call.unreadTokens);
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -98,6 +98,7 @@
     std::vector<FailedAttempt> failedAttempts;
     DirectCallsStats stats;
     TimePoint storeAnsweredAt{};
+    std::map<std::string, TimePoint> failedSharers; // addresses, and until when they are not chosen again
 
     std::uint32_t namedVersion(const AdapterName &name) const;
     ChoiceQuery queryFor(const DirectCall &call, TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -216,6 +216,7 @@
         *demand.mutable_plan() = planFor(entry.record.service);
         sent.planVersion = config->version;
     }
+    demand.set_state_sequence(entry.state ? entry.state->sequence() : 0);
     entry.toldUnread = entry.unreadTokens;
     entry.toldWaiting = entry.waitingTokens;
     entry.newlyRunning = false;
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -65,7 +65,9 @@
         ms += entry.silentFor(query.learned->silence(), now) ? policy.avoidedMs : 0;
     }
     if (policy.has(Mechanism::Unreachable)) {
-        ms += entry.toldUnreachable(now) ? policy.avoidedMs : 0;
+        // While only a silent engine was avoided, one that stopped with its VM got calls until some of them had waited
+        // for longer than nearly all others: they were read when it woke, after their callers had left.
+        ms += entry.toldUnreachable(now) || entry.sidecarSilent(now) ? policy.avoidedMs : 0;
     }
     return ms;
 }
--- a/src/direct/endpoint_news.cpp
+++ b/src/direct/endpoint_news.cpp
@@ -90,6 +90,13 @@
     impl_->sendWaiting(entry->record.id, now);
 }
 
+void DirectCalls::applyHeartbeat(const std::string &address, const wire::DirectHeartbeat &heartbeat, TimePoint now)
+{
+    if (auto *entry = impl_->endpoints.findByAddress(address)) {
+        entry->applyHeartbeat(heartbeat, now);
+    }
+}
+
 void DirectCalls::storeAnswered(TimePoint now)
 {
     impl_->storeAnsweredAt = now;
@@ -98,7 +105,7 @@
 void DirectCalls::sidecarLost(const std::string &address)
 {
     if (auto *entry = impl_->endpoints.findByAddress(address)) {
-        entry->state.reset();
+        entry->forgetSidecar();
     }
     impl_->wishes.erase(address);
 }
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -7,8 +7,11 @@
 
 namespace {
 
-// A sidecar tells its state twice a second; three that are missed in a row mean that it is gone or cut off.
+// A sidecar is heard twice a second at least; three messages that are missed in a row mean that it is gone or cut off.
 constexpr Duration stateLife = Milliseconds(1800);
+// Beyond a sidecar's interval its message may be late by half of that and so much more before it counts as silent.
+constexpr Duration lateMessage = Milliseconds(100);
+constexpr Duration usualInterval = Milliseconds(500); // of sidecars that do not tell it
 // A sidecar is connected to and has told its state within this time after its endpoint was first seen.
 constexpr Duration firstStateTime = Milliseconds(1500);
 // Weight of the newest call in slowness, and how long it is believed without a new one: bursts last some seconds.
@@ -49,6 +52,15 @@
     return state && now - stateAt < stateLife;
 }
 
+bool EndpointEntry::sidecarSilent(TimePoint now) const
+{
+    if (!state) {
+        return false; // it is not connected: its process has ended, which says nothing of the engine
+    }
+    const Duration interval = state->interval_ms() == 0 ? usualInterval : Milliseconds(state->interval_ms());
+    return now - stateAt > interval + interval / 2 + lateMessage;
+}
+
 bool EndpointEntry::toldUnreachable(TimePoint now) const
 {
     return stateFresh(now) && !state->reachable();
@@ -83,7 +95,6 @@
 {
     state = told;
     stateAt = now;
-    inFlightAtState = inFlight;
     if (!told.models().empty()) {
         emptySince.reset();
     } else if (!emptySince) {
@@ -99,6 +110,32 @@
     }
 }
 
+bool EndpointEntry::applyHeartbeat(const wire::DirectHeartbeat &heartbeat, TimePoint now)
+{
+    if (!state || state->sequence() != heartbeat.state_sequence()) {
+        return false;
+    }
+    state->set_unread_tokens(heartbeat.unread_tokens());
+    state->set_waiting_tokens(heartbeat.waiting_tokens());
+    state->set_room(heartbeat.room());
+    stateAt = now;
+    return true;
+}
+
+void EndpointEntry::forgetSidecar()
+{
+    if (state && state->endpoint_id() == record.id) {
+        record.models.assign(state->models().begin(), state->models().end());
+        record.adapters.clear();
+        for (const auto &adapter : state->adapters()) {
+            if (!adapter.loading()) {
+                record.adapters.push_back({adapter.model(), adapter.adapter(), adapter.version()});
+            }
+        }
+    }
+    state.reset();
+}
+
 bool EndpointEntry::hasModel(const std::string &model, TimePoint now) const
 {
     if (stateFresh(now)) {
@@ -121,7 +158,7 @@
 bool EndpointEntry::heldByRuns(const AdapterName &name, TimePoint now) const
 {
     const auto *adapter = stateFresh(now) ? findAdapter(*state, name, false) : nullptr;
-    return adapter != nullptr && adapter->running() != 0;
+    return adapter != nullptr && adapter->in_use();
 }
 
 std::uint32_t EndpointEntry::heldVersion(const AdapterName &name, TimePoint now) const
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -43,7 +43,6 @@
     std::optional<wire::DirectState> state;
     TimePoint stateAt{};
     std::optional<TimePoint> emptySince; // the engine holds no model since then, as its sidecar told
-    std::uint32_t inFlightAtState = 0;
     double toldUnread = 0; // own unreadTokens as the sidecar was told last
     double waitingTokens = 0; // prompt tokens of own calls that wait for an adapter here
     double toldWaiting = 0; // own waitingTokens as the sidecar was told last
@@ -65,6 +64,9 @@
     bool heldByRuns(const AdapterName &name, TimePoint now) const;
     bool hasModel(const std::string &model, TimePoint now) const;
     bool stateFresh(TimePoint now) const;
+    /// True if its sidecar has not been heard for longer than it leaves between two messages: the VM of both has
+    /// probably stopped, long before anybody else can tell.
+    bool sidecarSilent(TimePoint now) const;
     /// True if the sidecar beside it cannot reach it: it has crashed, long before its record lapses in the store.
     bool toldUnreachable(TimePoint now) const;
     /// True if it has said that it takes no new calls, in the store or to its sidecar: whichever is heard first.
@@ -78,6 +80,10 @@
     /// True if the state speaks of a process before the one that is known.
     bool isOutdated(const wire::DirectState &told) const;
     void applyState(const wire::DirectState &told, TimePoint now);
+    /// False if it follows a state that this entry does not have.
+    bool applyHeartbeat(const wire::DirectHeartbeat &heartbeat, TimePoint now);
+    /// The sidecar is gone. Nobody orders the engine any more, so that what it held last is what it holds.
+    void forgetSidecar();
     /// True if it holds unanswered calls and has sent nothing for `span`.
     bool silentFor(Duration span, TimePoint now) const;
     /// How much slower than estimated it reads prompts at present; at least 1.
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -48,6 +48,7 @@
     {600, LogLevel::Error, "key_value_down", "the key-value service does not answer"},
     {601, LogLevel::Info, "key_value_back", "the key-value service answers again"},
     {602, LogLevel::Warn, "store_call_failed", "a further call to the store failed; the first one is told as 600"},
+    {603, LogLevel::Warn, "store_sharer_failed", "the sidecar that asks the store for this entry did not tell"},
     {610, LogLevel::Warn, "vm_list_down", "the list of VMs could not be read"},
     {611, LogLevel::Error, "store_record_rejected", "records of the store could not be read and were passed over"},
     {900, LogLevel::Error, "unexpected_error", "an error that no rule covers; please report it"},
--- a/tests/support/virtual_store.h
+++ b/tests/support/virtual_store.h
@@ -179,6 +179,30 @@
         }
         return page;
     }
+    static std::optional<StoreChanges> splitWatch(const std::string &body)
+    {
+        const auto page = readWatch(body);
+        std::istringstream in(body);
+        std::string line;
+        std::getline(in, line);
+        StoreChanges changes;
+        changes.revision = page->revision;
+        for (const auto &record : page->records) {
+            std::getline(in, line);
+            const auto *endpoint = std::get_if<EndpointRecord>(&record);
+            const auto revision = endpoint != nullptr ? endpoint->revision : std::get<EndpointRemoved>(record).revision;
+            changes.items.push_back({record, revision, line});
+        }
+        return changes;
+    }
+    static std::string joinWatch(std::uint64_t revision, const std::vector<std::string> &items)
+    {
+        auto body = std::to_string(revision) + " -\n";
+        for (const auto &item : items) {
+            body += item + "\n";
+        }
+        return body;
+    }
     static StoreStatus storeStatus(std::uint32_t status)
     {
         if (status == 410) {
--- a/tests/unit/direct_fixture.h
+++ b/tests/unit/direct_fixture.h
@@ -13,6 +13,8 @@
 inline const std::string engineService = "engines";
 inline const std::string plainService = "plain";
 inline const std::string modelName = "base";
+inline const std::string addressOne = "10.0.1.1:80";
+inline const std::string addressTwo = "10.0.1.2:80";
 
 inline DirectRoute routeTo(const std::string &prefix, const std::string &service, RepeatRule repeat)
 {
--- /dev/null
+++ b/tests/unit/direct_news_test.cpp
@@ -0,0 +1,156 @@
+// What entries hear of engines between changes, and what they make of an engine of which they hear nothing.
+#include "direct_fixture.h"
+
+namespace anvilscale {
+namespace {
+
+using test::addressOne;
+using test::addressTwo;
+using test::stateWith;
+
+constexpr PeerHandle entry{1};
+
+class News : public testing::Test
+{
+protected:
+    News()
+    {
+        news_.update(stateWith({"a"}));
+    }
+    /// The entry has got all that was told to it, and says so.
+    void acknowledge()
+    {
+        const auto message = news_.messageFor(entry);
+        ASSERT_TRUE(message.has_direct_state());
+        news_.entryHas(entry, message.direct_state().sequence());
+    }
+
+    StateNews news_;
+};
+
+TEST_F(News, AnEntryThatHasTheStateHearsOnlyOfTheLoad)
+{
+    acknowledge();
+    auto state = stateWith({"a"});
+    state.set_unread_tokens(500);
+    state.set_room(1);
+    news_.update(state);
+    const auto message = news_.messageFor(entry);
+    ASSERT_TRUE(message.has_direct_heartbeat());
+    EXPECT_EQ(message.direct_heartbeat().unread_tokens(), 500U);
+    EXPECT_EQ(message.direct_heartbeat().room(), 1U);
+    EXPECT_LT(5 * message.ByteSizeLong(), 200U) << "a fifth of what a state of a full engine takes";
+}
+
+TEST_F(News, AChangeIsToldWhole)
+{
+    acknowledge();
+    news_.update(stateWith({"a", "b"}));
+    EXPECT_TRUE(news_.messageFor(entry).has_direct_state());
+    EXPECT_TRUE(news_.messageFor(entry).has_direct_heartbeat()) << "and only once";
+}
+
+// A whole state is lost on its way: the entry would take heartbeats for news of a state that it does not have. What it
+// says next names the one before, and the lost one is told again.
+TEST_F(News, ALostStateIsToldAgain)
+{
+    acknowledge();
+    news_.update(stateWith({"a", "b"}));
+    const auto lost = news_.messageFor(entry).direct_state().sequence();
+    news_.entryHas(entry, lost - 1);
+    const auto again = news_.messageFor(entry);
+    ASSERT_TRUE(again.has_direct_state());
+    EXPECT_EQ(again.direct_state().sequence(), lost);
+}
+
+TEST_F(News, AnEntryThatNeverNamesAStateGetsWholeOnes)
+{
+    news_.entryHas(entry, 0);
+    EXPECT_TRUE(news_.messageFor(entry).has_direct_state());
+    EXPECT_TRUE(news_.messageFor(entry).has_direct_state());
+}
+
+class HeardEngines : public test::Calls
+{
+protected:
+    HeardEngines()
+    {
+        for (const auto &[id, address] : {std::pair("e-1", addressOne), std::pair("e-2", addressTwo)}) {
+            calls_.applyEndpoint(test::endpointOf(id, test::engineService, address), now_);
+            calls_.applyState(address, told(id, {"a", "b"}), now_);
+        }
+        take<SendWishes>();
+    }
+    static wire::DirectState told(const std::string &id, const std::vector<std::string> &adapters)
+    {
+        auto state = stateWith(adapters);
+        state.set_sequence(7);
+        state.set_endpoint_id(id);
+        state.set_interval_ms(250);
+        return state;
+    }
+    void hear(const std::string &address, std::uint64_t sequence = 7)
+    {
+        wire::DirectHeartbeat heartbeat;
+        heartbeat.set_state_sequence(sequence);
+        calls_.applyHeartbeat(address, heartbeat, now_);
+    }
+    /// Ids of the engines that get the next calls.
+    std::set<std::string> chosen()
+    {
+        std::set<std::string> ids;
+        for (int i = 0; i < 24; ++i) {
+            arrive("/s/x", i % 2 == 0 ? "a" : "b");
+            for (const auto &send : take<SendCall>()) {
+                ids.insert(send.endpointId);
+            }
+        }
+        return ids;
+    }
+};
+
+TEST_F(HeardEngines, HeartbeatsKeepAStateAlive)
+{
+    for (int i = 0; i < 20; ++i) {
+        pass(Milliseconds(250));
+        hear(addressOne);
+        hear(addressTwo);
+    }
+    EXPECT_EQ(chosen(), (std::set<std::string>{"e-1", "e-2"}));
+}
+
+// Callers get no event and leave after some seconds. An engine's VM stops, its sidecar with it; for as long as no call
+// of this entry had waited there for longer than nearly all others, further ones were sent. The engine reads them when
+// it wakes, although their callers have left. Its sidecar is silent from the first moment, which is what tells.
+TEST_F(HeardEngines, AnEngineWhoseSidecarFallsSilentGetsNoMoreCalls)
+{
+    for (int i = 0; i < 2; ++i) {
+        pass(Milliseconds(250));
+        hear(addressOne);
+    }
+    EXPECT_EQ(chosen(), std::set<std::string>{"e-1"});
+}
+
+TEST_F(HeardEngines, AHeartbeatOfAnotherStateIsNoNews)
+{
+    for (int i = 0; i < 2; ++i) {
+        pass(Milliseconds(250));
+        hear(addressOne);
+        hear(addressTwo, 8);
+    }
+    EXPECT_EQ(chosen(), std::set<std::string>{"e-1"});
+}
+
+// A sidecar's process ends while its engine goes on: its connection says so at once, and the engine keeps its calls.
+TEST_F(HeardEngines, AnEngineWhoseSidecarHasEndedKeepsItsCalls)
+{
+    pass(Milliseconds(250));
+    hear(addressOne);
+    calls_.sidecarLost(addressTwo);
+    pass(Milliseconds(250));
+    hear(addressOne);
+    EXPECT_EQ(chosen(), (std::set<std::string>{"e-1", "e-2"}));
+}
+
+} // namespace
+} // namespace anvilscale
