Popular adapters get copies: the price of a load is shared by the calls that the copy will serve; news of work sooner the more has moved

Change: sidecars tell how often an adapter was called lately, in powers of two; the price falls with it. All entries choose the same engine for the next copy. News of moved work come after an interval that shrinks with the work.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -154,6 +154,7 @@
     LoadPrice, ///< an adapter that is there already is preferred to a load
     OthersWork, ///< prompts of other entries' calls count as an engine's backlog
     PlannedWork, ///< so do prompts of calls that wait for an adapter there
+    Popularity, ///< the more often an adapter is called, the less a further copy of it counts as a price
     Awaited, ///< an adapter that calls wait for somewhere is not loaded elsewhere
     SlotQueue, ///< where all slots have running calls, a further adapter waits for one
     StoreForecast, ///< what the weight store takes lately decides which calls are refused
@@ -175,10 +176,10 @@
 struct EnumNames<Mechanism>
 {
     static constexpr std::array<std::string_view, enumCount<Mechanism>> table{
-        "kept_parts",    "home",           "load_price",    "others_work", "planned_work",    "awaited",
-        "slot_queue",    "store_forecast", "copies",        "slowness",    "avoidance",       "unreachable",
-        "early_refusal", "late_rank",      "in_time_first", "load_window", "learned_reading", "learned_loads",
-        "learned_runs",  "learned_orders"};
+        "kept_parts",    "home",          "load_price",     "others_work",   "planned_work", "popularity",
+        "awaited",       "slot_queue",    "store_forecast", "copies",        "slowness",     "avoidance",
+        "unreachable",   "early_refusal", "late_rank",      "in_time_first", "load_window",  "learned_reading",
+        "learned_loads", "learned_runs",  "learned_orders"};
 };
 
 /// Weights of the choice, as times by which a caller may wait longer for what they stand for. None is a property of a
@@ -188,7 +189,7 @@
     /// What a load from the weight store costs the others, on top of its own time. As 2.3 times the measured time of a
     /// load it kept calls at full engines where loads are slow: worth 0.56 against 0.63, six days of 24 VMs.
     double loadPriceMs = 630;
-    double homeMs = 200; ///< how much worse another engine must be for an absent adapter than its home
+    double homeMs = 200; ///< how much worse its home must be for a load of an absent adapter than another engine
     double otherCentreMs = 25; ///< bytes between data centres are paid for: worth of staying in one's own
     double failingMs = 3000; ///< for an endpoint that fails every call; less in proportion
     double avoidedMs = 8000; ///< for one that has just failed, is silent, or cannot be reached
@@ -526,7 +527,7 @@
     /// True while an order's effect has not been seen, so that the next report is wanted soon.
     bool waits() const;
     /// What entries are to know; `sequence` and `interval_ms` are left to the caller.
-    wire::DirectState state() const;
+    wire::DirectState state(TimePoint now) const;
     /// True if calls of this entry wait for an adapter.
     bool waitsFor(PeerHandle peer) const;
     /// Changes whenever something changes that entries wait for.
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -228,7 +228,7 @@
             return;
         }
         learnedDue_ = now + learnedInterval;
-        const auto state = keeper_.state();
+        const auto state = keeper_.state(now);
         logEvent(Event::LoadsLearned, {{"loadMs", std::uint64_t{state.load_ms()}},
                                        {"recentLoadMs", std::uint64_t{state.recent_load_ms()}},
                                        {"copyMs", std::uint64_t{state.copy_ms()}},
@@ -253,15 +253,23 @@
         const auto unread = keeper_.unreadTokens();
         const auto moved = unread > toldUnread_ ? unread - toldUnread_ : toldUnread_ - unread;
         const bool news = keeper_.revision() != toldRevision_;
-        if (now >= stateDue_ || ((news || moved >= unreadStep) && now - toldAt_ >= newsInterval())) {
+        const auto due = toldAt_ + (moved >= unreadStep ? newsInterval(moved) : newsInterval());
+        if (now >= stateDue_ || ((news || moved >= unreadStep) && now >= due)) {
             tellAll(now);
         } else if (news && keeper_.revision() != urgentRevision_) {
             tellWaiting(now);
-        } else if (moved >= unreadStep && stateDue_ > toldAt_ + newsInterval()) {
-            wakeAt(toldAt_ + newsInterval());
+        } else if (moved >= unreadStep && stateDue_ > due) {
+            wakeAt(due);
         }
     }
 
+    /// The more work has come or gone, the sooner entries hear of it: of an engine that many of them choose at the same
+    /// time, on old news, each would believe for half a second that it is free.
+    Duration newsInterval(std::uint64_t moved) const
+    {
+        return newsInterval() * unreadStep / moved;
+    }
+
     void sendOrder(const EngineOrder &order)
     {
         ask(Dialect::orderRequest(order, settings_.name()), keeper_.orderTimeout(),
@@ -283,9 +291,9 @@
             });
     }
 
-    void updateNews()
+    void updateNews(TimePoint now)
     {
-        auto state = keeper_.state();
+        auto state = keeper_.state(now);
         state.set_interval_ms(static_cast<std::uint32_t>(wholeMs(stateInterval())));
         state.set_shares_store(!settings_.direct().store().empty());
         news_.update(state);
@@ -298,7 +306,7 @@
         toldUnread_ = keeper_.unreadTokens();
         toldAt_ = now;
         wakeAt(now + stateInterval());
-        updateNews();
+        updateNews(now);
         for (const auto peer : peers_) {
             messenger_->sendTo(peer, news_.messageFor(peer));
         }
@@ -311,7 +319,7 @@
         if (stateDue_ > toldAt_ + newsInterval()) {
             wakeAt(std::max(now, toldAt_ + newsInterval()));
         }
-        updateNews();
+        updateNews(now);
         for (const auto peer : peers_) {
             if (keeper_.waitsFor(peer)) {
                 messenger_->sendTo(peer, news_.messageFor(peer));
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -47,7 +47,7 @@
     for (const auto &item : demand.wishes()) {
         const AdapterKey key{item.model(), item.adapter()};
         ofPeer[key] = Wish{item.waiting(), item.in_time(), item.running(), item.least_version()};
-        touch(key, item.started() + item.waiting(), now);
+        touch(key, item.started(), now);
     }
 }
 
@@ -252,15 +252,16 @@
     state.set_copies(static_cast<std::uint32_t>(loads.copies()));
 }
 
-void AdapterKeeper::Impl::tellAdapters(wire::DirectState &state) const
+void AdapterKeeper::Impl::tellAdapters(wire::DirectState &state, TimePoint now) const
 {
-    const auto add = [&state, this](const HeldAdapter &adapter, bool loading) {
+    const auto add = [&state, now, this](const HeldAdapter &adapter, bool loading) {
         auto &item = *state.add_adapters();
         item.set_model(adapter.model);
         item.set_adapter(adapter.adapter);
         item.set_version(adapter.version);
         item.set_loading(loading);
         const auto wish = wishFor({adapter.model, adapter.adapter});
+        item.set_recent_calls(recentCalls({adapter.model, adapter.adapter}, now));
         item.set_in_use(wish.running != 0 && adapter.version < wish.leastVersion);
     };
     std::uint32_t idle = 0;
@@ -282,7 +283,7 @@
     state.set_room(static_cast<std::uint32_t>(free) + idle);
 }
 
-wire::DirectState AdapterKeeper::Impl::state() const
+wire::DirectState AdapterKeeper::Impl::state(TimePoint now) const
 {
     wire::DirectState state;
     const auto tokens = promptTokens();
@@ -301,14 +302,14 @@
     for (const auto &model : report->models) {
         state.add_models(model);
     }
-    tellAdapters(state);
+    tellAdapters(state, now);
     tellLoadsAhead(state);
     return state;
 }
 
-wire::DirectState AdapterKeeper::state() const
+wire::DirectState AdapterKeeper::state(TimePoint now) const
 {
-    return impl_->state();
+    return impl_->state(now);
 }
 
 Duration AdapterKeeper::orderTimeout() const
--- a/src/direct/adapter_keeper_impl.h
+++ b/src/direct/adapter_keeper_impl.h
@@ -39,6 +39,8 @@
     void takeIncarnation(const std::string &id);
     void touch(const AdapterKey &key, std::uint32_t starts, TimePoint now);
     Wish wishFor(const AdapterKey &key) const;
+    /// Calls on it in the last seconds, rounded down to a power of two; 0 for few, which change too often to be told.
+    std::uint32_t recentCalls(const AdapterKey &key, TimePoint now) const;
     PromptTokens promptTokens() const;
 
     // The engine as it reports itself.
@@ -64,8 +66,8 @@
     Duration orderTimeout() const;
 
     // What entries are told.
-    wire::DirectState state() const;
-    void tellAdapters(wire::DirectState &state) const;
+    wire::DirectState state(TimePoint now) const;
+    void tellAdapters(wire::DirectState &state, TimePoint now) const;
     void tellLoadsAhead(wire::DirectState &state) const;
     void tellLoadTimes(wire::DirectState &state) const;
 
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -72,16 +72,34 @@
     return ms;
 }
 
+/// Where an adapter is held, and how often it is called.
+struct Holders
+{
+    std::uint32_t count = 0;
+    double recentCalls = 0; // at all of them, in the last seconds
+};
+
+// A load is paid for once, and serves all calls that come to the copy. While each call was to be worth a load of its
+// own, an adapter that half of the fleet had begun to ask for stayed in one or two engines, and its calls waited there
+// for seconds beside engines that had nothing to do.
+double priceShare(const Holders &holders, const DirectPolicy &policy)
+{
+    return policy.has(Mechanism::Popularity) ? 1 / (1 + holders.recentCalls / (holders.count + 1)) : 1;
+}
+
 // What a load costs the others; nothing where it is awaited already. While entries did not know what waits where, calls
-// on one absent adapter that came within a moment had it loaded into several engines.
-double loadPrice(const EndpointEntry &entry, const ChoiceQuery &query, const WaitForecast &wait, Presence presence,
-                 TimePoint now)
+// on one absent adapter that came within a moment had it loaded into several engines: they load it at its home.
+double loadPrice(const Scored &scored, const Scored *home, const ChoiceQuery &query, const WaitForecast &wait,
+                 const Holders &holders, TimePoint now)
 {
     const auto &policy = *query.policy;
     const AdapterName name{query.facts->model, query.facts->adapter};
-    const bool awaited = policy.has(Mechanism::Awaited) && entry.awaits(name, now);
-    const bool paid = presence == Presence::Absent && !name.second.empty() && !wait.hasCopy() && !awaited;
-    return paid && policy.has(Mechanism::LoadPrice) ? policy.loadPriceMs : 0;
+    const bool awaited = policy.has(Mechanism::Awaited) && scored.entry->awaits(name, now);
+    if (scored.presence != Presence::Absent || name.second.empty() || wait.hasCopy() || awaited) {
+        return 0;
+    }
+    const double price = policy.has(Mechanism::LoadPrice) ? policy.loadPriceMs * priceShare(holders, policy) : 0;
+    return price + (&scored != home && policy.has(Mechanism::Home) ? policy.homeMs : 0);
 }
 
 bool mayTake(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
@@ -97,16 +115,17 @@
     const auto key = prefixKey(*query.facts);
     const auto homeKey = hash64(query.facts->adapter, hash64(query.facts->model));
     const Scored *keeper = nullptr; // where the shared parts of the prompt are most likely kept
-    const Scored *home = nullptr;
-    bool residentSomewhere = false;
+    const Scored *home = nullptr; // where all entries would load it next
+    Holders holders;
     for (auto &scored : list) {
         scored.presence = scored.entry->presence(name, query.leastVersion, now);
-        const bool resident = scored.presence == Presence::Resident;
-        residentSomewhere = residentSomewhere || resident;
-        if (resident && (keeper == nullptr || rank(key, *scored.entry) > rank(key, *keeper->entry))) {
-            keeper = &scored;
-        }
-        if (home == nullptr || rank(homeKey, *scored.entry) > rank(homeKey, *home->entry)) {
+        if (scored.presence == Presence::Resident) {
+            ++holders.count;
+            holders.recentCalls += scored.entry->recentCalls(name, now);
+            if (keeper == nullptr || rank(key, *scored.entry) > rank(key, *keeper->entry)) {
+                keeper = &scored;
+            }
+        } else if (home == nullptr || rank(homeKey, *scored.entry) > rank(homeKey, *home->entry)) {
             home = &scored;
         }
     }
@@ -130,9 +149,7 @@
             const double loading = wait.presenceMs(scored.presence);
             scored.ms = std::max(loading, slowness * backlog) + slowness * (wait.plannedMs() + own);
         }
-        const bool preferred = &scored == home && !residentSomewhere && query.policy->has(Mechanism::Home);
-        scored.dislike = trouble(entry, query, now) + loadPrice(entry, query, wait, scored.presence, now)
-                         - (preferred ? query.policy->homeMs : 0);
+        scored.dislike = trouble(entry, query, now) + loadPrice(scored, home, query, wait, holders, now);
     }
 }
 
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -161,6 +161,12 @@
     return adapter != nullptr && adapter->in_use();
 }
 
+std::uint32_t EndpointEntry::recentCalls(const AdapterName &name, TimePoint now) const
+{
+    const auto *adapter = stateFresh(now) ? findAdapter(*state, name, false) : nullptr;
+    return adapter == nullptr ? 0 : adapter->recent_calls();
+}
+
 std::uint32_t EndpointEntry::heldVersion(const AdapterName &name, TimePoint now) const
 {
     if (stateFresh(now)) {
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -62,6 +62,8 @@
     bool awaits(const AdapterName &name, TimePoint now) const;
     /// True if an older version is there with calls on it: it cannot be replaced before they end.
     bool heldByRuns(const AdapterName &name, TimePoint now) const;
+    /// Calls on it here in the last seconds, as the sidecar told; 0: few.
+    std::uint32_t recentCalls(const AdapterName &name, TimePoint now) const;
     bool hasModel(const std::string &model, TimePoint now) const;
     bool stateFresh(TimePoint now) const;
     /// True if its sidecar has not been heard for longer than it leaves between two messages: the VM of both has
--- a/src/direct/keeper_orders.cpp
+++ b/src/direct/keeper_orders.cpp
@@ -2,6 +2,7 @@
 #include "adapter_keeper_impl.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 
 namespace anvilscale {
@@ -12,6 +13,7 @@
 constexpr Duration afterRejection = Milliseconds(500);
 // Half-life of an adapter's use, against the seconds in which popularity shifts.
 constexpr double useHalfLifeSeconds = 6.0;
+constexpr double leastToldCalls = 4; // of an adapter, before entries hear of its use
 // Adapters whose use is remembered: a sidecar lives for months and sees tens of thousands of them.
 constexpr std::size_t mostUses = 4096;
 constexpr Duration useLife = Seconds(60); // a use of before counts for less than a thousandth
@@ -45,6 +47,13 @@
     use.last = now;
 }
 
+std::uint32_t AdapterKeeper::Impl::recentCalls(const AdapterKey &key, TimePoint now) const
+{
+    const auto use = uses.find(key);
+    const double rate = use == uses.end() ? 0 : decayed(use->second.rate, use->second.last, now);
+    return rate < leastToldCalls ? 0 : std::bit_floor(static_cast<std::uint32_t>(rate));
+}
+
 EngineOrder AdapterKeeper::Impl::makeOrder(EngineOrderKind kind, const AdapterKey &key)
 {
     EngineOrder order;
--- a/tests/unit/direct_keeper_test.cpp
+++ b/tests/unit/direct_keeper_test.cpp
@@ -80,19 +80,19 @@
 {
     want({});
     keeper_.applyReport(reportOf(0, {}), now_);
-    EXPECT_FALSE(keeper_.state().leaving());
+    EXPECT_FALSE(keeper_.state(now_).leaving());
     const auto before = keeper_.revision();
     auto report = reportOf(0, {});
     report.leaving = true;
     keeper_.applyReport(report, now_);
-    EXPECT_TRUE(keeper_.state().leaving());
+    EXPECT_TRUE(keeper_.state(now_).leaving());
     EXPECT_GT(keeper_.revision(), before) << "news that entries are told at once";
     want({"a1"}, "i-2");
     const auto order = keeper_.nextOrder(now_);
     ASSERT_TRUE(order);
     keeper_.orderEnded(order->id, EngineOrderResult::OtherIncarnation, "i-2", now_);
-    EXPECT_EQ(keeper_.state().endpoint_id(), "i-2");
-    EXPECT_FALSE(keeper_.state().leaving());
+    EXPECT_EQ(keeper_.state(now_).endpoint_id(), "i-2");
+    EXPECT_FALSE(keeper_.state(now_).leaving());
 }
 
 TEST_F(Keeper, LoadsWhatCallsWaitFor)
@@ -141,7 +141,7 @@
     keeper_.applyReport(reportOf(1, {"a1", "a2"}), now_);
     pass(Seconds(1));
     EXPECT_FALSE(keeper_.nextOrder(now_));
-    EXPECT_EQ(keeper_.state().room(), 0U);
+    EXPECT_EQ(keeper_.state(now_).room(), 0U);
 }
 
 // The answer to a load is lost, and the engine may carry it out seconds later. The next order goes out at once and
@@ -218,12 +218,12 @@
     for (int i = 0; i < 12; ++i) {
         load("b" + std::to_string(i), Milliseconds(250));
     }
-    EXPECT_EQ(keeper_.state().loads_at_once(), 4U);
+    EXPECT_EQ(keeper_.state(now_).loads_at_once(), 4U);
     for (int i = 0; i < 8; ++i) {
         load("c" + std::to_string(i), Milliseconds(600));
     }
-    EXPECT_EQ(keeper_.state().loads_at_once(), 1U);
-    EXPECT_GE(keeper_.state().recent_load_ms(), 600U);
+    EXPECT_EQ(keeper_.state(now_).loads_at_once(), 1U);
+    EXPECT_GE(keeper_.state(now_).recent_load_ms(), 600U);
     auto demand = demandFor("i-1", {"a1", "a2", "a3"}, slots_);
     demand.mutable_wishes(1)->set_waiting(5);
     demand.mutable_wishes(2)->set_in_time(1);
@@ -232,8 +232,8 @@
     report.pending.push_back({modelName, "a1", 1});
     keeper_.applyReport(report, now_);
     EXPECT_FALSE(keeper_.nextOrder(now_));
-    EXPECT_EQ(keeper_.state().loads_ahead(), 2U);
-    EXPECT_EQ(keeper_.state().loads_in_time(), 1U);
+    EXPECT_EQ(keeper_.state(now_).loads_ahead(), 2U);
+    EXPECT_EQ(keeper_.state(now_).loads_in_time(), 1U);
     keeper_.applyReport(reportOf(loaded_, {"a1"}), now_);
     const auto order = keeper_.nextOrder(now_);
     ASSERT_TRUE(order);
@@ -255,7 +255,7 @@
     pass(Milliseconds(250));
     keeper_.applyReport(reportOf(1, {first->adapter}), now_);
     ASSERT_TRUE(keeper_.nextOrder(now_));
-    EXPECT_EQ(keeper_.state().loads_at_once(), 2U);
+    EXPECT_EQ(keeper_.state(now_).loads_at_once(), 2U);
 }
 
 TEST_F(Keeper, ReplacesAnOlderVersionOnceANewerOneIsNamed)
@@ -326,7 +326,7 @@
     const auto next = keeper_.nextOrder(now_);
     ASSERT_TRUE(next);
     EXPECT_EQ(next->expected, 301U);
-    EXPECT_EQ(keeper_.state().born(), 2000U);
+    EXPECT_EQ(keeper_.state(now_).born(), 2000U);
 }
 
 } // namespace
