--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -150,6 +150,7 @@
 /// any of them calls are served, later or at a higher price.
 enum class Mechanism : std::uint8_t {
     KeptParts, ///< a call goes where the shared parts of its prompt are likely kept
+    Sampling, ///< an engine for an absent adapter is sought among a few that are drawn at random
     Home, ///< entries that know nothing of each other load an absent adapter into the same engine
     LoadPrice, ///< an adapter that is there already is preferred to a load
     OthersWork, ///< prompts of other entries' calls count as an engine's backlog
@@ -176,10 +177,10 @@
 struct EnumNames<Mechanism>
 {
     static constexpr std::array<std::string_view, enumCount<Mechanism>> table{
-        "kept_parts",    "home",          "load_price",     "others_work",   "planned_work", "popularity",
-        "awaited",       "slot_queue",    "store_forecast", "copies",        "slowness",     "avoidance",
-        "unreachable",   "early_refusal", "late_rank",      "in_time_first", "load_window",  "learned_reading",
-        "learned_loads", "learned_runs",  "learned_orders"};
+        "kept_parts",      "sampling",      "home",          "load_price",     "others_work",   "planned_work",
+        "popularity",      "awaited",       "slot_queue",    "store_forecast", "copies",        "slowness",
+        "avoidance",       "unreachable",   "early_refusal", "late_rank",      "in_time_first", "load_window",
+        "learned_reading", "learned_loads", "learned_runs",  "learned_orders"};
 };
 
 /// Weights of the choice, as times by which a caller may wait longer for what they stand for. None is a property of a
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -12,6 +12,9 @@
 // A plain call's work where none has been measured yet, as a share of the time within which it should be answered.
 constexpr double plainShare = 0.2;
 
+// Engines among which a call whose adapter is absent seeks the one that is free soonest, besides its home.
+constexpr std::ptrdiff_t drawnEngines = 8;
+
 struct Scored
 {
     const EndpointEntry *entry = nullptr;
@@ -79,6 +82,14 @@
     double recentCalls = 0; // at all of them, in the last seconds
 };
 
+/// The engines as the call's adapter stands to them.
+struct Placement
+{
+    const EndpointEntry *keeper = nullptr; // where the shared parts of the prompt are most likely kept
+    const EndpointEntry *home = nullptr; // where all entries would load the adapter next
+    Holders holders;
+};
+
 // A load is paid for once, and serves all calls that come to the copy. While each call was to be worth a load of its
 // own, an adapter that half of the fleet had begun to ask for stayed in one or two engines, and its calls waited there
 // for seconds beside engines that had nothing to do.
@@ -89,8 +100,8 @@
 
 // What a load costs the others; nothing where it is awaited already. While entries did not know what waits where, calls
 // on one absent adapter that came within a moment had it loaded into several engines: they load it at its home.
-double loadPrice(const Scored &scored, const Scored *home, const ChoiceQuery &query, const WaitForecast &wait,
-                 const Holders &holders, TimePoint now)
+double loadPrice(const Scored &scored, const Placement &placement, const ChoiceQuery &query, const WaitForecast &wait,
+                 TimePoint now)
 {
     const auto &policy = *query.policy;
     const AdapterName name{query.facts->model, query.facts->adapter};
@@ -98,8 +109,9 @@
     if (scored.presence != Presence::Absent || name.second.empty() || wait.hasCopy() || awaited) {
         return 0;
     }
-    const double price = policy.has(Mechanism::LoadPrice) ? policy.loadPriceMs * priceShare(holders, policy) : 0;
-    return price + (&scored != home && policy.has(Mechanism::Home) ? policy.homeMs : 0);
+    const double price =
+        policy.has(Mechanism::LoadPrice) ? policy.loadPriceMs * priceShare(placement.holders, policy) : 0;
+    return price + (scored.entry != placement.home && policy.has(Mechanism::Home) ? policy.homeMs : 0);
 }
 
 bool mayTake(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
@@ -108,34 +120,66 @@
            && query.exclude->count(entry.record.id) == 0;
 }
 
-void scoreEngines(std::vector<Scored> &list, const ChoiceQuery &query, TimePoint now)
+Placement findPlacement(std::vector<Scored> &list, const ChoiceQuery &query, TimePoint now)
 {
     const AdapterName name{query.facts->model, query.facts->adapter};
-    const auto shared = sharedTokens(*query.facts);
     const auto key = prefixKey(*query.facts);
     const auto homeKey = hash64(query.facts->adapter, hash64(query.facts->model));
-    const Scored *keeper = nullptr; // where the shared parts of the prompt are most likely kept
-    const Scored *home = nullptr; // where all entries would load it next
-    Holders holders;
+    Placement placement;
     for (auto &scored : list) {
-        scored.presence = scored.entry->presence(name, query.leastVersion, now);
+        const auto &entry = *scored.entry;
+        scored.presence = entry.presence(name, query.leastVersion, now);
         if (scored.presence == Presence::Resident) {
-            ++holders.count;
-            holders.recentCalls += scored.entry->recentCalls(name, now);
-            if (keeper == nullptr || rank(key, *scored.entry) > rank(key, *keeper->entry)) {
-                keeper = &scored;
+            ++placement.holders.count;
+            placement.holders.recentCalls += entry.recentCalls(name, now);
+            if (placement.keeper == nullptr || rank(key, entry) > rank(key, *placement.keeper)) {
+                placement.keeper = &entry;
             }
-        } else if (home == nullptr || rank(homeKey, *scored.entry) > rank(homeKey, *home->entry)) {
-            home = &scored;
+        } else if (placement.home == nullptr || rank(homeKey, entry) > rank(homeKey, *placement.home)) {
+            placement.home = &entry;
         }
     }
-    if (!query.policy->has(Mechanism::KeptParts)) {
-        keeper = nullptr;
+    return placement;
+}
+
+/// Leaves the engines that the adapter has to do with, and of the others a few that are drawn at random. What is known
+/// of the others is some tenths of a second old in each entry: while all of them chose the best of all, the calls of
+/// half a second went to the same few engines, and waited there for seconds. The best of some random ones is nearly as
+/// good and another one for each call; it also bounds the work of a choice in a large fleet.
+void drawCandidates(std::vector<Scored> &list, const Placement &placement, const ChoiceQuery &query, TimePoint now)
+{
+    if (!query.policy->has(Mechanism::Sampling)) {
+        return;
+    }
+    const AdapterName name{query.facts->model, query.facts->adapter};
+    const auto others = std::partition(list.begin(), list.end(), [&](const Scored &scored) {
+        const auto &entry = *scored.entry;
+        return scored.presence != Presence::Absent || &entry == placement.home || entry.loadsFast(name)
+               || entry.awaits(name, now);
+    });
+    if (list.end() - others <= drawnEngines) {
+        return;
     }
+    const auto tie = hash64(query.facts->requestId);
+    const auto order = [&](const Scored &scored) {
+        const bool avoided = trouble(*scored.entry, query, now) >= query.policy->avoidedMs;
+        return std::pair(avoided, rank(tie, *scored.entry));
+    };
+    std::nth_element(others, others + drawnEngines, list.end(),
+                     [&](const Scored &a, const Scored &b) { return order(a) < order(b); });
+    list.erase(others + drawnEngines, list.end());
+}
+
+void scoreEngines(std::vector<Scored> &list, const ChoiceQuery &query, TimePoint now)
+{
+    const auto shared = sharedTokens(*query.facts);
+    const auto placement = findPlacement(list, query, now);
+    drawCandidates(list, placement, query, now);
+    const auto *keeper = query.policy->has(Mechanism::KeptParts) ? placement.keeper : nullptr;
     for (auto &scored : list) {
         const auto &entry = *scored.entry;
         const WaitForecast wait(entry, query, now);
-        const double kept = &scored == keeper ? shared : 0;
+        const double kept = &entry == keeper ? shared : 0;
         scored.fresh = shared + ownTokens(*query.facts) - kept;
         scored.work = query.learned->reading.work(scored.fresh, kept);
         const double backlog = wait.backlogMs();
@@ -149,7 +193,7 @@
             const double loading = wait.presenceMs(scored.presence);
             scored.ms = std::max(loading, slowness * backlog) + slowness * (wait.plannedMs() + own);
         }
-        scored.dislike = trouble(entry, query, now) + loadPrice(scored, home, query, wait, holders, now);
+        scored.dislike = trouble(entry, query, now) + loadPrice(scored, placement, query, wait, now);
     }
 }
 
