News of waiting calls and loads come as soon as news of unread prompts

Cause: waits for adapters were told every half second at most unless prompts were unread; ten entries placed calls at an engine with room for one.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -533,8 +533,9 @@
     bool waitsFor(PeerHandle peer) const;
     /// Changes whenever something changes that entries wait for.
     std::uint64_t revision() const;
-    /// Prompt tokens that all entries together have under way at the engine.
-    std::uint64_t unreadTokens() const;
+    /// What all entries together have under way at the engine or will send there, as tokens to be read; a load that is
+    /// waited for counts as some of them. Entries have to hear soon of much work that comes or goes.
+    std::uint64_t pendingWork() const;
     const Counters<EngineOrderResult> &results() const;
 
 private:
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -108,7 +108,7 @@
     static constexpr Duration shortestInterval = Milliseconds(250);
 
     // Work that entries have sent is told to the others in steps of some 80 ms of reading.
-    static constexpr std::uint64_t unreadStep = 3000; // tokens
+    static constexpr std::uint64_t workStep = 3000; // tokens
     // Least time between two messages to an entry that waits for nothing, for each entry that listens: news age with
     // the number of entries, while the messages of one sidecar stay at some 125 a second.
     static constexpr Duration newsIntervalPerEntry = Milliseconds(8);
@@ -250,15 +250,15 @@
         if (const auto order = keeper_.nextOrder(now)) {
             sendOrder(*order);
         }
-        const auto unread = keeper_.unreadTokens();
-        const auto moved = unread > toldUnread_ ? unread - toldUnread_ : toldUnread_ - unread;
+        const auto work = keeper_.pendingWork();
+        const auto moved = work > toldWork_ ? work - toldWork_ : toldWork_ - work;
         const bool news = keeper_.revision() != toldRevision_;
-        const auto due = toldAt_ + (moved >= unreadStep ? newsInterval(moved) : newsInterval());
-        if (now >= stateDue_ || ((news || moved >= unreadStep) && now >= due)) {
+        const auto due = toldAt_ + (moved >= workStep ? newsInterval(moved) : newsInterval());
+        if (now >= stateDue_ || ((news || moved >= workStep) && now >= due)) {
             tellAll(now);
         } else if (news && keeper_.revision() != urgentRevision_) {
             tellWaiting(now);
-        } else if (moved >= unreadStep && stateDue_ > due) {
+        } else if (moved >= workStep && stateDue_ > due) {
             wakeAt(due);
         }
     }
@@ -267,7 +267,7 @@
     /// time, on old news, each would believe for half a second that it is free.
     Duration newsInterval(std::uint64_t moved) const
     {
-        return newsInterval() * unreadStep / moved;
+        return newsInterval() * workStep / moved;
     }
 
     void sendOrder(const EngineOrder &order)
@@ -303,7 +303,7 @@
     {
         toldRevision_ = keeper_.revision();
         urgentRevision_ = toldRevision_;
-        toldUnread_ = keeper_.unreadTokens();
+        toldWork_ = keeper_.pendingWork();
         toldAt_ = now;
         wakeAt(now + stateInterval());
         updateNews(now);
@@ -353,7 +353,7 @@
     bool reachable_ = true;
     std::uint64_t toldRevision_ = 0; // that all entries know
     std::uint64_t urgentRevision_ = 0; // that the waiting entries know
-    std::uint64_t toldUnread_ = 0;
+    std::uint64_t toldWork_ = 0; // that all entries know
     TimePoint toldAt_{};
     TimePoint learnedDue_{};
     TimePoint stateDue_{};
--- a/src/direct/adapter_keeper.cpp
+++ b/src/direct/adapter_keeper.cpp
@@ -10,6 +10,8 @@
 
 // An accepted order shows in the engine's report within some milliseconds; after this long it is taken as lost.
 constexpr Duration longestAwait = Milliseconds(1000);
+// Tokens that an engine reads while an adapter is loaded for which there is room, roughly.
+constexpr std::uint64_t workOfLoad = 3000;
 
 std::uint32_t roundUp(double ms)
 {
@@ -219,9 +221,9 @@
     return sum;
 }
 
-void AdapterKeeper::Impl::tellLoadsAhead(wire::DirectState &state) const
+std::map<AdapterKeeper::Impl::AdapterKey, bool> AdapterKeeper::Impl::awaitedAdapters() const
 {
-    std::map<AdapterKey, bool> ahead; // whether a call that waits for it can be in time
+    std::map<AdapterKey, bool> ahead;
     for (const auto &[peer, ofPeer] : wishes) {
         for (const auto &[key, wish] : ofPeer) {
             if (wish.waiting != 0 && held(key) == nullptr && !isPending(key)) {
@@ -229,6 +231,12 @@
             }
         }
     }
+    return ahead;
+}
+
+void AdapterKeeper::Impl::tellLoadsAhead(wire::DirectState &state) const
+{
+    const auto ahead = awaitedAdapters();
     for (const auto &[key, inTime] : ahead) {
         auto &item = *state.add_awaited();
         item.set_model(key.first);
@@ -330,9 +338,10 @@
                           [](const auto &wish) { return wish.second.waiting != 0; });
 }
 
-std::uint64_t AdapterKeeper::unreadTokens() const
+std::uint64_t AdapterKeeper::pendingWork() const
 {
-    return impl_->promptTokens().unread;
+    const auto tokens = impl_->promptTokens();
+    return tokens.unread + tokens.waiting + workOfLoad * impl_->awaitedAdapters().size();
 }
 
 std::uint64_t AdapterKeeper::revision() const
--- a/src/direct/adapter_keeper_impl.h
+++ b/src/direct/adapter_keeper_impl.h
@@ -68,6 +68,8 @@
     // What entries are told.
     wire::DirectState state(TimePoint now) const;
     void tellAdapters(wire::DirectState &state, TimePoint now) const;
+    /// Adapters that calls wait for and that are not on their way; whether one of the calls can be in time.
+    std::map<AdapterKey, bool> awaitedAdapters() const;
     void tellLoadsAhead(wire::DirectState &state) const;
     void tellLoadTimes(wire::DirectState &state) const;
 
