Calls that wait at an address which changed hands are placed anew at once

Cause: the endpoint was forgotten with the first refusal, and calls that waited there for an adapter were thought over up to a second later.

--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -70,7 +70,7 @@
 void DirectCalls::Impl::onRefused(CallHandle handle, DirectCall &call, EndpointRefusal refusal, TimePoint now)
 {
     if (refusal == EndpointRefusal::OtherIncarnation && endpointOf(call) != nullptr) {
-        endpoints.remove(call.endpointId); // another one has its address: the one meant is gone
+        forgetEndpoint(*endpointOf(call), now); // another one has its address: the one meant is gone
     }
     if (refusal == EndpointRefusal::NotLoaded) {
         // The adapter has just gone, or is an older version: asked for again at once.
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -108,6 +108,7 @@
     void shareRetries(TimePoint now);
     void route(CallHandle handle, DirectCall &call, TimePoint now);
     void rerouteWaiting(EndpointEntry &entry, TimePoint now);
+    void forgetEndpoint(EndpointEntry &entry, TimePoint now);
     void routeAgain(const std::set<CallHandle> &waiting, TimePoint now);
     void onRestarted(EndpointEntry &entry, std::uint64_t born, TimePoint now);
     /// What is known of the process that the call was placed at; nullptr if that process is over.
--- a/src/direct/endpoint_news.cpp
+++ b/src/direct/endpoint_news.cpp
@@ -32,13 +32,17 @@
 
 void DirectCalls::removeEndpoint(const std::string &id, TimePoint now)
 {
-    auto *entry = impl_->endpoints.find(id);
-    if (entry == nullptr) {
-        return;
+    if (auto *entry = impl_->endpoints.find(id)) {
+        impl_->forgetEndpoint(*entry, now);
     }
-    entry->record.leaving = true;
-    impl_->rerouteWaiting(*entry, now);
-    impl_->endpoints.remove(id);
+}
+
+// Calls that wait for an adapter there would do so until they are thought over, up to a second later.
+void DirectCalls::Impl::forgetEndpoint(EndpointEntry &entry, TimePoint now)
+{
+    entry.record.leaving = true;
+    rerouteWaiting(entry, now);
+    endpoints.remove(std::string(entry.record.id));
 }
 
 // An endpoint that leaves or has crashed takes no new calls, also none that have waited there since before.
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -244,6 +244,23 @@
     }
 }
 
+// The same of an engine at which another call waits for its adapter: nobody will load it there. It is placed anew with
+// the refusal, and does not wait until it is thought over, up to a second later.
+TEST_F(Calls, CallsThatWaitWhereAnAddressChangedHandsArePlacedAnew)
+{
+    addEngine("e-1", "10.0.1.1:80", {"a1"});
+    arrive("/s/x", "a2");
+    ASSERT_EQ(calls_.stats().waitedForAdapter, 1U);
+    arrive("/s/x", "a1");
+    const auto refused = sent();
+    addEngine("e-2", "10.0.1.2:80", {"a1", "a2"});
+    end(refused, AttemptEnd::Refused, EndpointRefusal::OtherIncarnation);
+    const auto again = take<SendCall>();
+    ASSERT_EQ(again.size(), 2U);
+    EXPECT_EQ(again[0].endpointId, "e-2");
+    EXPECT_EQ(again[1].endpointId, "e-2");
+}
+
 TEST_F(Calls, ACallThatCannotBeServedIsRefusedAtOnce)
 {
     arrive("/i/x");
