A sidecar counts as silent beside others that are heard, not by the clock; bounded news of work; each engine is ranked once a draw

Read in the code before the landing: an entry that was paused itself would have taken all sidecars for silent but those it knows nothing of, and sent every call there (test); a burst of work could have been told every fraction of a millisecond; the draw compared by figures that it worked out anew for each comparison.

--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -106,6 +106,7 @@
     // entries listen, it costs little to be heard more often.
     static constexpr Duration longestInterval = Milliseconds(500);
     static constexpr Duration shortestInterval = Milliseconds(250);
+    static constexpr Duration leastInterval = Milliseconds(20); // between two messages, however much work has moved
 
     // Work that entries have sent is told to the others in steps of some 80 ms of reading.
     static constexpr std::uint64_t workStep = 3000; // tokens
@@ -267,7 +268,8 @@
     /// time, on old news, each would believe for half a second that it is free.
     Duration newsInterval(std::uint64_t moved) const
     {
-        return newsInterval() * workStep / moved;
+        const auto least = std::max<Duration>(leastInterval, newsInterval() / 8);
+        return std::max<Duration>(least, newsInterval() * workStep / moved);
     }
 
     void sendOrder(const EngineOrder &order)
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -144,6 +144,7 @@
     query.objective = call.objective;
     query.learned = &learned[call.service];
     query.policy = &init.policy;
+    query.heard = endpoints.lastHeard();
     return query;
 }
 
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -23,6 +23,7 @@
     double work = 0; // of reading them, in tokens of a short prompt
     double ms = 0; // until the first byte
     double readingMs = 0; // part of it, without the endpoint's slowness
+    std::pair<bool, std::uint64_t> draw{}; // the lowest are drawn: first those that are not avoided, then at random
     double dislike = 0; // on top: what speaks against the endpoint without making a call late
     double sum() const
     {
@@ -70,7 +71,7 @@
     if (policy.has(Mechanism::Unreachable)) {
         // While only a silent engine was avoided, one that stopped with its VM got calls until some of them had waited
         // for longer than nearly all others: they were read when it woke, after their callers had left.
-        ms += entry.toldUnreachable(now) || entry.sidecarSilent(now) ? policy.avoidedMs : 0;
+        ms += entry.toldUnreachable(now) || entry.sidecarSilent(query.heard) ? policy.avoidedMs : 0;
     }
     return ms;
 }
@@ -161,12 +162,12 @@
         return;
     }
     const auto tie = hash64(query.facts->requestId);
-    const auto order = [&](const Scored &scored) {
-        const bool avoided = trouble(*scored.entry, query, now) >= query.policy->avoidedMs;
-        return std::pair(avoided, rank(tie, *scored.entry));
-    };
+    for (auto it = others; it != list.end(); ++it) {
+        const bool avoided = trouble(*it->entry, query, now) >= query.policy->avoidedMs;
+        it->draw = {avoided, rank(tie, *it->entry)};
+    }
     std::nth_element(others, others + drawnEngines, list.end(),
-                     [&](const Scored &a, const Scored &b) { return order(a) < order(b); });
+                     [](const Scored &a, const Scored &b) { return a.draw < b.draw; });
     list.erase(others + drawnEngines, list.end());
 }
 
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -21,6 +21,7 @@
     Duration objective{}; // of the call's route
     const ServiceEstimates *learned = nullptr; // of the service
     const DirectPolicy *policy = nullptr;
+    TimePoint heard{}; // the last message of any sidecar
 };
 
 struct Choice
--- a/src/direct/endpoint_news.cpp
+++ b/src/direct/endpoint_news.cpp
@@ -74,6 +74,7 @@
 void DirectCalls::applyState(const std::string &address, const wire::DirectState &state, TimePoint now)
 {
     auto *entry = impl_->endpoints.findByAddress(address);
+    impl_->endpoints.noteHeard(now);
     if (entry == nullptr || entry->isOutdated(state)) {
         return;
     }
@@ -96,6 +97,7 @@
 
 void DirectCalls::applyHeartbeat(const std::string &address, const wire::DirectHeartbeat &heartbeat, TimePoint now)
 {
+    impl_->endpoints.noteHeard(now);
     if (auto *entry = impl_->endpoints.findByAddress(address)) {
         entry->applyHeartbeat(heartbeat, now);
     }
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -52,13 +52,13 @@
     return state && now - stateAt < stateLife;
 }
 
-bool EndpointEntry::sidecarSilent(TimePoint now) const
+bool EndpointEntry::sidecarSilent(TimePoint heard) const
 {
     if (!state) {
         return false; // it is not connected: its process has ended, which says nothing of the engine
     }
     const Duration interval = state->interval_ms() == 0 ? usualInterval : Milliseconds(state->interval_ms());
-    return now - stateAt > interval + interval / 2 + lateMessage;
+    return heard - stateAt > interval + interval / 2 + lateMessage;
 }
 
 bool EndpointEntry::toldUnreachable(TimePoint now) const
@@ -323,6 +323,16 @@
     return result;
 }
 
+void EndpointTable::noteHeard(TimePoint now)
+{
+    lastHeard_ = now;
+}
+
+TimePoint EndpointTable::lastHeard() const
+{
+    return lastHeard_;
+}
+
 void EndpointTable::remove(const std::string &id)
 {
     byId_.erase(id);
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -66,9 +66,11 @@
     std::uint32_t recentCalls(const AdapterName &name, TimePoint now) const;
     bool hasModel(const std::string &model, TimePoint now) const;
     bool stateFresh(TimePoint now) const;
-    /// True if its sidecar has not been heard for longer than it leaves between two messages: the VM of both has
-    /// probably stopped, long before anybody else can tell.
-    bool sidecarSilent(TimePoint now) const;
+    /// True if its sidecar has not been heard for longer than it leaves between two messages, while others were until
+    /// `heard`: the VM of both has probably stopped, long before anybody else can tell. Counted from the last message
+    /// of any sidecar and not by the clock: to an entry that was paused itself, all would seem silent but those that
+    /// it knows nothing of, which would get all its calls.
+    bool sidecarSilent(TimePoint heard) const;
     /// True if the sidecar beside it cannot reach it: it has crashed, long before its record lapses in the store.
     bool toldUnreachable(TimePoint now) const;
     /// True if it has said that it takes no new calls, in the store or to its sidecar: whichever is heard first.
@@ -107,6 +109,9 @@
     /// The entry, to be told of before it goes; nullptr if it is not known.
     EndpointEntry *find(const std::string &id);
     EndpointEntry *findByAddress(const std::string &address);
+    /// A message of some sidecar has come.
+    void noteHeard(TimePoint now);
+    TimePoint lastHeard() const;
     void remove(const std::string &id);
     std::map<std::string, EndpointEntry> &all();
     const std::map<std::string, EndpointEntry> &all() const;
@@ -118,6 +123,7 @@
     std::map<std::string, EndpointEntry> byId_;
     std::optional<std::set<std::string>> services_; // none: no configuration yet
     std::uint64_t lastLife_ = 0;
+    TimePoint lastHeard_{};
 };
 
 } // namespace anvilscale
--- a/src/direct/store_sharer.cpp
+++ b/src/direct/store_sharer.cpp
@@ -16,8 +16,8 @@
 {
     const EndpointEntry *best = nullptr;
     for (const auto &[id, entry] : impl_->endpoints.all()) {
-        const bool shares = entry.stateFresh(now) && !entry.sidecarSilent(now) && entry.state->shares_store()
-                            && entry.state->entries() >= leastEntries;
+        const bool shares = entry.stateFresh(now) && !entry.sidecarSilent(impl_->endpoints.lastHeard())
+                            && entry.state->shares_store() && entry.state->entries() >= leastEntries;
         const auto failed = impl_->failedSharers.find(entry.record.address);
         const bool avoided = failed != impl_->failedSharers.end() && now < failed->second;
         if (!shares || avoided || entry.superseded || entry.leaves(now)) {
--- a/tests/unit/direct_news_test.cpp
+++ b/tests/unit/direct_news_test.cpp
@@ -141,6 +141,18 @@
     EXPECT_EQ(chosen(), std::set<std::string>{"e-1"});
 }
 
+// An entry's own process is held up. To it no engine has been heard, and one whose sidecar is not connected would seem
+// the best of all: every call would go there.
+TEST_F(HeardEngines, AnEntryThatWasHeldUpTakesNobodyForSilent)
+{
+    auto unheard = test::endpointOf("e-3", test::engineService, "10.0.1.3:80");
+    unheard.models = {test::modelName};
+    unheard.adapters = {{test::modelName, "a", 1}, {test::modelName, "b", 1}};
+    calls_.applyEndpoint(unheard, now_);
+    now_ += Milliseconds(1200);
+    EXPECT_EQ(chosen(), (std::set<std::string>{"e-1", "e-2", "e-3"}));
+}
+
 // A sidecar's process ends while its engine goes on: its connection says so at once, and the engine keeps its calls.
 TEST_F(HeardEngines, AnEngineWhoseSidecarHasEndedKeepsItsCalls)
 {
