A question to a sidecar names the store that the entry follows

Read in the code before the landing: after a change of direct.store the entries follow the new store while sidecars ask the old one until they are restarted; revisions of two stores have nothing in common. A late answer to the follower before is none to the present one either.

--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -339,6 +339,7 @@
         ask.set_call(call);
         ask.set_after(after);
         ask.set_wait_ms(static_cast<std::uint32_t>(wholeMs(wait)));
+        ask.set_store(settings_.direct().store());
         messenger_->sendTo(askedSharer_, message);
         return true;
     }
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -163,21 +163,23 @@
             return;
         }
         const auto follower = storeFollowerInit(settings_, incarnation_);
-        storeShare_ = std::make_unique<StoreShare<Dialect>>(loop_, StoreShareInit{follower.address, follower.times},
-                                                            [this](PeerHandle entry, const wire::StoreNews &news) {
-                                                                wire::Envelope message;
-                                                                *message.mutable_store_news() = news;
-                                                                messenger_->sendTo(entry, message);
-                                                            });
+        const StoreShareInit init{settings_.direct().store(), follower.address, follower.times};
+        const auto answer = [this](PeerHandle entry, const wire::StoreNews &news) {
+            wire::Envelope message;
+            *message.mutable_store_news() = news;
+            messenger_->sendTo(entry, message);
+        };
+        storeShare_ = std::make_unique<StoreShare<Dialect>>(loop_, init, answer);
     }
 
     void onStoreAsk(PeerHandle entry, const wire::StoreAsk &ask)
     {
-        loop_.post([this, question = StoreQuestion{entry, ask.call(), ask.after(), Milliseconds(ask.wait_ms())}] {
-            if (storeShare_) {
-                storeShare_->ask(question);
-            }
-        });
+        loop_.post(
+            [this, question = StoreQuestion{entry, ask.store(), ask.call(), ask.after(), Milliseconds(ask.wait_ms())}] {
+                if (storeShare_) {
+                    storeShare_->ask(question);
+                }
+            });
     }
 
     /// One exchange with the engine; `done` gets its head and body, or none, in the control thread.
--- a/src/daemon/store_follower.h
+++ b/src/daemon/store_follower.h
@@ -494,7 +494,8 @@
     std::set<std::string> seen_; // endpoints of the present full read
     std::map<std::string, Lapse> lapsed_; // gone from the store
     bool sharedAsked_ = false; // invariant: no call of its own is under way meanwhile
-    std::uint64_t sharedCall_ = 0; // the last question to a sidecar
+    // The last question to a sidecar. Begins at the clock: a late answer to the follower before is none to this one.
+    std::uint64_t sharedCall_ = static_cast<std::uint64_t>(loop_.now().time_since_epoch().count());
 };
 
 } // namespace anvilscale
--- a/src/daemon/store_share.h
+++ b/src/daemon/store_share.h
@@ -10,6 +10,7 @@
 
 struct StoreShareInit
 {
+    std::string store; ///< as the settings name it
     std::string address; ///< of the store, "IP:PORT"
     StoreTimes times;
 };
@@ -18,6 +19,7 @@
 struct StoreQuestion
 {
     PeerHandle entry;
+    std::string store; ///< that the entry follows
     std::uint64_t call = 0; ///< names the answer
     std::uint64_t after = 0; ///< revision up to which the entry knows all
     Duration wait{}; ///< longest time until the store is asked
@@ -34,6 +36,7 @@
 
     StoreShare(Loop &loop, const StoreShareInit &init, Answer answer)
         : loop_(loop)
+        , store_(init.store)
         , silence_(init.times.silence)
         , answer_(std::move(answer))
         , client_(loop, clientInit(init))
@@ -49,6 +52,11 @@
 
     void ask(const StoreQuestion &question)
     {
+        if (question.store != store_) {
+            // Settings have changed for the entry and not here: the revisions of two stores have nothing in common.
+            answer_(question.entry, newsFor(question, false));
+            return;
+        }
         waiting_.push_back({question, loop_.now() + question.wait});
         schedule();
     }
@@ -194,6 +202,7 @@
     }
 
     Loop &loop_;
+    std::string store_;
     Duration silence_; // without an answer: the call is given up
     Answer answer_;
     Client client_;
--- a/tests/unit/store_share_test.cpp
+++ b/tests/unit/store_share_test.cpp
@@ -20,8 +20,9 @@
 class SharingFleet
 {
 public:
-    SharingFleet()
-        : share_(loop, StoreShareInit{"10.0.0.1:80", storeTimes(bound)},
+    explicit SharingFleet(std::string store = sidecarsStore)
+        : entriesStore(std::move(store))
+        , share_(loop, StoreShareInit{sidecarsStore, "10.0.0.1:80", storeTimes(bound)},
                  [this](PeerHandle entry, const wire::StoreNews &news) { answer(entry, news); })
     {
         loop.change("a", false);
@@ -39,7 +40,10 @@
         loop.run(Seconds(5));
     }
 
+    static inline const std::string sidecarsStore = "http://10.0.0.1:80";
+
     VirtualLoop loop;
+    std::string entriesStore; ///< that the entries' settings name
     bool sidecarSilent = false; ///< takes questions and answers none
     bool sidecarChosen = true; ///< entries put their questions to it
 
@@ -98,7 +102,7 @@
             }
             loop.at(loop.now() + messageTime, [this, index, call, after, wait] {
                 if (!sidecarSilent) {
-                    share_.ask({PeerHandle{index + 1}, call, after, wait});
+                    share_.ask({PeerHandle{index + 1}, entriesStore, call, after, wait});
                 }
             });
             return true;
@@ -188,6 +192,18 @@
     }
 }
 
+// The operators have named another store in the entries' settings; the sidecar is still to be restarted. Its revisions
+// have nothing to do with the new store's: an entry that took its word would know nothing of what the new one tells.
+TEST(StoreShare, ASidecarOfAnotherStoreIsNoSource)
+{
+    SharingFleet fleet("http://10.0.0.2:80");
+    EXPECT_FALSE(fleet.sidecarChosen);
+    const auto since = fleet.loop.now();
+    fleet.loop.change("a", true);
+    fleet.loop.run(Seconds(5));
+    EXPECT_LE(fleet.longestLateness("a", since), bound);
+}
+
 // Endpoints write their records anew with every adapter. Hundreds of such changes a second would go to each entry,
 // which hears of adapters from the sidecars.
 TEST(StoreShare, ChangesOfWhatEnginesHoldAreNotPassedOn)
