--- /dev/null
+++ b/tests/unit/direct_herd_test.cpp
@@ -0,0 +1,65 @@
+// Many entries that decide on the same old news: how their calls spread over the engines.
+#include "direct_fixture.h"
+
+namespace anvilscale::test {
+
+class Herd : public Calls
+{
+protected:
+    static constexpr int engines = 40;
+    static constexpr int entries = 30;
+    static constexpr std::uint64_t busyTokens = 20'000; // a second of reading
+    static inline const std::string freeEngine = "10.0.1.7:80";
+
+    /// Where the first call of each entry waits for its adapter, each of which is held nowhere; by address.
+    static std::map<std::string, int> placed(const DirectPolicy &policy, TimePoint now)
+    {
+        std::map<std::string, int> result;
+        for (int entry = 0; entry < entries; ++entry) {
+            DirectCallsInit init;
+            init.dataCentre = "dc";
+            init.policy = policy;
+            DirectCalls calls(init);
+            calls.applyConfig(configOf(1), now);
+            for (int i = 0; i < engines; ++i) {
+                const auto address = "10.0.1." + std::to_string(i) + ":80";
+                calls.applyEndpoint(endpointOf("e-" + std::to_string(i), engineService, address), now);
+                auto state = stateWith({});
+                state.set_unread_tokens(address == freeEngine ? 0 : busyTokens);
+                calls.applyState(address, state, now);
+            }
+            CallFacts facts;
+            facts.requestId = "entry" + std::to_string(entry);
+            facts.host = host;
+            facts.path = "/s/x";
+            facts.patience = Seconds(60);
+            facts.model = modelName;
+            facts.adapter = "a" + std::to_string(entry);
+            facts.promptTokens = 600;
+            calls.arrive(CallHandle{1}, facts, now);
+            for (const auto &action : calls.takeActions()) {
+                const auto *wishes = std::get_if<SendWishes>(&action);
+                if (wishes != nullptr && wishes->demand.waiting_tokens() != 0) {
+                    ++result[wishes->address];
+                }
+            }
+        }
+        return result;
+    }
+};
+
+// Callers wait for seconds at an engine that was free when it was last heard: within the half second until the next
+// news all entries send their calls there, each for an adapter of its own, and the engine has room for a few.
+TEST_F(Herd, EntriesDoNotAllChooseTheEngineThatLookedFree)
+{
+    const auto spread = placed(DirectPolicy{}, now_);
+    const auto atFree = spread.find(freeEngine);
+    const int count = atFree == spread.end() ? 0 : atFree->second;
+    EXPECT_GT(count, 0) << "it is free, and some choose it";
+    EXPECT_LE(count, entries / 2);
+    DirectPolicy all;
+    all.without = *readMechanisms("sampling");
+    EXPECT_EQ(placed(all, now_)[freeEngine], entries) << "what the draw is for";
+}
+
+} // namespace anvilscale::test
--- a/tests/unit/direct_keeper_test.cpp
+++ b/tests/unit/direct_keeper_test.cpp
@@ -329,5 +329,37 @@
     EXPECT_EQ(keeper_.state(now_).born(), 2000U);
 }
 
+// Ten entries place calls at an engine with room for one, within the half second until they hear of each other: what
+// waits counts as work that has moved, so that they hear sooner.
+TEST_F(Keeper, WorkThatWaitsCountsAsPending)
+{
+    keeper_.applyReport(reportOf(0, {}), now_);
+    EXPECT_EQ(keeper_.pendingWork(), 0U);
+    auto demand = demandFor("i-1", {"a"});
+    demand.set_unread_tokens(100);
+    demand.set_waiting_tokens(2000);
+    keeper_.applyDemand(PeerHandle{1}, demand, now_);
+    EXPECT_GT(keeper_.pendingWork(), 2100U) << "the load counts as well";
+    keeper_.peerLost(PeerHandle{1});
+    EXPECT_EQ(keeper_.pendingWork(), 0U);
+}
+
+TEST_F(Keeper, TellsHowOftenAnAdapterWasCalledLately)
+{
+    want({});
+    auto demand = demandFor("i-1", {});
+    auto &wish = *demand.add_wishes();
+    wish.set_model(modelName);
+    wish.set_adapter("a");
+    wish.set_started(40);
+    keeper_.applyDemand(PeerHandle{1}, demand, now_);
+    keeper_.applyReport(reportOf(1, {"a", "b"}), now_);
+    const auto state = keeper_.state(now_);
+    ASSERT_EQ(state.adapters_size(), 2);
+    EXPECT_EQ(state.adapters(0).recent_calls(), 32U);
+    EXPECT_EQ(state.adapters(1).recent_calls(), 0U);
+    EXPECT_EQ(keeper_.state(now_ + Seconds(60)).adapters(0).recent_calls(), 0U);
+}
+
 } // namespace
 } // namespace anvilscale
