Workspaces: keys decide who a caller is, allowances hold over all entries

Cause: nothing in the code knew of keys, workspaces or allowances.

Allowances: entries pool their equal parts of each allowance at a sidecar that they select by hash, which grants credit with an end. No owner is agreed on: a pool is filled for its members only, so that any split of the entries stays within the whole.

--- a/include/anvilscale/base.h
+++ b/include/anvilscale/base.h
@@ -22,6 +22,24 @@
 using Milliseconds = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
+/// Converts a duration to whole milliseconds.
+constexpr std::int64_t toMilliseconds(Duration span)
+{
+    return std::chrono::duration_cast<Milliseconds>(span).count();
+}
+constexpr double milliseconds(Duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+constexpr Duration fromMilliseconds(double ms)
+{
+    return Duration(static_cast<std::int64_t>(ms * 1000));
+}
+constexpr double toSeconds(Duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
 /// Monotonic clock of one process. Its values are never compared between processes.
 struct MonotonicClock
 {
@@ -249,6 +267,10 @@
     NotConfigured,
     Internal,
     RequestQuarantined, ///< too many endpoints crashed while running it
+    CallerKeyMissing, ///< no usable key where the route requires one
+    CallerKeyUnknown, ///< no workspace has the key
+    OverAllowance, ///< its workspace has used its allowance
+    AllowanceUnknown, ///< whether its workspace may use more could not be found out in time
     Count
 };
 template<>
@@ -282,7 +304,11 @@
                                                                                   "caller_gone",
                                                                                   "not_configured",
                                                                                   "internal",
-                                                                                  "request_quarantined"};
+                                                                                  "request_quarantined",
+                                                                                  "caller_key_missing",
+                                                                                  "caller_key_unknown",
+                                                                                  "over_allowance",
+                                                                                  "allowance_unknown"};
 };
 
 /// Reason for a further attempt. Each value has a counter.
--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -5,6 +5,7 @@
 #include "wire.pb.h"
 
 #include "anvilscale/base.h"
+#include "anvilscale/workspace.h"
 
 #include <bitset>
 #include <map>
@@ -50,7 +51,8 @@
     Duration timeout{}; ///< upper bound on a call's duration, set by the operator
     Duration objective{}; ///< time to the whole answer, or to the first event of a stream
     Duration firstByteLimit{}; ///< callers abandon a stream without a first event by then; 0: at their deadline
-    std::uint32_t priority = 0; ///< 0 is the most urgent
+    std::uint32_t priority = 0; ///< 0 is the most urgent; a workspace's own priority replaces it
+    bool isPublic = false; ///< callers need no key
     std::uint32_t maxEndpoints = 1; ///< maximum number of endpoints that one call is sent to
     std::vector<ServiceShare> services; ///< never empty
 };
@@ -93,6 +95,8 @@
     std::uint64_t version = 0;
     std::vector<DirectRoute> routes;
     std::vector<DirectService> services;
+    /// Empty if callers have no keys. An empty list admits no caller to a route that is not public.
+    std::optional<std::vector<Workspace>> workspaces;
     CallerLimits limits;
 
     const DirectService *service(std::string_view name) const;
@@ -237,16 +241,37 @@
     std::uint32_t tokens = 0;
 };
 
+/// Whether a request carries a caller's key.
+enum class KeyPresence : std::uint8_t {
+    Missing,
+    Malformed, ///< another scheme, no value, or several keys
+    Present,
+    Count
+};
+template<>
+struct EnumNames<KeyPresence>
+{
+    static constexpr std::array<std::string_view, enumCount<KeyPresence>> table{"missing", "malformed", "present"};
+};
+
+struct CallerKey
+{
+    KeyPresence presence = KeyPresence::Missing;
+    KeyDigest digest; ///< of a key that is present
+};
+
 /// Data of a call, taken from its request.
 struct CallInfo
 {
     std::string requestId;
+    CallerKey key;
     CallFingerprint fingerprint;
     std::string host;
     std::string path;
     std::string model; ///< empty for a plain service
     std::string adapter; ///< empty for the model alone
     std::uint32_t promptTokens = 0;
+    std::optional<std::uint64_t> countedTokens; ///< prompt and largest answer, if the request says so
     std::vector<PromptPart> parts; ///< in prompt order; the last one belongs to this call alone
     Duration callerTimeout{}; ///< time for which the caller waits
 };
@@ -317,6 +342,8 @@
     std::uint32_t priority = 0;
     std::uint32_t version = 0; ///< required version of the adapter; 0 for any
     TimePoint deadline; ///< deadline of the caller
+    bool hidesKey = false; ///< the caller's key is not forwarded
+    std::string workspace; ///< told to the endpoint; empty: none
     bool holdAnswer = false; ///< another attempt may follow: forward only a complete, successful answer
 };
 struct RefuseCall
@@ -343,12 +370,19 @@
     std::string address; ///< address of the endpoint
     wire::DirectDemand demand;
 };
+/// Sends the sidecar at this address a request for credit.
+struct AskAllowance
+{
+    std::string address; ///< address of the endpoint
+    wire::AllowanceAsk ask;
+};
 /// The process at this address has terminated: closes the idle connections to it.
 struct DropConnections
 {
     std::string address;
 };
-using DirectAction = std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, DropConnections>;
+using DirectAction =
+    std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, AskAllowance, DropConnections>;
 
 /// Finds routes by host and longest matching path prefix.
 class RouteTable
@@ -387,6 +421,7 @@
     std::string reason; ///< name of the RefusalReason or FailureReason; empty on success
     std::uint32_t status = 0; ///< of the endpoint's answer; 0 without an answer
     std::string service;
+    std::string workspace; ///< empty if unknown
     std::string adapter;
     std::string endpointId; ///< of the last decision
     std::uint32_t attempts = 0;
@@ -394,6 +429,7 @@
     Duration estimate{}; ///< estimated time to the first byte, at the last decision
     Duration stateAge{}; ///< age of the endpoint's state at the last decision; negative without a state
     Duration storeAge{}; ///< time since the last answer of the store, at the last decision
+    Duration allowanceWait{}; ///< until the credit of its workspace was known
     Duration adapterWait{};
     std::optional<Duration> firstByte;
     Duration longestPause{}; ///< longest interval between two parts of an event stream
@@ -415,12 +451,23 @@
 
 struct DirectCallsInit
 {
+    std::string entryName; ///< the same after a restart
+    AllowanceTimes allowanceTimes = anvilscale::allowanceTimes(Seconds(8), 0.1);
     std::string dataCentre;
     double retryRatio = 0.2; ///< share of a service's calls that all entries together may retry
     double retrySlack = 0; ///< additional retries of all entries together, within any few seconds
     DirectPolicy policy;
 };
 
+struct WorkspaceStats
+{
+    std::uint64_t calls = 0;
+    std::uint64_t overAllowance = 0; ///< refused calls
+    std::uint64_t answered = 0;
+};
+/// Bounds the number of metrics.
+constexpr std::size_t maxCountedWorkspaces = 64;
+
 struct DirectCallsStats
 {
     std::uint64_t calls = 0;
@@ -429,6 +476,8 @@
     std::uint64_t open = 0;
     std::uint64_t quarantined = 0; // requests put under quarantine
     Counters<AttemptEnd> ends;
+    AllowanceStats allowances;
+    std::map<std::string, WorkspaceStats> workspaces; ///< the first maxCountedWorkspaces; the rest under "other"
     Counters<EndpointRefusal> endpointRefusals;
     Counters<RefusalReason> refusals;
     Counters<RetryReason> retries;
@@ -456,7 +505,9 @@
     void applyState(const std::string &address, const wire::DirectState &state, TimePoint now);
     /// Updates the load figures of a state received before.
     void applyHeartbeat(const std::string &address, const wire::DirectHeartbeat &heartbeat, TimePoint now);
-    void onSidecarLost(const std::string &address);
+    void onSidecarLost(const std::string &address, TimePoint now);
+    /// Credit from the sidecar beside the endpoint at this address.
+    void onAllowanceAnswer(const std::string &address, const wire::AllowanceAnswer &answer, TimePoint now);
     /// The store has answered: all its earlier changes have been applied.
     void onStoreAnswered(TimePoint now);
     /// Address of the endpoint whose sidecar watches the store for this entry; empty if none does. All entries select
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -110,11 +110,6 @@
 void shutdownLog();
 /// Sets the minimum level. Thread-safe.
 void setLogLevel(LogLevel level);
-/// Converts a duration to whole milliseconds, for log fields.
-constexpr std::int64_t toMilliseconds(Duration span)
-{
-    return std::chrono::duration_cast<Milliseconds>(span).count();
-}
 /// Logs one event. Thread-safe.
 void logEvent(Event event, std::initializer_list<LogField> fields = {});
 /// Returns the line that logEvent() writes, without the time stamp; for tests.
@@ -153,6 +148,9 @@
             writeLabelled(name, label, toString(value), values.of(value));
         }
     }
+    /// Writes one line per label value.
+    void counters(std::string_view name, std::string_view help, std::string_view label,
+                  const std::vector<std::pair<std::string, std::uint64_t>> &values);
     void add(const HistogramMetric &histogram);
     const std::string &text() const
     {
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -289,12 +289,16 @@
                 control_.post([this, name, heartbeat = message.direct_heartbeat()](Now now) {
                     calls_.applyHeartbeat(name, heartbeat, now.mono);
                 });
+            } else if (message.has_allowance_answer()) {
+                control_.post([this, name, answer = message.allowance_answer()](Now now) {
+                    calls_.onAllowanceAnswer(name, answer, now.mono);
+                });
             } else if (message.has_store_news()) {
                 onSharedWatchAnswer(std::move(*message.mutable_store_news()));
             }
         };
         const auto discardState = [this](const std::string &name) {
-            control_.post([this, name](Now) { calls_.onSidecarLost(name); });
+            control_.post([this, name](Now now) { calls_.onSidecarLost(name, now.mono); });
         };
         handlers.targetUp = [discardState](const std::string &name) {
             logEvent(Event::MemberChanged, {{"sidecar", name}, {"state", "connected"}});
@@ -503,6 +507,10 @@
                 wire::Envelope message;
                 *message.mutable_direct_demand() = std::move(sendDemand->demand);
                 messenger_->sendTo(sendDemand->address, message);
+            } else if (auto *askAllowance = std::get_if<AskAllowance>(&action)) {
+                wire::Envelope message;
+                *message.mutable_allowance_ask() = std::move(askAllowance->ask);
+                messenger_->sendTo(askAllowance->address, message);
             } else {
                 trafficActions.push_back(std::move(action));
             }
@@ -512,7 +520,7 @@
         }
         callServer_->loop().post([this, trafficActions = std::move(trafficActions)] {
             for (const auto &action : trafficActions) {
-                std::visit(Overloaded{[](const SendDemand &) {},
+                std::visit(Overloaded{[](const SendDemand &) {}, [](const AskAllowance &) {},
                                       [this](const auto &relayAction) { relay_.perform(relayAction); }},
                            action);
             }
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -79,6 +79,7 @@
               {"reason", call.reason},
               {"status", std::uint64_t{call.status}},
               {"service", call.service},
+              {"workspace", call.workspace},
               {"adapter", call.adapter},
               {"fingerprint", call.fingerprint.text()},
               {"endpoint", call.endpointId},
@@ -87,6 +88,7 @@
               {"estimateMs", toMilliseconds(call.estimate)},
               {"stateAgeMs", toMilliseconds(call.stateAge)},
               {"storeAgeMs", toMilliseconds(call.storeAge)},
+              {"allowanceWaitMs", toMilliseconds(call.allowanceWait)},
               {"adapterWaitMs", toMilliseconds(call.adapterWait)},
               {"firstByteMs", call.firstByte ? toMilliseconds(*call.firstByte) : -1},
               {"pauseMs", toMilliseconds(call.longestPause)},
@@ -104,6 +106,25 @@
                  suppressedLines_);
 }
 
+namespace {
+
+void appendWorkspaceMetrics(MetricsText &text, const DirectCallsStats &stats)
+{
+    const auto append = [&](std::string_view name, std::string_view help, std::uint64_t WorkspaceStats::*value) {
+        std::vector<std::pair<std::string, std::uint64_t>> counts;
+        for (const auto &[workspace, counters] : stats.workspaces) {
+            counts.emplace_back(workspace, counters.*value);
+        }
+        text.counters(name, help, "workspace", counts);
+    };
+    append("anvilscale_workspace_calls_total", "calls that arrived, by workspace", &WorkspaceStats::calls);
+    append("anvilscale_workspace_answered_total", "calls that were answered, by workspace", &WorkspaceStats::answered);
+    append("anvilscale_workspace_over_allowance_total", "calls refused beyond the allowance, by workspace",
+           &WorkspaceStats::overAllowance);
+}
+
+} // namespace
+
 void appendDirectMetrics(MetricsText &text, const DirectCallsStats &stats)
 {
     text.counter("anvilscale_direct_calls_total", "calls that arrived", stats.calls);
@@ -116,6 +137,13 @@
     text.counters("anvilscale_direct_refusals_total", "calls refused by this entry", "reason", stats.refusals);
     text.counter("anvilscale_direct_quarantined_total", "requests that go to no endpoint, as too many ended under them",
                  stats.quarantined);
+    text.counter("anvilscale_allowance_requests_total", "requests for credit sent to sidecars", stats.allowances.asks);
+    text.counter("anvilscale_allowance_waits_total", "calls that waited for credit", stats.allowances.waits);
+    text.counter("anvilscale_allowance_pools_lost_total", "sidecars that did not answer a request for credit",
+                 stats.allowances.lostPools);
+    text.counter("anvilscale_allowance_own_part_total", "calls charged to this entry's own part, without a sidecar",
+                 stats.allowances.ownPart);
+    appendWorkspaceMetrics(text, stats);
     text.counters("anvilscale_direct_retries_total", "further attempts", "reason", stats.retries);
 }
 
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -152,6 +152,7 @@
 
 private:
     static constexpr std::uint32_t statusBadRequest = 400;
+    static constexpr std::uint32_t statusUnauthorized = 401;
     static constexpr std::uint32_t statusBadGateway = 502;
     static constexpr std::uint32_t statusGatewayTimeout = 504;
     // Maximum of answer bytes read from an endpoint and not yet sent to the caller.
@@ -193,6 +194,9 @@
             std::snprintf(text.data(), text.size(), "%.3f", seconds);
             reply.headers.emplace_back("Retry-After", text.data());
         }
+        if (status == statusUnauthorized) {
+            reply.headers.emplace_back("WWW-Authenticate", "Bearer");
+        }
         reply.body = "{\"error\":\"" + std::string(reason) + "\"}";
         return reply;
     }
--- a/src/daemon/direct_settings.cpp
+++ b/src/daemon/direct_settings.cpp
@@ -15,9 +15,17 @@
     return policy;
 }
 
+AllowanceTimes directAllowanceTimes(const settings::Settings &settings)
+{
+    const auto window = fromMilliseconds(1000 * settings.direct().allowance_window_seconds());
+    return allowanceTimes(window, settings.direct().allowance_overage());
+}
+
 DirectCallsInit directCallsInit(const settings::Settings &settings, const DirectPolicy &policy)
 {
     DirectCallsInit init;
+    init.entryName = settings.name();
+    init.allowanceTimes = directAllowanceTimes(settings);
     init.dataCentre = settings.data_centre();
     init.retryRatio = settings.direct().retry_ratio();
     init.retrySlack = settings.direct().retry_slack();
--- a/src/daemon/direct_settings.h
+++ b/src/daemon/direct_settings.h
@@ -10,6 +10,7 @@
 
 /// Returns the policy without the mechanisms that the settings disable, or an error for an unknown mechanism.
 tl::expected<DirectPolicy, StartError> directPolicy(const settings::Settings &settings);
+AllowanceTimes directAllowanceTimes(const settings::Settings &settings);
 DirectCallsInit directCallsInit(const settings::Settings &settings, const DirectPolicy &policy);
 StoreWatcherInit storeWatcherInit(const settings::Settings &settings, std::uint64_t incarnation);
 CrashReporterInit crashReporterInit(const settings::Settings &settings, std::uint64_t incarnation);
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -120,6 +120,7 @@
         , incarnation_(newIncarnation())
         // Fencing number in milliseconds: grows with each start on this VM, the only sender of orders.
         , controller_(incarnation_ / 1000, policy)
+        , allowancePools_(directAllowanceTimes(settings))
         , control_([this](Now now) { afterEvents(now.mono); })
         , loop_("engine")
     {
@@ -132,6 +133,13 @@
             if (message.has_store_ask()) {
                 onSharedWatchRequest(peer, message.store_ask());
             }
+            if (message.has_allowance_ask()) {
+                control_.post([this, peer, ask = message.allowance_ask()](Now now) {
+                    wire::Envelope reply;
+                    *reply.mutable_allowance_answer() = allowancePools_.answer(ask, now.mono);
+                    messenger_->sendTo(peer, reply);
+                });
+            }
             if (!message.has_direct_demand()) {
                 return;
             }
@@ -357,6 +365,7 @@
     settings::Settings settings_;
     std::uint64_t incarnation_;
     AdapterController controller_; // control thread, as are the members below up to nextStateAt_
+    AllowancePools allowancePools_; // control thread
     std::set<PeerHandle> entries_; // entries that have sent a demand
     StatePublisher statePublisher_;
     bool isReadingReport_ = false;
--- /dev/null
+++ b/src/direct/call_admission.cpp
@@ -0,0 +1,160 @@
+// Admission of calls: the workspace of the caller's key, and the credit of that workspace.
+#include "direct_calls_impl.h"
+#include "sidecar_selection.h"
+
+#include <algorithm>
+
+namespace anvilscale {
+
+namespace {
+
+constexpr std::uint32_t statusTooManyRequests = 429;
+// Interval at which the sidecars that hold the pools are selected.
+constexpr Duration poolSelectionInterval = Milliseconds(200);
+// Longer than most pauses of a VM, so that a pool does not move twice for one pause.
+constexpr Duration poolAvoidanceTime = Seconds(2);
+
+} // namespace
+
+void DirectCalls::Impl::applyWorkspaces()
+{
+    workspaces = WorkspaceTable(config->workspaces.value_or(std::vector<Workspace>{}));
+    hasLimitedWorkspaces = config->workspaces
+                           && std::any_of(config->workspaces->begin(), config->workspaces->end(),
+                                          [](const Workspace &workspace) { return workspace.allowance.isLimited(); });
+    const bool hasSidecars = std::any_of(config->services.begin(), config->services.end(),
+                                         [](const DirectService &service) { return service.engine.has_value(); });
+    allowances->applyConfig(config->version, !hasSidecars);
+    nextPoolSelectionAt = TimePoint{};
+}
+
+RefusalReason DirectCalls::Impl::identifyCaller(DirectCall &call, const DirectRoute &route)
+{
+    if (!config->workspaces) {
+        return RefusalReason::None;
+    }
+    const bool hasKey = call.info.key.presence == KeyPresence::Present;
+    const auto *workspace = hasKey ? workspaces.findByKey(call.info.key.digest) : nullptr;
+    if (workspace == nullptr) {
+        const auto reason = hasKey ? RefusalReason::CallerKeyUnknown : RefusalReason::CallerKeyMissing;
+        return route.isPublic ? RefusalReason::None : reason;
+    }
+    call.workspace = workspace->name;
+    call.priority = workspace->priority.value_or(call.priority);
+    if (auto *counters = countersOf(call.workspace)) {
+        ++counters->calls;
+    }
+    return RefusalReason::None;
+}
+
+WorkspaceStats *DirectCalls::Impl::countersOf(const std::string &workspace)
+{
+    if (workspace.empty()) {
+        return nullptr;
+    }
+    const auto found = stats.workspaces.find(workspace);
+    if (found != stats.workspaces.end()) {
+        return &found->second;
+    }
+    return &stats.workspaces[stats.workspaces.size() < maxCountedWorkspaces ? workspace : "other"];
+}
+
+void DirectCalls::Impl::chargeCall(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    const auto *workspace = call.workspace.empty() ? nullptr : workspaces.find(call.workspace);
+    if (workspace == nullptr || !workspace->allowance.isLimited()) {
+        startCall(handle, call, now);
+        return;
+    }
+    call.step = CallStep::Admission;
+    call.allowanceCost = workspace->allowance.cost(call.info.countedTokens);
+    const auto charge = allowances->charge(*workspace, handle, call.allowanceCost, now);
+    if (charge.result == ChargeResult::Refused) {
+        refuseCharge(handle, charge.refusal, charge.retryAfter, now);
+    } else if (charge.result == ChargeResult::Granted) {
+        call.creditUntil = charge.creditUntil;
+        startCall(handle, call, now);
+    }
+}
+
+void DirectCalls::Impl::refuseCharge(CallHandle handle, RefusalReason reason, Duration retryAfter, TimePoint now)
+{
+    const bool isOver = reason == RefusalReason::OverAllowance;
+    auto *counters = countersOf(calls.at(handle).workspace);
+    if (isOver && counters != nullptr) {
+        ++counters->overAllowance;
+    }
+    refuse(handle, isOver ? statusTooManyRequests : statusUnavailable, reason, retryAfter, now);
+}
+
+void DirectCalls::Impl::updateAllowances(TimePoint now)
+{
+    if (!hasLimitedWorkspaces) {
+        return;
+    }
+    for (const auto &decision : allowances->takeDecisions()) {
+        const auto found = calls.find(decision.call);
+        if (found == calls.end() || found->second.step != CallStep::Admission) {
+            continue;
+        }
+        auto &call = found->second;
+        call.allowanceWait = now - call.arrivedAt;
+        if (decision.refusal != RefusalReason::None) {
+            refuseCharge(decision.call, decision.refusal, decision.retryAfter, now);
+            continue;
+        }
+        call.creditUntil = decision.creditUntil;
+        startCall(decision.call, call, now);
+    }
+    for (auto &request : allowances->takeRequests(now)) {
+        actions.emplace_back(AskAllowance{std::move(request.address), std::move(request.ask)});
+    }
+    stats.allowances = allowances->stats();
+}
+
+void DirectCalls::Impl::selectPools(TimePoint now)
+{
+    if (!hasLimitedWorkspaces) {
+        return;
+    }
+    allowances->tick(now);
+    for (const auto &address : allowances->takeSilentPools()) {
+        avoidedPools[address] = now + poolAvoidanceTime;
+        nextPoolSelectionAt = now;
+    }
+    if (now < nextPoolSelectionAt) {
+        return;
+    }
+    nextPoolSelectionAt = now + poolSelectionInterval;
+    std::erase_if(avoidedPools, [now](const auto &item) { return item.second <= now; });
+    for (std::uint32_t group = 0; group < allowanceGroups; ++group) {
+        const auto acceptsAny = [](const wire::DirectState &) { return true; };
+        const auto address = selectSidecar(endpoints, group + 1, avoidedPools, now, acceptsAny);
+        allowances->setPoolAddress(group, address, now);
+    }
+}
+
+void DirectCalls::Impl::releaseCredit(CallHandle handle, const DirectCall &call, EndedOutcome outcome, TimePoint now)
+{
+    if (outcome == EndedOutcome::Answered) {
+        if (auto *counters = countersOf(call.workspace)) {
+            ++counters->answered;
+        }
+    }
+    if (call.allowanceCost == 0) {
+        return;
+    }
+    if (call.step == CallStep::Admission) {
+        allowances->cancel(call.workspace, handle);
+    } else if (call.executionCount == 0 && outcome == EndedOutcome::Refused) {
+        allowances->refund(call.workspace, call.allowanceCost, call.creditUntil, now);
+    }
+}
+
+void DirectCalls::onAllowanceAnswer(const std::string &address, const wire::AllowanceAnswer &answer, TimePoint now)
+{
+    impl_->allowances->onAnswer(address, answer, now);
+    impl_->updateAllowances(now);
+}
+
+} // namespace anvilscale
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -153,6 +153,7 @@
 {
     const auto node = calls.extract(handle);
     const auto &call = node.mapped();
+    releaseCredit(handle, call, outcome, now);
     EndedCall done;
     done.requestId = call.info.requestId;
     done.fingerprint = call.info.fingerprint;
@@ -160,6 +161,7 @@
     done.reason = reason;
     done.status = status;
     done.service = call.service;
+    done.workspace = call.workspace;
     done.adapter = call.info.adapter;
     done.endpointId = call.endpointId;
     done.attempts = call.attempt;
@@ -167,6 +169,7 @@
     done.estimate = call.estimate;
     done.stateAge = call.stateAge;
     done.storeAge = call.storeAge;
+    done.allowanceWait = call.allowanceWait;
     done.adapterWait = call.adapterWait;
     done.firstByte = call.firstByte;
     done.longestPause = call.longestPause;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr std::uint32_t statusUnauthorized = 401;
 constexpr std::uint32_t statusNotFound = 404;
 // Upper bound: estimates beyond it do not predict when capacity is available.
 constexpr Duration maxRetryAfter = Seconds(2);
@@ -54,6 +55,7 @@
     : impl_(std::make_unique<Impl>())
 {
     impl_->init = std::move(init);
+    impl_->allowances.emplace(impl_->init.entryName, impl_->init.allowanceTimes);
 }
 
 DirectCalls::~DirectCalls() = default;
@@ -74,6 +76,7 @@
         services.insert(service.name);
     }
     impl_->endpoints.setServices(std::move(services));
+    impl_->applyWorkspaces();
     return true;
 }
 
@@ -107,12 +110,23 @@
     const bool limited = route->firstByteLimit > Duration(0);
     call.firstByteBy = limited ? std::min(call.deadline, now + route->firstByteLimit) : call.deadline;
     call.info = std::move(info);
-    impl.retryAllowances[call.service].onFirstAttempt(impl.init.retryRatio, impl.maxRetryBalance);
+    auto &stored = impl.calls.insert_or_assign(handle, std::move(call)).first->second;
+    if (const auto reason = impl.identifyCaller(stored, *route); reason != RefusalReason::None) {
+        impl.refuse(handle, statusUnauthorized, reason, Duration(0), now);
+        return;
+    }
+    impl.chargeCall(handle, stored, now);
+    impl.updateAllowances(now);
+}
+
+void DirectCalls::Impl::startCall(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    call.step = CallStep::Waiting;
+    retryAllowances[call.service].onFirstAttempt(init.retryRatio, maxRetryBalance);
     if (call.isEngine) {
-        ++impl.callsByModel[call.info.model];
+        ++callsByModel[call.info.model];
     }
-    auto &stored = impl.calls.insert_or_assign(handle, std::move(call)).first->second;
-    impl.routeCall(handle, stored, now);
+    routeCall(handle, call, now);
 }
 
 EndpointEntry *DirectCalls::Impl::findEndpoint(const DirectCall &call)
@@ -260,6 +274,8 @@
     action.priority = computeRank(call, now);
     action.version = call.version;
     action.deadline = call.deadline;
+    action.hidesKey = config->workspaces.has_value();
+    action.workspace = call.workspace;
     action.holdAnswer = call.isRepeatable() && call.executionCount + 1 < call.maxEndpoints;
     actions.emplace_back(std::move(action));
 }
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -14,6 +14,7 @@
 constexpr Duration defaultRetryAfter = Milliseconds(500);
 
 enum class CallStep : std::uint8_t {
+    Admission, ///< waits for credit of its workspace
     Waiting, ///< for its adapter at `endpointId`
     Sent,
     Count
@@ -22,6 +23,10 @@
 struct DirectCall
 {
     CallInfo info;
+    std::string workspace; // empty if unknown
+    double allowanceCost = 0; // charged to the workspace; 0 if it is not limited
+    TimePoint creditUntil{}; // a call that is not run gives its credit back until then
+    Duration allowanceWait{};
     std::string service;
     bool isEngine = false;
     RepeatRule repeat = RepeatRule::NonIdempotent;
@@ -87,6 +92,11 @@
     std::optional<DirectConfig> config;
     TimePoint configuredAt{}; // when the first configuration was applied
     RouteTable routes;
+    WorkspaceTable workspaces;
+    std::optional<AllowanceAccounts> allowances;
+    bool hasLimitedWorkspaces = false;
+    TimePoint nextPoolSelectionAt{};
+    std::map<std::string, TimePoint> avoidedPools; // addresses, and until when each is avoided
     EndpointTable endpoints;
     std::map<AdapterName, std::uint32_t> publishedVersions; // latest version published by the operator
     std::map<CallHandle, DirectCall> calls;
@@ -109,6 +119,19 @@
     void recordFirstByte(const DirectCall &call, EndpointEntry &entry, TimePoint now);
     void recordRun(const DirectCall &call, TimePoint now);
     void updateRetryShare(TimePoint now);
+    void applyWorkspaces();
+    /// Finds the workspace of the call; returns the reason for a refusal if its key does not admit it.
+    RefusalReason identifyCaller(DirectCall &call, const DirectRoute &route);
+    /// Starts the call, refuses it, or keeps it until its credit is known.
+    void chargeCall(CallHandle handle, DirectCall &call, TimePoint now);
+    void refuseCharge(CallHandle handle, RefusalReason reason, Duration retryAfter, TimePoint now);
+    /// Performs the decisions on calls that waited for credit, and sends requests for credit.
+    void updateAllowances(TimePoint now);
+    void selectPools(TimePoint now);
+    /// Returns the credit of a call that ends without having run.
+    void releaseCredit(CallHandle handle, const DirectCall &call, EndedOutcome outcome, TimePoint now);
+    WorkspaceStats *countersOf(const std::string &workspace);
+    void startCall(CallHandle handle, DirectCall &call, TimePoint now);
     void routeCall(CallHandle handle, DirectCall &call, TimePoint now);
     void rerouteWaiting(EndpointEntry &entry, TimePoint now);
     void dropEndpoint(EndpointEntry &entry, TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -35,6 +35,8 @@
     impl_->checkDeadlines(now);
     impl_->checkWaitingCalls(now);
     impl_->sendDemands(now);
+    impl_->selectPools(now);
+    impl_->updateAllowances(now);
 }
 
 void DirectCalls::Impl::checkDeadlines(TimePoint now)
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -129,8 +129,10 @@
     impl_->storeAnsweredAt = now;
 }
 
-void DirectCalls::onSidecarLost(const std::string &address)
+void DirectCalls::onSidecarLost(const std::string &address, TimePoint now)
 {
+    impl_->allowances->onPoolLost(address, now);
+    impl_->nextPoolSelectionAt = now;
     if (auto *entry = impl_->endpoints.findByAddress(address)) {
         entry->onSidecarLost();
     }
--- a/src/direct/estimates.h
+++ b/src/direct/estimates.h
@@ -8,15 +8,6 @@
 
 namespace anvilscale {
 
-constexpr double milliseconds(Duration span)
-{
-    return std::chrono::duration<double, std::milli>(span).count();
-}
-constexpr Duration fromMilliseconds(double ms)
-{
-    return Duration(static_cast<std::int64_t>(ms * 1000));
-}
-
 /// Limit of an engine on concurrent adapter loads.
 constexpr std::uint32_t maxEngineLoads = 4;
 
--- a/src/residency/sidecar_loads.cpp
+++ b/src/residency/sidecar_loads.cpp
@@ -22,11 +22,6 @@
     return std::min(Duration(base.count() << std::min(doublings, maxDoublings)), maxDelay);
 }
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 void SidecarDecisions::Impl::planLoads(Now now)
--- a/src/routing/load_value.cpp
+++ b/src/routing/load_value.cpp
@@ -10,11 +10,6 @@
 
 // Required ratio of prefetch value to victim value. Prevents two adapters from evicting each other in turn.
 constexpr double prefetchHysteresis = 2.0;
-constexpr double toSeconds(Duration duration)
-{
-    return static_cast<double>(duration.count()) * 1e-6;
-}
-
 } // namespace
 
 double loadValue(const Demand &demand, const LoadValueContext &context)
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -101,6 +101,15 @@
     text_.append(std::to_string(value)).append("\n");
 }
 
+void MetricsText::counters(std::string_view name, std::string_view help, std::string_view label,
+                           const std::vector<std::pair<std::string, std::uint64_t>> &values)
+{
+    writeHeader(name, help, "counter");
+    for (const auto &[labelValue, value] : values) {
+        writeLabelled(name, label, labelValue, value);
+    }
+}
+
 void MetricsText::add(const HistogramMetric &histogram)
 {
     histogram.render(text_);
--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -87,15 +87,17 @@
         return std::regex_search(readLog("entry-1"), line);
     }
 
-    static std::string config(unsigned version, const std::string &plainPrefix)
+    /// `workspaces`: text of a further member of the configuration, beginning with a comma.
+    static std::string config(unsigned version, const std::string &plainPrefix, const std::string &workspaces = {})
     {
         const auto route = [](const std::string &prefix, const std::string &type, const std::string &service) {
             return R"({"name":")" + prefix + R"(","hostname":"h.example","prefix":")" + prefix + R"(","type":")" + type
                    + R"(","timeout_ms":6000,"target_latency_ms":1000,"max_attempts":2,"service":")" + service + R"("})";
         };
         return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + route("/s/", "streaming", "engines")
-               + "," + route("/i/", "idempotent", "plain") + "," + route(plainPrefix, "non_idempotent", "plain")
-               + R"(],"services":[{"name":"engines","engine":{"adapter_slots":2,"weights_mb":1000,"models":)"
+               + "," + route("/i/", "idempotent", "plain") + "," + route(plainPrefix, "non_idempotent", "plain") + "]"
+               + workspaces
+               + R"(,"services":[{"name":"engines","engine":{"adapter_slots":2,"weights_mb":1000,"models":)"
                + R"([{"name":"base","weights_mb":800,"adapter_mb":50}]}},{"name":"plain"}],"limits":{}})";
     }
     static std::string record(const std::string &service, const std::string &address,
@@ -145,6 +147,15 @@
         }
         return request(httpPort_, "POST", path, "body " + id, headers);
     }
+    Answer callWithKey(const std::string &path, const std::string &id, const std::string &key) const
+    {
+        return request(httpPort_, "POST", path, "body " + id,
+                       {{"Host", "h.example"},
+                        {"X-Anvilscale-Request-Id", id},
+                        {"X-Anvilscale-Deadline-Ms", "5000"},
+                        {"X-Anvilscale-Tenant", "forged"},
+                        {"Authorization", "Bearer " + key}});
+    }
     /// Returns all bytes of the answer up to the end of the connection.
     std::string rawCall(const std::string &path, const std::string &id, const std::string &adapter) const
     {
--- a/tests/standins/site_replica.cpp
+++ b/tests/standins/site_replica.cpp
@@ -1,5 +1,5 @@
 // Stand-in for a replica of the users' platform: a model engine with adapter slots, or a plain service without slots.
-// GET /standin returns executed calls and received orders. POST /standin sets:
+// GET /standin returns executed calls with their workspaces and received orders. POST /standin sets:
 //   {"fault": "break" | "refuse" | "foreign" | "mute", "times": N}  fault of the next N calls
 //   {"lostOrders": N}     the next N orders are executed, but not answered
 //   {"id": "i-2"}         restarts the replica under another id
@@ -78,6 +78,8 @@
         }
         JsonObject status;
         status.set("ran", executedIds_);
+        status.set("workspaces", workspaces_);
+        status.set("receivedKey", hasReceivedKey_);
         status.set("turnedAway", refusedCalls_);
         status.set("overfull", hasExceededSlots_);
         status.set("orders", orders_);
@@ -204,6 +206,8 @@
                 return;
             }
             executedIds_.add(id);
+            workspaces_.add(id + "=" + request.get("X-Anvilscale-Tenant", ""));
+            hasReceivedKey_ = hasReceivedKey_ || request.has("Authorization");
             if (!crashOn_.empty() && body.find(crashOn_) != std::string::npos) {
                 closeConnection(request);
                 return;
@@ -267,6 +271,8 @@
     int refusedCalls_ = 0;
     bool hasExceededSlots_ = false; // more adapters were loaded than there are slots
     Array executedIds_;
+    Array workspaces_; // of executed calls, as REQUEST=WORKSPACE
+    bool hasReceivedKey_ = false; // a caller's key was passed on
     Array orders_;
 };
 
--- a/tests/unit/direct_updates_test.cpp
+++ b/tests/unit/direct_updates_test.cpp
@@ -155,7 +155,7 @@
 {
     advance(Milliseconds(250));
     sendHeartbeat(addressOne);
-    calls_.onSidecarLost(addressTwo);
+    calls_.onSidecarLost(addressTwo, now_);
     advance(Milliseconds(250));
     sendHeartbeat(addressOne);
     EXPECT_EQ(chosen(), (std::set<std::string>{"e-1", "e-2"}));
--- a/tests/unit/site_dialect_test.cpp
+++ b/tests/unit/site_dialect_test.cpp
@@ -1,11 +1,14 @@
 // Tests of the adapter to the users' platform: conversion of its messages to the project's types.
 #include "site_dialect.h"
 
+#include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Parser.h>
+#include <Poco/String.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <sstream>
 
 namespace anvilscale {
@@ -94,6 +97,66 @@
     EXPECT_EQ(headerValue(request, "X-Anvilscale-Request-Id"), "9c41");
 }
 
+struct KeyCase
+{
+    HttpHeaders headers;
+    KeyPresence presence;
+};
+
+TEST(SiteCalls, KeyIsReadFromOneBearerHeader)
+{
+    const std::vector<KeyCase> cases{
+        {{}, KeyPresence::Missing},
+        {{{"authorization", "bearer   abc "}}, KeyPresence::Present},
+        {{{"Authorization", "Bearer abc"}}, KeyPresence::Present},
+        {{{"Authorization", "Bearer"}}, KeyPresence::Malformed},
+        {{{"Authorization", ""}}, KeyPresence::Malformed},
+        {{{"Authorization", "Basic abc"}}, KeyPresence::Malformed},
+        {{{"Authorization", "Bearer abc def"}}, KeyPresence::Malformed},
+        {{{"Authorization", "Bearer abc"}, {"AUTHORIZATION", "Bearer abc"}}, KeyPresence::Malformed},
+    };
+    for (const auto &one : cases) {
+        auto request = makeCallerRequest();
+        request.headers.insert(request.headers.end(), one.headers.begin(), one.headers.end());
+        const auto info = SiteDialect::readCall(request);
+        ASSERT_TRUE(info);
+        EXPECT_EQ(info->key.presence, one.presence) << (one.headers.empty() ? "" : one.headers[0].second);
+        EXPECT_EQ(info->key.digest == digestKey("abc"), one.presence == KeyPresence::Present);
+    }
+    auto request = makeCallerRequest();
+    request.headers.emplace_back("Authorization", "Bearer " + std::string(8000, '\xff'));
+    EXPECT_EQ(SiteDialect::readCall(request)->key.presence, KeyPresence::Present);
+}
+
+// Guards against an endpoint that gets a caller's key, or a workspace that the caller has chosen.
+TEST(SiteCalls, WorkspaceReplacesTheKey)
+{
+    auto caller = makeCallerRequest();
+    caller.headers.emplace_back("authorization", "Bearer abc");
+    caller.headers.emplace_back("X-ANVILSCALE-TENANT", "forged");
+    caller.headers.emplace_back("x-anvilscale-tenant", "forged");
+    caller.headers.emplace_back("Connection", "X-Anvilscale-Tenant");
+    SendCall send;
+    send.hidesKey = true;
+    send.workspace = "own";
+    const auto request = SiteDialect::callRequest(caller, send, Milliseconds(1234));
+    EXPECT_EQ(headerValue(request, "Authorization"), "-");
+    const auto count = std::count_if(request.headers.begin(), request.headers.end(), [](const auto &header) {
+        return Poco::icompare(header.first, "X-Anvilscale-Tenant") == 0;
+    });
+    EXPECT_EQ(count, 1);
+    EXPECT_EQ(headerValue(request, "X-Anvilscale-Tenant"), "own");
+    EXPECT_EQ(headerValue(SiteDialect::callRequest(caller, {}, Milliseconds(1)), "X-Anvilscale-Tenant"), "-");
+}
+
+TEST(SiteCalls, CountedTokensAreTheSumOfBothNumbers)
+{
+    auto request = makeCallerRequest();
+    EXPECT_EQ(SiteDialect::readCall(request)->countedTokens, 1540U);
+    request.headers[3].second = "1460";
+    EXPECT_EQ(SiteDialect::readCall(request)->countedTokens, std::nullopt);
+}
+
 std::string encodeBase64(const std::string &text)
 {
     std::ostringstream out;
@@ -104,6 +167,13 @@
     return out.str();
 }
 
+std::string decodeBase64(const std::string &text)
+{
+    std::istringstream in(text);
+    Poco::Base64Decoder decoder(in);
+    return {std::istreambuf_iterator<char>(decoder), std::istreambuf_iterator<char>()};
+}
+
 struct AnswerCase
 {
     std::uint32_t status;
@@ -360,5 +430,45 @@
     EXPECT_EQ(SiteDialect::storeEra(head), 0U);
 }
 
+const std::string workspaceConfig =
+    R"({"version":7,"routes":[{"name":"r","hostname":"h","prefix":"/p/","type":"idempotent","public":true,)"
+    R"("timeout_ms":1,"service":"s"}],"services":[],"tenants":[{"name":"own","api_keys":["k1","k2"],"priority":1,)"
+    R"("unit":"token_stream","plain_tokens":200,"rate_per_s":2500.5,"burst":3000},{"name":"free","api_keys":[]}]})";
+
+void expectWorkspaces(const DirectConfig &config)
+{
+    ASSERT_TRUE(config.workspaces);
+    ASSERT_EQ(config.workspaces->size(), 2U);
+    const auto &own = config.workspaces->front();
+    EXPECT_EQ(own.name, "own");
+    EXPECT_EQ(own.keys, (std::vector<KeyDigest>{digestKey("k1"), digestKey("k2")}));
+    EXPECT_EQ(own.priority, 1U);
+    EXPECT_EQ(own.allowance.ratePerSecond, 2500.5);
+    EXPECT_EQ(own.allowance.burst, 3000);
+    EXPECT_EQ(own.allowance.unit, AllowanceUnit::Tokens);
+    EXPECT_EQ(own.allowance.defaultTokens, 200);
+    EXPECT_FALSE(config.workspaces->back().allowance.isLimited());
+    EXPECT_FALSE(config.workspaces->back().priority);
+    EXPECT_TRUE(config.routes.front().isPublic);
+}
+
+// Guards against keys in the messages by which a sidecar passes a configuration on to entries.
+TEST(SiteStore, ConfigurationIsPassedOnWithDigestsInPlaceOfKeys)
+{
+    const auto body = R"({"store_revision":9,"events":[{"key":"op/config","revision":9,"value":")"
+                      + encodeBase64(workspaceConfig) + R"("}]})";
+    const auto changes = SiteDialect::splitWatch(body);
+    ASSERT_TRUE(changes);
+    ASSERT_EQ(changes->items.size(), 1U);
+    const auto &encoded = changes->items.front().encoded;
+    EXPECT_EQ(encoded.find(encodeBase64(workspaceConfig).substr(0, 200)), std::string::npos);
+    const auto page = SiteDialect::readWatch(SiteDialect::joinWatch(9, {encoded}));
+    ASSERT_TRUE(page);
+    ASSERT_EQ(page->records.size(), 1U);
+    expectWorkspaces(std::get<DirectConfig>(page->records.front()));
+    const auto item = Poco::JSON::Parser().parse(encoded).extract<Poco::JSON::Object::Ptr>();
+    EXPECT_EQ(decodeBase64(item->getValue<std::string>("value")).find("k1"), std::string::npos);
+}
+
 } // namespace
 } // namespace anvilscale
