An engine whose VM has stopped gets no calls after the connection to its sidecar has timed out

Cause: a sidecar that is silent marks its engine as doubtful, but when the connection to it times out, the entry drops its state and with it the mark; "not connected" was always taken for a terminated process. Mended: a connection that is lost after a silence keeps the mark for 15 s or until a state arrives; one that is lost while the sidecar was heard still shows nothing about the engine. ReportedEngines.EngineWithVanishedSidecarGetsNoCalls failed before; EngineWithTerminatedSidecarKeepsItsCalls holds as before.

--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -12,6 +12,8 @@
 constexpr Duration stateLifetime = Milliseconds(1800);
 // Tolerated delay of a message beyond one and a half intervals.
 constexpr Duration messageSlack = Milliseconds(100);
+// Longer than most pauses of a VM. After it the engine gets calls again, as its sidecar may not return.
+constexpr Duration vanishedTime = Seconds(15);
 constexpr Duration defaultMessageInterval = Milliseconds(500); // of sidecars that do not report theirs
 // Time to connect to a new endpoint's sidecar and receive its state.
 constexpr Duration firstStateTimeout = Milliseconds(1500);
@@ -61,7 +63,8 @@
 bool EndpointEntry::isSidecarSilent(TimePoint lastReceivedAt) const
 {
     if (!state) {
-        return false; // not connected: its process has terminated, which shows nothing about the engine
+        // Not connected. A sidecar that was heard until then has terminated, which shows nothing about the engine.
+        return lastReceivedAt < vanishedUntil;
     }
     const Duration interval = state->interval_ms() == 0 ? defaultMessageInterval : Milliseconds(state->interval_ms());
     return lastReceivedAt - stateReceivedAt > interval + interval / 2 + messageSlack;
@@ -106,6 +109,7 @@
 {
     state = reported;
     stateReceivedAt = now;
+    vanishedUntil = TimePoint{};
     if (!reported.models().empty()) {
         emptySince.reset();
     } else if (!emptySince) {
@@ -133,8 +137,11 @@
     return true;
 }
 
-void EndpointEntry::onSidecarLost()
+void EndpointEntry::onSidecarLost(TimePoint lastReceivedAt)
 {
+    if (state && isSidecarSilent(lastReceivedAt)) {
+        vanishedUntil = lastReceivedAt + vanishedTime;
+    }
     if (state && state->endpoint_id() == record.id) {
         record.models.assign(state->models().begin(), state->models().end());
         record.adapters.clear();
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -44,6 +44,7 @@
     double failureShare = 0; // decayed share of own calls that failed
     std::optional<wire::DirectState> state;
     TimePoint stateReceivedAt{};
+    TimePoint vanishedUntil{}; // the connection to its sidecar was lost after a silence: its VM has probably stopped
     std::optional<TimePoint> emptySince; // since when the engine holds no model, as reported by its sidecar
     double lastSentUnreadTokens = 0; // own unreadTokens as last sent to the sidecar
     double waitingTokens = 0; // prompt tokens of own calls that wait for an adapter here
@@ -89,8 +90,9 @@
     void applyState(const wire::DirectState &reported, TimePoint now);
     /// Returns false if the heartbeat is based on a state that this entry does not have.
     bool applyHeartbeat(const wire::DirectHeartbeat &heartbeat, TimePoint now);
-    /// The sidecar is disconnected: the engine gets no orders, so it keeps what it last held.
-    void onSidecarLost();
+    /// The sidecar is disconnected: the engine gets no orders, so it keeps what it last held. `lastReceivedAt`: last
+    /// message of any sidecar.
+    void onSidecarLost(TimePoint lastReceivedAt);
     /// True if it has unanswered calls and has sent nothing for `span`.
     bool isSilentFor(Duration span, TimePoint now) const;
     /// Current ratio of measured to estimated reading time; at least 1.
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -134,7 +134,7 @@
     impl_->allowances->onPoolLost(address, now);
     impl_->nextPoolSelectionAt = now;
     if (auto *entry = impl_->endpoints.findByAddress(address)) {
-        entry->onSidecarLost();
+        entry->onSidecarLost(impl_->endpoints.lastReceivedAt());
     }
     impl_->sentDemands.erase(address);
 }
--- a/tests/unit/direct_updates_test.cpp
+++ b/tests/unit/direct_updates_test.cpp
@@ -161,5 +161,20 @@
     EXPECT_EQ(chosen(), (std::set<std::string>{"e-1", "e-2"}));
 }
 
+// Guards against calls to an engine on a stopped VM once the connection to its sidecar has timed out.
+TEST_F(ReportedEngines, EngineWithVanishedSidecarGetsNoCalls)
+{
+    for (int i = 0; i < 3; ++i) {
+        advance(Milliseconds(250));
+        sendHeartbeat(addressOne);
+    }
+    calls_.onSidecarLost(addressTwo, now_);
+    advance(Milliseconds(250));
+    sendHeartbeat(addressOne);
+    EXPECT_EQ(chosen(), std::set<std::string>{"e-1"});
+    calls_.applyState(addressTwo, test::makeState({"a", "b"}), now_);
+    EXPECT_EQ(chosen().count("e-2"), 1U);
+}
+
 } // namespace
 } // namespace anvilscale
