--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -12,4 +12,11 @@
 scripts/lint.sh
 [ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
 skip=$(sed -nE 's/^([^#:]+):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' || true)
-ctest --test-dir build --output-on-failure -j "$(nproc)" ${skip:+-E "$skip"}
+# The output of a failed run is kept: a later run overwrites the log of ctest.
+if ! ctest --test-dir build --output-on-failure -j "$(nproc)" ${skip:+-E "$skip"}; then
+    kept=build/failed-runs/$(date +%Y%m%dT%H%M%S)
+    mkdir -p "$kept"
+    cp -r build/Testing/Temporary/LastTest*.log build/test-results "$kept/" 2>/dev/null || true
+    echo "kept: $kept"
+    exit 1
+fi
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -9,6 +9,7 @@
     target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/tests ${PROJECT_SOURCE_DIR}/src)
     set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/tests)
     gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST WORKING_DIRECTORY ${PROJECT_SOURCE_DIR}
+                         XML_OUTPUT_DIR ${PROJECT_BINARY_DIR}/test-results
                          PROPERTIES ENVIRONMENT "${TEST_ENVIRONMENT};ANVILSCALE_BUILD=${PROJECT_BINARY_DIR}")
 endfunction()
 
