New pools of allowances start with a part of the slack

Cause: a pool that starts knows nothing of what was used before and started empty, so that 29,000 tokens a second admit the first call of 9,000 after 0.3 s. The deployment tolerates a slack beyond the allowance for what cannot be known. A pool now starts with a quarter of it for each workspace, so that four starts in one window stay within it. AllowanceModel.NewPoolsStayWithinTheSlack restarts all sidecars every 2.7 to 4.7 s; Accounts.NewPoolServesWithinTheSlack failed before.

--- a/include/anvilscale/workspace.h
+++ b/include/anvilscale/workspace.h
@@ -105,7 +105,7 @@
 /// Safeguards of the bound on a workspace's use. Disabled in tests only, to show that each is needed.
 enum class AllowanceSafeguard : std::uint8_t {
     PartOfMembers, ///< a pool holds the parts of its members only
-    EmptyStart, ///< a new pool starts without savings
+    EmptyStart, ///< a new pool starts without the savings of another one
     MemberTimeout, ///< members that are not heard lose their part
     Count
 };
@@ -117,13 +117,15 @@
 };
 
 /// Limits of the protocol between entries and pools. The use of a workspace in any period of length W is at most
-/// rate * (W + creditLifetime + memberTimeout) + burst, and one call more for each pool.
+/// rate * (W + creditLifetime + memberTimeout) + burst, one call more for each pool, and `initialSavings` for each
+/// start of a pool.
 struct AllowanceTimes
 {
     Duration creditLifetime{}; ///< from the request for credit until unused credit lapses
     Duration memberTimeout{}; ///< a pool counts an entry as its member for so long after a message
     Duration keepAlive{}; ///< interval of an entry's messages to the pools that it uses
     Duration answerTimeout{}; ///< time after which an entry takes a silent pool for lost
+    double initialSavings = 0; ///< units of each workspace that a new pool may grant at once
     std::bitset<enumCount<AllowanceSafeguard>> disabled; ///< safeguards disabled by tests
 
     bool has(AllowanceSafeguard safeguard) const
@@ -132,16 +134,16 @@
     }
 };
 
-/// Derives the times from the tolerance of the deployment: use may exceed the allowance by `overage` (a share) in a
-/// period of length `window`.
-AllowanceTimes allowanceTimes(Duration window, double overage);
+/// Derives the limits from the tolerance of the deployment: use may exceed the allowance by `overage` (a share) and by
+/// `slack` units in a period of length `window`.
+AllowanceTimes allowanceTimes(Duration window, double overage, double slack = 0);
 
 /// Token bucket that may hold a part of an allowance.
 class AllowanceBucket
 {
 public:
-    /// Starts empty at `now`.
-    explicit AllowanceBucket(TimePoint now);
+    /// Starts empty at `now`. `savings` can be taken once, when the bucket has too little.
+    explicit AllowanceBucket(TimePoint now, double savings = 0);
     /// Adds what has accrued since the last call. `part` is the share of the allowance that the bucket holds.
     void refill(const Allowance &allowance, double part, TimePoint now);
     /// Takes `cost` if there is enough. A cost beyond the bucket's size is taken from a full bucket, which then owes
@@ -156,6 +158,7 @@
 
 private:
     double balance_ = 0;
+    double savings_ = 0; // left of those of the start
     double size_ = 0; // invariant: balance_ <= size_
     double ratePerSecond_ = 0;
     TimePoint refilledAt_;
@@ -177,8 +180,8 @@
     };
     struct Pool
     {
-        explicit Pool(TimePoint now)
-            : bucket(now)
+        Pool(TimePoint now, double savings)
+            : bucket(now, savings)
         {
         }
         AllowanceBucket bucket;
--- a/src/daemon/direct_settings.cpp
+++ b/src/daemon/direct_settings.cpp
@@ -18,7 +18,7 @@
 AllowanceTimes directAllowanceTimes(const settings::Settings &settings)
 {
     const auto window = fromMilliseconds(1000 * settings.direct().allowance_window_seconds());
-    return allowanceTimes(window, settings.direct().allowance_overage());
+    return allowanceTimes(window, settings.direct().allowance_overage(), settings.direct().allowance_slack());
 }
 
 DirectCallsInit directCallsInit(const settings::Settings &settings, const DirectPolicy &policy)
--- a/src/settings/rules.cpp
+++ b/src/settings/rules.cpp
@@ -60,6 +60,8 @@
                "period over which the use of a workspace is compared with its allowance"},
     NumberRule{"direct.allowanceOverage", Scope::Direct, 0.1, 0, 1,
                "share by which a workspace's use in such a period may exceed its allowance"},
+    NumberRule{"direct.allowanceSlack", Scope::Direct, 0, 0, 1e9,
+               "units by which it may exceed its allowance beyond that; used where a restarted sidecar cannot know"},
     NumberRule{"direct.metricsPort", Scope::DirectEntry, 0, 0, 65535, "port of the metrics; 0: none"},
     NumberRule{"timing.heartbeatMs", Scope::All, 500, 20, 60000, "interval of heartbeats between processes"},
     NumberRule{"timing.suspectMs", Scope::All, 2500, 60, 600000, "silence after which a process gets no new work"},
--- a/src/workspace/allowance_bucket.cpp
+++ b/src/workspace/allowance_bucket.cpp
@@ -13,6 +13,8 @@
 constexpr double memberShare = 0.625;
 // A member whose message is delayed by less than one interval keeps its part.
 constexpr double keepAlivesPerTimeout = 2.5;
+// Starts of the pools of a workspace in one window that the slack covers.
+constexpr double poolStartsPerWindow = 4;
 constexpr Duration minMargin = Milliseconds(200);
 constexpr Duration maxMargin = Seconds(2);
 constexpr Duration poolAnswerTimeout = Milliseconds(400);
@@ -29,7 +31,7 @@
     return static_cast<std::uint32_t>(hash64(workspace) % allowanceGroups);
 }
 
-AllowanceTimes allowanceTimes(Duration window, double overage)
+AllowanceTimes allowanceTimes(Duration window, double overage, double slack)
 {
     const auto margin = std::clamp(scale(window, overage), minMargin, maxMargin);
     AllowanceTimes times;
@@ -37,11 +39,13 @@
     times.memberTimeout = scale(margin, memberShare);
     times.keepAlive = scale(times.memberTimeout, 1 / keepAlivesPerTimeout);
     times.answerTimeout = poolAnswerTimeout;
+    times.initialSavings = slack / poolStartsPerWindow;
     return times;
 }
 
-AllowanceBucket::AllowanceBucket(TimePoint now)
-    : refilledAt_(now)
+AllowanceBucket::AllowanceBucket(TimePoint now, double savings)
+    : savings_(savings)
+    , refilledAt_(now)
 {
 }
 
@@ -57,10 +61,16 @@
 
 bool AllowanceBucket::take(double cost)
 {
-    if (size_ <= 0 || balance_ < std::min(cost, size_)) {
+    if (size_ > 0 && balance_ >= std::min(cost, size_)) {
+        balance_ -= cost;
+        return true;
+    }
+    const double fromSavings = cost - std::max(0.0, balance_);
+    if (balance_ < 0 || fromSavings > savings_) {
         return false;
     }
-    balance_ -= cost;
+    balance_ = 0;
+    savings_ -= fromSavings;
     return true;
 }
 
--- a/src/workspace/allowance_pools.cpp
+++ b/src/workspace/allowance_pools.cpp
@@ -65,7 +65,7 @@
     memberSince_[group] = now;
     for (auto &[workspace, pool] : pools_) {
         if (allowanceGroup(workspace) == group) {
-            pool.bucket = AllowanceBucket(now);
+            pool.bucket = AllowanceBucket(now, times_.initialSavings);
         }
     }
 }
@@ -100,7 +100,7 @@
                                                  TimePoint now)
 {
     const auto group = allowanceGroup(need.workspace());
-    auto &pool = pools_.try_emplace(need.workspace(), memberSince_[group]).first->second;
+    auto &pool = pools_.try_emplace(need.workspace(), memberSince_[group], times_.initialSavings).first->second;
     if (configVersion >= pool.configVersion) {
         pool.configVersion = configVersion;
         pool.allowance.ratePerSecond = need.rate();
--- a/tests/unit/allowance_model_test.cpp
+++ b/tests/unit/allowance_model_test.cpp
@@ -109,6 +109,26 @@
     }
 }
 
+// Guards against savings of new pools that add up beyond the slack of the deployment.
+TEST(AllowanceModel, NewPoolsStayWithinTheSlack)
+{
+    constexpr double slack = 2000;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        FleetShape shape;
+        shape.seed = seed;
+        shape.times = allowanceTimes(window, overage, slack);
+        AllowanceFleet fleet(shape);
+        sendFor(fleet, shape, Seconds(3), 0.2);
+        for (int i = 0; i < 6; ++i) {
+            for (std::uint32_t sidecar = 0; sidecar < shape.sidecars; ++sidecar) {
+                fleet.restartSidecar(sidecar);
+            }
+            sendFor(fleet, shape, Milliseconds(2700 + fleet.random().uniformBelow(2000)), 5);
+        }
+        EXPECT_LE(largestUse(fleet.used, window), allowedUse(shape) + slack) << "seed " << seed;
+    }
+}
+
 /// True if some seed exceeds the allowance without the safeguard.
 bool isNeeded(AllowanceSafeguard safeguard)
 {
--- a/tests/unit/workspace_test.cpp
+++ b/tests/unit/workspace_test.cpp
@@ -160,6 +160,15 @@
     EXPECT_EQ(accounts_.charge(workspace_, CallHandle{99}, 10, now_).result, ChargeResult::Pending);
 }
 
+// Guards against refusals below the allowance right after all processes were restarted.
+TEST_F(Accounts, NewPoolServesWithinTheSlack)
+{
+    pools_ = AllowancePools(allowanceTimes(Seconds(8), 0.1, 4000));
+    EXPECT_TRUE(isGranted(600));
+    EXPECT_TRUE(isGranted(400));
+    EXPECT_FALSE(isGranted(400));
+}
+
 // Guards against calls that wait forever for a sidecar that does not answer.
 TEST_F(Accounts, SilentPoolIsReportedAndItsCallsAskTheNextOne)
 {
