An endpoint that contradicts its record ends the pause between watches of the store

Entries had read the store 0.05 to 0.15 s before the new records were written and got them 2.1 s later, as the first watch returns at the first change and is followed by a pause and a shared request. The refusal itself shows that the store has news: it now ends the pause, at most every 0.3 s. StoreWatcher.ContradictedRecordEndsThePause (2.1 s before), ManyContradictionsCauseFewCalls, Calls.AsksTheStoreWhenAnAddressWasReused failed before.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -376,13 +376,17 @@
     std::string address; ///< address of the endpoint
     wire::AllowanceAsk ask;
 };
+/// An endpoint has contradicted its record: asks the store for news.
+struct RefreshRecords
+{
+};
 /// The process at this address has terminated: closes the idle connections to it.
 struct DropConnections
 {
     std::string address;
 };
-using DirectAction =
-    std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, AskAllowance, DropConnections>;
+using DirectAction = std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, AskAllowance,
+                                  RefreshRecords, DropConnections>;
 
 /// Finds routes by host and longest matching path prefix.
 class RouteTable
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -521,12 +521,20 @@
         callServer_->loop().post([this, trafficActions = std::move(trafficActions)] {
             for (const auto &action : trafficActions) {
                 std::visit(Overloaded{[](const SendDemand &) {}, [](const AskAllowance &) {},
+                                      [this](const RefreshRecords &) { refreshRecords(); },
                                       [this](const auto &relayAction) { relay_.perform(relayAction); }},
                            action);
             }
         });
     }
 
+    void refreshRecords()
+    {
+        if (watcher_) {
+            watcher_->onRecordContradicted();
+        }
+    }
+
     void reportCrashes()
     {
         auto reports = calls_.takeCrashReports();
--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -121,6 +121,15 @@
     {
         startRead();
     }
+    /// An endpoint has contradicted its record, so that the store has news: shortens a pause between watches.
+    void onRecordContradicted()
+    {
+        if (!isPausing_) {
+            return; // the call under way returns them
+        }
+        const auto earliest = lastAnswerAt_ + minRefreshInterval;
+        schedule(std::max(Duration(0), earliest - loop_.now()), [this] { watchStore(Duration(0)); });
+    }
     /// Applies a sidecar's answer to a request: the body of a watch answer of this era, or none.
     void onSharedWatchAnswer(std::uint64_t call, std::uint64_t era, const std::optional<std::string> &body)
     {
@@ -153,6 +162,9 @@
     // immediately.
     static constexpr Duration rewriteTime = Milliseconds(1800);
 
+    // Bounds the calls to the store while many endpoints contradict their records.
+    static constexpr Duration minRefreshInterval = Milliseconds(300);
+
     struct MissingEndpoint
     {
         TimePoint missingSince; // first seen missing
@@ -217,6 +229,7 @@
             return false;
         }
         hasSharedRequest_ = true;
+        isPausing_ = false;
         loop_.timers().cancel(timeoutTimer_);
         timeoutTimer_ = loop_.timers().subscribe(loop_.now() + wait + init_.times.silenceTimeout,
                                                  [this](TimePoint) { onSharedWatchFailed(); });
@@ -259,6 +272,7 @@
             watchStore(init_.times.waitWithoutPause);
             return;
         }
+        isPausing_ = true;
         schedule(init_.times.pause, [this] { watch(init_.times.waitAfterPause); });
     }
 
@@ -386,6 +400,7 @@
     {
         // An existing connection may be broken without notice, and a retry on it would hang.
         request.needsNewConnection = !isReachable_;
+        isPausing_ = false;
         answerStatus_ = 0;
         answerEra_ = 0;
         answerBody_.clear();
@@ -555,6 +570,7 @@
     bool acceptsOldData_ = false;
     bool isComplete_ = false;
     bool isHistoryGone_ = false; // the last watch failed because its history was compacted
+    bool isPausing_ = false; // the next watch follows after a pause
     bool isReachable_ = true; // the last call was answered
     bool wasUnavailable_ = false; // the store may have been unavailable for long enough that records expired
     std::uint64_t era_ = 0; // latest era received; 0 if unknown
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -72,8 +72,11 @@
 
 void DirectCalls::Impl::onRefused(CallHandle handle, DirectCall &call, EndpointRefusal refusal, TimePoint now)
 {
-    if (refusal == EndpointRefusal::OtherIncarnation && findEndpoint(call) != nullptr) {
-        dropEndpoint(*findEndpoint(call), now); // its address belongs to another incarnation
+    if (refusal == EndpointRefusal::OtherIncarnation) {
+        if (auto *entry = findEndpoint(call)) {
+            dropEndpoint(*entry, now); // its address belongs to another incarnation
+        }
+        actions.emplace_back(RefreshRecords{});
     }
     if (refusal == EndpointRefusal::NotLoaded) {
         // The adapter was removed or has an older version: drops it from the known state, so that it is demanded
--- a/tests/support/watched_store.h
+++ b/tests/support/watched_store.h
@@ -40,6 +40,10 @@
 
     VirtualLoop loop;
 
+    void contradictRecord()
+    {
+        watcher_.onRecordContradicted();
+    }
     /// Time at which the endpoint was first reported as removed or leaving.
     std::optional<TimePoint> removalTime(const std::string &id) const
     {
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -255,6 +255,15 @@
     }
 }
 
+// Guards against waiting for the next news of the store while endpoints have restarted under other ids.
+TEST_F(Calls, AsksTheStoreWhenAnAddressWasReused)
+{
+    addPlainEndpoints();
+    startCall("/n/x");
+    endAttempt(takeSentCall(), AttemptEnd::Refused, EndpointRefusal::OtherIncarnation);
+    EXPECT_EQ(takeActions<RefreshRecords>().size(), 1U);
+}
+
 // Guards against calls that keep waiting for an adapter at an address that belongs to another incarnation.
 TEST_F(Calls, PlacesWaitingCallsAgainWhenAnAddressWasReused)
 {
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -344,5 +344,32 @@
     EXPECT_TRUE(entry.isRemovedInTime("a", acknowledged));
 }
 
+// Guards against calls to restarted endpoints under their old records for a whole pause between watches.
+TEST(StoreWatcher, ContradictedRecordEndsThePause)
+{
+    WatchedStore entry(3000);
+    entry.loop.change("c", false); // its answer is followed by a pause
+    entry.loop.run(Milliseconds(100));
+    const auto acknowledged = removeAndGetTime(entry);
+    entry.contradictRecord();
+    entry.loop.run(Seconds(3));
+    const auto delay = entry.removalDelay("a", acknowledged);
+    ASSERT_TRUE(delay);
+    EXPECT_LE(*delay, Milliseconds(350)) << inMs(*delay);
+}
+
+// Guards against a call to the store for each of many contradictions.
+TEST(StoreWatcher, ManyContradictionsCauseFewCalls)
+{
+    WatchedStore entry(3000);
+    const auto before = entry.loop.calls;
+    for (int i = 0; i < 200; ++i) {
+        entry.loop.change("c", i % 2 == 0);
+        entry.contradictRecord();
+        entry.loop.run(Milliseconds(10));
+    }
+    EXPECT_LE(entry.loop.calls - before, 10U);
+}
+
 } // namespace
 } // namespace anvilscale
