A configuration whose workspaces cannot be read is rejected

What callers would see: a member for workspaces that is no list was read as "no workspaces", so that every caller was admitted and keys were passed on. Found by reading.

--- a/tests/unit/site_dialect_test.cpp
+++ b/tests/unit/site_dialect_test.cpp
@@ -470,5 +470,19 @@
     EXPECT_EQ(decodeBase64(item->getValue<std::string>("value")).find("k1"), std::string::npos);
 }
 
+// Guards against a configuration whose workspaces cannot be read and that would admit callers without a key.
+TEST(SiteStore, ConfigurationWithUnreadableWorkspacesIsRejected)
+{
+    const std::string start = R"({"version":7,"routes":[],"services":[],"tenants":)";
+    for (const auto *list : {R"({"own":{}})", "\"own\"", "7", "[7]"}) {
+        const auto body = R"({"store_revision":9,"events":[{"key":"op/config","revision":9,"value":")"
+                          + encodeBase64(start + list + "}") + R"("}]})";
+        const auto page = SiteDialect::readWatch(body);
+        ASSERT_TRUE(page);
+        EXPECT_TRUE(page->records.empty()) << list;
+        EXPECT_EQ(page->rejectedRecords, 1U) << list;
+    }
+}
+
 } // namespace
 } // namespace anvilscale
