Known red: two cases of calls that wait for credit, found by reading the change

Accounts.PendingCallUsesTheOwnPartWhenThePoolIsLost: onPoolLost clears the pool's address, so that setPoolAddress with no address returns early and never settles the calls that wait. Admission.PendingCallStartsWhenAllLimitsAreRemoved: updateAllowances and tick do nothing without limited workspaces, also while calls wait.

--- a/tests/unit/direct_admission_test.cpp
+++ b/tests/unit/direct_admission_test.cpp
@@ -200,5 +200,18 @@
     EXPECT_EQ(refused->reason, RefusalReason::AllowanceUnknown);
 }
 
+// Guards against a call that waits until its deadline for credit which a new configuration no longer requires.
+TEST_F(Admission, PendingCallStartsWhenAllLimitsAreRemoved)
+{
+    runFor(Seconds(2));
+    startWithKey("/n/x", "k2", 900);
+    calls_.takeActions(); // the request for credit is lost
+    auto workspaces = makeWorkspaces();
+    workspaces[1].allowance = {};
+    apply(workspaces);
+    advance(Seconds(1));
+    EXPECT_EQ(takeActions<SendCall>().size(), 1U);
+}
+
 } // namespace
 } // namespace anvilscale
--- a/tests/unit/workspace_test.cpp
+++ b/tests/unit/workspace_test.cpp
@@ -216,5 +216,17 @@
     EXPECT_EQ(chargeAndDecide(50).front().refusal, RefusalReason::AllowanceUnknown);
 }
 
+// Guards against calls that wait to no purpose when the connection to the only sidecar is lost.
+TEST_F(Accounts, PendingCallUsesTheOwnPartWhenThePoolIsLost)
+{
+    advance(Seconds(2));
+    ASSERT_EQ(accounts_.charge(workspace_, CallHandle{77}, 100, now_).result, ChargeResult::Pending);
+    accounts_.onPoolLost(address_, now_);
+    for (std::uint32_t group = 0; group < allowanceGroups; ++group) {
+        accounts_.setPoolAddress(group, "", now_);
+    }
+    EXPECT_EQ(accounts_.takeDecisions().size(), 1U);
+}
+
 } // namespace
 } // namespace anvilscale
