Calls that wait for credit are settled when their reason to wait ends

Symptom: a call that waits for credit got 503 after 0.9 s when the last sidecar was lost, and was kept until its deadline when a configuration removed all limits. Causes: onPoolLost clears the pool's address, so that setPoolAddress with no address returned before it settled the calls; updateAllowances does nothing without limited workspaces, and nothing looked at waiting calls when a configuration came. Found by the same look: a request for credit under way kept the old terms after a limit or its unit had changed, and credit of one unit was spent in the other.

Unused: the account's workspace name, the time of onPoolLost.

--- a/include/anvilscale/workspace.h
+++ b/include/anvilscale/workspace.h
@@ -64,6 +64,7 @@
     }
     /// Units that a call of so many tokens counts for. `tokens` is empty if the call does not say.
     double cost(std::optional<std::uint64_t> tokens) const;
+    bool operator==(const Allowance &) const = default;
 };
 
 struct Workspace
@@ -264,7 +265,7 @@
     void refund(const std::string &workspace, double cost, TimePoint creditUntil, TimePoint now);
     void onAnswer(const std::string &address, const wire::AllowanceAnswer &answer, TimePoint now);
     /// The connection to the sidecar was lost. Requests to it are repeated at the next one.
-    void onPoolLost(const std::string &address, TimePoint now);
+    void onPoolLost(const std::string &address);
     /// Called about every 50 ms.
     void tick(TimePoint now);
 
@@ -289,7 +290,6 @@
     };
     struct Account
     {
-        std::string workspace;
         Allowance allowance;
         std::uint32_t group = 0;
         std::deque<Portion> portions; // by time of expiry
--- a/src/direct/call_admission.cpp
+++ b/src/direct/call_admission.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void DirectCalls::Impl::applyWorkspaces()
+void DirectCalls::Impl::applyWorkspaces(TimePoint now)
 {
     workspaces = WorkspaceTable(config->workspaces.value_or(std::vector<Workspace>{}));
     hasLimitedWorkspaces = config->workspaces
@@ -26,6 +26,39 @@
                                          [](const DirectService &service) { return service.engine.has_value(); });
     allowances->applyConfig(config->version, !hasSidecars);
     nextPoolSelectionAt = TimePoint{};
+    recheckPendingCharges(now);
+}
+
+// A call that still waits for credit has not been sent: it is admitted as if it arrived now.
+void DirectCalls::Impl::recheckPendingCharges(TimePoint now)
+{
+    std::vector<CallHandle> pending;
+    for (const auto &[handle, call] : calls) {
+        if (call.step == CallStep::Admission) {
+            pending.push_back(handle);
+        }
+    }
+    for (const auto handle : pending) {
+        auto &call = calls.at(handle);
+        const auto *route = routes.find(call.info.host, call.info.path);
+        if (route == nullptr) {
+            refuse(handle, statusNotFound, RefusalReason::UnknownRoute, Duration(0), now);
+            continue;
+        }
+        const auto *workspace = workspaces.findByKey(call.info.key.digest);
+        if (workspace != nullptr && workspace->name == call.workspace && workspace->allowance == call.allowance) {
+            continue;
+        }
+        allowances->cancel(call.workspace, handle);
+        call.allowanceCost = 0;
+        call.workspace.clear();
+        call.priority = route->priority;
+        if (const auto reason = identifyCaller(call, *route); reason != RefusalReason::None) {
+            refuse(handle, statusUnauthorized, reason, Duration(0), now);
+            continue;
+        }
+        chargeCall(handle, call, now);
+    }
 }
 
 RefusalReason DirectCalls::Impl::identifyCaller(DirectCall &call, const DirectRoute &route)
@@ -67,6 +100,7 @@
         return;
     }
     call.step = CallStep::Admission;
+    call.allowance = workspace->allowance;
     call.allowanceCost = workspace->allowance.cost(call.info.countedTokens);
     const auto charge = allowances->charge(*workspace, handle, call.allowanceCost, now);
     if (charge.result == ChargeResult::Refused) {
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr std::uint32_t statusUnauthorized = 401;
-constexpr std::uint32_t statusNotFound = 404;
 // Upper bound: estimates beyond it do not predict when capacity is available.
 constexpr Duration maxRetryAfter = Seconds(2);
 // Time after the first configuration for sidecars to report what their engines hold.
@@ -76,7 +74,7 @@
         services.insert(service.name);
     }
     impl_->endpoints.setServices(std::move(services));
-    impl_->applyWorkspaces();
+    impl_->applyWorkspaces(now);
     return true;
 }
 
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -9,6 +9,8 @@
 
 namespace anvilscale {
 
+constexpr std::uint32_t statusUnauthorized = 401;
+constexpr std::uint32_t statusNotFound = 404;
 constexpr std::uint32_t statusUnavailable = 503;
 // Sent if no better value is known: a crashed endpoint is replaced or avoided within about this time.
 constexpr Duration defaultRetryAfter = Milliseconds(500);
@@ -24,6 +26,7 @@
 {
     CallInfo info;
     std::string workspace; // empty if unknown
+    Allowance allowance; // of the workspace, when the call was charged
     double allowanceCost = 0; // charged to the workspace; 0 if it is not limited
     TimePoint creditUntil{}; // a call that is not run gives its credit back until then
     Duration allowanceWait{};
@@ -119,7 +122,9 @@
     void recordFirstByte(const DirectCall &call, EndpointEntry &entry, TimePoint now);
     void recordRun(const DirectCall &call, TimePoint now);
     void updateRetryShare(TimePoint now);
-    void applyWorkspaces();
+    void applyWorkspaces(TimePoint now);
+    /// Decides again on calls that wait for credit, where the configuration has changed what they wait for.
+    void recheckPendingCharges(TimePoint now);
     /// Finds the workspace of the call; returns the reason for a refusal if its key does not admit it.
     RefusalReason identifyCaller(DirectCall &call, const DirectRoute &route);
     /// Starts the call, refuses it, or keeps it until its credit is known.
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -131,7 +131,7 @@
 
 void DirectCalls::onSidecarLost(const std::string &address, TimePoint now)
 {
-    impl_->allowances->onPoolLost(address, now);
+    impl_->allowances->onPoolLost(address);
     impl_->nextPoolSelectionAt = now;
     if (auto *entry = impl_->endpoints.findByAddress(address)) {
         entry->onSidecarLost(impl_->endpoints.lastReceivedAt());
--- a/src/workspace/allowance_accounts.cpp
+++ b/src/workspace/allowance_accounts.cpp
@@ -41,17 +41,17 @@
 void AllowanceAccounts::setPoolAddress(std::uint32_t group, const std::string &address, TimePoint now)
 {
     auto &pool = pools_.at(group);
-    if (pool.address == address) {
-        return;
-    }
-    leavePool(group);
-    pool.address = address;
-    pool.sentAt = TimePoint{};
-    for (auto &[name, account] : accounts_) {
-        if (account.group == group) {
-            account.ownPart.reset();
+    if (pool.address != address) {
+        leavePool(group);
+        pool.address = address;
+        pool.sentAt = TimePoint{};
+        for (auto &[name, account] : accounts_) {
+            if (account.group == group) {
+                account.ownPart.reset();
+            }
         }
     }
+    // Also when a lost pool has cleared the address before: its calls still wait.
     if (address.empty()) {
         settleWithoutPool(group, now);
     }
@@ -60,7 +60,14 @@
 AllowanceAccounts::Account &AllowanceAccounts::accountOf(const Workspace &workspace)
 {
     auto &account = accounts_[workspace.name];
-    account.workspace = workspace.name;
+    if (account.allowance != workspace.allowance) {
+        account.askNumber = 0; // the request under way states the old terms
+    }
+    if (account.allowance.unit != workspace.allowance.unit) {
+        account.portions.clear();
+        account.returned = 0;
+        account.ownPart.reset();
+    }
     account.allowance = workspace.allowance;
     account.group = allowanceGroup(workspace.name);
     return account;
@@ -259,7 +266,7 @@
     }
 }
 
-void AllowanceAccounts::onPoolLost(const std::string &address, TimePoint /*now*/)
+void AllowanceAccounts::onPoolLost(const std::string &address)
 {
     dropPool(address);
 }
--- a/tests/support/allowance_fleet.h
+++ b/tests/support/allowance_fleet.h
@@ -83,7 +83,7 @@
     {
         sidecars_[index] = {AllowancePools(shape_.times), TimePoint{}, ++generation_};
         for (auto &entry : entries_) {
-            entry.accounts.onPoolLost(address(index), now_);
+            entry.accounts.onPoolLost(address(index));
         }
     }
     void freezeEntry(std::uint32_t index, Duration span)
--- a/tests/unit/direct_admission_test.cpp
+++ b/tests/unit/direct_admission_test.cpp
@@ -213,5 +213,78 @@
     EXPECT_EQ(takeActions<SendCall>().size(), 1U);
 }
 
+struct PendingChange
+{
+    std::string name;
+    void (*apply)(DirectConfig &config);
+    std::uint32_t refusedWith = 0; // 0: the call starts or asks again
+    std::optional<double> asksFor; // cost of the new request for credit
+};
+
+Workspace &limitedWorkspace(DirectConfig &config)
+{
+    return (*config.workspaces)[1];
+}
+
+const std::vector<PendingChange> pendingChanges{
+    {"LimitRemoved", [](DirectConfig &config) { limitedWorkspace(config).allowance = {}; }, 0, std::nullopt},
+    {"LimitRaised", [](DirectConfig &config) { limitedWorkspace(config).allowance.ratePerSecond = 5000; }, 0, 900},
+    {"LimitLowered", [](DirectConfig &config) { limitedWorkspace(config).allowance.ratePerSecond = 100; }, 0, 900},
+    {"UnitChanged",
+     [](DirectConfig &config) {
+         limitedWorkspace(config).allowance = {10, 10, AllowanceUnit::Calls, 0};
+     },
+     0, 1},
+    {"WorkspaceRenamed", [](DirectConfig &config) { limitedWorkspace(config).name = "renamed"; }, 0, 900},
+    {"WorkspaceRemoved", [](DirectConfig &config) { config.workspaces->pop_back(); }, 401, std::nullopt},
+    {"KeyRemoved", [](DirectConfig &config) { limitedWorkspace(config).keys.clear(); }, 401, std::nullopt},
+    {"RouteRemoved", [](DirectConfig &config) { config.routes.pop_back(); }, 404, std::nullopt},
+    {"NoWorkspaces", [](DirectConfig &config) { config.workspaces.reset(); }, 0, std::nullopt},
+};
+
+class PendingCharge : public Admission, public testing::WithParamInterface<PendingChange>
+{
+};
+
+// Guards against a call that waits for credit that the current configuration no longer requires, or at an old cost.
+TEST_P(PendingCharge, FollowsTheConfiguration)
+{
+    runFor(Seconds(2));
+    startWithKey("/n/x", "k2", 900);
+    calls_.takeActions(); // the request for credit is lost
+    auto config = makeConfig(++version_);
+    config.workspaces = makeWorkspaces();
+    GetParam().apply(config);
+    calls_.applyConfig(config, now_);
+    calls_.tick(now_);
+    const auto actions = calls_.takeActions();
+    const auto *refused = findAction<RefuseCall>(actions);
+    EXPECT_EQ(refused == nullptr ? 0U : refused->status, GetParam().refusedWith);
+    const auto *asked = findAction<AskAllowance>(actions);
+    if (GetParam().asksFor) {
+        ASSERT_NE(asked, nullptr);
+        ASSERT_EQ(asked->ask.needs_size(), 1);
+        ASSERT_EQ(asked->ask.needs(0).costs_size(), 1);
+        EXPECT_EQ(asked->ask.needs(0).costs(0), *GetParam().asksFor);
+    } else {
+        EXPECT_EQ(findAction<SendCall>(actions) != nullptr, refused == nullptr);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Admission, PendingCharge, testing::ValuesIn(pendingChanges),
+                         [](const auto &change) { return change.param.name; });
+
+// Guards against a call that asks again, and is charged twice, at each new configuration.
+TEST_F(Admission, PendingCallKeepsItsRequestWhenItsWorkspaceIsUnchanged)
+{
+    runFor(Seconds(2));
+    startWithKey("/n/x", "k2", 900);
+    const auto first = takeActions<AskAllowance>();
+    ASSERT_EQ(first.size(), 1U);
+    apply(makeWorkspaces());
+    calls_.onAllowanceAnswer(first.front().address, pools_.answer(first.front().ask, now_), now_);
+    EXPECT_EQ(takeActions<SendCall>().size(), 1U);
+}
+
 } // namespace
 } // namespace anvilscale
--- a/tests/unit/workspace_test.cpp
+++ b/tests/unit/workspace_test.cpp
@@ -221,7 +221,18 @@
 {
     advance(Seconds(2));
     ASSERT_EQ(accounts_.charge(workspace_, CallHandle{77}, 100, now_).result, ChargeResult::Pending);
-    accounts_.onPoolLost(address_, now_);
+    accounts_.onPoolLost(address_);
+    for (std::uint32_t group = 0; group < allowanceGroups; ++group) {
+        accounts_.setPoolAddress(group, "", now_);
+    }
+    EXPECT_EQ(accounts_.takeDecisions().size(), 1U);
+}
+
+// Guards against calls that wait for a pool which no sidecar can hold any more.
+TEST_F(Accounts, PendingCallOfAStandaloneEntryUsesTheWholeAllowance)
+{
+    ASSERT_EQ(accounts_.charge(workspace_, CallHandle{77}, 100, now_).result, ChargeResult::Pending);
+    accounts_.applyConfig(2, true);
     for (std::uint32_t group = 0; group < allowanceGroups; ++group) {
         accounts_.setPoolAddress(group, "", now_);
     }
