--- a/tests/unit/direct_admission_test.cpp
+++ b/tests/unit/direct_admission_test.cpp
@@ -221,6 +221,11 @@
     std::optional<double> asksFor; // cost of the new request for credit
 };
 
+void PrintTo(const PendingChange &change, std::ostream *out) // NOLINT(readability-identifier-naming): GoogleTest's name
+{
+    *out << change.name;
+}
+
 Workspace &limitedWorkspace(DirectConfig &config)
 {
     return (*config.workspaces)[1];
