An entry listens to a bounded part of the engines

Cause: every entry is connected to every sidecar and hears it twice a second: 222,500 connections and 445,000 messages a second at 356 entries and 625 engines.

Change: of each service an entry listens to direct.listenedEngines engines (160) and sends its calls to these only: those of its data centre, beyond 128 of them a group's part, the rest a sample of its own of other data centres (direct.farEngines at least), and eight that all entries share, by which they learn how many entries there are and where the pools of allowances are. Up to 160 engines, as on all earlier deployments, every entry listens to all as before. An engine that is deselected stays connected while calls of this entry are at it. The sidecar that asks the store is selected in the data centre where entries listen to different engines. Connections follow changes of the membership and no longer each record.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -453,6 +453,14 @@
     Duration elapsed{}; ///< time since the call was sent
 };
 
+/// Limits of the connections of one entry to sidecars, for each service with engines. Engines beyond them get calls of
+/// other entries only.
+struct ListeningLimits
+{
+    std::uint32_t engines = 160; ///< engines that an entry listens to, besides a few that all entries listen to
+    std::uint32_t farEngines = 32; ///< part of them for engines of other data centres
+};
+
 struct DirectCallsInit
 {
     std::string entryName; ///< the same after a restart
@@ -460,6 +468,7 @@
     std::string dataCentre;
     double retryRatio = 0.2; ///< share of a service's calls that all entries together may retry
     double retrySlack = 0; ///< additional retries of all entries together, within any few seconds
+    ListeningLimits listening;
     DirectPolicy policy;
 };
 
@@ -514,8 +523,11 @@
     void onAllowanceAnswer(const std::string &address, const wire::AllowanceAnswer &answer, TimePoint now);
     /// The store has answered: all its earlier changes have been applied.
     void onStoreAnswered(TimePoint now);
-    /// Address of the endpoint whose sidecar watches the store for this entry; empty if none does. All entries select
-    /// the same one, so that a single watch serves them all.
+    /// Addresses of the engines whose sidecars this entry has to be connected to; empty if they are the same as at the
+    /// last call.
+    std::optional<std::vector<std::string>> takeListenedEngines(TimePoint now);
+    /// Address of the endpoint whose sidecar watches the store for this entry; empty if none does. All entries that
+    /// listen to the same engines select the same one, so that a single watch serves them all.
     std::string sharedWatchAddress(TimePoint now) const;
     /// The sidecar failed or did not answer: selects another one for a while.
     void onSharedWatchFailed(const std::string &address, TimePoint now);
@@ -542,7 +554,6 @@
     /// True if callers may be sent here: the configuration, endpoints and engine states are known.
     bool isReady(TimePoint now) const;
     const DirectConfig &config() const;
-    std::vector<std::string> engineAddresses() const;
     std::vector<std::string> endpointIds() const;
     const DirectCallsStats &stats() const;
 
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -426,7 +426,6 @@
                               },
                               [&](const CrashReport &report) { calls_.applyCrashReport(report, now); }},
                    record);
-        connectSidecars();
     }
 
     void applyEndpoint(const EndpointRecord &endpoint, TimePoint now)
@@ -450,9 +449,8 @@
         callServer_->updateLimits(limits.headBytes, limits.bodyBytes, limits.headTimeout, limits.idleTimeout);
     }
 
-    void connectSidecars()
+    void connectSidecars(const std::vector<std::string> &addresses)
     {
-        const auto addresses = calls_.engineAddresses();
         const std::set<std::string> names(addresses.begin(), addresses.end());
         for (const auto &name : names) {
             if (sidecars_.insert(name).second) {
@@ -489,8 +487,11 @@
 
     void performActions()
     {
-        auto actions = calls_.takeActions();
         const auto now = EventLoop::now();
+        if (const auto addresses = calls_.takeListenedEngines(now)) {
+            connectSidecars(*addresses);
+        }
+        auto actions = calls_.takeActions();
         for (const auto &failed : calls_.takeFailedAttempts()) {
             callLog_.attemptFailed(failed, now);
         }
--- a/src/daemon/direct_settings.cpp
+++ b/src/daemon/direct_settings.cpp
@@ -29,6 +29,7 @@
     init.dataCentre = settings.data_centre();
     init.retryRatio = settings.direct().retry_ratio();
     init.retrySlack = settings.direct().retry_slack();
+    init.listening = {settings.direct().listened_engines(), settings.direct().far_engines()};
     init.policy = policy;
     return init;
 }
--- a/src/direct/call_admission.cpp
+++ b/src/direct/call_admission.cpp
@@ -162,8 +162,8 @@
     nextPoolSelectionAt = now + poolSelectionInterval;
     std::erase_if(avoidedPools, [now](const auto &item) { return item.second <= now; });
     for (std::uint32_t group = 0; group < allowanceGroups; ++group) {
-        const auto acceptsAny = [](const wire::DirectState &) { return true; };
-        const auto address = selectSidecar(endpoints, group + 1, avoidedPools, now, acceptsAny);
+        const auto acceptsAny = [](const EndpointEntry &) { return true; };
+        const auto address = selectSidecar(endpoints, poolSelectionSeed(group), avoidedPools, now, acceptsAny);
         allowances->setPoolAddress(group, address, now);
     }
 }
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -172,6 +172,7 @@
     if (stopIfQuarantined(handle, call, now)) {
         return;
     }
+    updateListening(now);
     const auto choice = chooseEndpoint(endpoints, buildQuery(call, now), now);
     if (!choice) {
         refuseOrAbandon(handle, call, RefusalReason::NoEndpoint, timeUntilAvailable(call.service, now), now);
@@ -361,7 +362,7 @@
     std::size_t reported = 0;
     for (const auto &[id, entry] : impl_->endpoints.entries()) {
         const auto *service = impl_->config->service(entry.record.service);
-        if (service != nullptr && service->engine) {
+        if (service != nullptr && service->engine && entry.listening == Listening::Selected) {
             ++engines;
             reported += entry.state ? 1 : 0;
         }
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -101,6 +101,11 @@
     TimePoint nextPoolSelectionAt{};
     std::map<std::string, TimePoint> avoidedPools; // addresses, and until when each is avoided
     EndpointTable endpoints;
+    std::optional<std::uint64_t> selectedRevision; // membership for which the listened engines were selected
+    std::uint64_t selectedConfig = 0; // version of the configuration for which they were selected
+    bool listensToAll = true;
+    TimePoint finishingCheckAt = TimePoint::max(); // when engines that finish calls are checked again
+    bool hasListeningChanged = false; // since the last takeListenedEngines()
     std::map<AdapterName, std::uint32_t> publishedVersions; // latest version published by the operator
     std::map<CallHandle, DirectCall> calls;
     std::map<std::string, RetryAllowance> retryAllowances; // by service
@@ -116,6 +121,10 @@
     TimePoint storeAnsweredAt{};
     std::map<std::string, TimePoint> avoidedWatchAddresses; // addresses, and until when each is avoided
 
+    /// Returns the capacity of an engine of the service; nullptr for a plain or unknown service.
+    const EngineLimits *findEngine(const std::string &service) const;
+    /// Selects the engines to listen to, if they or the configuration have changed.
+    void updateListening(TimePoint now);
     std::uint32_t publishedVersion(const AdapterName &name) const;
     ChoiceQuery buildQuery(const DirectCall &call, TimePoint now);
     std::uint32_t computeRank(const DirectCall &call, TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -20,13 +20,6 @@
 // Maximum interval between demands, so that a sidecar knows that the entry is alive.
 constexpr Duration maxDemandInterval = Milliseconds(2000);
 
-/// Returns the capacity of an engine of the service; nullptr for a plain or unknown service.
-const EngineLimits *findEngine(const std::optional<DirectConfig> &config, const std::string &name)
-{
-    const auto *service = config ? config->service(name) : nullptr;
-    return service != nullptr && service->engine ? &*service->engine : nullptr;
-}
-
 } // namespace
 
 void DirectCalls::tick(TimePoint now)
@@ -117,7 +110,7 @@
 
 std::string DirectCalls::Impl::mostUsedModel(const std::string &service) const
 {
-    const auto *engine = findEngine(config, service);
+    const auto *engine = findEngine(service);
     if (engine == nullptr) {
         return {};
     }
@@ -137,7 +130,7 @@
 wire::EnginePlan DirectCalls::Impl::buildPlan(const std::string &service) const
 {
     wire::EnginePlan plan;
-    const auto *engine = findEngine(config, service);
+    const auto *engine = findEngine(service);
     if (engine == nullptr) {
         return plan;
     }
@@ -238,9 +231,10 @@
     if (!config) {
         return;
     }
+    updateListening(now);
     for (auto &[id, entry] : endpoints.entries()) {
-        const bool takesCalls = !entry.isLeaving(now) && !entry.isSuperseded;
-        if (takesCalls && findEngine(config, entry.record.service) != nullptr) {
+        const bool takesCalls = !entry.isLeaving(now) && !entry.isSuperseded && entry.listening != Listening::Apart;
+        if (takesCalls && findEngine(entry.record.service) != nullptr) {
             entry.hasDemandChanged =
                 entry.hasDemandChanged || !entry.waitingCalls.empty(); // a waiting call becomes late with time alone
             sendDemand(entry, now);
@@ -248,17 +242,6 @@
     }
 }
 
-std::vector<std::string> DirectCalls::engineAddresses() const
-{
-    std::set<std::string> addresses;
-    for (const auto &[id, entry] : impl_->endpoints.entries()) {
-        if (findEngine(impl_->config, entry.record.service) != nullptr) {
-            addresses.insert(entry.record.address);
-        }
-    }
-    return {addresses.begin(), addresses.end()};
-}
-
 std::vector<std::string> DirectCalls::endpointIds() const
 {
     std::vector<std::string> ids;
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -121,7 +121,8 @@
 bool isEligible(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
 {
     return entry.record.service == *query.service && !entry.isLeaving(now) && !entry.isPaused(now)
-           && !entry.isSuperseded && query.excludedIds->count(entry.record.id) == 0;
+           && !entry.isSuperseded && entry.listening == Listening::Selected
+           && query.excludedIds->count(entry.record.id) == 0;
 }
 
 Placement findPlacement(std::vector<Candidate> &candidates, const ChoiceQuery &query, TimePoint now)
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -39,7 +39,7 @@
 // Places waiting calls again at once, and not only at their next check.
 void DirectCalls::Impl::dropEndpoint(EndpointEntry &entry, TimePoint now)
 {
-    entry.record.leaving = true;
+    endpoints.setLeaving(entry);
     rerouteWaiting(entry, now);
     endpoints.remove(std::string(entry.record.id), now);
 }
@@ -80,7 +80,9 @@
     const bool isPaused = notice.pause != Duration(0) && !entry->isPaused(now);
     entry->hasAnnouncedLeaving = entry->hasAnnouncedLeaving || notice.leaving;
     entry->pausedUntil = std::max(entry->pausedUntil, now + notice.pause);
-    entry->record.leaving = entry->record.leaving || notice.leaving;
+    if (isLeaving) {
+        impl_->endpoints.setLeaving(*entry);
+    }
     if (isLeaving || isPaused) {
         impl_->rerouteWaiting(*entry, now);
     }
--- a/src/direct/shared_watch_selector.cpp
+++ b/src/direct/shared_watch_selector.cpp
@@ -16,10 +16,16 @@
 
 std::string DirectCalls::sharedWatchAddress(TimePoint now) const
 {
-    const auto sharesStore = [](const wire::DirectState &state) {
-        return state.shares_store() && state.entries() >= minEntries;
+    const auto select = [&](bool nearOnly) {
+        const auto sharesStore = [&](const EndpointEntry &entry) {
+            const bool isNear = entry.record.dataCentre == impl_->init.dataCentre;
+            return entry.state->shares_store() && entry.state->entries() >= minEntries && (isNear || !nearOnly);
+        };
+        return selectSidecar(impl_->endpoints, selectionSeed, impl_->avoidedWatchAddresses, now, sharesStore);
     };
-    return selectSidecar(impl_->endpoints, selectionSeed, impl_->avoidedWatchAddresses, now, sharesStore);
+    // Entries that listen to different engines agree on those of their data centre only.
+    const auto nearAddress = impl_->listensToAll ? std::string() : select(true);
+    return nearAddress.empty() ? select(false) : nearAddress;
 }
 
 void DirectCalls::onSharedWatchFailed(const std::string &address, TimePoint now)
