A starting entry reads pages that may be some seconds old

Cause: each start reads the whole store with calls at the full price, which count toward the store's limit: 2 pages and more an entry, 712 at 356 entries within a second. Change: the first read accepts old pages, as that after a restore does already; they cost a tenth and are not limited, and the watch that follows at once returns all changes since. Not so after a change of the store in the settings: endpoints that an old page lacks would be reported as removed for a moment.

Tests: FirstWatchUpdatesAnOldFirstRead, FirstReadAfterAChangeOfTheStoreIsCurrent (the second fails if every first read may be old).

--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -565,9 +565,10 @@
     TimerHandle missingTimer_;
     TimerHandle withheldTimer_;
     bool isReading_ = true; // the current or next call is a read rather than a watch
-    // Accepts pages that are some seconds old. Limits the load when all entries read after a restore; the watch that
-    // follows returns the changes since.
-    bool acceptsOldData_ = false;
+    // Accepts pages that are some seconds old, which the store neither limits nor bills in full. Limits the load when
+    // all entries start together, or read after a restore; the watch that follows returns the changes since. Not with
+    // endpoints of another store: those that an old page lacks would be reported as removed.
+    bool acceptsOldData_ = init_.knownEndpoints.empty();
     bool isComplete_ = false;
     bool isHistoryGone_ = false; // the last watch failed because its history was compacted
     bool isPausing_ = false; // the next watch follows after a pause
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -371,5 +371,25 @@
     EXPECT_LE(entry.loop.calls - before, 10U);
 }
 
+// Guards against an entry that serves with the old state of its first read.
+TEST(StoreWatcher, FirstWatchUpdatesAnOldFirstRead)
+{
+    WatchedStore entry(5000, 1, [](VirtualLoop &loop) {
+        loop.staleStore = loop.store;
+        loop.change("a", true);
+        loop.change("late", false);
+    });
+    EXPECT_TRUE(entry.removalTime("a"));
+    EXPECT_EQ(entry.presentIds(), (std::set<std::string>{"a", "b", "late"}));
+}
+
+// Guards against endpoints that are lost for a moment when the settings name another store.
+TEST(StoreWatcher, FirstReadAfterAChangeOfTheStoreIsCurrent)
+{
+    const WatchedStore entry(2000, 1, [](VirtualLoop &loop) { loop.staleStore = test::VirtualStore{}; }, {"a", "b"});
+    EXPECT_FALSE(entry.removalTime("a"));
+    EXPECT_EQ(entry.presentIds(), (std::set<std::string>{"a", "b"}));
+}
+
 } // namespace
 } // namespace anvilscale
