Entries visit the home of an adapter that none of their engines holds

Change: such an adapter has one home among all engines, the one with the highest hash; the entry connects to its sidecar for ten seconds after the last call there, direct.farEngines visits at most. A visited sidecar that is not heard within 400 ms is passed over. A sidecar sends its state to a new listener alone and not to all; visitors are not counted among the entries, so that their coming is no news to the others.

Tests: rare adapters go to the same engine from two entries; a call is sent once the visited sidecar reports the adapter, and leaves one that is silent; visits are bounded and end; no visit for an adapter at hand; visitors are no news.

--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -147,7 +147,8 @@
                 controller_.applyDemand(peer, demand, now.mono);
                 statePublisher_.onStateAcknowledged(peer, demand.state_sequence());
                 if (entries_.insert(peer).second) {
-                    nextStateAt_ = now.mono;
+                    updateState(now.mono);
+                    messenger_->sendTo(peer, statePublisher_.buildMessage(peer));
                 }
             });
         };
--- a/src/direct/adapter_controller.cpp
+++ b/src/direct/adapter_controller.cpp
@@ -44,6 +44,11 @@
         applyIncarnation(reportedId);
     }
     promptTokens[peer] = PromptTokens{demand.unread_tokens(), demand.waiting_tokens()};
+    if (demand.visits()) {
+        visitors.insert(peer);
+    } else {
+        visitors.erase(peer);
+    }
     auto &fromPeer = demands[peer];
     fromPeer.clear();
     for (const auto &item : demand.wishes()) {
@@ -65,9 +70,12 @@
 
 void AdapterController::onPeerLost(PeerHandle peer)
 {
+    const auto demand = impl_->demands.find(peer);
+    const bool isVisitor = impl_->visitors.erase(peer) != 0;
+    // An entry that is not counted and waits for nothing changes nothing for the others.
+    impl_->revision += isVisitor && (demand == impl_->demands.end() || demand->second.empty()) ? 0 : 1;
     impl_->demands.erase(peer);
     impl_->promptTokens.erase(peer);
-    ++impl_->revision;
 }
 
 AdapterController::Impl::AdapterDemand AdapterController::Impl::totalDemand(const AdapterKey &key) const
@@ -299,7 +307,7 @@
     wire::DirectState state;
     const auto tokens = totalPromptTokens();
     state.set_endpoint_id(endpointId);
-    state.set_entries(static_cast<std::uint32_t>(demands.size()));
+    state.set_entries(static_cast<std::uint32_t>(demands.size() - visitors.size()));
     state.set_reachable(isReachable);
     state.set_slots(plan.adapter_slots());
     state.set_unread_tokens(tokens.unread);
--- a/src/direct/adapter_controller_impl.h
+++ b/src/direct/adapter_controller_impl.h
@@ -83,6 +83,7 @@
     wire::EnginePlan plan;
     std::map<PeerHandle, std::map<AdapterKey, AdapterDemand>> demands; // last demand of each entry
     std::map<PeerHandle, PromptTokens> promptTokens; // of each entry
+    std::set<PeerHandle> visitors; // entries that are connected for some calls only
     std::map<AdapterKey, Usage> usages;
     std::optional<EngineStateReport> report;
     bool isReachable = false;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -14,6 +14,8 @@
 // A waiting call is placed again after the time of this many loads, or 1.5 times its estimate, whichever is longer.
 constexpr int reevaluationLoads = 4;
 constexpr int reevaluationHalfEstimates = 3; // in halves of the estimate
+// The same if the engine is visited and its sidecar has not been heard yet.
+constexpr Duration visitCheckTime = Milliseconds(400);
 
 void decrement(std::uint32_t &count)
 {
@@ -173,6 +175,7 @@
         return;
     }
     updateListening(now);
+    visitHome(call, now);
     const auto choice = chooseEndpoint(endpoints, buildQuery(call, now), now);
     if (!choice) {
         refuseOrAbandon(handle, call, RefusalReason::NoEndpoint, timeUntilAvailable(call.service, now), now);
@@ -201,7 +204,11 @@
     call.reevaluateAt =
         now + std::max(reevaluationLoads * choice.loadTime, reevaluationHalfEstimates * choice.firstByte / 2);
     call.stepStartedAt = now;
-    const auto &chosen = *endpoints.find(choice.endpointId);
+    auto &chosen = *endpoints.find(choice.endpointId);
+    if (chosen.listening == Listening::Visited) {
+        extendVisit(chosen, now);
+        call.reevaluateAt = chosen.state ? call.reevaluateAt : now + visitCheckTime;
+    }
     call.endpointGeneration = chosen.generation;
     call.endpointStartTimeMs = chosen.record.startTimeMs;
     call.storeAge = now - storeAnsweredAt;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -104,7 +104,8 @@
     std::optional<std::uint64_t> selectedRevision; // membership for which the listened engines were selected
     std::uint64_t selectedConfig = 0; // version of the configuration for which they were selected
     bool listensToAll = true;
-    TimePoint finishingCheckAt = TimePoint::max(); // when engines that finish calls are checked again
+    std::set<std::string> selectedAddresses;
+    TimePoint nextReleaseAt = TimePoint::max(); // when engines that are visited or finish calls are checked again
     bool hasListeningChanged = false; // since the last takeListenedEngines()
     std::map<AdapterName, std::uint32_t> publishedVersions; // latest version published by the operator
     std::map<CallHandle, DirectCall> calls;
@@ -123,8 +124,14 @@
 
     /// Returns the capacity of an engine of the service; nullptr for a plain or unknown service.
     const EngineLimits *findEngine(const std::string &service) const;
-    /// Selects the engines to listen to, if they or the configuration have changed.
+    /// Selects the engines to listen to, if they or the configuration have changed, and ends visits.
     void updateListening(TimePoint now);
+    void selectEngines();
+    void applySelection(TimePoint now);
+    /// Connects to the engine where all entries load the adapter of the call, unless an engine that this entry listens
+    /// to holds the adapter.
+    void visitHome(const DirectCall &call, TimePoint now);
+    void extendVisit(EndpointEntry &entry, TimePoint now);
     std::uint32_t publishedVersion(const AdapterName &name) const;
     ChoiceQuery buildQuery(const DirectCall &call, TimePoint now);
     std::uint32_t computeRank(const DirectCall &call, TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -216,6 +216,7 @@
         sent.planVersion = config->version;
     }
     demand.set_state_sequence(entry.state ? entry.state->sequence() : 0);
+    demand.set_visits(entry.listening == Listening::Visited || entry.listening == Listening::Finishing);
     entry.lastSentUnreadTokens = entry.unreadTokens;
     entry.lastSentWaitingTokens = entry.waitingTokens;
     entry.hasUnsentRun = false;
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -37,6 +37,11 @@
     return hash64(entry.record.address, key);
 }
 
+std::uint64_t homeKeyOf(const CallInfo &info)
+{
+    return hash64(info.adapter, hash64(info.model));
+}
+
 double sharedTokens(const CallInfo &info)
 {
     double sum = 0;
@@ -121,15 +126,14 @@
 bool isEligible(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
 {
     return entry.record.service == *query.service && !entry.isLeaving(now) && !entry.isPaused(now)
-           && !entry.isSuperseded && entry.listening == Listening::Selected
-           && query.excludedIds->count(entry.record.id) == 0;
+           && !entry.isSuperseded && entry.acceptsPlacement(now) && query.excludedIds->count(entry.record.id) == 0;
 }
 
 Placement findPlacement(std::vector<Candidate> &candidates, const ChoiceQuery &query, TimePoint now)
 {
     const AdapterName name{query.info->model, query.info->adapter};
     const auto key = prefixKey(*query.info);
-    const auto homeKey = hash64(query.info->adapter, hash64(query.info->model));
+    const auto homeKey = homeKeyOf(*query.info);
     Placement placement;
     for (auto &candidate : candidates) {
         const auto &entry = *candidate.entry;
@@ -235,6 +239,33 @@
 
 } // namespace
 
+EndpointEntry *findHomeToVisit(EndpointTable &table, const ChoiceQuery &query, TimePoint now)
+{
+    const AdapterName name{query.info->model, query.info->adapter};
+    const auto homeKey = homeKeyOf(*query.info);
+    EndpointEntry *home = nullptr;
+    std::uint64_t highest = 0;
+    for (auto &[id, entry] : table.entries()) {
+        if (entry.record.service != *query.service || entry.isSuperseded || entry.isLeaving(now) || entry.isPaused(now)
+            || now < entry.avoidedUntil || query.excludedIds->count(id) != 0) {
+            continue;
+        }
+        if (entry.acceptsPlacement(now)
+            && (entry.presence(name, query.minVersion, now) != Presence::Absent || entry.isAwaiting(name, now))) {
+            return nullptr;
+        }
+        // One that was visited in vain is passed over until the visit ends.
+        const bool isUnheard = entry.listening == Listening::Visited && !entry.acceptsPlacement(now);
+        const auto hash = rendezvousHash(homeKey, entry);
+        if (!isUnheard && (home == nullptr || hash > highest)) {
+            home = &entry;
+            highest = hash;
+        }
+    }
+    const bool isConnected = home == nullptr || home->listening == Listening::Selected;
+    return isConnected ? nullptr : home;
+}
+
 std::optional<Choice> chooseEndpoint(const EndpointTable &table, const ChoiceQuery &query, TimePoint now)
 {
     std::vector<Candidate> candidates;
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -35,6 +35,10 @@
     double unreadTokens = 0; // tokens to read for this call; long prompts count for more
 };
 
+/// Returns the engine that all entries load the adapter of the call into, if this entry has to connect to it first;
+/// nullptr if it is connected, or to another engine that holds the adapter.
+EndpointEntry *findHomeToVisit(EndpointTable &table, const ChoiceQuery &query, TimePoint now);
+
 /// Returns the endpoint with the lowest estimate; empty if none is eligible.
 std::optional<Choice> chooseEndpoint(const EndpointTable &table, const ChoiceQuery &query, TimePoint now);
 
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -17,6 +17,8 @@
 constexpr Duration defaultMessageInterval = Milliseconds(500); // of sidecars that do not report theirs
 // Time to connect to a new endpoint's sidecar and receive its state.
 constexpr Duration firstStateTimeout = Milliseconds(1500);
+// The same for an engine that is visited: the process is running in all probability, and calls wait for it.
+constexpr Duration visitStateTimeout = Milliseconds(400);
 // Weight of the newest call in slowness, and how long the value counts without a new one.
 constexpr double slownessWeight = 0.3;
 constexpr Duration slownessLifetime = Seconds(3);
@@ -87,7 +89,13 @@
 
 bool EndpointEntry::isStateExpected(TimePoint now) const
 {
-    return !state && now - firstSeenAt < firstStateTimeout;
+    const auto timeout = listening == Listening::Visited ? visitStateTimeout : firstStateTimeout;
+    return !state && now - connectingSince < timeout;
+}
+
+bool EndpointEntry::acceptsPlacement(TimePoint now) const
+{
+    return listening == Listening::Selected || (listening == Listening::Visited && (state || isStateExpected(now)));
 }
 
 bool EndpointEntry::hasLocalCopy(const AdapterName &name) const
@@ -191,6 +199,9 @@
         const auto *adapter = findAdapter(*state, name, false);
         return adapter == nullptr ? 0 : adapter->version();
     }
+    if (listening == Listening::Visited) {
+        return 0; // its record is old: entries are not told of changes of adapters in the store
+    }
     for (const auto &adapter : record.adapters) {
         if (adapter.model == name.first && adapter.adapter == name.second) {
             return adapter.version;
@@ -256,7 +267,7 @@
     if (known == byId_.end()) {
         auto &entry = byId_[record.id];
         entry.generation = ++lastGeneration_;
-        entry.firstSeenAt = now;
+        entry.connectingSince = now;
         entry.record = record;
         entry.record.leaving = record.leaving || wasRemovedLeaving(record, now);
         entry.hasAnnouncedLeaving = entry.record.leaving;
@@ -299,9 +310,10 @@
     newEntry.record.models.clear();
     newEntry.record.adapters.clear();
     newEntry.generation = ++lastGeneration_;
-    newEntry.firstSeenAt = now;
+    newEntry.connectingSince = now;
     newEntry.isSuperseded = entry.isSuperseded;
     newEntry.listening = entry.listening;
+    newEntry.visitedUntil = entry.visitedUntil;
     entry = std::move(newEntry);
     ++membershipRevision_;
 }
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -27,6 +27,7 @@
 enum class Listening : std::uint8_t {
     Apart, ///< not connected, gets no calls
     Finishing, ///< connected until its calls have ended, gets no new ones
+    Visited, ///< connected for a while, for calls on adapters that no selected engine holds
     Selected,
     Count
 };
@@ -36,10 +37,11 @@
 {
     EndpointRecord record;
     std::uint64_t generation = 0; // unique for each process; counters of calls belong to one generation
-    TimePoint firstSeenAt{}; // when it was first seen
+    TimePoint connectingSince{}; // when it was first seen, or the connection to its sidecar was last opened
     // A later incarnation has the same address, and this record has not been removed yet.
     bool isSuperseded = false;
     Listening listening = Listening::Selected; // plain services have no sidecars and are always selected
+    TimePoint visitedUntil{}; // end of the visit, unless it is visited again
     std::uint32_t inFlight = 0; // own calls
     std::uint32_t awaitingFirstByte = 0; // own calls without a first byte; invariant: at most inFlight
     double unreadTokens = 0; // prompt tokens that the engine probably has to read for them
@@ -88,6 +90,8 @@
     bool isLeaving(TimePoint now) const;
     /// True if it has asked this entry to send no calls for a while.
     bool isPaused(TimePoint now) const;
+    /// True if calls may be placed here, as far as the connection to the sidecar goes.
+    bool acceptsPlacement(TimePoint now) const;
     /// True if its sidecar has not sent a state yet, but probably will soon.
     bool isStateExpected(TimePoint now) const;
     /// True if the engine probably still has a copy in its memory, so that it loads without the weight store.
--- a/tests/unit/direct_controller_test.cpp
+++ b/tests/unit/direct_controller_test.cpp
@@ -349,5 +349,21 @@
     EXPECT_EQ(controller_.state(now_ + Seconds(60)).adapters(0).recent_calls(), 0U);
 }
 
+// Guards against states sent to all entries each time that one of them visits.
+TEST_F(AdapterControllerTest, VisitorsAreNotCountedAndTheirEndIsNoNews)
+{
+    setDemand({});
+    controller_.applyReport(reportOf(0, {}), now_);
+    auto visit = demandFor("i-1", {});
+    visit.set_visits(true);
+    controller_.applyDemand(PeerHandle{2}, visit, now_);
+    EXPECT_EQ(controller_.state(now_).entries(), 1U);
+    const auto revision = controller_.revision();
+    controller_.onPeerLost(PeerHandle{2});
+    EXPECT_EQ(controller_.revision(), revision);
+    controller_.onPeerLost(PeerHandle{1});
+    EXPECT_NE(controller_.revision(), revision);
+}
+
 } // namespace
 } // namespace anvilscale
--- a/tests/unit/direct_listening_test.cpp
+++ b/tests/unit/direct_listening_test.cpp
@@ -194,4 +194,119 @@
     EXPECT_EQ(std::count(after->begin(), after->end(), address(0)), 0);
 }
 
+class Visiting : public Listening
+{
+protected:
+    static constexpr int engineCount = 60;
+
+    Visiting()
+    {
+        addEngines(0, engineCount);
+        publishSelected({});
+    }
+    void publishSelected(const std::vector<std::string> &adapters)
+    {
+        for (const auto &address : listened_) {
+            large_->applyState(address, makeState(adapters), now_);
+        }
+    }
+    /// Calls for the adapter; returns the engines that the entry is connected to since.
+    std::set<std::string> callAndListNew(const std::string &adapter)
+    {
+        sendCall(adapter);
+        const auto current = large_->takeListenedEngines(now_).value_or(listened_);
+        std::set<std::string> added(current.begin(), current.end());
+        for (const auto &address : listened_) {
+            added.erase(address);
+        }
+        return added;
+    }
+    /// Adapter whose home is not among the selected engines.
+    std::pair<std::string, std::string> findVisit()
+    {
+        for (int i = 0; i < 50; ++i) {
+            const auto adapter = "rare" + std::to_string(i);
+            const auto added = callAndListNew(adapter);
+            if (!added.empty()) {
+                return {adapter, *added.begin()};
+            }
+        }
+        return {};
+    }
+};
+
+// Guards against each entry paying for a load of an adapter that the fleet already holds.
+TEST_F(Visiting, EntriesVisitTheSameEngineForARareAdapter)
+{
+    const auto [adapter, home] = findVisit();
+    ASSERT_FALSE(home.empty());
+    DirectCallsInit init;
+    init.entryName = "other";
+    init.dataCentre = "dc";
+    init.listening = {limit, 1};
+    large_.emplace(init);
+    large_->applyConfig(makeConfig(1), now_);
+    addEngines(0, engineCount);
+    publishSelected({});
+    sendCall(adapter);
+    const auto connected = large_->takeListenedEngines(now_).value_or(listened_);
+    EXPECT_EQ(std::count(connected.begin(), connected.end(), home), 1);
+}
+
+TEST_F(Visiting, CallIsSentOnceTheVisitedSidecarReportsTheAdapter)
+{
+    const auto [adapter, home] = findVisit();
+    ASSERT_FALSE(home.empty());
+    large_->applyState(home, makeState({adapter}), now_);
+    const auto actions = large_->takeActions();
+    const auto isSentHome = [home = home](const DirectAction &action) {
+        const auto *send = std::get_if<SendCall>(&action);
+        return send != nullptr && send->address == home;
+    };
+    EXPECT_EQ(std::count_if(actions.begin(), actions.end(), isSentHome), 1);
+}
+
+// Guards against a call that waits until its deadline for an engine whose VM has stopped.
+TEST_F(Visiting, CallLeavesAVisitedEngineThatIsNotHeard)
+{
+    const auto [adapter, home] = findVisit();
+    ASSERT_FALSE(home.empty());
+    large_->takeActions();
+    std::set<std::string> demanded;
+    for (int i = 0; i < 20; ++i) {
+        now_ += Milliseconds(50);
+        publishSelected({});
+        large_->tick(now_);
+        for (const auto &action : large_->takeActions()) {
+            const auto *demand = std::get_if<SendDemand>(&action);
+            if (demand != nullptr && demand->demand.waiting_tokens() != 0 && demand->address != home) {
+                demanded.insert(demand->address);
+            }
+        }
+    }
+    EXPECT_FALSE(demanded.empty());
+}
+
+// Guards against connections that grow with the number of adapters that an entry has been asked for.
+TEST_F(Visiting, VisitsAreFewAndEnd)
+{
+    for (int i = 0; i < 200; ++i) {
+        sendCall("rare" + std::to_string(i));
+    }
+    const auto during = large_->takeListenedEngines(now_).value_or(listened_);
+    EXPECT_LE(during.size(), listened_.size() + 1) << "farEngines is 1";
+    for (int i = 0; i < 300; ++i) {
+        now_ += Milliseconds(50);
+        large_->tick(now_);
+    }
+    EXPECT_EQ(large_->takeListenedEngines(now_).value_or(during), listened_);
+}
+
+// Guards against visits of popular adapters, which the entry finds at engines that it listens to.
+TEST_F(Visiting, AdapterOfASelectedEngineNeedsNoVisit)
+{
+    publishSelected({"a1"});
+    EXPECT_TRUE(callAndListNew("a1").empty());
+}
+
 } // namespace anvilscale::test
