--- a/tests/unit/direct_listening_test.cpp
+++ b/tests/unit/direct_listening_test.cpp
@@ -16,6 +16,7 @@
 std::vector<EngineSite> makeEngines(int count)
 {
     std::vector<EngineSite> engines;
+    engines.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         engines.push_back({"10.1." + std::to_string(i / 200) + "." + std::to_string(i % 200) + ":80", centreOf(i)});
     }
