Calls that may be repeated leave an engine whose VM has probably stopped

Cause, as traced before: calls that reached an engine just before its VM froze wait there until their callers leave after 3.2 s, and the engine notices only when it resumes. Who could end the wait: the entry, which knows after a second that the sidecar and the engine are silent.

Change: a call that may be repeated and has received nothing is sent to another engine after a second of silence of both, where that answers before its caller leaves and the retry budget allows it. If the first engine begins to answer in the same moment, its answer goes on. Calls that must not be repeated, and streams that have begun, stay: a silent endpoint is no reason to end them.

Tests: the first fails without the change (no second send); a call with a first byte, one that must not be repeated, and one at an engine that is only slow stay.

--- a/include/anvilscale/base.h
+++ b/include/anvilscale/base.h
@@ -320,13 +320,15 @@
     StaleRevision,
     SlotMoved,
     Hedge,
+    EngineStopped, ///< its VM has probably stopped, and the call has received nothing
     Count
 };
 template<>
 struct EnumNames<RetryReason>
 {
     static constexpr std::array<std::string_view, enumCount<RetryReason>> table{
-        "refused", "sidecar_lost", "broken_answer", "engine_failed", "stale_revision", "slot_moved", "hedge"};
+        "refused",        "sidecar_lost", "broken_answer", "engine_failed",
+        "stale_revision", "slot_moved",   "hedge",         "engine_stopped"};
 };
 
 /// Result of an execution as seen by its sidecar.
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -87,6 +87,13 @@
             return; // the caller has disconnected
         }
         auto &call = found->second;
+        call.reportedAttempt = action.attempt;
+        if (call.isForwarding) {
+            // The call was to leave an engine that has begun to answer meanwhile: the answer goes on.
+            handlers_.onAnswerStarted(exchange, action.attempt);
+            return;
+        }
+        stopAttempt(call);
         call.attempt = action.attempt;
         call.endpointId = action.endpointId;
         call.holdAnswer = action.holdAnswer;
@@ -171,7 +178,8 @@
         HttpRequestData request;
         std::string requestId;
         std::string endpointId;
-        std::uint32_t attempt = 0;
+        std::uint32_t attempt = 0; // of the exchange in progress
+        std::uint32_t reportedAttempt = 0; // under which its answer and end are reported; the last one requested
         bool holdAnswer = false;
         HttpClient *client = nullptr; // of the current attempt; null if none is in progress
         ExchangeId upstreamExchange = 0;
@@ -239,7 +247,7 @@
         if (call.answer.kind == AnswerKind::Refused) {
             return;
         }
-        handlers_.onAnswerStarted(exchange, call.attempt);
+        handlers_.onAnswerStarted(exchange, call.reportedAttempt);
         call.heldReply.status = head.status;
         call.heldReply.headers = head.headers;
         if (call.answer.kind == AnswerKind::Success && call.answer.isEventStream) {
@@ -316,8 +324,9 @@
         result.end = AttemptEnd::Answered;
         result.status = status;
         result.longestPause = call.longestPause;
+        const auto reportedAttempt = call.reportedAttempt;
         calls_.erase(found);
-        handlers_.onAttemptEnded(exchange, attempt, result);
+        handlers_.onAttemptEnded(exchange, reportedAttempt, result);
     }
 
     void endAttempt(HttpExchange exchange, RelayedCall &call, AttemptEnd end, std::uint32_t status)
@@ -328,7 +337,7 @@
         result.status = status;
         result.callerHasBytes = call.isForwarding;
         result.longestPause = call.longestPause;
-        handlers_.onAttemptEnded(exchange, call.attempt, result);
+        handlers_.onAttemptEnded(exchange, call.reportedAttempt, result);
     }
 
     void stopAttempt(RelayedCall &call)
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -181,6 +181,9 @@
     void onRefused(CallHandle handle, DirectCall &call, EndpointRefusal refusal, TimePoint now);
     void sendReadyCalls(const std::string &endpointId, TimePoint now);
     void checkDeadlines(TimePoint now);
+    void leaveStoppedEngines(TimePoint now);
+    /// Sends the call to another engine if that answers in time; otherwise it stays where it is.
+    void moveCall(CallHandle handle, DirectCall &call, TimePoint now);
     void checkWaitingCalls(TimePoint now);
     bool missesFirstByteLimit(const DirectCall &call, TimePoint now);
     void sendDemands(TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -26,6 +26,7 @@
 {
     impl_->updateRetryShare(now);
     impl_->checkDeadlines(now);
+    impl_->leaveStoppedEngines(now);
     impl_->checkWaitingCalls(now);
     impl_->sendDemands(now);
     impl_->selectPools(now);
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -72,6 +72,11 @@
     return lastReceivedAt - stateReceivedAt > interval + interval / 2 + messageSlack;
 }
 
+bool EndpointEntry::isSidecarSilentFor(Duration span, TimePoint lastReceivedAt) const
+{
+    return isSidecarSilent(lastReceivedAt) && (!state || lastReceivedAt - stateReceivedAt > span);
+}
+
 bool EndpointEntry::isReportedUnreachable(TimePoint now) const
 {
     return hasFreshState(now) && !state->reachable();
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -84,6 +84,8 @@
     /// has probably stopped. Compared with the last message of any sidecar and not with the clock, so that a paused
     /// entry does not take all connected sidecars for silent.
     bool isSidecarSilent(TimePoint lastReceivedAt) const;
+    /// True if it has been silent for `span` after a message that was due.
+    bool isSidecarSilentFor(Duration span, TimePoint lastReceivedAt) const;
     /// True if its sidecar reports that it cannot reach the engine; the record of a crashed engine lapses only later.
     bool isReportedUnreachable(TimePoint now) const;
     /// True if its record or its sidecar reports that it accepts no new calls.
--- a/tests/unit/direct_updates_test.cpp
+++ b/tests/unit/direct_updates_test.cpp
@@ -129,6 +129,73 @@
     EXPECT_EQ(chosen(), std::set<std::string>{"e-1"});
 }
 
+class StoppedEngine : public ReportedEngines
+{
+protected:
+    StoppedEngine()
+    {
+        auto config = test::makeConfig(2);
+        config.routes.front().resumable = true;
+        calls_.applyConfig(config, now_);
+    }
+    /// The sidecar beside the engine of the call is silent, the other one is heard.
+    std::vector<SendCall> sendsWhileSilent(const SendCall &sent, Duration span)
+    {
+        const auto &heard = sent.address == addressOne ? addressTwo : addressOne;
+        std::vector<SendCall> sends;
+        for (const auto end = now_ + span; now_ < end;) {
+            advance(Milliseconds(50));
+            sendHeartbeat(heard);
+            for (auto &send : takeActions<SendCall>()) {
+                sends.push_back(std::move(send));
+            }
+        }
+        return sends;
+    }
+};
+
+// Guards against callers that wait in vain for an engine on a stopped VM, which goes on with their runs once it has
+// resumed.
+TEST_F(StoppedEngine, CallWithoutFirstByteIsSentElsewhere)
+{
+    startCall("/s/x", "a");
+    const auto first = takeSentCall();
+    const auto sends = sendsWhileSilent(first, Milliseconds(1600));
+    ASSERT_EQ(sends.size(), 1U);
+    EXPECT_NE(sends.front().endpointId, first.endpointId);
+    EXPECT_EQ(sends.front().attempt, 2U);
+}
+
+TEST_F(StoppedEngine, CallWithAFirstByteStays)
+{
+    startCall("/s/x", "a");
+    const auto first = takeSentCall();
+    calls_.onAnswerStarted(first.call, first.attempt, now_);
+    EXPECT_TRUE(sendsWhileSilent(first, Seconds(3)).empty());
+}
+
+// Guards against a second run of a call that must not be repeated.
+TEST_F(StoppedEngine, CallThatMustNotBeRepeatedStays)
+{
+    calls_.applyConfig(test::makeConfig(3), now_);
+    startCall("/s/x", "a");
+    const auto first = takeSentCall();
+    EXPECT_TRUE(sendsWhileSilent(first, Seconds(3)).empty());
+}
+
+// Guards against a call that leaves an engine which answers it a moment later.
+TEST_F(StoppedEngine, CallStaysWhileTheEngineIsOnlySlow)
+{
+    startCall("/s/x", "a");
+    const auto first = takeSentCall();
+    for (int i = 0; i < 40; ++i) {
+        advance(Milliseconds(50));
+        sendHeartbeat(addressOne);
+        sendHeartbeat(addressTwo);
+    }
+    EXPECT_TRUE(takeActions<SendCall>().empty());
+}
+
 TEST_F(ReportedEngines, IgnoresHeartbeatOfAnotherState)
 {
     for (int i = 0; i < 2; ++i) {
