An endpoint's failure that looks like a refusal is not forwarded for a call that must not be repeated

Symptom, by reading: an endpoint that fails a call with 408, 421, 429 or 503 and does not say that it has not run it has its status forwarded; the caller takes it for a promise and sends the call again, which then runs twice.

Test: FailureThatLooksLikeARefusalIsNotForwardedIfTheCallMustNotBeRepeated.

--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -2,6 +2,7 @@
 #include "direct_calls_impl.h"
 
 #include <algorithm>
+#include <array>
 
 namespace anvilscale {
 
@@ -10,6 +11,13 @@
 // A call sent with less time left would be cut off before its first byte.
 constexpr Duration minTimeToSend = Milliseconds(30);
 
+/// True for a status by which a caller takes the call for one that has not run and may send it again.
+bool promisesNotRun(std::uint32_t status)
+{
+    constexpr std::array promises{408U, 421U, 429U, 503U};
+    return std::find(promises.begin(), promises.end(), status) != promises.end();
+}
+
 } // namespace
 
 void DirectCalls::onAttemptEnded(CallHandle handle, std::uint32_t attempt, const AttemptResult &result, TimePoint now)
@@ -52,6 +60,11 @@
             impl.routeCall(handle, call, now);
             return;
         }
+        // The endpoint does not say that it has not run the call. The caller would send it again.
+        if (!call.isRepeatable() && promisesNotRun(result.status)) {
+            impl.abandon(handle, FailureReason::EndpointError, now);
+            return;
+        }
         impl.actions.emplace_back(ForwardAnswer{handle});
         impl.finishCall(handle, EndedOutcome::OwnFailure, toString(result.end), result.status, now);
         return;
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -215,6 +215,31 @@
     EXPECT_EQ(std::get<AbandonCall>(actions[0]).reason, FailureReason::EndpointCut);
 }
 
+// Guards against a second run of a call: its caller takes these statuses of an endpoint that has run it for a promise.
+TEST_F(Calls, FailureThatLooksLikeARefusalIsNotForwardedIfTheCallMustNotBeRepeated)
+{
+    addPlainEndpoints();
+    for (const std::uint32_t status : {408U, 421U, 429U, 503U, 500U}) {
+        for (const bool isRepeatable : {false, true}) {
+            startCall(isRepeatable ? "/i/x" : "/n/x");
+            AttemptResult result;
+            result.end = AttemptEnd::OwnFailure;
+            result.status = status;
+            std::vector<DirectAction> actions;
+            for (auto next = calls_.takeActions(); !next.empty(); next = calls_.takeActions()) {
+                if (const auto *send = std::get_if<SendCall>(&next.front())) {
+                    calls_.onAttemptEnded(send->call, send->attempt, result, now_);
+                }
+                actions = std::move(next);
+            }
+            ASSERT_EQ(actions.size(), 1U);
+            const bool isForwarded = std::holds_alternative<ForwardAnswer>(actions.front());
+            EXPECT_EQ(isForwarded, isRepeatable || status == 500U) << status;
+            EXPECT_EQ(std::holds_alternative<AbandonCall>(actions.front()), !isForwarded) << status;
+        }
+    }
+}
+
 TEST_F(Calls, RefusedCallIsSentElsewhereUnderAnyRepeatRule)
 {
     addPlainEndpoints();
