--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -487,6 +487,8 @@
     std::uint64_t sent = 0;
     std::uint64_t waitedForAdapter = 0; ///< load stalls
     std::uint64_t open = 0;
+    std::uint64_t listenedEngines = 0; ///< engines that the entry is connected to
+    std::uint64_t visits = 0; ///< connections to engines that hold or load an adapter which no listened engine holds
     std::uint64_t quarantined = 0; // requests put under quarantine
     Counters<AttemptEnd> ends;
     AllowanceStats allowances;
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -131,6 +131,10 @@
     text.counter("anvilscale_direct_sent_total", "attempts sent to endpoints", stats.sent);
     text.counter("anvilscale_direct_adapter_waits_total", "waits of calls for their adapter", stats.waitedForAdapter);
     text.gauge("anvilscale_direct_calls_open", "calls in progress", static_cast<double>(stats.open));
+    text.gauge("anvilscale_direct_listened_engines", "engines that this entry is connected to",
+               static_cast<double>(stats.listenedEngines));
+    text.counter("anvilscale_direct_visits_total",
+                 "connections made for an adapter that no engine held which this entry listened to", stats.visits);
     text.counters("anvilscale_direct_attempt_ends_total", "how attempts ended", "end", stats.ends);
     text.counters("anvilscale_direct_endpoint_refusals_total", "calls refused by endpoints", "refusal",
                   stats.endpointRefusals);
--- a/src/direct/listening.cpp
+++ b/src/direct/listening.cpp
@@ -102,6 +102,7 @@
         }
         home->connectingSince = home->listening == Listening::Apart ? now : home->connectingSince;
         home->listening = Listening::Visited;
+        ++stats.visits;
         hasListeningChanged = true;
     }
     extendVisit(*home, now);
@@ -125,6 +126,7 @@
             addresses.insert(entry.record.address);
         }
     }
+    impl_->stats.listenedEngines = addresses.size();
     return std::vector<std::string>(addresses.begin(), addresses.end());
 }
 
--- a/tests/unit/direct_listening_test.cpp
+++ b/tests/unit/direct_listening_test.cpp
@@ -296,6 +296,8 @@
     }
     const auto during = large_->takeListenedEngines(now_).value_or(listened_);
     EXPECT_LE(during.size(), listened_.size() + 1) << "farEngines is 1";
+    EXPECT_EQ(large_->stats().listenedEngines, during.size());
+    EXPECT_EQ(large_->stats().visits, 1U);
     for (int i = 0; i < 300; ++i) {
         now_ += Milliseconds(50);
         large_->tick(now_);
