A call that leaves a stopped engine ends if that engine has answered it after all

Symptom, by reading: if the answer ends in the moment in which the call is sent elsewhere, the relay no longer knows the call, the decisions take the end for one of an earlier attempt, and the call stays open until its deadline, counted at an engine that never gets it. Change: a whole answer ends the call, whichever attempt it belongs to.

Test: AnswerOfTheEngineThatWasLeftEndsTheCall fails without the change (run).

--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -24,10 +24,15 @@
 {
     auto &impl = *impl_;
     const auto found = impl.calls.find(handle);
-    if (found == impl.calls.end() || found->second.attempt != attempt || found->second.step != CallStep::Sent) {
+    if (found == impl.calls.end()) {
         return;
     }
     auto &call = found->second;
+    // The answer of an earlier attempt may end while the call leaves its engine: the caller has it whole.
+    const bool isAnsweredBefore = result.end == AttemptEnd::Answered && attempt < call.attempt;
+    if (!isAnsweredBefore && (call.attempt != attempt || call.step != CallStep::Sent)) {
+        return;
+    }
     impl.stats.ends.add(result.end);
     call.longestPause = result.longestPause;
     if (result.end != AttemptEnd::Answered) {
--- a/tests/unit/direct_updates_test.cpp
+++ b/tests/unit/direct_updates_test.cpp
@@ -166,6 +166,19 @@
     EXPECT_EQ(sends.front().attempt, 2U);
 }
 
+// Guards against a call that stays open until its deadline: its engine answered in the moment in which the call left it.
+TEST_F(StoppedEngine, AnswerOfTheEngineThatWasLeftEndsTheCall)
+{
+    startCall("/s/x", "a");
+    const auto first = takeSentCall();
+    ASSERT_EQ(sendsWhileSilent(first, Milliseconds(1600)).size(), 1U);
+    endAttempt(first, AttemptEnd::Answered);
+    const auto ended = calls_.takeEnded();
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended.front().outcome, EndedOutcome::Answered);
+    EXPECT_EQ(calls_.stats().open, 0U);
+}
+
 TEST_F(StoppedEngine, CallWithAFirstByteStays)
 {
     startCall("/s/x", "a");
