--- a/tests/unit/direct_updates_test.cpp
+++ b/tests/unit/direct_updates_test.cpp
@@ -166,7 +166,8 @@
     EXPECT_EQ(sends.front().attempt, 2U);
 }
 
-// Guards against a call that stays open until its deadline: its engine answered in the moment in which the call left it.
+// Guards against a call that stays open until its deadline: its engine answered in the moment in which the call left
+// it.
 TEST_F(StoppedEngine, AnswerOfTheEngineThatWasLeftEndsTheCall)
 {
     startCall("/s/x", "a");
