--- a/bench/listenbench.cpp
+++ b/bench/listenbench.cpp
@@ -1,6 +1,6 @@
 // Compares ways in which entries learn the state of engines, in virtual time: each entry hears all engines, hears the
-// engines that it selects (src/direct/listened_engines.h), or gets one digest a second of each data centre. Prints one
-// line for each way and size of the fleet.
+// engines that it selects (src/direct/listened_engines.h), also visits the home of an adapter that none of these holds,
+// or gets one digest a second of each data centre. Prints one line for each way and size of the fleet.
 #include "direct/listened_engines.h"
 
 #include <algorithm>
@@ -36,6 +36,7 @@
 enum class Way : std::uint8_t {
     All,
     Selected,
+    Visited,
     Digests,
     Count
 };
@@ -46,7 +47,7 @@
 template<>
 struct EnumNames<Way>
 {
-    static constexpr std::array<std::string_view, enumCount<Way>> table{"all", "selected", "digests"};
+    static constexpr std::array<std::string_view, enumCount<Way>> table{"all", "selected", "visited", "digests"};
 };
 } // namespace anvilscale
 
@@ -129,7 +130,7 @@
         std::vector<double> listeners(engines_.size(), 0);
         for (int entry = 0; entry < entries_; ++entry) {
             std::vector<int> reach;
-            if (way_ == Way::Selected) {
+            if (way_ == Way::Selected || way_ == Way::Visited) {
                 const EntrySite site{"entry-" + std::to_string(entry), "dc" + std::to_string(entry % dataCentres)};
                 for (const auto &address : selectListenedEngines(sites, site, {})) {
                     reach.push_back(indexOf.at(address));
@@ -166,6 +167,14 @@
         }
         return seconds + (index % dataCentres == entry % dataCentres ? 0 : remotePenalty);
     }
+    int homeOfAll(int adapter) const
+    {
+        int home = 0;
+        for (int index = 1; index < static_cast<int>(engines_.size()); ++index) {
+            home = rank(adapter, index) > rank(adapter, home) ? index : home;
+        }
+        return home;
+    }
     int choose(int entry, int adapter)
     {
         const auto &reach = reach_[static_cast<std::size_t>(entry)];
@@ -178,6 +187,9 @@
                 home = index;
             }
         }
+        if (way_ == Way::Visited && candidates.empty()) {
+            home = homeOfAll(adapter);
+        }
         candidates.push_back(home < 0 ? reach.front() : home);
         for (int i = 0; i < sampledEngines; ++i) {
             candidates.push_back(reach[random_.uniformBelow(reach.size())]);
