The limit that an endpoint names is read and logged

Change: the adapter reads the header, an entry keeps the newest value of each endpoint, and line 425 shows each change. Routing is the same as before.

Evidence: SiteCalls.EndpointNoticesAreRead, with the new header, valid and not.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -317,10 +317,11 @@
 {
     bool leaving = false; ///< accepts no new calls
     Duration pause{}; ///< time for which it accepts no calls of this entry; 0 if not reported
+    std::optional<double> requestsPerSecond{}; ///< limit on the calls of all entries together; empty if none is in force
 
     bool empty() const
     {
-        return !leaving && pause == Duration(0);
+        return !leaving && pause == Duration(0) && !requestsPerSecond;
     }
 };
 
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -255,7 +255,8 @@
                 if (calls_.onEndpointNotice(endpointId, notice, now.mono)) {
                     logEvent(Event::EndpointTold, {{"endpoint", endpointId},
                                                    {"leaving", notice.leaving},
-                                                   {"pauseMs", toMilliseconds(notice.pause)}});
+                                                   {"pauseMs", toMilliseconds(notice.pause)},
+                                                   {"requestsPerSecond", notice.requestsPerSecond.value_or(-1)}});
                 }
             });
         };
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -51,6 +51,7 @@
     TimePoint avoidedUntil{};
     bool hasAnnouncedLeaving = false; // reported in its record or with an answer; not set by a removal of its record
     TimePoint pausedUntil{}; // accepts no calls of this entry until then
+    std::optional<double> requestsPerSecond; // limit on the calls of all entries together, while it names one
     std::uint32_t consecutiveFailures = 0;
     double failureShare = 0; // decayed share of own calls that failed
     std::optional<wire::DirectState> state;
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -78,15 +78,19 @@
     }
     const bool isLeaving = notice.leaving && !entry->record.leaving;
     const bool isPaused = notice.pause != Duration(0) && !entry->isPaused(now);
+    const bool changesLimit = notice.requestsPerSecond && entry->requestsPerSecond != notice.requestsPerSecond;
     entry->hasAnnouncedLeaving = entry->hasAnnouncedLeaving || notice.leaving;
     entry->pausedUntil = std::max(entry->pausedUntil, now + notice.pause);
+    if (changesLimit) {
+        entry->requestsPerSecond = notice.requestsPerSecond;
+    }
     if (isLeaving) {
         impl_->endpoints.setLeaving(*entry);
     }
     if (isLeaving || isPaused) {
         impl_->rerouteWaiting(*entry, now);
     }
-    return isLeaving || isPaused;
+    return isLeaving || isPaused || changesLimit;
 }
 
 void DirectCalls::applyCrashReport(const CrashReport &report, TimePoint now)
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -38,7 +38,7 @@
     {423, LogLevel::Info, "version_named", "the operator specified a new version of an adapter"},
     {424, LogLevel::Info, "loads_learned", "load measurements of a sidecar for its engine, logged every ten seconds"},
     {425, LogLevel::Info, "endpoint_told",
-     "an endpoint reported with an answer that it is leaving or temporarily accepts no calls"},
+     "an endpoint reported with an answer that it is leaving, accepts no calls for a while or limits their rate"},
     {500, LogLevel::Warn, "call_failed", "a call failed after it was started"},
     {501, LogLevel::Debug, "call_refused", "a call was refused without being run"},
     {502, LogLevel::Warn, "answer_broken", "the end frame does not match the received frames"},
--- a/tests/unit/site_dialect_test.cpp
+++ b/tests/unit/site_dialect_test.cpp
@@ -230,6 +230,10 @@
     EXPECT_EQ(readNotice(503, withHeader(refused, "Retry-After", "-3")).pause, Duration(0));
     EXPECT_EQ(readNotice(429, withHeader(refused, "Retry-After", "3")).pause, Duration(0))
         << "concerns the call, not the endpoint";
+    EXPECT_EQ(readNotice(200, withHeader(ownHeaders, "Server-Limit", "1.6")).requestsPerSecond, 1.6);
+    EXPECT_EQ(readNotice(503, withHeader(refused, "Server-Limit", "0")).requestsPerSecond, 0.0);
+    EXPECT_EQ(readNotice(200, withHeader(ownHeaders, "Server-Limit", "-1")).requestsPerSecond, std::nullopt);
+    EXPECT_EQ(readNotice(200, withHeader(ownHeaders, "Server-Limit", "few")).requestsPerSecond, std::nullopt);
     const HttpHeaders other{{"X-Anvilscale-Instance-Id", "i-2"}, {"Server-Leaving", "1"}};
     EXPECT_TRUE(readNotice(421, other).empty()) << "response of another endpoint";
 }
