--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -317,7 +317,7 @@
 {
     bool leaving = false; ///< accepts no new calls
     Duration pause{}; ///< time for which it accepts no calls of this entry; 0 if not reported
-    std::optional<double> requestsPerSecond{}; ///< limit on the calls of all entries together; empty if none is in force
+    std::optional<double> requestsPerSecond{}; ///< limit on the calls of all entries together; empty: none
 
     bool empty() const
     {
