Entries together keep to the request limit that an endpoint names

What callers and operators saw: an endpoint in need named a limit of 1 request a second and got 14 in 4 s (11 allowed) from entries that had passed on such answers.

Class: a word of an endpoint that is not read, and a bound on a sum that no process can keep alone.

Change: an entry asks for credit before each call to such an endpoint. The pools of the workspaces' allowances do that already for sums over all entries; they get a second scope, with pools of its own. A call without credit goes to another endpoint, and the entry leaves this one alone until the pool can serve it; where all endpoints have reached their limits, callers are refused at once with reason endpoint_limit. An entry that learns of a limit, of a change or of its end tells the others through the sidecar that holds the pool, a sidecar reads the limit of its engine's report. Only an answer to a call that was sent under a limit can end it. A call that waits for credit is settled when the limit ends, the endpoint leaves or restarts, or the pool is silent for 200 ms. Adapters are not loaded for a call into a limited engine if another engine can. Accounts and pools without a call for a minute and ten are dropped, as endpoints come and go. Selection of pools moves into PoolClient, for both scopes.

Evidence: DirectLimit.LimitHoldsForAllEntriesTogether failed before (65 to 73 calls, 5 allowed) and passes.

--- a/include/anvilscale/base.h
+++ b/include/anvilscale/base.h
@@ -271,6 +271,7 @@
     CallerKeyUnknown, ///< no workspace has the key
     OverAllowance, ///< its workspace has used its allowance
     AllowanceUnknown, ///< whether its workspace may use more could not be found out in time
+    EndpointLimit, ///< all endpoints that could serve it have reached the request limits that they named
     Count
 };
 template<>
@@ -308,7 +309,8 @@
                                                                                   "caller_key_missing",
                                                                                   "caller_key_unknown",
                                                                                   "over_allowance",
-                                                                                  "allowance_unknown"};
+                                                                                  "allowance_unknown",
+                                                                                  "endpoint_limit"};
 };
 
 /// Reason for a further attempt. Each value has a counter.
--- a/include/anvilscale/workspace.h
+++ b/include/anvilscale/workspace.h
@@ -189,6 +189,7 @@
         Allowance allowance;
         std::uint64_t configVersion = 0; // of the allowance; the highest one heard
         TimePoint promisedUntil{}; // the last refused caller was told to return then
+        TimePoint askedAt{}; // of the last message that needed it
     };
 
     void recordMember(const wire::AllowanceAsk &ask, TimePoint now);
@@ -197,6 +198,7 @@
     std::uint32_t countNamedEntries(TimePoint now) const;
     double partOf(std::uint32_t group, TimePoint now) const;
     Pool &refillPool(const wire::AllowanceNeed &need, std::uint64_t configVersion, TimePoint now);
+    void dropIdlePools(TimePoint now);
     wire::AllowanceGrant grant(const wire::AllowanceNeed &need, Pool &pool, TimePoint now) const;
     static Duration promise(double cost, Pool &pool, TimePoint now);
 
@@ -257,6 +259,9 @@
     void applyConfig(std::uint64_t configVersion, bool standalone);
     /// Selects the sidecar that holds the pools of a group; empty if none is reachable.
     void setPoolAddress(std::uint32_t group, const std::string &address, TimePoint now);
+    /// False if neither a pool nor the number of entries is known: a charged call would wait in vain.
+    bool canDecide(const std::string &workspace, TimePoint now) const;
+    const std::string &poolAddress(std::uint32_t group) const;
     /// Charges a call to its workspace.
     Charge charge(const Workspace &workspace, CallHandle call, double cost, TimePoint now);
     /// The caller of a pending call is gone.
@@ -326,6 +331,7 @@
     void refusePendingSince(Account &account, TimePoint latest);
     void settleWithoutPool(std::uint32_t group, TimePoint now);
     void recordUse(Account &account, double cost, TimePoint now) const;
+    static bool isIdle(const Account &account, TimePoint now);
     double desiredReserve(const Account &account, TimePoint now) const;
     void dropPool(const std::string &address);
     void leavePool(std::uint32_t group);
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -256,7 +256,7 @@
                     logEvent(Event::EndpointTold, {{"endpoint", endpointId},
                                                    {"leaving", notice.leaving},
                                                    {"pauseMs", toMilliseconds(notice.pause)},
-                                                   {"requestsPerSecond", notice.requestsPerSecond.value_or(-1)}});
+                                                   {"requestsPerSecond", notice.requestsPerSecond.value_or(noLimit)}});
                 }
             });
         };
@@ -276,6 +276,13 @@
         return handlers;
     }
 
+    static void logLimit(const wire::EndpointLimit &limit)
+    {
+        logEvent(Event::EndpointTold, {{"endpoint", limit.endpoint_id()},
+                                       {"requestsPerSecond", limit.limited() ? limit.requests_per_second() : noLimit},
+                                       {"relayed", true}});
+    }
+
     Messenger::Handlers messengerHandlers()
     {
         Messenger::Handlers handlers;
@@ -294,6 +301,12 @@
                 control_.post([this, name, answer = message.allowance_answer()](Now now) {
                     calls_.onAllowanceAnswer(name, answer, now.mono);
                 });
+            } else if (message.has_endpoint_limit()) {
+                control_.post([this, limit = message.endpoint_limit()](Now now) {
+                    if (calls_.applyEndpointLimit(limit, now.mono)) {
+                        logLimit(limit);
+                    }
+                });
             } else if (message.has_store_news()) {
                 onSharedWatchAnswer(std::move(*message.mutable_store_news()));
             }
@@ -513,6 +526,10 @@
                 wire::Envelope message;
                 *message.mutable_allowance_ask() = std::move(askAllowance->ask);
                 messenger_->sendTo(askAllowance->address, message);
+            } else if (auto *reportLimit = std::get_if<ReportLimit>(&action)) {
+                wire::Envelope message;
+                *message.mutable_endpoint_limit() = std::move(reportLimit->limit);
+                messenger_->sendTo(reportLimit->address, message);
             } else {
                 trafficActions.push_back(std::move(action));
             }
@@ -523,7 +540,7 @@
         callServer_->loop().post([this, trafficActions = std::move(trafficActions)] {
             for (const auto &action : trafficActions) {
                 std::visit(Overloaded{[](const SendDemand &) {}, [](const AskAllowance &) {},
-                                      [this](const RefreshRecords &) { refreshRecords(); },
+                                      [](const ReportLimit &) {}, [this](const RefreshRecords &) { refreshRecords(); },
                                       [this](const auto &relayAction) { relay_.perform(relayAction); }},
                            action);
             }
@@ -565,6 +582,7 @@
     }
 
     static constexpr Duration metricsInterval = Seconds(2);
+    static constexpr double noLimit = -1; // in log lines, in place of a request limit
     // Between selections of the sidecar that watches the store.
     static constexpr Duration selectionInterval = Milliseconds(200);
 
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -91,6 +91,7 @@
               {"storeAgeMs", toMilliseconds(call.storeAge)},
               {"allowanceWaitMs", toMilliseconds(call.allowanceWait)},
               {"adapterWaitMs", toMilliseconds(call.adapterWait)},
+              {"permitWaitMs", toMilliseconds(call.permitWait)},
               {"firstByteMs", call.firstByte ? toMilliseconds(*call.firstByte) : -1},
               {"pauseMs", toMilliseconds(call.longestPause)},
               {"promptTokens", std::uint64_t{call.promptTokens}},
@@ -142,6 +143,12 @@
     text.counters("anvilscale_direct_refusals_total", "calls refused by this entry", "reason", stats.refusals);
     text.counter("anvilscale_direct_quarantined_total", "requests that go to no endpoint, as too many ended under them",
                  stats.quarantined);
+    text.gauge("anvilscale_direct_limited_endpoints", "endpoints that have named a request limit",
+               static_cast<double>(stats.limitedEndpoints));
+    text.counter("anvilscale_direct_permit_waits_total", "calls that asked for credit of an endpoint's request limit",
+                 stats.permitWaits);
+    text.counter("anvilscale_direct_permit_denials_total", "calls that got no credit of an endpoint's request limit",
+                 stats.permitDenials);
     text.counter("anvilscale_allowance_requests_total", "requests for credit sent to sidecars", stats.allowances.asks);
     text.counter("anvilscale_allowance_waits_total", "calls that waited for credit", stats.allowances.waits);
     text.counter("anvilscale_allowance_pools_lost_total", "sidecars that did not answer a request for credit",
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -96,6 +96,7 @@
         stopAttempt(call);
         call.attempt = action.attempt;
         call.endpointId = action.endpointId;
+        call.isLimited = action.isLimited;
         call.holdAnswer = action.holdAnswer;
         call.heldReply = HttpReply{};
         call.answer = EndpointAnswer{};
@@ -180,6 +181,7 @@
         std::string endpointId;
         std::uint32_t attempt = 0; // of the exchange in progress
         std::uint32_t reportedAttempt = 0; // under which its answer and end are reported; the last one requested
+        bool isLimited = false; // sent under a request limit of the endpoint
         bool holdAnswer = false;
         HttpClient *client = nullptr; // of the current attempt; null if none is in progress
         ExchangeId upstreamExchange = 0;
@@ -241,6 +243,8 @@
             endAttempt(exchange, call, AttemptEnd::Broken, head.status);
             return;
         }
+        call.answer.notice.endsLimit =
+            call.isLimited && call.answer.kind == AnswerKind::Success && !call.answer.notice.requestsPerSecond;
         if (!call.answer.notice.empty()) {
             handlers_.onEndpointNotice(call.endpointId, call.answer.notice);
         }
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -122,6 +122,7 @@
         // Fencing number in milliseconds: grows with each start on this VM, the only sender of orders.
         , controller_(incarnation_ / 1000, policy)
         , allowancePools_(directAllowanceTimes(settings))
+        , limitPools_(endpointLimitTimes())
         , control_([this](Now now) { afterEvents(now.mono); })
         , loop_("engine")
     {
@@ -136,11 +137,15 @@
             }
             if (message.has_allowance_ask()) {
                 control_.post([this, peer, ask = message.allowance_ask()](Now now) {
+                    auto &pools = ask.scope() == wire::ALLOWANCE_OF_ENDPOINTS ? limitPools_ : allowancePools_;
                     wire::Envelope reply;
-                    *reply.mutable_allowance_answer() = allowancePools_.answer(ask, now.mono);
+                    *reply.mutable_allowance_answer() = pools.answer(ask, now.mono);
                     messenger_->sendTo(peer, reply);
                 });
             }
+            if (message.has_endpoint_limit()) {
+                control_.post([this, peer, limit = message.endpoint_limit()](Now) { sendLimit(limit, peer); });
+            }
             if (!message.has_direct_demand()) {
                 return;
             }
@@ -167,6 +172,30 @@
         return handlers;
     }
 
+    /// Sends the request limit of an endpoint to all entries but the one that has reported it.
+    void sendLimit(const wire::EndpointLimit &limit, PeerHandle source)
+    {
+        wire::Envelope message;
+        *message.mutable_endpoint_limit() = limit;
+        for (const auto entry : entries_) {
+            if (entry != source) {
+                messenger_->sendTo(entry, message);
+            }
+        }
+    }
+
+    void applyOwnLimit(std::optional<double> requestsPerSecond, TimePoint now)
+    {
+        if (std::exchange(reportedLimit_, requestsPerSecond) == requestsPerSecond) {
+            return;
+        }
+        wire::EndpointLimit limit;
+        limit.set_endpoint_id(controller_.state(now).endpoint_id());
+        limit.set_limited(requestsPerSecond.has_value());
+        limit.set_requests_per_second(requestsPerSecond.value_or(0));
+        sendLimit(limit, PeerHandle{});
+    }
+
     /// Starts watching the store for entries that send their requests here.
     void startSharedWatch()
     {
@@ -226,6 +255,7 @@
                         setReachable(report.has_value());
                         if (report) {
                             controller_.applyReport(*report, now.mono);
+                            applyOwnLimit(report->requestsPerSecond, now.mono);
                             logLoadTimes(now.mono);
                         } else {
                             controller_.onReportFailed(now.mono);
@@ -367,7 +397,9 @@
     settings::Settings settings_;
     std::uint64_t incarnation_;
     AdapterController controller_; // control thread, as are the members below up to nextStateAt_
-    AllowancePools allowancePools_; // control thread
+    AllowancePools allowancePools_; // control thread; of workspaces
+    AllowancePools limitPools_; // control thread; of endpoints that have named a request limit
+    std::optional<double> reportedLimit_; // control thread; in the engine's last report
     std::set<PeerHandle> entries_; // entries that have sent a demand
     StatePublisher statePublisher_;
     bool isReadingReport_ = false;
--- a/src/direct/call_admission.cpp
+++ b/src/direct/call_admission.cpp
@@ -1,6 +1,5 @@
 // Admission of calls: the workspace of the caller's key, and the credit of that workspace.
 #include "direct_calls_impl.h"
-#include "sidecar_selection.h"
 
 #include <algorithm>
 
@@ -9,10 +8,6 @@
 namespace {
 
 constexpr std::uint32_t statusTooManyRequests = 429;
-// Interval at which the sidecars that hold the pools are selected.
-constexpr Duration poolSelectionInterval = Milliseconds(200);
-// Longer than most pauses of a VM, so that a pool does not move twice for one pause.
-constexpr Duration poolAvoidanceTime = Seconds(2);
 
 } // namespace
 
@@ -24,8 +19,8 @@
                                           [](const Workspace &workspace) { return workspace.allowance.isLimited(); });
     const bool hasSidecars = std::any_of(config->services.begin(), config->services.end(),
                                          [](const DirectService &service) { return service.engine.has_value(); });
-    allowances->applyConfig(config->version, !hasSidecars);
-    nextPoolSelectionAt = TimePoint{};
+    workspaceCredit->applyConfig(config->version, !hasSidecars);
+    endpointCredit->applyConfig(config->version, !hasSidecars);
     recheckPendingCharges(now);
 }
 
@@ -49,7 +44,7 @@
         if (workspace != nullptr && workspace->name == call.workspace && workspace->allowance == call.allowance) {
             continue;
         }
-        allowances->cancel(call.workspace, handle);
+        workspaceCredit->accounts().cancel(call.workspace, handle);
         call.allowanceCost = 0;
         call.workspace.clear();
         call.priority = route->priority;
@@ -102,7 +97,7 @@
     call.step = CallStep::Admission;
     call.allowance = workspace->allowance;
     call.allowanceCost = workspace->allowance.cost(call.info.countedTokens);
-    const auto charge = allowances->charge(*workspace, handle, call.allowanceCost, now);
+    const auto charge = workspaceCredit->accounts().charge(*workspace, handle, call.allowanceCost, now);
     if (charge.result == ChargeResult::Refused) {
         refuseCharge(handle, charge.refusal, charge.retryAfter, now);
     } else if (charge.result == ChargeResult::Granted) {
@@ -126,7 +121,7 @@
     if (!hasLimitedWorkspaces) {
         return;
     }
-    for (const auto &decision : allowances->takeDecisions()) {
+    for (const auto &decision : workspaceCredit->accounts().takeDecisions()) {
         const auto found = calls.find(decision.call);
         if (found == calls.end() || found->second.step != CallStep::Admission) {
             continue;
@@ -140,32 +135,10 @@
         call.creditUntil = decision.creditUntil;
         startCall(decision.call, call, now);
     }
-    for (auto &request : allowances->takeRequests(now)) {
-        actions.emplace_back(AskAllowance{std::move(request.address), std::move(request.ask)});
-    }
-    stats.allowances = allowances->stats();
-}
-
-void DirectCalls::Impl::selectPools(TimePoint now)
-{
-    if (!hasLimitedWorkspaces) {
-        return;
-    }
-    allowances->tick(now);
-    for (const auto &address : allowances->takeSilentPools()) {
-        avoidedPools[address] = now + poolAvoidanceTime;
-        nextPoolSelectionAt = now;
-    }
-    if (now < nextPoolSelectionAt) {
-        return;
-    }
-    nextPoolSelectionAt = now + poolSelectionInterval;
-    std::erase_if(avoidedPools, [now](const auto &item) { return item.second <= now; });
-    for (std::uint32_t group = 0; group < allowanceGroups; ++group) {
-        const auto acceptsAny = [](const EndpointEntry &) { return true; };
-        const auto address = selectSidecar(endpoints, poolSelectionSeed(group), avoidedPools, now, acceptsAny);
-        allowances->setPoolAddress(group, address, now);
+    for (auto &request : workspaceCredit->takeRequests(now)) {
+        actions.emplace_back(std::move(request));
     }
+    stats.allowances = workspaceCredit->accounts().stats();
 }
 
 void DirectCalls::Impl::releaseCredit(CallHandle handle, const DirectCall &call, EndedOutcome outcome, TimePoint now)
@@ -179,15 +152,20 @@
         return;
     }
     if (call.step == CallStep::Admission) {
-        allowances->cancel(call.workspace, handle);
+        workspaceCredit->accounts().cancel(call.workspace, handle);
     } else if (call.executionCount == 0 && outcome == EndedOutcome::Refused) {
-        allowances->refund(call.workspace, call.allowanceCost, call.creditUntil, now);
+        workspaceCredit->accounts().refund(call.workspace, call.allowanceCost, call.creditUntil, now);
     }
 }
 
 void DirectCalls::onAllowanceAnswer(const std::string &address, const wire::AllowanceAnswer &answer, TimePoint now)
 {
-    impl_->allowances->onAnswer(address, answer, now);
+    if (answer.scope() == wire::ALLOWANCE_OF_ENDPOINTS) {
+        impl_->endpointCredit->accounts().onAnswer(address, answer, now);
+        impl_->updatePermits(now);
+        return;
+    }
+    impl_->workspaceCredit->accounts().onAnswer(address, answer, now);
     impl_->updateAllowances(now);
 }
 
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -130,6 +130,14 @@
     routeCall(handle, call, now);
 }
 
+bool DirectCalls::Impl::isServiceLimited(const std::string &service, TimePoint now) const
+{
+    return std::any_of(endpoints.entries().begin(), endpoints.entries().end(), [&](const auto &item) {
+        const auto &entry = item.second;
+        return entry.record.service == service && entry.isLimited() && !entry.isLeaving(now) && !entry.isSuperseded;
+    });
+}
+
 Duration DirectCalls::Impl::timeUntilAvailable(const std::string &service, TimePoint now) const
 {
     std::optional<TimePoint> soonest;
@@ -192,6 +200,7 @@
     done.storeAge = call.storeAge;
     done.allowanceWait = call.allowanceWait;
     done.adapterWait = call.adapterWait;
+    done.permitWait = call.permitWait;
     done.firstByte = call.firstByte;
     done.longestPause = call.longestPause;
     done.promptTokens = call.info.promptTokens;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -56,7 +56,9 @@
     : impl_(std::make_unique<Impl>())
 {
     impl_->init = std::move(init);
-    impl_->allowances.emplace(impl_->init.entryName, impl_->init.allowanceTimes);
+    const auto &name = impl_->init.entryName;
+    impl_->workspaceCredit.emplace(wire::ALLOWANCE_OF_WORKSPACES, name, impl_->init.allowanceTimes);
+    impl_->endpointCredit.emplace(wire::ALLOWANCE_OF_ENDPOINTS, name, endpointLimitTimes());
 }
 
 DirectCalls::~DirectCalls() = default;
@@ -179,7 +181,9 @@
     visitHome(call, now);
     const auto choice = chooseEndpoint(endpoints, buildQuery(call, now), now);
     if (!choice) {
-        refuseOrAbandon(handle, call, RefusalReason::NoEndpoint, timeUntilAvailable(call.service, now), now);
+        const auto reason =
+            isServiceLimited(call.service, now) ? RefusalReason::EndpointLimit : RefusalReason::NoEndpoint;
+        refuseOrAbandon(handle, call, reason, timeUntilAvailable(call.service, now), now);
         return;
     }
     call.endpointId = choice->endpointId;
@@ -218,7 +222,7 @@
         waitForAdapter(handle, call, now);
         return;
     }
-    sendCall(handle, call, now);
+    requestSend(handle, call, now);
 }
 
 void DirectCalls::Impl::waitForAdapter(CallHandle handle, DirectCall &call, TimePoint now)
@@ -283,6 +287,7 @@
     action.deadline = call.deadline;
     action.hidesKey = config->workspaces.has_value();
     action.workspace = call.workspace;
+    action.isLimited = entry.isLimited();
     action.holdAnswer = call.isRepeatable() && call.executionCount + 1 < call.maxEndpoints;
     actions.emplace_back(std::move(action));
 }
@@ -297,6 +302,10 @@
         stopWaiting(*entry, handle, call, now);
         return;
     }
+    if (call.step == CallStep::Permit) {
+        stopAwaitingPermit(handle, call, now);
+        return;
+    }
     entry->hasDemandChanged = true;
     decrement(entry->inFlight);
     if (!call.hasFirstByte) {
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -3,6 +3,7 @@
 
 #include "endpoint_choice.h"
 #include "endpoint_table.h"
+#include "pool_client.h"
 #include "request_quarantine.h"
 #include "retry_allowance.h"
 #include "wait_forecast.h"
@@ -17,6 +18,7 @@
 
 enum class CallStep : std::uint8_t {
     Admission, ///< waits for credit of its workspace
+    Permit, ///< waits for credit of its endpoint, which limits the calls of all entries
     Waiting, ///< for its adapter at `endpointId`
     Sent,
     Count
@@ -62,6 +64,7 @@
     Duration stateAge{}; // age of the chosen endpoint's state
     Duration storeAge{}; // time since the store's last answer, at the last choice
     Duration adapterWait{};
+    Duration permitWait{};
     std::optional<Duration> firstByte;
     Duration longestPause{}; // longest interval between parts of its answer
 
@@ -96,10 +99,10 @@
     TimePoint configuredAt{}; // when the first configuration was applied
     RouteTable routes;
     WorkspaceTable workspaces;
-    std::optional<AllowanceAccounts> allowances;
+    std::optional<PoolClient> workspaceCredit;
     bool hasLimitedWorkspaces = false;
-    TimePoint nextPoolSelectionAt{};
-    std::map<std::string, TimePoint> avoidedPools; // addresses, and until when each is avoided
+    std::optional<PoolClient> endpointCredit; // for calls to endpoints that have named a request limit
+    bool hasLimitedEndpoints = false; // some endpoint had a limit when the groups of endpointCredit were set
     EndpointTable endpoints;
     std::optional<std::uint64_t> selectedRevision; // membership for which the listened engines were selected
     std::uint64_t selectedConfig = 0; // version of the configuration for which they were selected
@@ -148,7 +151,6 @@
     void refuseCharge(CallHandle handle, RefusalReason reason, Duration retryAfter, TimePoint now);
     /// Performs the decisions on calls that waited for credit, and sends requests for credit.
     void updateAllowances(TimePoint now);
-    void selectPools(TimePoint now);
     /// Returns the credit of a call that ends without having run.
     void releaseCredit(CallHandle handle, const DirectCall &call, EndedOutcome outcome, TimePoint now);
     WorkspaceStats *countersOf(const std::string &workspace);
@@ -163,11 +165,28 @@
     /// Refuses a call whose request is under quarantine; returns false for any other.
     bool stopIfQuarantined(CallHandle handle, DirectCall &call, TimePoint now);
     void placeCall(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now);
+    /// Sends the call, or asks for credit first if its endpoint has named a request limit.
+    void requestSend(CallHandle handle, DirectCall &call, TimePoint now);
     void sendCall(CallHandle handle, DirectCall &call, TimePoint now);
+    /// Sets or ends the request limit of an endpoint; returns false if it is the same as before.
+    bool setLimit(EndpointEntry &entry, std::optional<double> requestsPerSecond, TimePoint now);
+    /// Tells the other entries the limit of the endpoint.
+    void reportLimit(const EndpointEntry &entry);
+    /// Takes part in the pools of the endpoints that are limited now.
+    void updateLimitedGroups();
+    /// Performs the decisions on calls that waited for a permit, and sends requests for credit.
+    void updatePermits(TimePoint now);
+    void tickPermits(TimePoint now);
+    void onPermitDecided(const AllowanceDecision &decision, TimePoint now);
+    /// Avoids the endpoint for `retryAfter` and places the call again.
+    void denyPermit(CallHandle handle, DirectCall &call, Duration retryAfter, TimePoint now);
+    void stopAwaitingPermit(CallHandle handle, DirectCall &call, TimePoint now);
     void waitForAdapter(CallHandle handle, DirectCall &call, TimePoint now);
     static void stopWaiting(EndpointEntry &entry, CallHandle handle, DirectCall &call, TimePoint now);
     void detachFromEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now);
     void refuse(CallHandle handle, std::uint32_t status, RefusalReason reason, Duration retryAfter, TimePoint now);
+    /// True if an endpoint of the service would accept calls but for its request limit.
+    bool isServiceLimited(const std::string &service, TimePoint now) const;
     /// Time until an endpoint of the service may accept calls again.
     Duration timeUntilAvailable(const std::string &service, TimePoint now) const;
     /// Removes the call and records its outcome.
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -29,8 +29,11 @@
     impl_->leaveStoppedEngines(now);
     impl_->checkWaitingCalls(now);
     impl_->sendDemands(now);
-    impl_->selectPools(now);
+    if (impl_->hasLimitedWorkspaces) {
+        impl_->workspaceCredit->tick(impl_->endpoints, now);
+    }
     impl_->updateAllowances(now);
+    impl_->tickPermits(now);
 }
 
 void DirectCalls::Impl::checkDeadlines(TimePoint now)
@@ -104,7 +107,7 @@
         auto &call = calls.at(handle);
         stopWaiting(*entry, handle, call, now);
         if (!stopIfQuarantined(handle, call, now)) {
-            sendCall(handle, call, now);
+            requestSend(handle, call, now);
         }
     }
 }
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -113,6 +113,10 @@
 {
     const auto &policy = *query.policy;
     const AdapterName name{query.info->model, query.info->adapter};
+    if (candidate.presence == Presence::Absent && candidate.entry->isLimited()) {
+        // The calls that need the load may get no permit when it is done.
+        return policy.avoidancePenaltyMs;
+    }
     const bool awaited = policy.has(Mechanism::Awaited) && candidate.entry->isAwaiting(name, now);
     if (candidate.presence != Presence::Absent || name.second.empty() || forecast.hasLocalCopy() || awaited) {
         return 0;
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -92,6 +92,11 @@
     return now < pausedUntil;
 }
 
+bool EndpointEntry::isLimited() const
+{
+    return requestsPerSecond.has_value();
+}
+
 bool EndpointEntry::isStateExpected(TimePoint now) const
 {
     const auto timeout = listening == Listening::Visited ? visitStateTimeout : firstStateTimeout;
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -52,6 +52,7 @@
     bool hasAnnouncedLeaving = false; // reported in its record or with an answer; not set by a removal of its record
     TimePoint pausedUntil{}; // accepts no calls of this entry until then
     std::optional<double> requestsPerSecond; // limit on the calls of all entries together, while it names one
+    std::set<CallHandle> awaitingPermit; // own calls that wait for credit of this limit
     std::uint32_t consecutiveFailures = 0;
     double failureShare = 0; // decayed share of own calls that failed
     std::optional<wire::DirectState> state;
@@ -93,6 +94,8 @@
     bool isLeaving(TimePoint now) const;
     /// True if it has asked this entry to send no calls for a while.
     bool isPaused(TimePoint now) const;
+    /// True if the calls of all entries together are limited.
+    bool isLimited() const;
     /// True if calls may be placed here, as far as the connection to the sidecar goes.
     bool acceptsPlacement(TimePoint now) const;
     /// True if its sidecar has not sent a state yet, but probably will soon.
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -23,7 +23,8 @@
 // waiting for an adapter there are placed again, since the new process holds none.
 void DirectCalls::Impl::onRestarted(EndpointEntry &entry, std::uint64_t startTimeMs, TimePoint now)
 {
-    const auto waiting = std::exchange(entry.waitingCalls, {});
+    auto waiting = std::exchange(entry.waitingCalls, {});
+    waiting.merge(entry.awaitingPermit);
     endpoints.resetProcess(entry, startTimeMs, now);
     actions.emplace_back(DropConnections{entry.record.address});
     rerouteCalls(waiting, now);
@@ -49,14 +50,20 @@
 {
     entry.waitingTokens = 0;
     entry.waitingByAdapter.clear();
-    rerouteCalls(std::exchange(entry.waitingCalls, {}), now);
+    auto waiting = std::exchange(entry.waitingCalls, {});
+    waiting.merge(entry.awaitingPermit);
+    rerouteCalls(waiting, now);
 }
 
 void DirectCalls::Impl::rerouteCalls(const std::set<CallHandle> &waiting, TimePoint now)
 {
     for (const auto handle : waiting) {
         auto &call = calls.at(handle);
-        call.adapterWait += now - call.stepStartedAt;
+        if (call.step == CallStep::Permit) {
+            stopAwaitingPermit(handle, call, now);
+        } else {
+            call.adapterWait += now - call.stepStartedAt;
+        }
         routeCall(handle, call, now);
     }
 }
@@ -78,11 +85,12 @@
     }
     const bool isLeaving = notice.leaving && !entry->record.leaving;
     const bool isPaused = notice.pause != Duration(0) && !entry->isPaused(now);
-    const bool changesLimit = notice.requestsPerSecond && entry->requestsPerSecond != notice.requestsPerSecond;
     entry->hasAnnouncedLeaving = entry->hasAnnouncedLeaving || notice.leaving;
     entry->pausedUntil = std::max(entry->pausedUntil, now + notice.pause);
+    const bool tellsLimit = notice.requestsPerSecond || notice.endsLimit;
+    const bool changesLimit = tellsLimit && impl_->setLimit(*entry, notice.requestsPerSecond, now);
     if (changesLimit) {
-        entry->requestsPerSecond = notice.requestsPerSecond;
+        impl_->reportLimit(*entry);
     }
     if (isLeaving) {
         impl_->endpoints.setLeaving(*entry);
@@ -135,10 +143,10 @@
     impl_->storeAnsweredAt = now;
 }
 
-void DirectCalls::onSidecarLost(const std::string &address, TimePoint now)
+void DirectCalls::onSidecarLost(const std::string &address, TimePoint /*now*/)
 {
-    impl_->allowances->onPoolLost(address);
-    impl_->nextPoolSelectionAt = now;
+    impl_->workspaceCredit->onPoolLost(address);
+    impl_->endpointCredit->onPoolLost(address);
     if (auto *entry = impl_->endpoints.findByAddress(address)) {
         entry->onSidecarLost(impl_->endpoints.lastReceivedAt());
     }
--- a/src/workspace/allowance_accounts.cpp
+++ b/src/workspace/allowance_accounts.cpp
@@ -21,6 +21,8 @@
 constexpr double minReservedCalls = 2;
 // Sent with a refusal whose cause is not the workspace's own use.
 constexpr Duration unknownRetryAfter = Milliseconds(300);
+// Accounts of workspaces and endpoints that may no longer exist are dropped after this time without a call.
+constexpr Duration idleAccountLifetime = Seconds(60);
 // A tick that is later than this shows that this process was paused, and not that the pools are silent.
 constexpr Duration maxTickGap = Milliseconds(150);
 
@@ -73,6 +75,16 @@
     return account;
 }
 
+bool AllowanceAccounts::canDecide(const std::string &workspace, TimePoint now) const
+{
+    return isStandalone_ || now < knownUntil_ || !pools_.at(allowanceGroup(workspace)).address.empty();
+}
+
+const std::string &AllowanceAccounts::poolAddress(std::uint32_t group) const
+{
+    return pools_.at(group).address;
+}
+
 Charge AllowanceAccounts::charge(const Workspace &workspace, CallHandle call, double cost, TimePoint now)
 {
     auto &account = accountOf(workspace);
@@ -311,6 +323,13 @@
         dropLapsed(account, now);
         refusePendingSince(account, now - maxCreditWait);
     }
+    std::erase_if(accounts_, [now](const auto &item) { return isIdle(item.second, now); });
+}
+
+bool AllowanceAccounts::isIdle(const Account &account, TimePoint now)
+{
+    return account.pending.empty() && account.portions.empty() && account.returned == 0
+           && now - account.usedAt > idleAccountLifetime;
 }
 
 void AllowanceAccounts::refusePendingSince(Account &account, TimePoint latest)
--- a/src/workspace/allowance_pools.cpp
+++ b/src/workspace/allowance_pools.cpp
@@ -10,6 +10,8 @@
 // Time for which an entry that is not heard any more counts among all entries. Longer than a restart, so that the
 // parts of entries that return stay reserved.
 constexpr Duration entryLifetime = Seconds(30);
+// Pools of workspaces and endpoints that may no longer exist are dropped after this time without a call.
+constexpr Duration idlePoolLifetime = Seconds(600);
 // Upper bound of Retry-After: a caller that is told more does not return.
 constexpr Duration maxRetryAfter = Seconds(5);
 // Part of a pool's savings that one entry may reserve beyond its waiting calls.
@@ -25,8 +27,10 @@
 wire::AllowanceAnswer AllowancePools::answer(const wire::AllowanceAsk &ask, TimePoint now)
 {
     recordMember(ask, now);
+    dropIdlePools(now);
     wire::AllowanceAnswer answer;
     answer.set_call(ask.call());
+    answer.set_scope(ask.scope());
     answer.set_valid_ms(static_cast<std::uint32_t>(toMilliseconds(times_.creditLifetime)));
     answer.set_entries(countNamedEntries(now));
     for (const auto &need : ask.needs()) {
@@ -60,6 +64,11 @@
     }
 }
 
+void AllowancePools::dropIdlePools(TimePoint now)
+{
+    std::erase_if(pools_, [now](const auto &item) { return now - item.second.askedAt > idlePoolLifetime; });
+}
+
 void AllowancePools::startEmpty(std::uint32_t group, TimePoint now)
 {
     memberSince_[group] = now;
@@ -106,6 +115,7 @@
         pool.allowance.ratePerSecond = need.rate();
         pool.allowance.burst = need.burst();
     }
+    pool.askedAt = now;
     pool.bucket.refill(pool.allowance, partOf(group, now), now);
     pool.bucket.giveBack(need.returned());
     return pool;
--- a/tests/process/direct_limit_test.cpp
+++ b/tests/process/direct_limit_test.cpp
@@ -34,10 +34,9 @@
         std::this_thread::sleep_for(callInterval);
         const auto id = "l-" + std::to_string(++probeCount_);
         const auto port = httpPorts_[static_cast<std::size_t>(probeCount_) % entryCount];
-        const auto answer = request(port, "POST", "/n/x", "body",
-                                    {{"Host", "h.example"},
-                                     {"X-Anvilscale-Request-Id", id},
-                                     {"X-Anvilscale-Deadline-Ms", "5000"}});
+        const auto answer =
+            request(port, "POST", "/n/x", "body",
+                    {{"Host", "h.example"}, {"X-Anvilscale-Request-Id", id}, {"X-Anvilscale-Deadline-Ms", "5000"}});
         EXPECT_EQ(answer.status, 200);
         return executionCount(plainPorts_[0], id) == 1;
     }
