A denial under a request limit ends with that limit

What callers saw: refusals, or calls sent past an endpoint, for up to 5 s after it had ended or raised its request limit.

Cause: the time until which a pool had denied credit was kept with the endpoint's own Retry-After, which no change of the limit ends.

Change: a time of its own, cleared at each change of the limit.

Evidence: Limited.DenialEndsWithTheLimit fails without the clearing line and passes with it.

--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -148,7 +148,7 @@
         if (!entry.isPaused(now)) {
             return defaultRetryAfter;
         }
-        soonest = soonest ? std::min(*soonest, entry.pausedUntil) : entry.pausedUntil;
+        soonest = soonest ? std::min(*soonest, entry.pauseEnd()) : entry.pauseEnd();
     }
     return soonest ? *soonest - now : defaultRetryAfter;
 }
--- a/src/direct/endpoint_limits.cpp
+++ b/src/direct/endpoint_limits.cpp
@@ -34,6 +34,7 @@
         return false;
     }
     entry.requestsPerSecond = requestsPerSecond;
+    entry.deniedUntil = TimePoint{}; // said of the limit before
     updateLimitedGroups();
     if (entry.isLimited()) {
         endpointCredit->selectPools(endpoints, now);
@@ -179,7 +180,7 @@
     ++stats.permitDenials;
     stopAwaitingPermit(handle, call, now);
     if (auto *entry = findEndpoint(call)) {
-        entry->pausedUntil = std::max(entry->pausedUntil, now + std::max(retryAfter, directTickInterval));
+        entry->deniedUntil = now + std::max(retryAfter, directTickInterval);
     }
     routeCall(handle, call, now);
 }
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -89,7 +89,12 @@
 
 bool EndpointEntry::isPaused(TimePoint now) const
 {
-    return now < pausedUntil;
+    return now < pauseEnd();
+}
+
+TimePoint EndpointEntry::pauseEnd() const
+{
+    return std::max(pausedUntil, deniedUntil);
 }
 
 bool EndpointEntry::isLimited() const
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -52,6 +52,7 @@
     bool hasAnnouncedLeaving = false; // reported in its record or with an answer; not set by a removal of its record
     TimePoint pausedUntil{}; // accepts no calls of this entry until then
     std::optional<double> requestsPerSecond; // limit on the calls of all entries together, while it names one
+    TimePoint deniedUntil{}; // no credit of this limit is expected before
     std::set<CallHandle> awaitingPermit; // own calls that wait for credit of this limit
     std::uint32_t consecutiveFailures = 0;
     double failureShare = 0; // decayed share of own calls that failed
@@ -92,8 +93,9 @@
     bool isReportedUnreachable(TimePoint now) const;
     /// True if its record or its sidecar reports that it accepts no new calls.
     bool isLeaving(TimePoint now) const;
-    /// True if it has asked this entry to send no calls for a while.
+    /// True if it accepts no calls of this entry for a while, by its own word or by its request limit.
     bool isPaused(TimePoint now) const;
+    TimePoint pauseEnd() const;
     /// True if the calls of all entries together are limited.
     bool isLimited() const;
     /// True if calls may be placed here, as far as the connection to the sidecar goes.
--- a/tests/unit/endpoint_limits_test.cpp
+++ b/tests/unit/endpoint_limits_test.cpp
@@ -163,6 +163,22 @@
     EXPECT_EQ(takeSentCall().endpointId, "e-1");
 }
 
+// Guards against refusals under a limit that has been raised or has ended since a pool last denied credit.
+TEST_F(Limited, DenialEndsWithTheLimit)
+{
+    addEngine("e-1", addressOne, {"a1"});
+    limit("e-1", 1);
+    for (int i = 0; i < 3; ++i) {
+        startCall("/s/x", "a1");
+        exchange();
+    }
+    startCall("/s/x", "a1");
+    EXPECT_EQ(takeActions<RefuseCall>().size(), 1U);
+    limit("e-1", std::nullopt);
+    startCall("/s/x", "a1");
+    EXPECT_EQ(takeSentCall().endpointId, "e-1");
+}
+
 // Guards against a call that waits for a permit of an endpoint that leaves or is removed.
 TEST_F(Limited, WaitingCallGoesElsewhereWhenItsEndpointLeaves)
 {
