A call that waits for credit follows its route

What callers saw: a call that waits for credit while a configuration points its route at another service was sent to the old one, with the old timeout and priority.

Cause: what the route decides was set at arrival only; the look at waiting calls after a configuration compared workspaces.

Change: applyRoute, called at arrival and for each waiting call at each configuration.

Evidence: Admission.PendingCallFollowsItsRoute failed before (sent to p-1) and passes.

--- a/src/direct/call_admission.cpp
+++ b/src/direct/call_admission.cpp
@@ -40,14 +40,15 @@
             refuse(handle, statusNotFound, RefusalReason::UnknownRoute, Duration(0), now);
             continue;
         }
+        applyRoute(call, *route);
         const auto *workspace = workspaces.findByKey(call.info.key.digest);
         if (workspace != nullptr && workspace->name == call.workspace && workspace->allowance == call.allowance) {
+            call.priority = workspace->priority.value_or(call.priority);
             continue;
         }
         workspaceCredit->accounts().cancel(call.workspace, handle);
         call.allowanceCost = 0;
         call.workspace.clear();
-        call.priority = route->priority;
         if (const auto reason = identifyCaller(call, *route); reason != RefusalReason::None) {
             refuse(handle, statusUnauthorized, reason, Duration(0), now);
             continue;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -99,20 +99,10 @@
         return;
     }
     DirectCall call;
-    call.service = pickService(*route, info.requestId);
-    const auto *service = impl.config->service(call.service);
-    call.isEngine = service != nullptr && service->engine.has_value();
-    call.repeat = route->repeat;
-    call.isResumable = route->resumable;
-    call.priority = route->priority;
-    call.maxEndpoints = std::max<std::uint32_t>(1, route->maxEndpoints);
-    call.objective = route->objective;
     call.arrivedAt = now;
     call.deadline = now + info.callerTimeout;
-    call.cutOffAt = std::min(call.deadline, now + route->timeout);
-    const bool limited = route->firstByteLimit > Duration(0);
-    call.firstByteBy = limited ? std::min(call.deadline, now + route->firstByteLimit) : call.deadline;
     call.info = std::move(info);
+    impl.applyRoute(call, *route);
     auto &stored = impl.calls.insert_or_assign(handle, std::move(call)).first->second;
     if (const auto reason = impl.identifyCaller(stored, *route); reason != RefusalReason::None) {
         impl.refuse(handle, statusUnauthorized, reason, Duration(0), now);
@@ -122,6 +112,20 @@
     impl.updateAllowances(now);
 }
 
+void DirectCalls::Impl::applyRoute(DirectCall &call, const DirectRoute &route) const
+{
+    call.service = pickService(route, call.info.requestId);
+    call.isEngine = findEngine(call.service) != nullptr;
+    call.repeat = route.repeat;
+    call.isResumable = route.resumable;
+    call.priority = route.priority;
+    call.maxEndpoints = std::max<std::uint32_t>(1, route.maxEndpoints);
+    call.objective = route.objective;
+    call.cutOffAt = std::min(call.deadline, call.arrivedAt + route.timeout);
+    const bool limited = route.firstByteLimit > Duration(0);
+    call.firstByteBy = limited ? std::min(call.deadline, call.arrivedAt + route.firstByteLimit) : call.deadline;
+}
+
 void DirectCalls::Impl::startCall(CallHandle handle, DirectCall &call, TimePoint now)
 {
     call.step = CallStep::Waiting;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -154,6 +154,8 @@
     /// Returns the credit of a call that ends without having run.
     void releaseCredit(CallHandle handle, const DirectCall &call, EndedOutcome outcome, TimePoint now);
     WorkspaceStats *countersOf(const std::string &workspace);
+    /// Sets what the route decides about the call.
+    void applyRoute(DirectCall &call, const DirectRoute &route) const;
     void startCall(CallHandle handle, DirectCall &call, TimePoint now);
     void routeCall(CallHandle handle, DirectCall &call, TimePoint now);
     void rerouteWaiting(EndpointEntry &entry, TimePoint now);
--- a/tests/unit/direct_admission_test.cpp
+++ b/tests/unit/direct_admission_test.cpp
@@ -279,6 +279,24 @@
 INSTANTIATE_TEST_SUITE_P(Admission, PendingCharge, testing::ValuesIn(pendingChanges),
                          [](const auto &change) { return change.param.name; });
 
+// Guards against a call that waits for credit and is then sent where its route pointed at its arrival.
+TEST_F(Admission, PendingCallFollowsItsRoute)
+{
+    const std::string newService = "new";
+    calls_.applyEndpoint(test::makeEndpoint("n-1", newService, "10.0.2.1:80"), now_);
+    runFor(Seconds(2));
+    startWithKey("/n/x", "k2", 900);
+    const auto asks = takeActions<AskAllowance>();
+    ASSERT_EQ(asks.size(), 1U);
+    auto config = makeConfig(++version_);
+    config.workspaces = makeWorkspaces();
+    config.routes[2].services = {{newService, 1}};
+    config.services.emplace_back().name = newService;
+    calls_.applyConfig(config, now_);
+    calls_.onAllowanceAnswer(asks.front().address, pools_.answer(asks.front().ask, now_), now_);
+    EXPECT_EQ(takeSentCall().endpointId, "n-1");
+}
+
 // Guards against a call that asks again, and is charged twice, at each new configuration.
 TEST_F(Admission, PendingCallKeepsItsRequestWhenItsWorkspaceIsUnchanged)
 {
