A refusal by a pool ends with the limit it rests on

What callers saw: 429 with the Retry-After of the old limit for calls that arrive within 50 ms of the last refusal, though a configuration has raised or removed the limit since.

Cause: an entry answers like calls for 50 ms without asking again, and new terms did not void that.

Change: new terms of an allowance void the last refusal, as they do the request under way.

Evidence: Accounts.RefusalEndsWithTheLimitItRestsOn failed before and passes.

--- a/src/workspace/allowance_accounts.cpp
+++ b/src/workspace/allowance_accounts.cpp
@@ -64,6 +64,7 @@
     auto &account = accounts_[workspace.name];
     if (account.allowance != workspace.allowance) {
         account.askNumber = 0; // the request under way states the old terms
+        account.refusedUntil = TimePoint{}; // as does the last refusal
     }
     if (account.allowance.unit != workspace.allowance.unit) {
         account.portions.clear();
--- a/tests/unit/workspace_test.cpp
+++ b/tests/unit/workspace_test.cpp
@@ -191,6 +191,17 @@
     EXPECT_EQ(requests.front().ask.needs(0).costs(0), 100);
 }
 
+// Guards against refusals under a limit that has been raised since.
+TEST_F(Accounts, RefusalEndsWithTheLimitItRestsOn)
+{
+    advance(Seconds(2));
+    EXPECT_TRUE(isGranted(900));
+    EXPECT_FALSE(isGranted(600));
+    workspace_.allowance.ratePerSecond = 100000;
+    const auto charge = accounts_.charge(workspace_, CallHandle{++lastCall_}, 600, now_);
+    EXPECT_EQ(charge.result, ChargeResult::Pending);
+}
+
 TEST_F(Accounts, UnlimitedWorkspaceNeedsNoCredit)
 {
     workspace_.allowance.ratePerSecond = 0;
