Promises of a pool end with the limit they rest on

What callers saw: Retry-After of up to 5 s after a configuration has raised their workspace's limit, though its pool could serve them at once; the same with an endpoint that raises its request limit.

Cause: a pool tells refused callers to return one after the other, and the queue of those times was kept when its rate changed.

Change: a pool forgets these times when its rate or burst changes. Callers told before come later than they could.

Evidence: Accounts.PromisesEndWithTheLimitTheyRestOn failed before (5 s) and passes (under 1 s).

--- a/src/workspace/allowance_pools.cpp
+++ b/src/workspace/allowance_pools.cpp
@@ -111,6 +111,8 @@
     const auto group = allowanceGroup(need.workspace());
     auto &pool = pools_.try_emplace(need.workspace(), memberSince_[group], times_.initialSavings).first->second;
     if (configVersion >= pool.configVersion) {
+        const bool isSame = pool.allowance.ratePerSecond == need.rate() && pool.allowance.burst == need.burst();
+        pool.promisedUntil = isSame ? pool.promisedUntil : TimePoint{};
         pool.configVersion = configVersion;
         pool.allowance.ratePerSecond = need.rate();
         pool.allowance.burst = need.burst();
--- a/tests/unit/workspace_test.cpp
+++ b/tests/unit/workspace_test.cpp
@@ -202,6 +202,23 @@
     EXPECT_EQ(charge.result, ChargeResult::Pending);
 }
 
+// Guards against callers that are told to return after those who were refused under a lower limit.
+TEST_F(Accounts, PromisesEndWithTheLimitTheyRestOn)
+{
+    advance(Seconds(2));
+    EXPECT_TRUE(isGranted(900));
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_FALSE(isGranted(1000));
+        advance(Milliseconds(50));
+    }
+    workspace_.allowance.ratePerSecond = 10000;
+    workspace_.allowance.burst = 10000;
+    const auto decisions = chargeAndDecide(3000);
+    ASSERT_EQ(decisions.size(), 1U);
+    EXPECT_EQ(decisions.front().refusal, RefusalReason::OverAllowance);
+    EXPECT_LT(decisions.front().retryAfter, Seconds(1));
+}
+
 TEST_F(Accounts, UnlimitedWorkspaceNeedsNoCredit)
 {
     workspace_.allowance.ratePerSecond = 0;
