A debt to a pool is bounded by the burst in force

What callers saw: a workspace whose limit changes from tokens to calls is refused for as long as its last large call takes to be paid off, 29,000 tokens at 10 calls a second: 48 minutes. The same while some entries still charge by the old configuration.

Cause: a pool keeps what it is owed as a number, without the unit of the terms under which it was charged.

Change: when the terms of a pool change, and after a charge under other terms than the pool's, a debt beyond the burst in force is dropped. It lets one call more through for each change of terms, as the bound on a workspace's use already allows for each pool.

Evidence: Accounts.DebtEndsWithTheUnitItIsCountedIn and Accounts.EntryWithOldTermsLeavesNoDebtInTheirUnit failed before and pass; the search over faults in allowance_model_test passes unchanged.

--- a/src/workspace/allowance_pools.cpp
+++ b/src/workspace/allowance_pools.cpp
@@ -17,6 +17,18 @@
 // Part of a pool's savings that one entry may reserve beyond its waiting calls.
 constexpr double maxReservedPart = 0.25;
 
+bool hasTermsOf(const Allowance &allowance, const wire::AllowanceNeed &need)
+{
+    return allowance.ratePerSecond == need.rate() && allowance.burst == need.burst();
+}
+
+// The costs of other terms may be counted in another unit: a debt of tokens would be paid off in calls for minutes.
+void limitDebt(AllowanceBucket &bucket, const Allowance &allowance)
+{
+    const double maxDebt = allowance.burst > 0 ? allowance.burst : allowance.ratePerSecond;
+    bucket.giveBack(std::max(0.0, -bucket.balance() - maxDebt));
+}
+
 } // namespace
 
 AllowancePools::AllowancePools(AllowanceTimes times)
@@ -36,6 +48,9 @@
     for (const auto &need : ask.needs()) {
         auto &pool = refillPool(need, ask.config_version(), now);
         *answer.add_grants() = grant(need, pool, now);
+        if (!hasTermsOf(pool.allowance, need)) {
+            limitDebt(pool.bucket, pool.allowance);
+        }
     }
     return answer;
 }
@@ -110,15 +125,18 @@
 {
     const auto group = allowanceGroup(need.workspace());
     auto &pool = pools_.try_emplace(need.workspace(), memberSince_[group], times_.initialSavings).first->second;
-    if (configVersion >= pool.configVersion) {
-        const bool isSame = pool.allowance.ratePerSecond == need.rate() && pool.allowance.burst == need.burst();
-        pool.promisedUntil = isSame ? pool.promisedUntil : TimePoint{};
-        pool.configVersion = configVersion;
+    pool.askedAt = now;
+    const bool changes = configVersion >= pool.configVersion && !hasTermsOf(pool.allowance, need);
+    pool.configVersion = std::max(pool.configVersion, configVersion);
+    if (changes) {
+        pool.promisedUntil = TimePoint{};
         pool.allowance.ratePerSecond = need.rate();
         pool.allowance.burst = need.burst();
     }
-    pool.askedAt = now;
     pool.bucket.refill(pool.allowance, partOf(group, now), now);
+    if (changes) {
+        limitDebt(pool.bucket, pool.allowance);
+    }
     pool.bucket.giveBack(need.returned());
     return pool;
 }
--- a/tests/unit/workspace_test.cpp
+++ b/tests/unit/workspace_test.cpp
@@ -219,6 +219,38 @@
     EXPECT_LT(decisions.front().retryAfter, Seconds(1));
 }
 
+// Guards against a debt in tokens of an entry that has not got the new configuration yet.
+TEST_F(Accounts, EntryWithOldTermsLeavesNoDebtInTheirUnit)
+{
+    AllowanceAccounts behind("entry-2", times_);
+    behind.setPoolAddress(allowanceGroup(workspace_.name), address_, now_);
+    behind.applyConfig(1, false);
+    const auto oldTerms = workspace_;
+    workspace_.allowance = {10, 10, AllowanceUnit::Calls, 0};
+    accounts_.applyConfig(2, false);
+    advance(Seconds(2));
+    EXPECT_TRUE(isGranted(1));
+    advance(Seconds(2));
+    behind.charge(oldTerms, CallHandle{1}, 900, now_);
+    for (const auto &request : behind.takeRequests(now_)) {
+        pools_.answer(request.ask, now_);
+    }
+    advance(Seconds(5));
+    EXPECT_TRUE(isGranted(1));
+}
+
+// Guards against a debt in tokens that is paid off in calls after the unit of a limit has changed.
+TEST_F(Accounts, DebtEndsWithTheUnitItIsCountedIn)
+{
+    advance(Seconds(2));
+    EXPECT_TRUE(isGranted(30000));
+    workspace_.allowance = {10, 10, AllowanceUnit::Calls, 0};
+    accounts_.applyConfig(2, false);
+    chargeAndDecide(1); // the pool learns the new terms
+    advance(Seconds(2));
+    EXPECT_TRUE(isGranted(1));
+}
+
 TEST_F(Accounts, UnlimitedWorkspaceNeedsNoCredit)
 {
     workspace_.allowance.ratePerSecond = 0;
