--- a/include/anvilscale/base.h
+++ b/include/anvilscale/base.h
@@ -271,7 +271,7 @@
     CallerKeyUnknown, ///< no workspace has the key
     OverAllowance, ///< its workspace has used its allowance
     AllowanceUnknown, ///< whether its workspace may use more could not be found out in time
-    EndpointLimit, ///< all endpoints that could serve it have reached the request limits that they named
+    EndpointLimit, ///< all endpoints that could serve it have reached their rate limits
     Count
 };
 template<>
--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -318,7 +318,7 @@
     bool leaving = false; ///< accepts no new calls
     Duration pause{}; ///< time for which it accepts no calls of this entry; 0 if not reported
     std::optional<double> requestsPerSecond{}; ///< limit on the calls of all entries together; empty: none
-    bool endsLimit = false; ///< the call was sent under a limit that the answer does not name any more
+    bool endsLimit = false; ///< the call was sent under a limit that the answer no longer announces
 
     bool empty() const
     {
@@ -347,7 +347,7 @@
     TimePoint deadline; ///< deadline of the caller
     bool hidesKey = false; ///< the caller's key is not forwarded
     std::string workspace; ///< told to the endpoint; empty: none
-    bool isLimited = false; ///< the endpoint has named a request limit
+    bool isLimited = false; ///< the endpoint has announced a rate limit
     bool holdAnswer = false; ///< another attempt may follow: forward only a complete, successful answer
 };
 struct RefuseCall
@@ -380,7 +380,7 @@
     std::string address; ///< address of the endpoint
     wire::AllowanceAsk ask;
 };
-/// Sends the sidecar at this address a change of a request limit, for all other entries.
+/// Sends the sidecar at this address a change of a rate limit, for all other entries.
 struct ReportLimit
 {
     std::string address; ///< address of the endpoint
@@ -445,7 +445,7 @@
     Duration storeAge{}; ///< time since the last answer of the store, at the last decision
     Duration allowanceWait{}; ///< until the credit of its workspace was known
     Duration adapterWait{};
-    Duration permitWait{}; ///< for credit of the request limit of its endpoint
+    Duration permitWait{}; ///< for credit of the rate limit of its endpoint
     std::optional<Duration> firstByte;
     Duration longestPause{}; ///< longest interval between two parts of an event stream
     Duration total{};
@@ -500,7 +500,7 @@
     std::uint64_t open = 0;
     std::uint64_t listenedEngines = 0; ///< engines that the entry is connected to
     std::uint64_t visits = 0; ///< connections to engines that hold or load an adapter which no listened engine holds
-    std::uint64_t limitedEndpoints = 0; ///< endpoints that have named a request limit
+    std::uint64_t limitedEndpoints = 0; ///< endpoints that have announced a rate limit
     std::uint64_t permitWaits = 0; ///< calls that asked for credit of an endpoint's limit
     std::uint64_t permitDenials = 0; ///< of these, the ones sent elsewhere or refused
     std::uint64_t quarantined = 0; // requests put under quarantine
@@ -512,7 +512,7 @@
     Counters<RetryReason> retries;
 };
 
-/// Times of the pools that divide the request limits of endpoints between entries. Endpoints tolerate half as much
+/// Times of the pools that divide the rate limits of endpoints between entries. Endpoints tolerate half as much
 /// again in 4 s; the pools use less than half of that, and the rest is left for calls sent before a limit is known.
 inline AllowanceTimes endpointLimitTimes()
 {
@@ -544,7 +544,7 @@
     void onSidecarLost(const std::string &address, TimePoint now);
     /// Credit from the sidecar beside the endpoint at this address.
     void onAllowanceAnswer(const std::string &address, const wire::AllowanceAnswer &answer, TimePoint now);
-    /// Another entry, or the sidecar of an engine, reports the request limit of an endpoint. Returns false if it was
+    /// Another entry, or the sidecar of an engine, reports the rate limit of an endpoint. Returns false if it was
     /// known already.
     bool applyEndpointLimit(const wire::EndpointLimit &limit, TimePoint now);
     /// The store has answered: all its earlier changes have been applied.
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -582,7 +582,7 @@
     }
 
     static constexpr Duration metricsInterval = Seconds(2);
-    static constexpr double noLimit = -1; // in log lines, in place of a request limit
+    static constexpr double noLimit = -1; // in log lines, in place of a rate limit
     // Between selections of the sidecar that watches the store.
     static constexpr Duration selectionInterval = Milliseconds(200);
 
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -143,11 +143,11 @@
     text.counters("anvilscale_direct_refusals_total", "calls refused by this entry", "reason", stats.refusals);
     text.counter("anvilscale_direct_quarantined_total", "requests that go to no endpoint, as too many ended under them",
                  stats.quarantined);
-    text.gauge("anvilscale_direct_limited_endpoints", "endpoints that have named a request limit",
+    text.gauge("anvilscale_direct_limited_endpoints", "endpoints that have announced a rate limit",
                static_cast<double>(stats.limitedEndpoints));
-    text.counter("anvilscale_direct_permit_waits_total", "calls that asked for credit of an endpoint's request limit",
+    text.counter("anvilscale_direct_permit_waits_total", "calls that asked for credit of an endpoint's rate limit",
                  stats.permitWaits);
-    text.counter("anvilscale_direct_permit_denials_total", "calls that got no credit of an endpoint's request limit",
+    text.counter("anvilscale_direct_permit_denials_total", "calls that got no credit of an endpoint's rate limit",
                  stats.permitDenials);
     text.counter("anvilscale_allowance_requests_total", "requests for credit sent to sidecars", stats.allowances.asks);
     text.counter("anvilscale_allowance_waits_total", "calls that waited for credit", stats.allowances.waits);
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -181,7 +181,7 @@
         std::string endpointId;
         std::uint32_t attempt = 0; // of the exchange in progress
         std::uint32_t reportedAttempt = 0; // under which its answer and end are reported; the last one requested
-        bool isLimited = false; // sent under a request limit of the endpoint
+        bool isLimited = false; // sent under a rate limit of the endpoint
         bool holdAnswer = false;
         HttpClient *client = nullptr; // of the current attempt; null if none is in progress
         ExchangeId upstreamExchange = 0;
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -172,7 +172,7 @@
         return handlers;
     }
 
-    /// Sends the request limit of an endpoint to all entries but the one that has reported it.
+    /// Sends the rate limit of an endpoint to all entries but the one that has reported it.
     void sendLimit(const wire::EndpointLimit &limit, PeerHandle source)
     {
         wire::Envelope message;
@@ -398,7 +398,7 @@
     std::uint64_t incarnation_;
     AdapterController controller_; // control thread, as are the members below up to nextStateAt_
     AllowancePools allowancePools_; // control thread; of workspaces
-    AllowancePools limitPools_; // control thread; of endpoints that have named a request limit
+    AllowancePools limitPools_; // control thread; of endpoints that have announced a rate limit
     std::optional<double> reportedLimit_; // control thread; in the engine's last report
     std::set<PeerHandle> entries_; // entries that have sent a demand
     StatePublisher statePublisher_;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -101,7 +101,7 @@
     WorkspaceTable workspaces;
     std::optional<PoolClient> workspaceCredit;
     bool hasLimitedWorkspaces = false;
-    std::optional<PoolClient> endpointCredit; // for calls to endpoints that have named a request limit
+    std::optional<PoolClient> endpointCredit; // for calls to endpoints that have announced a rate limit
     bool hasLimitedEndpoints = false; // some endpoint had a limit when the groups of endpointCredit were set
     EndpointTable endpoints;
     std::optional<std::uint64_t> selectedRevision; // membership for which the listened engines were selected
@@ -167,12 +167,12 @@
     /// Refuses a call whose request is under quarantine; returns false for any other.
     bool stopIfQuarantined(CallHandle handle, DirectCall &call, TimePoint now);
     void placeCall(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now);
-    /// Sends the call, or asks for credit first if its endpoint has named a request limit.
+    /// Sends the call, or asks for credit first if its endpoint has announced a rate limit.
     void requestSend(CallHandle handle, DirectCall &call, TimePoint now);
     void sendCall(CallHandle handle, DirectCall &call, TimePoint now);
-    /// Sets or ends the request limit of an endpoint; returns false if it is the same as before.
+    /// Sets or ends the rate limit of an endpoint; returns false if it is the same as before.
     bool setLimit(EndpointEntry &entry, std::optional<double> requestsPerSecond, TimePoint now);
-    /// Tells the other entries the limit of the endpoint.
+    /// Reports the rate limit of the endpoint to the other entries.
     void reportLimit(const EndpointEntry &entry);
     /// Takes part in the pools of the endpoints that are limited now.
     void updateLimitedGroups();
@@ -187,7 +187,7 @@
     static void stopWaiting(EndpointEntry &entry, CallHandle handle, DirectCall &call, TimePoint now);
     void detachFromEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now);
     void refuse(CallHandle handle, std::uint32_t status, RefusalReason reason, Duration retryAfter, TimePoint now);
-    /// True if an endpoint of the service would accept calls but for its request limit.
+    /// True if an endpoint of the service would accept calls but for its rate limit.
     bool isServiceLimited(const std::string &service, TimePoint now) const;
     /// Time until an endpoint of the service may accept calls again.
     Duration timeUntilAvailable(const std::string &service, TimePoint now) const;
--- a/src/direct/endpoint_limits.cpp
+++ b/src/direct/endpoint_limits.cpp
@@ -1,4 +1,4 @@
-// Request limits that endpoints name for all entries together. An entry asks the pool of an endpoint for credit before
+// Rate limits that endpoints announce for all entries together. An entry asks the pool of an endpoint for credit before
 // each call to it.
 #include "direct_calls_impl.h"
 
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -51,7 +51,7 @@
     TimePoint avoidedUntil{};
     bool hasAnnouncedLeaving = false; // reported in its record or with an answer; not set by a removal of its record
     TimePoint pausedUntil{}; // accepts no calls of this entry until then
-    std::optional<double> requestsPerSecond; // limit on the calls of all entries together, while it names one
+    std::optional<double> requestsPerSecond; // rate limit, over the calls of all entries together
     TimePoint deniedUntil{}; // no credit of this limit is expected before
     std::set<CallHandle> awaitingPermit; // own calls that wait for credit of this limit
     std::uint32_t consecutiveFailures = 0;
@@ -93,7 +93,7 @@
     bool isReportedUnreachable(TimePoint now) const;
     /// True if its record or its sidecar reports that it accepts no new calls.
     bool isLeaving(TimePoint now) const;
-    /// True if it accepts no calls of this entry for a while, by its own word or by its request limit.
+    /// True if it accepts no calls of this entry for a while, as it has reported or by its rate limit.
     bool isPaused(TimePoint now) const;
     TimePoint pauseEnd() const;
     /// True if the calls of all entries together are limited.
--- a/tests/process/direct_limit_test.cpp
+++ b/tests/process/direct_limit_test.cpp
@@ -1,4 +1,4 @@
-// Request limits that endpoints name in their answers, with several entries as real processes.
+// Rate limits that endpoints announce in their answers, with several entries as real processes.
 #include "direct_fleet.h"
 
 #include <chrono>
@@ -44,7 +44,7 @@
     std::array<unsigned, entryCount> httpPorts_{};
 };
 
-// Guards against entries that ignore an endpoint's request limit, or of which each one uses the whole limit.
+// Guards against entries that ignore an endpoint's rate limit, or of which each one uses the whole limit.
 TEST_F(DirectLimit, LimitHoldsForAllEntriesTogether)
 {
     startAll();
@@ -65,7 +65,7 @@
     EXPECT_LE(callsOfToldEntries, tolerance * limitPerSecond * seconds + slack) << seconds << " s";
 }
 
-// Guards against entries that keep to a limit which the endpoint has stopped to name.
+// Guards against entries that keep to a limit that the endpoint no longer announces.
 TEST_F(DirectLimit, EndpointIsUsedFullyAfterItsLimitHasEnded)
 {
     startAll();
--- a/tests/standins/site_replica.cpp
+++ b/tests/standins/site_replica.cpp
@@ -6,7 +6,7 @@
 //   {"crashOn": "TEXT"}   cuts the connection of each call whose body contains the text
 //   {"leaving": true}     marks all answers as those of a leaving replica
 //   {"retryAfter": N}     Retry-After of refusals, in seconds
-//   {"limit": "N"}        names a limit of N requests a second in answers to calls; empty for none
+//   {"limit": "N"}        announces a limit of N requests a second in answers to calls; empty for none
 #include "http_host.h"
 #include "subcommands.h"
 
@@ -70,7 +70,7 @@
         orderRepliesToLose_ = fieldOr(*body, "lostOrders", orderRepliesToLose_);
         isLeaving_ = fieldOr(*body, "leaving", isLeaving_);
         retryAfterSeconds_ = fieldOr(*body, "retryAfter", retryAfterSeconds_);
-        requestLimit_ = fieldOr<std::string>(*body, "limit", requestLimit_);
+        rateLimit_ = fieldOr<std::string>(*body, "limit", rateLimit_);
         crashOn_ = fieldOr<std::string>(*body, "crashOn", crashOn_);
         if (body->has("id")) {
             id_ = body->getValue<std::string>("id");
@@ -194,8 +194,8 @@
             if (isLeaving_) {
                 response.set("Server-Leaving", "1");
             }
-            if (!requestLimit_.empty()) {
-                response.set("Server-Limit", requestLimit_);
+            if (!rateLimit_.empty()) {
+                response.set("Server-Limit", rateLimit_);
             }
             if (refuseIfUnavailable(request, response)) {
                 return;
@@ -273,7 +273,7 @@
     std::string crashOn_; // disabled if empty
     bool isLeaving_ = false;
     int retryAfterSeconds_ = 0; // 0 for no header
-    std::string requestLimit_; // empty for no header
+    std::string rateLimit_; // empty for no header
     int refusedCalls_ = 0;
     bool hasExceededSlots_ = false; // more adapters were loaded than there are slots
     Array executedIds_;
--- a/tests/unit/endpoint_limits_test.cpp
+++ b/tests/unit/endpoint_limits_test.cpp
@@ -1,4 +1,4 @@
-// Request limits that endpoints name for all entries together.
+// Rate limits that endpoints announce for all entries together.
 #include "direct_fixture.h"
 #include "support/limited_fleet.h"
 
