Idle accounts and pools are dropped only when they owe and save nothing

Symptom, found by reading the change that drops them: after a minute without calls an entry without sidecars forgot what a large call owed, or refused the first call of a workspace that had saved its burst; a pool forgot a debt after ten minutes.

Change: an account with an own part stays; a pool is dropped when it has been paid off, and only when another one is made, so that the check costs nothing for each message.

Evidence: Accounts.OwnPartIsPaidOffWhileIdle and Accounts.PoolIsPaidOffWhileIdle failed before and pass.

--- a/src/workspace/allowance_accounts.cpp
+++ b/src/workspace/allowance_accounts.cpp
@@ -329,7 +329,7 @@
 
 bool AllowanceAccounts::isIdle(const Account &account, TimePoint now)
 {
-    return account.pending.empty() && account.portions.empty() && account.returned == 0
+    return account.pending.empty() && account.portions.empty() && account.returned == 0 && !account.ownPart
            && now - account.usedAt > idleAccountLifetime;
 }
 
--- a/src/workspace/allowance_pools.cpp
+++ b/src/workspace/allowance_pools.cpp
@@ -39,7 +39,6 @@
 wire::AllowanceAnswer AllowancePools::answer(const wire::AllowanceAsk &ask, TimePoint now)
 {
     recordMember(ask, now);
-    dropIdlePools(now);
     wire::AllowanceAnswer answer;
     answer.set_call(ask.call());
     answer.set_scope(ask.scope());
@@ -81,7 +80,12 @@
 
 void AllowancePools::dropIdlePools(TimePoint now)
 {
-    std::erase_if(pools_, [now](const auto &item) { return now - item.second.askedAt > idlePoolLifetime; });
+    std::erase_if(pools_, [now](const auto &item) {
+        const auto &pool = item.second;
+        const auto idleTime = now - pool.askedAt;
+        const bool isPaidOff = pool.bucket.balance() + pool.bucket.ratePerSecond() * toSeconds(idleTime) >= 0;
+        return idleTime > idlePoolLifetime && isPaidOff;
+    });
 }
 
 void AllowancePools::startEmpty(std::uint32_t group, TimePoint now)
@@ -124,8 +128,12 @@
                                                  TimePoint now)
 {
     const auto group = allowanceGroup(need.workspace());
-    auto &pool = pools_.try_emplace(need.workspace(), memberSince_[group], times_.initialSavings).first->second;
+    const auto [place, isNew] = pools_.try_emplace(need.workspace(), memberSince_[group], times_.initialSavings);
+    auto &pool = place->second;
     pool.askedAt = now;
+    if (isNew) {
+        dropIdlePools(now);
+    }
     const bool changes = configVersion >= pool.configVersion && !hasTermsOf(pool.allowance, need);
     pool.configVersion = std::max(pool.configVersion, configVersion);
     if (changes) {
--- a/tests/unit/workspace_test.cpp
+++ b/tests/unit/workspace_test.cpp
@@ -219,6 +219,34 @@
     EXPECT_LT(decisions.front().retryAfter, Seconds(1));
 }
 
+// Guards against an entry without sidecars that drops an idle account with its debt or its savings.
+TEST_F(Accounts, OwnPartIsPaidOffWhileIdle)
+{
+    workspace_.allowance = {100, 100, AllowanceUnit::Tokens, 0};
+    accounts_.applyConfig(1, true);
+    accounts_.setPoolAddress(allowanceGroup(workspace_.name), "", now_);
+    chargeAndDecide(30000);
+    advance(Seconds(2));
+    EXPECT_TRUE(isGranted(30000));
+    advance(Seconds(90));
+    EXPECT_FALSE(isGranted(30000)) << "paid off after 300 s";
+    advance(Seconds(220));
+    EXPECT_TRUE(isGranted(30000));
+}
+
+// Guards against a large call whose debt is forgotten with an idle pool.
+TEST_F(Accounts, PoolIsPaidOffWhileIdle)
+{
+    workspace_.allowance = {10, 10, AllowanceUnit::Tokens, 0};
+    advance(Seconds(2));
+    EXPECT_TRUE(isGranted(30000));
+    advance(Seconds(700));
+    workspace_.name = "another"; // a new pool is the occasion to drop idle ones
+    chargeAndDecide(1);
+    workspace_.name = "w";
+    EXPECT_FALSE(isGranted(30000)) << "paid off after 3,000 s";
+}
+
 // Guards against a debt in tokens of an entry that has not got the new configuration yet.
 TEST_F(Accounts, EntryWithOldTermsLeavesNoDebtInTheirUnit)
 {
