--- a/tests/unit/endpoint_limits_test.cpp
+++ b/tests/unit/endpoint_limits_test.cpp
@@ -13,6 +13,11 @@
     double callsPerSecond; // of which the limited endpoint would get a third
 };
 
+void PrintTo(const LimitCase &limitCase, std::ostream *out) // NOLINT(readability-identifier-naming): GoogleTest's name
+{
+    *out << limitCase.entries << " entries, " << limitCase.limit << " of " << limitCase.callsPerSecond << " calls/s";
+}
+
 class Limits : public testing::TestWithParam<LimitCase>
 {
 protected:
