Calls that wait for an adapter leave an engine whose sidecar is lost

Change: the loss of a connection that had brought a state places the calls that wait there again, as the loss of the engine does.

Evidence: LostSidecar.WaitingCallIsPlacedAgainWhenItsSidecarIsLost failed before and passes.

--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -143,14 +143,20 @@
     impl_->storeAnsweredAt = now;
 }
 
-void DirectCalls::onSidecarLost(const std::string &address, TimePoint /*now*/)
+void DirectCalls::onSidecarLost(const std::string &address, TimePoint now)
 {
     impl_->workspaceCredit->onPoolLost(address);
     impl_->endpointCredit->onPoolLost(address);
-    if (auto *entry = impl_->endpoints.findByAddress(address)) {
-        entry->onSidecarLost(impl_->endpoints.lastReceivedAt());
-    }
     impl_->sentDemands.erase(address);
+    auto *entry = impl_->endpoints.findByAddress(address);
+    if (entry == nullptr) {
+        return;
+    }
+    const bool wasConnected = entry->state.has_value();
+    entry->onSidecarLost(impl_->endpoints.lastReceivedAt());
+    if (wasConnected) {
+        impl_->rerouteWaiting(*entry, now); // nobody orders the loads that these calls wait for
+    }
 }
 
 } // namespace anvilscale
--- a/tests/unit/direct_updates_test.cpp
+++ b/tests/unit/direct_updates_test.cpp
@@ -129,6 +129,21 @@
     EXPECT_EQ(chosen(), std::set<std::string>{"e-1"});
 }
 
+class LostSidecar : public test::Calls
+{
+};
+
+// Guards against a call that waits for a load which nobody will order, until its next check over a second later.
+TEST_F(LostSidecar, WaitingCallIsPlacedAgainWhenItsSidecarIsLost)
+{
+    addEngine("e-1", addressOne, {"a1"});
+    startCall("/s/x", "a2");
+    EXPECT_TRUE(takeActions<SendCall>().empty());
+    addEngine("e-2", addressTwo, {"a2"});
+    calls_.onSidecarLost(addressOne, now_);
+    EXPECT_EQ(takeSentCall().endpointId, "e-2");
+}
+
 class StoppedEngine : public ReportedEngines
 {
 protected:
