--- a/src/direct/endpoint_limits.cpp
+++ b/src/direct/endpoint_limits.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-// Calls go on at this rate to an endpoint that takes fewer or none: only an answer shows that its limit has ended.
+// Lower bound of the rate, also for endpoints that accept fewer calls or none: only answers show the end of a limit.
 constexpr double minRequestsPerSecond = 0.2;
-// Calls that a pool lets through together, as a time at the limit.
+// Burst of a pool, as a time at the limit.
 constexpr double burstSeconds = 0.5;
 // A pool on another VM answers within milliseconds. A call that waits longer goes elsewhere.
 constexpr Duration maxPermitWait = Milliseconds(200);
@@ -34,7 +34,7 @@
         return false;
     }
     entry.requestsPerSecond = requestsPerSecond;
-    entry.deniedUntil = TimePoint{}; // said of the limit before
+    entry.deniedUntil = TimePoint{}; // rests on the previous limit
     updateLimitedGroups();
     if (entry.isLimited()) {
         endpointCredit->selectPools(endpoints, now);
