--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -50,6 +50,7 @@
     bool resumable = false;
     Duration timeout{}; ///< upper bound on a call's duration, set by the operator
     Duration objective{}; ///< time to the whole answer, or to the first event of a stream
+    Duration pauseLimit{}; ///< longest pause between two events of a stream that is in time; 0: no limit
     Duration firstByteLimit{}; ///< callers abandon a stream without a first event by then; 0: at their deadline
     std::uint32_t priority = 0; ///< 0 is the most urgent; a workspace's own priority replaces it
     bool isPublic = false; ///< callers need no key
@@ -198,16 +199,22 @@
     LearnedLoads, ///< measures load times
     LearnedRuns, ///< measures call durations
     LearnedOrders, ///< measures answer times of engine orders
+    SlotLeases, ///< shares the slots of contended plain endpoints between entries
+    ReadingTurns, ///< orders the reading of prompts at a contended engine
+    EngineSpeeds, ///< uses the measured reading speed of each engine
+    AdapterPlaces, ///< limits copies of adapters while adapter slots are contended
+    StateDeltas, ///< sends the changes of an engine's adapters instead of its whole state
     Count
 };
 template<>
 struct EnumNames<Mechanism>
 {
     static constexpr std::array<std::string_view, enumCount<Mechanism>> table{
-        "kept_parts",      "sampling",      "home",          "load_price",     "others_work",   "planned_work",
-        "popularity",      "awaited",       "slot_queue",    "store_forecast", "copies",        "slowness",
-        "avoidance",       "unreachable",   "early_refusal", "late_rank",      "in_time_first", "load_window",
-        "learned_reading", "learned_loads", "learned_runs",  "learned_orders"};
+        "kept_parts",      "sampling",       "home",          "load_price",     "others_work",   "planned_work",
+        "popularity",      "awaited",        "slot_queue",    "store_forecast", "copies",        "slowness",
+        "avoidance",       "unreachable",    "early_refusal", "late_rank",      "in_time_first", "load_window",
+        "learned_reading", "learned_loads",  "learned_runs",  "learned_orders", "slot_leases",   "reading_turns",
+        "engine_speeds",   "adapter_places", "state_deltas"};
 };
 
 /// Weights of the endpoint choice, expressed as additional waiting time. Times of loads, prompts and calls are
