--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -156,6 +156,10 @@
     state->set_unread_tokens(heartbeat.unread_tokens());
     state->set_waiting_tokens(heartbeat.waiting_tokens());
     state->set_room(heartbeat.room());
+    state->set_reading_budget(heartbeat.reading_budget());
+    state->set_reading_queued(heartbeat.reading_queued());
+    state->set_streams(heartbeat.streams());
+    state->set_slot_free_ms(heartbeat.slot_free_ms());
     stateReceivedAt = now;
     return true;
 }
--- a/src/direct/state_publisher.cpp
+++ b/src/direct/state_publisher.cpp
@@ -3,13 +3,28 @@
 
 namespace anvilscale {
 
+namespace {
+
+// Copies the load figures, which change with each call, to a state or to a heartbeat.
+template<class Message>
+void copyLoad(const wire::DirectState &from, Message &to)
+{
+    to.set_unread_tokens(from.unread_tokens());
+    to.set_waiting_tokens(from.waiting_tokens());
+    to.set_room(from.room());
+    to.set_reading_budget(from.reading_budget());
+    to.set_reading_queued(from.reading_queued());
+    to.set_streams(from.streams());
+    to.set_slot_free_ms(from.slot_free_ms());
+}
+
+} // namespace
+
 void StatePublisher::update(const wire::DirectState &state)
 {
     auto withoutLoad = state;
     withoutLoad.clear_sequence();
-    withoutLoad.clear_unread_tokens();
-    withoutLoad.clear_waiting_tokens();
-    withoutLoad.clear_room();
+    copyLoad(wire::DirectState(), withoutLoad);
     auto serialized = withoutLoad.SerializeAsString();
     if (serialized != serialized_) {
         serialized_ = std::move(serialized);
@@ -26,9 +41,7 @@
     if (subscription.supportsHeartbeats && subscription.sequence == sequence_) {
         auto &heartbeat = *message.mutable_direct_heartbeat();
         heartbeat.set_state_sequence(sequence_);
-        heartbeat.set_unread_tokens(state_.unread_tokens());
-        heartbeat.set_waiting_tokens(state_.waiting_tokens());
-        heartbeat.set_room(state_.room());
+        copyLoad(state_, heartbeat);
         return message;
     }
     subscription.sequence = sequence_;
