States of engines are sent as deltas to entries that accept them

Each change of an engine's adapters sent the whole state (230 bytes with eight adapters) to every entry, and again after each demand that was sent before the last state had arrived: such a demand names the earlier state, which looked like a lost message.

- StatePublisher keeps up to 32 earlier states and builds one delta for each base that an entry has.
A delta is used if it is smaller than the state and results in exactly that state.
- Sequences of a sidecar begin with its start time, so that no message of a restarted sidecar fits an earlier state.
- Learned times are published when they have changed by a twentieth.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -499,6 +499,22 @@
 /// Bounds the number of metrics.
 constexpr std::size_t maxCountedWorkspaces = 64;
 
+/// Messages from sidecars on the states of their engines.
+enum class StateMessage : std::uint8_t {
+    State, ///< whole
+    Delta,
+    Heartbeat,
+    IgnoredDelta, ///< its base is not the state that this entry has
+    IgnoredHeartbeat, ///< of a state that this entry does not have
+    Count
+};
+template<>
+struct EnumNames<StateMessage>
+{
+    static constexpr std::array<std::string_view, enumCount<StateMessage>> table{"state", "delta", "heartbeat",
+                                                                                 "ignored_delta", "ignored_heartbeat"};
+};
+
 struct DirectCallsStats
 {
     std::uint64_t calls = 0;
@@ -512,6 +528,7 @@
     std::uint64_t permitDenials = 0; ///< of these, the ones sent elsewhere or refused
     std::uint64_t quarantined = 0; // requests put under quarantine
     Counters<AttemptEnd> ends;
+    Counters<StateMessage> stateMessages;
     AllowanceStats allowances;
     std::map<std::string, WorkspaceStats> workspaces; ///< the first maxCountedWorkspaces; the rest under "other"
     Counters<EndpointRefusal> endpointRefusals;
@@ -546,6 +563,8 @@
     void applyCrashReport(const CrashReport &report, TimePoint now);
     /// Engine state from the sidecar beside the endpoint at this address.
     void applyState(const std::string &address, const wire::DirectState &state, TimePoint now);
+    /// Has the effect of applyState with the state that the delta results in.
+    void applyDelta(const std::string &address, const wire::DirectDelta &delta, TimePoint now);
     /// Updates the load figures of a state received before.
     void applyHeartbeat(const std::string &address, const wire::DirectHeartbeat &heartbeat, TimePoint now);
     void onSidecarLost(const std::string &address, TimePoint now);
@@ -693,29 +712,44 @@
     std::unique_ptr<Impl> impl_;
 };
 
-/// Selects the message for each entry: the whole state if the entry lacks it, otherwise a heartbeat with the load
-/// figures only. Between many entries and engines nearly all messages are heartbeats.
+/// Selects the message for each entry: a heartbeat with the load figures only if the entry has the state, a delta if it
+/// has an earlier one, and the whole state otherwise. Between many entries and engines nearly all messages are
+/// heartbeats.
 class StatePublisher
 {
 public:
+    /// `startTimeMs`: start of the sidecar in Unix milliseconds. Separates the sequences of different starts, so that
+    /// no heartbeat or delta fits a state of an earlier start.
+    explicit StatePublisher(std::uint64_t startTimeMs = 0, const DirectPolicy &policy = {});
     /// Sets the current engine state and assigns its `sequence`, which increases when more than load figures change.
+    /// Learned figures are published when they have changed by a twentieth.
     void update(const wire::DirectState &state);
     wire::Envelope buildMessage(PeerHandle entry);
-    /// The entry has reported which state it has, 0 for none; a lost state is sent again. Entries that have
-    /// not reported one may not support heartbeats and receive whole states.
-    void onStateAcknowledged(PeerHandle entry, std::uint64_t sequence);
+    /// The entry has reported which state it has, 0 for none; a lost state is sent again. Entries that have not
+    /// reported one and do not accept deltas may not support heartbeats and receive whole states.
+    void onStateAcknowledged(PeerHandle entry, std::uint64_t sequence, bool acceptsDeltas = false);
     void onEntryLost(PeerHandle entry);
 
 private:
     struct Subscription
     {
-        std::uint64_t sequence = 0; // of the last whole state
+        std::uint64_t sequence = 0; // of the last state that was sent, whole or as a delta
         bool supportsHeartbeats = false;
+        bool acceptsDeltas = false;
     };
 
+    /// Moves the current state to the history.
+    void rememberState();
+    /// The delta from an earlier state to the current one; nullptr if the whole state has to be sent.
+    const wire::DirectDelta *findDelta(std::uint64_t base);
+
+    bool buildsDeltas_;
     wire::DirectState state_;
     std::string serialized_; // serialized state without the figures that heartbeats carry
-    std::uint64_t sequence_ = 0;
+    std::uint64_t sequence_;
+    std::map<std::uint64_t, wire::DirectState> history_; // earlier states by sequence, bounded; empty without deltas
+    // Deltas to the current state by their base, empty if they are not used. One delta goes to many entries.
+    std::map<std::uint64_t, std::optional<wire::DirectDelta>> deltas_;
     std::unordered_map<PeerHandle, Subscription> subscriptions_;
 };
 
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -293,6 +293,10 @@
                 control_.post([this, name, state = message.direct_state()](Now now) {
                     calls_.applyState(name, state, now.mono);
                 });
+            } else if (message.has_direct_delta()) {
+                control_.post([this, name, delta = message.direct_delta()](Now now) {
+                    calls_.applyDelta(name, delta, now.mono);
+                });
             } else if (message.has_direct_heartbeat()) {
                 control_.post([this, name, heartbeat = message.direct_heartbeat()](Now now) {
                     calls_.applyHeartbeat(name, heartbeat, now.mono);
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -137,6 +137,8 @@
                static_cast<double>(stats.listenedEngines));
     text.counter("anvilscale_direct_visits_total",
                  "connections made for an adapter that no engine held which this entry listened to", stats.visits);
+    text.counters("anvilscale_direct_state_messages_total", "messages from sidecars on the states of their engines",
+                  "kind", stats.stateMessages);
     text.counters("anvilscale_direct_attempt_ends_total", "how attempts ended", "end", stats.ends);
     text.counters("anvilscale_direct_endpoint_refusals_total", "calls refused by endpoints", "refusal",
                   stats.endpointRefusals);
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -123,6 +123,7 @@
         , controller_(incarnation_ / 1000, policy)
         , allowancePools_(directAllowanceTimes(settings))
         , limitPools_(endpointLimitTimes())
+        , statePublisher_(incarnation_ / 1000, policy)
         , control_([this](Now now) { afterEvents(now.mono); })
         , loop_("engine")
     {
@@ -151,7 +152,7 @@
             }
             control_.post([this, peer, demand = message.direct_demand()](Now now) {
                 controller_.applyDemand(peer, demand, now.mono);
-                statePublisher_.onStateAcknowledged(peer, demand.state_sequence());
+                statePublisher_.onStateAcknowledged(peer, demand.state_sequence(), demand.accepts_deltas());
                 if (entries_.insert(peer).second) {
                     updateState(now.mono);
                     messenger_->sendTo(peer, statePublisher_.buildMessage(peer));
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -158,6 +158,8 @@
     void applyRoute(DirectCall &call, const DirectRoute &route) const;
     void startCall(CallHandle handle, DirectCall &call, TimePoint now);
     void routeCall(CallHandle handle, DirectCall &call, TimePoint now);
+    /// The sidecar at this address has sent a whole state, or a delta that results in it.
+    void applyState(const std::string &address, const wire::DirectState &state, TimePoint now);
     void rerouteWaiting(EndpointEntry &entry, TimePoint now);
     void dropEndpoint(EndpointEntry &entry, TimePoint now);
     void rerouteCalls(const std::set<CallHandle> &waiting, TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -201,7 +201,8 @@
     auto &sent = sentDemands[entry.record.address];
     const bool hasNewPlan = config && sent.planVersion < config->version;
     const bool keepAliveDue = now - sent.sentAt >= maxDemandInterval;
-    if (!entry.hasDemandChanged && !hasNewPlan && !keepAliveDue) {
+    const bool requestsState = entry.hasMissedState && now - sent.sentAt >= demandChangeInterval;
+    if (!entry.hasDemandChanged && !hasNewPlan && !keepAliveDue && !requestsState) {
         return;
     }
     auto demand = buildDemand(entry, now);
@@ -212,14 +213,15 @@
     const bool isDue = serialized != sent.serialized && now - sent.sentAt >= demandChangeInterval;
     const bool tokensChanged = std::abs(entry.unreadTokens - entry.lastSentUnreadTokens) >= unreadTokenStep
                                && now - sent.sentAt >= unreadTokenInterval;
-    if (!hasNewPlan && !isUrgent && !isDue && !tokensChanged && !keepAliveDue) {
+    if (!hasNewPlan && !isUrgent && !isDue && !tokensChanged && !keepAliveDue && !requestsState) {
         return;
     }
     if (hasNewPlan) {
         *demand.mutable_plan() = buildPlan(entry.record.service);
         sent.planVersion = config->version;
     }
-    demand.set_state_sequence(entry.state ? entry.state->sequence() : 0);
+    demand.set_state_sequence(entry.reportedSequence());
+    demand.set_accepts_deltas(init.policy.has(Mechanism::StateDeltas));
     demand.set_visits(entry.listening == Listening::Visited || entry.listening == Listening::Finishing);
     entry.lastSentUnreadTokens = entry.unreadTokens;
     entry.lastSentWaitingTokens = entry.waitingTokens;
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -1,6 +1,8 @@
 // Endpoint records and states, and how long they count as current.
 #include "endpoint_table.h"
 
+#include "state_delta.h"
+
 #include <algorithm>
 #include <tuple>
 
@@ -132,6 +134,7 @@
 {
     state = reported;
     stateReceivedAt = now;
+    hasMissedState = false;
     vanishedUntil = TimePoint{};
     if (!reported.models().empty()) {
         emptySince.reset();
@@ -151,19 +154,26 @@
 bool EndpointEntry::applyHeartbeat(const wire::DirectHeartbeat &heartbeat, TimePoint now)
 {
     if (!state || state->sequence() != heartbeat.state_sequence()) {
+        hasMissedState = true;
         return false;
     }
-    state->set_unread_tokens(heartbeat.unread_tokens());
-    state->set_waiting_tokens(heartbeat.waiting_tokens());
-    state->set_room(heartbeat.room());
-    state->set_reading_budget(heartbeat.reading_budget());
-    state->set_reading_queued(heartbeat.reading_queued());
-    state->set_streams(heartbeat.streams());
-    state->set_slot_free_ms(heartbeat.slot_free_ms());
+    copyLoad(heartbeat, *state);
     stateReceivedAt = now;
     return true;
 }
 
+std::optional<wire::DirectState> EndpointEntry::stateAfter(const wire::DirectDelta &delta)
+{
+    auto result = state ? applyDelta(*state, delta) : std::nullopt;
+    hasMissedState = hasMissedState || !result;
+    return result;
+}
+
+std::uint64_t EndpointEntry::reportedSequence() const
+{
+    return state && !hasMissedState ? state->sequence() : 0;
+}
+
 void EndpointEntry::onSidecarLost(TimePoint lastReceivedAt)
 {
     if (state && isSidecarSilent(lastReceivedAt)) {
@@ -179,6 +189,7 @@
         }
     }
     state.reset();
+    hasMissedState = false;
 }
 
 bool EndpointEntry::hasModel(const std::string &model, TimePoint now) const
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -58,6 +58,8 @@
     double failureShare = 0; // decayed share of own calls that failed
     std::optional<wire::DirectState> state;
     TimePoint stateReceivedAt{};
+    // A delta or heartbeat was based on another state than `state`: a message was lost. Until the next whole state.
+    bool hasMissedState = false;
     TimePoint vanishedUntil{}; // the connection to its sidecar was lost after a silence: its VM has probably stopped
     std::optional<TimePoint> emptySince; // since when the engine holds no model, as reported by its sidecar
     double lastSentUnreadTokens = 0; // own unreadTokens as last sent to the sidecar
@@ -109,6 +111,10 @@
     /// True if the state describes an earlier process.
     bool isOutdated(const wire::DirectState &reported) const;
     void applyState(const wire::DirectState &reported, TimePoint now);
+    /// The state that the delta results in; empty if it is based on one that this entry does not have.
+    std::optional<wire::DirectState> stateAfter(const wire::DirectDelta &delta);
+    /// Sequence to report to the sidecar; 0 requests the whole state.
+    std::uint64_t reportedSequence() const;
     /// Returns false if the heartbeat is based on a state that this entry does not have.
     bool applyHeartbeat(const wire::DirectHeartbeat &heartbeat, TimePoint now);
     /// The sidecar is disconnected: the engine gets no orders, so it keeps what it last held. `lastReceivedAt`: last
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -107,35 +107,54 @@
 }
 
 void DirectCalls::applyState(const std::string &address, const wire::DirectState &state, TimePoint now)
+{
+    impl_->stats.stateMessages.add(StateMessage::State);
+    impl_->applyState(address, state, now);
+}
+
+void DirectCalls::applyDelta(const std::string &address, const wire::DirectDelta &delta, TimePoint now)
 {
     auto *entry = impl_->endpoints.findByAddress(address);
+    const auto state = entry != nullptr ? entry->stateAfter(delta) : std::nullopt;
+    if (state) {
+        impl_->stats.stateMessages.add(StateMessage::Delta);
+        impl_->applyState(address, *state, now);
+        return;
+    }
     impl_->endpoints.recordMessage(now);
+    impl_->stats.stateMessages.add(StateMessage::IgnoredDelta);
+}
+
+void DirectCalls::Impl::applyState(const std::string &address, const wire::DirectState &state, TimePoint now)
+{
+    auto *entry = endpoints.findByAddress(address);
+    endpoints.recordMessage(now);
     if (entry == nullptr || entry->isOutdated(state)) {
         return;
     }
     // A sidecar may see a restart before the store does.
     const bool sameId = state.endpoint_id() == entry->record.id;
     if (sameId && entry->isOlderThan(state.born())) {
-        impl_->onRestarted(*entry, state.born(), now);
+        onRestarted(*entry, state.born(), now);
     }
     entry->applyState(state, now);
     entry->hasDemandChanged = true;
     if (state.load_ms() != 0) {
-        impl_->estimates[entry->record.service].loadMs = state.load_ms();
+        estimates[entry->record.service].loadMs = state.load_ms();
     }
     if (!state.reachable() || entry->isLeaving(now)) {
-        impl_->rerouteWaiting(*entry, now);
+        rerouteWaiting(*entry, now);
         return;
     }
-    impl_->sendReadyCalls(entry->record.id, now);
+    sendReadyCalls(entry->record.id, now);
 }
 
 void DirectCalls::applyHeartbeat(const std::string &address, const wire::DirectHeartbeat &heartbeat, TimePoint now)
 {
     impl_->endpoints.recordMessage(now);
-    if (auto *entry = impl_->endpoints.findByAddress(address)) {
-        entry->applyHeartbeat(heartbeat, now);
-    }
+    auto *entry = impl_->endpoints.findByAddress(address);
+    const bool isApplied = entry != nullptr && entry->applyHeartbeat(heartbeat, now);
+    impl_->stats.stateMessages.add(isApplied ? StateMessage::Heartbeat : StateMessage::IgnoredHeartbeat);
 }
 
 void DirectCalls::onStoreAnswered(TimePoint now)
--- a/src/direct/state_publisher.cpp
+++ b/src/direct/state_publisher.cpp
@@ -1,39 +1,104 @@
-// Publishes whole states and heartbeats of an engine to entries.
+// Publishes whole states, deltas and heartbeats of an engine to entries.
+#include "state_delta.h"
+
 #include "anvilscale/direct.h"
 
 namespace anvilscale {
 
 namespace {
 
-// Copies the load figures, which change with each call, to a state or to a heartbeat.
-template<class Message>
-void copyLoad(const wire::DirectState &from, Message &to)
+// Earlier states from which deltas are built, some 2 kB each. Bridges half a second, in which an entry gets at least
+// one message, at the highest rate of messages to entries with waiting calls.
+constexpr std::size_t maxHistory = 32;
+// Sequences of a start begin with its start time modulo this: three days, much longer than an entry keeps a state, in
+// a number that takes four bytes.
+constexpr std::uint64_t firstSequenceRange = 1U << 28;
+
+/// Figures learned by the sidecar, as whole numbers. Most of them change slightly with each load.
+struct LearnedFigure
+{
+    std::uint32_t (wire::DirectState::*get)() const;
+    void (wire::DirectState::*set)(std::uint32_t);
+};
+constexpr std::array learnedFigures{
+    LearnedFigure{&wire::DirectState::load_ms, &wire::DirectState::set_load_ms},
+    LearnedFigure{&wire::DirectState::recent_load_ms, &wire::DirectState::set_recent_load_ms},
+    LearnedFigure{&wire::DirectState::copy_ms, &wire::DirectState::set_copy_ms},
+    LearnedFigure{&wire::DirectState::model_ms, &wire::DirectState::set_model_ms},
+    LearnedFigure{&wire::DirectState::read_ns_per_token, &wire::DirectState::set_read_ns_per_token},
+    LearnedFigure{&wire::DirectState::read_base_us, &wire::DirectState::set_read_base_us},
+};
+// Share of a learned figure by which it has to change to be published: smaller changes affect no decision.
+constexpr std::uint64_t learnedFigureParts = 20;
+
+// Prevents whole states to all entries for a learned time that changed by a millisecond.
+void keepLearnedFigures(const wire::DirectState &published, wire::DirectState &state)
+{
+    for (const auto &figure : learnedFigures) {
+        const std::uint64_t before = (published.*figure.get)();
+        const std::uint64_t after = (state.*figure.get)();
+        const auto change = before > after ? before - after : after - before;
+        if (after != 0 && change * learnedFigureParts < before) {
+            (state.*figure.set)(static_cast<std::uint32_t>(before));
+        }
+    }
+}
+
+std::string serializeWithoutLoad(wire::DirectState state)
 {
-    to.set_unread_tokens(from.unread_tokens());
-    to.set_waiting_tokens(from.waiting_tokens());
-    to.set_room(from.room());
-    to.set_reading_budget(from.reading_budget());
-    to.set_reading_queued(from.reading_queued());
-    to.set_streams(from.streams());
-    to.set_slot_free_ms(from.slot_free_ms());
+    state.clear_sequence();
+    copyLoad(wire::DirectState(), state);
+    return state.SerializeAsString();
 }
 
 } // namespace
 
+StatePublisher::StatePublisher(std::uint64_t startTimeMs, const DirectPolicy &policy)
+    : buildsDeltas_(policy.has(Mechanism::StateDeltas))
+    , sequence_(startTimeMs % firstSequenceRange)
+{
+}
+
 void StatePublisher::update(const wire::DirectState &state)
 {
-    auto withoutLoad = state;
-    withoutLoad.clear_sequence();
-    copyLoad(wire::DirectState(), withoutLoad);
-    auto serialized = withoutLoad.SerializeAsString();
+    auto next = state;
+    sortAdapters(next);
+    keepLearnedFigures(state_, next);
+    auto serialized = serializeWithoutLoad(next);
     if (serialized != serialized_) {
         serialized_ = std::move(serialized);
         ++sequence_;
+        rememberState();
     }
-    state_ = state;
+    state_ = std::move(next);
     state_.set_sequence(sequence_);
 }
 
+void StatePublisher::rememberState()
+{
+    deltas_.clear();
+    if (!buildsDeltas_ || state_.sequence() == 0) {
+        return;
+    }
+    history_.emplace(state_.sequence(), std::move(state_));
+    if (history_.size() > maxHistory) {
+        history_.erase(history_.begin());
+    }
+}
+
+const wire::DirectDelta *StatePublisher::findDelta(std::uint64_t base)
+{
+    const auto found = history_.find(base);
+    if (found == history_.end()) {
+        return nullptr;
+    }
+    const auto [delta, isNew] = deltas_.try_emplace(base);
+    if (isNew) {
+        delta->second = buildDelta(found->second, state_);
+    }
+    return delta->second ? &*delta->second : nullptr;
+}
+
 wire::Envelope StatePublisher::buildMessage(PeerHandle entry)
 {
     wire::Envelope message;
@@ -44,16 +109,26 @@
         copyLoad(state_, heartbeat);
         return message;
     }
-    subscription.sequence = sequence_;
+    const auto base = std::exchange(subscription.sequence, sequence_);
+    if (const auto *delta = subscription.acceptsDeltas ? findDelta(base) : nullptr) {
+        *message.mutable_direct_delta() = *delta;
+        copyLoad(state_, *message.mutable_direct_delta()->mutable_load());
+        return message;
+    }
     *message.mutable_direct_state() = state_;
     return message;
 }
 
-void StatePublisher::onStateAcknowledged(PeerHandle entry, std::uint64_t sequence)
+void StatePublisher::onStateAcknowledged(PeerHandle entry, std::uint64_t sequence, bool acceptsDeltas)
 {
     auto &subscription = subscriptions_[entry];
-    subscription.supportsHeartbeats = subscription.supportsHeartbeats || sequence != 0;
-    subscription.sequence = sequence;
+    subscription.acceptsDeltas = acceptsDeltas;
+    subscription.supportsHeartbeats = subscription.supportsHeartbeats || acceptsDeltas || sequence != 0;
+    // An entry that accepts deltas reports 0 when it has missed a state. An earlier state in its demand only shows that
+    // the demand was sent before the last state arrived.
+    if (!acceptsDeltas || sequence == 0) {
+        subscription.sequence = sequence;
+    }
 }
 
 void StatePublisher::onEntryLost(PeerHandle entry)
