--- a/src/direct/state_delta.cpp
+++ b/src/direct/state_delta.cpp
@@ -47,6 +47,19 @@
     }
 }
 
+void copyFigures(const wire::DirectState &from, wire::DirectState &to)
+{
+    for (const auto &figure : stateFigures) {
+        (to.*figure.set)((from.*figure.get)());
+    }
+}
+
+bool haveSameFigures(const wire::DirectState &a, const wire::DirectState &b)
+{
+    return std::all_of(stateFigures.begin(), stateFigures.end(),
+                       [&](const StateFigure &figure) { return (a.*figure.get)() == (b.*figure.get)(); });
+}
+
 template<class Items>
 void insertNames(const Items &items, std::set<Name> &names)
 {
@@ -77,6 +90,9 @@
     delta.set_loads_ahead(target.loads_ahead());
     delta.set_loads_in_time(target.loads_in_time());
     copyLoad(target, *delta.mutable_load());
+    if (!haveSameFigures(base, target)) {
+        copyFigures(target, *delta.mutable_figures());
+    }
     if (delta.ByteSizeLong() >= target.ByteSizeLong()) {
         return std::nullopt;
     }
@@ -112,6 +128,9 @@
     state.set_loads_ahead(delta.loads_ahead());
     state.set_loads_in_time(delta.loads_in_time());
     copyLoad(delta.load(), state);
+    if (delta.has_figures()) {
+        copyFigures(delta.figures(), state);
+    }
     return state;
 }
 
--- a/src/direct/state_publisher.cpp
+++ b/src/direct/state_publisher.cpp
@@ -14,31 +14,17 @@
 // a number that takes four bytes.
 constexpr std::uint64_t firstSequenceRange = 1U << 28;
 
-/// Figures learned by the sidecar, as whole numbers. Most of them change slightly with each load.
-struct LearnedFigure
-{
-    std::uint32_t (wire::DirectState::*get)() const;
-    void (wire::DirectState::*set)(std::uint32_t);
-};
-constexpr std::array learnedFigures{
-    LearnedFigure{&wire::DirectState::load_ms, &wire::DirectState::set_load_ms},
-    LearnedFigure{&wire::DirectState::recent_load_ms, &wire::DirectState::set_recent_load_ms},
-    LearnedFigure{&wire::DirectState::copy_ms, &wire::DirectState::set_copy_ms},
-    LearnedFigure{&wire::DirectState::model_ms, &wire::DirectState::set_model_ms},
-    LearnedFigure{&wire::DirectState::read_ns_per_token, &wire::DirectState::set_read_ns_per_token},
-    LearnedFigure{&wire::DirectState::read_base_us, &wire::DirectState::set_read_base_us},
-};
-// Share of a learned figure by which it has to change to be published: smaller changes affect no decision.
-constexpr std::uint64_t learnedFigureParts = 20;
-
-// Prevents whole states to all entries for a learned time that changed by a millisecond.
-void keepLearnedFigures(const wire::DirectState &published, wire::DirectState &state)
+// Share of a measured figure by which it has to change to be published: smaller changes affect no decision.
+constexpr std::uint64_t measuredFigureParts = 20;
+
+// Prevents messages to all entries for a learned time that changed by a millisecond.
+void keepMeasuredFigures(const wire::DirectState &published, wire::DirectState &state)
 {
-    for (const auto &figure : learnedFigures) {
+    for (const auto &figure : stateFigures) {
         const std::uint64_t before = (published.*figure.get)();
         const std::uint64_t after = (state.*figure.get)();
         const auto change = before > after ? before - after : after - before;
-        if (after != 0 && change * learnedFigureParts < before) {
+        if (figure.isMeasured && after != 0 && change * measuredFigureParts < before) {
             (state.*figure.set)(static_cast<std::uint32_t>(before));
         }
     }
@@ -63,7 +49,7 @@
 {
     auto next = state;
     sortAdapters(next);
-    keepLearnedFigures(state_, next);
+    keepMeasuredFigures(state_, next);
     auto serialized = serializeWithoutLoad(next);
     if (serialized != serialized_) {
         serialized_ = std::move(serialized);
