Plans of engines carry the objectives and pauses of their streams

Cause: a sidecar cannot derive how much prefill its engine may have in progress, because it does not receive what callers need.

Change: entries fill shortest_objective_us, longest_objective_us and shortest_pause_us of EnginePlan over the routes of streams that go to the service.

Tested: direct_plan_test (1 test passes).

--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -20,6 +20,33 @@
 // Maximum interval between demands, so that a sidecar knows that the entry is alive.
 constexpr Duration maxDemandInterval = Milliseconds(2000);
 
+bool sendsStreamsTo(const DirectRoute &route, const std::string &service)
+{
+    return route.repeat == RepeatRule::Stream
+           && std::any_of(route.services.begin(), route.services.end(),
+                          [&](const ServiceShare &share) { return share.service == service; });
+}
+
+/// Smallest of two times of which 0 means that there is none.
+std::uint64_t shortestOf(std::uint64_t known, Duration next)
+{
+    const auto time = static_cast<std::uint64_t>(next.count());
+    return known == 0 || time == 0 ? std::max(known, time) : std::min(known, time);
+}
+
+void addStreamLimits(const std::vector<DirectRoute> &routes, const std::string &service, wire::EnginePlan &plan)
+{
+    for (const auto &route : routes) {
+        if (!sendsStreamsTo(route, service)) {
+            continue;
+        }
+        const auto objective = static_cast<std::uint64_t>(route.objective.count());
+        plan.set_shortest_objective_us(shortestOf(plan.shortest_objective_us(), route.objective));
+        plan.set_longest_objective_us(std::max(plan.longest_objective_us(), objective));
+        plan.set_shortest_pause_us(shortestOf(plan.shortest_pause_us(), route.pauseLimit));
+    }
+}
+
 } // namespace
 
 void DirectCalls::tick(TimePoint now)
@@ -147,6 +174,7 @@
         size.set_weights_mb(model.weightsMb);
         size.set_adapter_mb(model.adapterMb);
     }
+    addStreamLimits(config->routes, service, plan);
     return plan;
 }
 
