Reading turns at the sidecar: the queue, the measured speed and their messages

Cause: calls go straight into the engine, which prefills prompts in the order of admission. Urgent calls are late behind long prompts, and streams pause for too long while prompts are read back to back. The speed of a single engine is not known anywhere.

Change: ReadingQueue keeps the prompts in prefill, the streams and the waiting requests of one engine, gives turns within a budget that follows from the measured speed, the objectives and the allowed pauses, and measures the engine's speed from prompts that had it to themselves. EngineReading connects it with the messages, states and logs of DirectSidecar. AdapterController exposes its plan and the number of engine restarts.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -686,6 +686,10 @@
     /// Work of all entries in progress or planned at the engine, as prompt tokens; each demanded load counts as a
     /// fixed number of them. Entries are notified soon of large changes.
     std::uint64_t pendingWork() const;
+    /// Number of restarts of the engine that its reports have shown.
+    std::uint64_t engineRestarts() const;
+    /// Limits of the engine as last received from an entry.
+    const wire::EnginePlan &plan() const;
     const Counters<EngineOrderResult> &results() const;
 
 private:
@@ -693,6 +697,58 @@
     std::unique_ptr<Impl> impl_;
 };
 
+struct ReadingQueueStats
+{
+    std::uint64_t sentWithoutTurn = 0; ///< prompts that entries reported as sent
+    std::uint64_t granted = 0; ///< turns, at once or after waiting
+    std::uint64_t queued = 0; ///< requests that had to wait
+    std::uint64_t refused = 0;
+    std::uint64_t expired = 0; ///< prompts whose end was not reported in time
+    std::uint64_t speedSamples = 0; ///< prompts that had the engine to themselves
+    std::uint64_t untracked = 0; ///< requests beyond the limit of an entry
+    bool operator==(const ReadingQueueStats &) const = default;
+};
+
+/// Reading turns of one engine: the prompts in prefill, the running streams, and the requests that wait until the
+/// prefill work of the engine permits the next prompt. Also measures the engine's prefill speed. Invariant: a request
+/// waits only while other prompts are in prefill and a budget applies.
+class ReadingQueue
+{
+public:
+    explicit ReadingQueue(DirectPolicy policy = {});
+    ~ReadingQueue();
+    ReadingQueue(const ReadingQueue &) = delete;
+    ReadingQueue &operator=(const ReadingQueue &) = delete;
+
+    /// A plan without objectives (from an entry of an older release) changes nothing.
+    void applyPlan(const wire::EnginePlan &plan, TimePoint now);
+    void applyUpdate(PeerHandle peer, const wire::ReadingUpdate &update, TimePoint now);
+    void onPeerLost(PeerHandle peer, TimePoint now);
+    /// Drops all prompts, streams and requests; entries place their waiting calls again. Measurements are kept.
+    void onEngineRestarted(TimePoint now);
+    /// Expires prompts and refuses requests that can no longer start in time. Does nothing before nextDueAt().
+    void tick(TimePoint now);
+    /// Empty if nothing depends on time.
+    std::optional<TimePoint> nextDueAt() const;
+    std::vector<std::pair<PeerHandle, wire::ReadingAnswer>> takeAnswers();
+
+    /// Prompt tokens up to which calls are sent without a turn; 0: no limit.
+    std::uint64_t budget() const;
+    /// Tokens of the requests that wait.
+    std::uint64_t queuedTokens() const;
+    /// Tokens of the prompts in prefill.
+    std::uint64_t prefillTokens() const;
+    double msPerToken() const;
+    double shareBeyondPause() const;
+    /// Sets the budget, queued tokens, streams and speed.
+    void addTo(wire::DirectState &state) const;
+    const ReadingQueueStats &stats() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
 /// Selects the message for each entry: the whole state if the entry lacks it, otherwise a heartbeat with the load
 /// figures only. Between many entries and engines nearly all messages are heartbeats.
 class StatePublisher
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -60,6 +60,8 @@
     VersionNamed,
     LoadsLearned,
     EndpointTold,
+    ReadingTurns,
+    ReadingMeasured,
     CallFailed,
     CallRefused,
     AnswerBroken,
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -3,6 +3,7 @@
 
 #include "control_loop.h"
 #include "direct_settings.h"
+#include "engine_reading.h"
 #include "process.h"
 #include "shared_store_watch.h"
 
@@ -121,6 +122,8 @@
         , incarnation_(newIncarnation())
         // Fencing number in milliseconds: grows with each start on this VM, the only sender of orders.
         , controller_(incarnation_ / 1000, policy)
+        , reading_(policy,
+                   [this](PeerHandle peer, const wire::Envelope &message) { messenger_->sendTo(peer, message); })
         , allowancePools_(directAllowanceTimes(settings))
         , limitPools_(endpointLimitTimes())
         , control_([this](Now now) { afterEvents(now.mono); })
@@ -146,11 +149,17 @@
             if (message.has_endpoint_limit()) {
                 control_.post([this, peer, limit = message.endpoint_limit()](Now) { sendLimit(limit, peer); });
             }
+            if (message.has_reading_update()) {
+                control_.post([this, peer, update = message.reading_update()](Now now) {
+                    reading_.onUpdate(peer, update, now.mono);
+                });
+            }
             if (!message.has_direct_demand()) {
                 return;
             }
             control_.post([this, peer, demand = message.direct_demand()](Now now) {
                 controller_.applyDemand(peer, demand, now.mono);
+                reading_.applyEngine(controller_, now.mono);
                 statePublisher_.onStateAcknowledged(peer, demand.state_sequence());
                 if (entries_.insert(peer).second) {
                     updateState(now.mono);
@@ -159,8 +168,9 @@
             });
         };
         handlers.peerLost = [this](PeerHandle peer) {
-            control_.post([this, peer](Now) {
+            control_.post([this, peer](Now now) {
                 entries_.erase(peer);
+                reading_.onPeerLost(peer, now.mono);
                 statePublisher_.onEntryLost(peer);
                 controller_.onPeerLost(peer);
             });
@@ -255,8 +265,9 @@
                         setReachable(report.has_value());
                         if (report) {
                             controller_.applyReport(*report, now.mono);
+                            reading_.applyEngine(controller_, now.mono);
                             applyOwnLimit(report->requestsPerSecond, now.mono);
-                            logLoadTimes(now.mono);
+                            logMeasurements(now.mono);
                         } else {
                             controller_.onReportFailed(now.mono);
                         }
@@ -271,7 +282,7 @@
                     });
     }
 
-    void logLoadTimes(TimePoint now)
+    void logMeasurements(TimePoint now)
     {
         if (now < nextLoadLogAt_) {
             return;
@@ -284,6 +295,7 @@
                                        {"copies", std::uint64_t{state.copies()}},
                                        {"modelMs", std::uint64_t{state.model_ms()}},
                                        {"loadsAtOnce", std::uint64_t{state.loads_at_once()}}});
+        reading_.logCounters();
     }
 
     void setReachable(bool isReachable)
@@ -299,8 +311,11 @@
         if (const auto order = controller_.nextOrder(now)) {
             sendOrder(*order);
         }
+        reading_.afterEvents(now);
+        scheduleReading();
         const auto work = controller_.pendingWork();
-        const auto changedWork = work > lastSentWork_ ? work - lastSentWork_ : lastSentWork_ - work;
+        const auto changedLoad = work > lastSentWork_ ? work - lastSentWork_ : lastSentWork_ - work;
+        const auto changedWork = std::max(changedLoad, reading_.changedWork());
         const bool hasNewState = controller_.revision() != lastSentRevision_;
         const auto due = lastSentAt_ + (changedWork >= minWorkChange ? updateInterval(changedWork) : updateInterval());
         if (now >= nextStateAt_ || ((hasNewState || changedWork >= minWorkChange) && now >= due)) {
@@ -312,6 +327,21 @@
         }
     }
 
+    /// Calls afterEvents() when a waiting request or a prompt is due.
+    void scheduleReading()
+    {
+        const auto due = reading_.nextDueAt();
+        if (!due || (readingTimerAt_ && *readingTimerAt_ <= *due)) {
+            return;
+        }
+        readingTimerAt_ = due;
+        control_.timers().subscribe(*due, [this, due = *due](TimePoint) {
+            if (readingTimerAt_ == due) {
+                readingTimerAt_.reset();
+            }
+        });
+    }
+
     /// Shortens the interval as pending work changes more. Prevents many entries from choosing the same engine on
     /// outdated state: each of them would take it for free for up to half a second.
     Duration updateInterval(std::uint64_t changedWork) const
@@ -346,6 +376,7 @@
         auto state = controller_.state(now);
         state.set_interval_ms(static_cast<std::uint32_t>(toMilliseconds(stateInterval())));
         state.set_shares_store(!settings_.direct().store().empty());
+        reading_.addTo(state);
         statePublisher_.update(state);
     }
 
@@ -354,6 +385,7 @@
         lastSentRevision_ = controller_.revision();
         lastUrgentRevision_ = lastSentRevision_;
         lastSentWork_ = controller_.pendingWork();
+        reading_.onStateSent();
         lastSentAt_ = now;
         scheduleState(now + stateInterval());
         updateState(now);
@@ -397,6 +429,8 @@
     settings::Settings settings_;
     std::uint64_t incarnation_;
     AdapterController controller_; // control thread, as are the members below up to nextStateAt_
+    EngineReading reading_; // control thread
+    std::optional<TimePoint> readingTimerAt_; // control thread; earliest pending timer of scheduleReading()
     AllowancePools allowancePools_; // control thread; of workspaces
     AllowancePools limitPools_; // control thread; of endpoints that have announced a rate limit
     std::optional<double> reportedLimit_; // control thread; in the engine's last report
--- a/src/direct/adapter_controller.cpp
+++ b/src/direct/adapter_controller.cpp
@@ -149,6 +149,7 @@
         pendingOrder.reset();
     }
     unconfirmedOrder.reset();
+    ++engineRestarts;
     loadTimes.onEngineRestarted();
     for (auto &lost : lostLoads) {
         lost.isFromEarlierIncarnation = true;
@@ -356,6 +357,16 @@
     return tokens.unread + tokens.waiting + loadWorkTokens * impl_->findAwaitedAdapters().size();
 }
 
+std::uint64_t AdapterController::engineRestarts() const
+{
+    return impl_->engineRestarts;
+}
+
+const wire::EnginePlan &AdapterController::plan() const
+{
+    return impl_->plan;
+}
+
 std::uint64_t AdapterController::revision() const
 {
     return impl_->revision;
--- a/src/direct/adapter_controller_impl.h
+++ b/src/direct/adapter_controller_impl.h
@@ -96,6 +96,7 @@
     LoadTimes loadTimes;
     std::uint64_t lastOrderId = 0;
     std::uint64_t revision = 0;
+    std::uint64_t engineRestarts = 0;
     Counters<EngineOrderResult> results;
 };
 
