Reading turns: messages with the sending and the first byte of one call, and prompts reported again

Cause: an update whose request and end name the same waiting call ended the request first and left its prompt in prefill until it expired. A prompt that was reported again counted as alone, and gave a wrong sample of the engine's speed.

Change: ends of calls that the same message requests are applied after the requests. A prompt that is reported again stays shared, and one that was sent before it was reported gives no sample. Two tests' clocks now advance while their prompts are read; before, prompts took no time and still reported some.

--- a/src/direct/reading_queue.cpp
+++ b/src/direct/reading_queue.cpp
@@ -10,6 +10,7 @@
 
 // Bounds the memory that one entry can use; far beyond what one engine serves. Further requests get their turn at once.
 constexpr std::size_t maxTrackedPerEntry = 1024;
+constexpr Duration maxReportDelay = Milliseconds(60); // of a prompt that was sent; entries run every 50 ms
 // Objectives that differ by this factor make order at the engine worth a wait.
 constexpr int minObjectiveRatio = 2;
 // Interval at which waiting requests are checked against their limits.
@@ -40,19 +41,23 @@
 void ReadingQueue::applyUpdate(PeerHandle peer, const wire::ReadingUpdate &update, TimePoint now)
 {
     impl_->expirePrompts(now);
-    // An end may belong to a request of the same message. All others go first: they make room for the requests.
-    std::vector<const wire::ReadingEnd *> remaining;
-    for (const auto &end : update.ends()) {
-        if (!impl_->applyEnd(peer, end, now)) {
-            remaining.push_back(&end);
+    // Ends go first, because they make room for the requests, unless they belong to a request of the same message.
+    const auto isRequested = [&update](std::uint64_t call) {
+        return std::any_of(update.requests().begin(), update.requests().end(),
+                           [call](const auto &request) { return request.call() == call; });
+    };
+    const auto applyEnds = [&](bool requested) {
+        for (const auto &end : update.ends()) {
+            if (isRequested(end.call()) == requested) {
+                impl_->applyEnd(peer, end, now);
+            }
         }
-    }
+    };
+    applyEnds(false);
     for (const auto &request : update.requests()) {
         impl_->applyRequest(peer, request, now);
     }
-    for (const auto *end : remaining) {
-        impl_->applyEnd(peer, *end, now);
-    }
+    applyEnds(true);
     impl_->updateTurns(now);
 }
 
@@ -104,13 +109,18 @@
     if (const auto waiting = waitingRequests.find(key); waiting != waitingRequests.end()) {
         stopWaiting(waiting, now); // the entry has waited for too long
     }
-    const bool hadTurn = prompts.contains(key);
-    stopPrefill(key, now);
-    stats.sentWithoutTurn += hadTurn ? 0 : 1;
-    if (!hadTurn) {
+    const auto known = prompts.find(key);
+    if (known == prompts.end()) {
+        ++stats.sentWithoutTurn;
         shares.charge(request.workspace, request.tokens);
+        startPrefill(key, request, now);
+        return;
     }
+    // It has had its turn, or is reported again.
+    const bool wasAlone = known->second.isAlone;
+    stopPrefill(key, now);
     startPrefill(key, request, now);
+    prompts.at(key).isAlone = wasAlone && prompts.size() == 1;
 }
 
 void ReadingQueue::Impl::onTurnRequested(const Key &key, const Request &request)
@@ -131,30 +141,23 @@
     waitingRequests.emplace(key, Waiting{request, {}, false});
 }
 
-// Returns false for an unknown call: one that has expired, or that began before a restart of the sidecar.
-bool ReadingQueue::Impl::applyEnd(PeerHandle peer, const wire::ReadingEnd &end, TimePoint now)
+// An unknown call has expired, or began before a restart of the sidecar.
+void ReadingQueue::Impl::applyEnd(PeerHandle peer, const wire::ReadingEnd &end, TimePoint now)
 {
     const Key key{peer, end.call()};
     if (const auto waiting = waitingRequests.find(key); waiting != waitingRequests.end()) {
         stopWaiting(waiting, now);
-        return true;
+        return;
     }
     if (end.stage() == wire::READING_READ) {
-        const bool isInPrefill = prompts.contains(key);
         onPromptRead(key, Duration(end.elapsed_us()), now);
-        return isInPrefill;
-    }
-    if (prompts.contains(key)) {
-        stopPrefill(key, now);
-        return true;
+        return;
     }
-    const auto stream = streams.find(key);
-    if (stream == streams.end()) {
-        return false;
+    stopPrefill(key, now);
+    if (const auto stream = streams.find(key); stream != streams.end()) {
+        pauses.onStreamEnded(stream->second.pause, Duration(end.longest_pause_us()), stream->second.isUndisturbed, now);
+        streams.erase(stream);
     }
-    pauses.onStreamEnded(stream->second.pause, Duration(end.longest_pause_us()), stream->second.isUndisturbed, now);
-    streams.erase(stream);
-    return true;
 }
 
 void ReadingQueue::Impl::onPromptRead(const Key &key, Duration elapsed, TimePoint now)
@@ -165,7 +168,9 @@
     }
     const auto prompt = found->second;
     stopPrefill(key, now);
-    if (prompt.isAlone && elapsed > Duration(0) && prompt.request.tokens != 0) {
+    // A prompt that was sent before it was reported, to a sidecar that has restarted, may not have been alone.
+    const bool isWhollySeen = elapsed <= now - prompt.startedAt + maxReportDelay;
+    if (prompt.isAlone && isWhollySeen && elapsed > Duration(0) && prompt.request.tokens != 0) {
         speed.add(prompt.request.tokens, elapsed);
         ++stats.speedSamples;
     }
--- a/src/direct/reading_queue.h
+++ b/src/direct/reading_queue.h
@@ -66,7 +66,7 @@
     void applyRequest(PeerHandle peer, const wire::ReadingRequest &message, TimePoint now);
     void onSent(const Key &key, const Request &request, TimePoint now);
     void onTurnRequested(const Key &key, const Request &request);
-    bool applyEnd(PeerHandle peer, const wire::ReadingEnd &end, TimePoint now);
+    void applyEnd(PeerHandle peer, const wire::ReadingEnd &end, TimePoint now);
     void onPromptRead(const Key &key, Duration elapsed, TimePoint now);
     bool isKnown(const Key &key) const;
     std::size_t countTracked(PeerHandle peer) const;
--- a/tests/unit/engine_reading_test.cpp
+++ b/tests/unit/engine_reading_test.cpp
@@ -26,6 +26,7 @@
     }
     void endRead(std::uint64_t call, std::uint64_t elapsedUs)
     {
+        now_ += Duration(elapsedUs);
         wire::ReadingUpdate update;
         auto &end = *update.add_ends();
         end.set_call(call);
--- a/tests/unit/reading_queue_test.cpp
+++ b/tests/unit/reading_queue_test.cpp
@@ -301,6 +301,7 @@
         update.add_requests()->set_call(call);
         update.mutable_requests(0)->set_tokens(500 * call);
         off.applyUpdate(entryA, update, now_);
+        now_ += Duration(13'000 * call);
         wire::ReadingUpdate read;
         read.add_ends()->set_call(call);
         read.mutable_ends(0)->set_elapsed_us(13'000 * call);
