Tests of reading turns: blocked requests, late calls ahead of which is urgent work, and prompts of two lengths

Cause: three changes of the code went unnoticed by the tests: a request that passes one which does not fit, a refusal that ignores the starvation bound, and a speed fit without long prompts.

Tested: reading_queue_test (22) and reading_faults_test (16) pass.

--- a/tests/unit/reading_faults_test.cpp
+++ b/tests/unit/reading_faults_test.cpp
@@ -204,6 +204,21 @@
     EXPECT_EQ(state().read_ns_per_token(), 52'000U);
 }
 
+// Guards against a speed that is not measured any more where all short prompts have the same length: the long ones are
+// needed for the time per token.
+TEST_F(ReadingQueueTest, TheSpeedIsMeasuredFromPromptsOfTwoLengths)
+{
+    const auto run = [this](int count, double tokensPerMs) {
+        for (int i = 0; i < count; ++i) {
+            runAlone(i % 4 == 0 ? longTokens : shortTokens, tokensPerMs);
+        }
+    };
+    run(128, usualTokensPerMs);
+    EXPECT_EQ(state().read_ns_per_token(), 26'000U);
+    run(64, usualTokensPerMs / 2);
+    EXPECT_EQ(state().read_ns_per_token(), 52'000U);
+}
+
 // Guards against a whole state to every entry for each small change of a measurement.
 TEST_F(ReadingQueueTest, SmallChangesOfTheSpeedAreNotReported)
 {
--- a/tests/unit/reading_queue_test.cpp
+++ b/tests/unit/reading_queue_test.cpp
@@ -74,6 +74,19 @@
     EXPECT_TRUE(has(fitting + 1, wire::READING_QUEUED));
 }
 
+// Guards against a long prompt that waits for ever behind short ones, which always fit beside each other.
+TEST_F(ReadingQueueTest, NoRequestPassesOneThatDoesNotFit)
+{
+    measureWithDifferentObjectives();
+    send({.call = 1, .tokens = shortTokens});
+    request({.call = 2});
+    request({.call = 3, .tokens = shortTokens, .priority = 1});
+    EXPECT_TRUE(has(2, wire::READING_QUEUED));
+    EXPECT_TRUE(has(3, wire::READING_QUEUED));
+    finish(1);
+    EXPECT_EQ(grants_, (std::vector<std::uint64_t>{2}));
+}
+
 // Guards against calls that cannot be in time any more and make others late.
 TEST_F(ReadingQueueTest, LateCallsWaitBehindThoseInTime)
 {
@@ -234,6 +247,22 @@
     EXPECT_EQ(queue_.queuedTokens(), longTokens);
 }
 
+// Guards against refusals of calls that go first after half of their limit.
+TEST_F(ReadingQueueTest, ALateCallIsNotRefusedForTheUrgentWorkAheadOfIt)
+{
+    measureWithDifferentObjectives();
+    send({.call = 1});
+    for (std::uint64_t call = 2; call <= 15; ++call) {
+        request({.call = call});
+    }
+    request({.call = 16, .slack = Duration(0), .limit = Seconds(3)});
+    EXPECT_TRUE(has(16, wire::READING_QUEUED)) << "15 prompts take 3.6 s, and it goes first after 1.5 s";
+    request({.call = 17, .slack = Duration(0), .limit = Milliseconds(400)});
+    EXPECT_TRUE(has(17, wire::READING_QUEUED)) << "it goes first after 200 ms";
+    request({.call = 18, .slack = Duration(0), .limit = Milliseconds(420)});
+    EXPECT_TRUE(has(18, wire::READING_REFUSED)) << "so does this one, but after the other";
+}
+
 // Guards against a refusal that comes only when the caller has left, after urgent calls have passed the request.
 TEST_F(ReadingQueueTest, AWaitingCallIsRefusedWhenItCanNoLongerStart)
 {
