--- a/tests/unit/reading_faults_test.cpp
+++ b/tests/unit/reading_faults_test.cpp
@@ -197,7 +197,8 @@
     send({.call = 2});
     advance(Milliseconds(800));
     end(1, wire::READING_READ, Milliseconds(800));
-    send({.call = 2});
+    send({.call = 2}); // reported again
+    advance(Milliseconds(800));
     end(2, wire::READING_READ, Milliseconds(800));
     EXPECT_EQ(queue_.stats().speedSamples, samples) << "the two shared the engine";
     runPrompts(48, usualTokensPerMs / 2);
--- a/tests/unit/reading_queue_test.cpp
+++ b/tests/unit/reading_queue_test.cpp
@@ -161,6 +161,35 @@
     EXPECT_EQ(std::count_if(grants_.begin() + static_cast<std::ptrdiff_t>(before), grants_.end(), isOfIdle), 3);
 }
 
+// Guards against claims from work that took nothing from anybody: of prompts while no call waited, or of turns while
+// only one workspace waited.
+TEST_F(ReadingQueueTest, WorkWithoutOtherWaitingCallsGivesNoClaim)
+{
+    measureWithDifferentObjectives();
+    for (int i = 0; i < 10; ++i) {
+        send({.call = 501, .workspace = "a"});
+        request({.call = 502, .workspace = "a"});
+        finish(501);
+        finish(502);
+    }
+    for (int i = 0; i < 10; ++i) {
+        send({.call = 500, .workspace = "a"});
+        finish(500);
+    }
+    grants_.clear();
+    send({.call = 503, .workspace = "c"});
+    for (std::uint64_t call = 101; call <= 104; ++call) {
+        request({.call = call, .slack = Seconds(60), .limit = Seconds(120), .workspace = "b"});
+        request({.call = call - 100, .slack = Seconds(60), .limit = Seconds(120), .workspace = "a"});
+    }
+    finish(503);
+    for (std::size_t i = 0; i < 3; ++i) {
+        finish(grants_[i]);
+    }
+    const auto isOfA = [](std::uint64_t call) { return call < 100; };
+    EXPECT_EQ(std::count_if(grants_.begin(), grants_.end(), isOfA), 2) << "of four turns";
+}
+
 // Guards against one limit for engines of different speeds.
 TEST_F(ReadingQueueTest, BudgetsFollowTheSpeedOfTheEngine)
 {
