Reading turns and engine speeds at entries

A prompt that several entries send to an engine at once delays urgent calls and running streams, and no entry sees the work of the others in time. Entries now report each prompt to the sidecar of its engine, and ask for a turn where the sidecar reports a budget and the known backlog exceeds it. Without an answer, or after twice the expected wait, the call is sent as before.

The reading speed of each engine, as its sidecar reports it, replaces the service's estimate where it differs by more than a tenth. At a contended engine a prompt costs what it adds to the pauses of running streams beyond their limit.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -397,13 +397,19 @@
 struct RefreshRecords
 {
 };
+/// Reports prompts to the sidecar of their engine at this address, and requests turns there.
+struct SendReadings
+{
+    std::string address; ///< address of the endpoint
+    wire::ReadingUpdate update;
+};
 /// The process at this address has terminated: closes the idle connections to it.
 struct DropConnections
 {
     std::string address;
 };
 using DirectAction = std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, AskAllowance,
-                                  ReportLimit, RefreshRecords, DropConnections>;
+                                  ReportLimit, RefreshRecords, DropConnections, SendReadings>;
 
 /// Finds routes by host and longest matching path prefix.
 class RouteTable
@@ -453,6 +459,7 @@
     Duration allowanceWait{}; ///< until the credit of its workspace was known
     Duration adapterWait{};
     Duration permitWait{}; ///< for credit of the rate limit of its endpoint
+    Duration turnWait{}; ///< for reading turns
     std::optional<Duration> firstByte;
     Duration longestPause{}; ///< longest interval between two parts of an event stream
     Duration total{};
@@ -510,6 +517,11 @@
     std::uint64_t limitedEndpoints = 0; ///< endpoints that have announced a rate limit
     std::uint64_t permitWaits = 0; ///< calls that asked for credit of an endpoint's limit
     std::uint64_t permitDenials = 0; ///< of these, the ones sent elsewhere or refused
+    std::uint64_t turnRequests = 0; ///< requests for a reading turn
+    std::uint64_t turnGrants = 0;
+    std::uint64_t turnRefusals = 0; ///< turns that would have come too late: the call was placed elsewhere or refused
+    std::uint64_t turnTimeouts = 0; ///< calls sent without the turn that they had asked for
+    std::uint64_t ownSpeedEngines = 0; ///< engines whose reading speed differs from their service's
     std::uint64_t quarantined = 0; // requests put under quarantine
     Counters<AttemptEnd> ends;
     AllowanceStats allowances;
@@ -551,6 +563,8 @@
     void onSidecarLost(const std::string &address, TimePoint now);
     /// Credit from the sidecar beside the endpoint at this address.
     void onAllowanceAnswer(const std::string &address, const wire::AllowanceAnswer &answer, TimePoint now);
+    /// Answer of the sidecar beside the engine at this address to a request for a turn.
+    void onReadingAnswer(const std::string &address, const wire::ReadingAnswer &answer, TimePoint now);
     /// Another entry, or the sidecar of an engine, reports the rate limit of an endpoint. Returns false if it was
     /// known already.
     bool applyEndpointLimit(const wire::EndpointLimit &limit, TimePoint now);
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -301,6 +301,10 @@
                 control_.post([this, name, answer = message.allowance_answer()](Now now) {
                     calls_.onAllowanceAnswer(name, answer, now.mono);
                 });
+            } else if (message.has_reading_answer()) {
+                control_.post([this, name, answer = message.reading_answer()](Now now) {
+                    calls_.onReadingAnswer(name, answer, now.mono);
+                });
             } else if (message.has_endpoint_limit()) {
                 control_.post([this, limit = message.endpoint_limit()](Now now) {
                     if (calls_.applyEndpointLimit(limit, now.mono)) {
@@ -526,6 +530,10 @@
                 wire::Envelope message;
                 *message.mutable_allowance_ask() = std::move(askAllowance->ask);
                 messenger_->sendTo(askAllowance->address, message);
+            } else if (auto *sendReadings = std::get_if<SendReadings>(&action)) {
+                wire::Envelope message;
+                *message.mutable_reading_update() = std::move(sendReadings->update);
+                messenger_->sendTo(sendReadings->address, message);
             } else if (auto *reportLimit = std::get_if<ReportLimit>(&action)) {
                 wire::Envelope message;
                 *message.mutable_endpoint_limit() = std::move(reportLimit->limit);
@@ -540,7 +548,7 @@
         callServer_->loop().post([this, trafficActions = std::move(trafficActions)] {
             for (const auto &action : trafficActions) {
                 std::visit(Overloaded{[](const SendDemand &) {}, [](const AskAllowance &) {},
-                                      [](const ReportLimit &) {}, [this](const RefreshRecords &) { refreshRecords(); },
+                                      [](const ReportLimit &) {}, [](const SendReadings &) {}, [this](const RefreshRecords &) { refreshRecords(); },
                                       [this](const auto &relayAction) { relay_.perform(relayAction); }},
                            action);
             }
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -92,6 +92,7 @@
               {"allowanceWaitMs", toMilliseconds(call.allowanceWait)},
               {"adapterWaitMs", toMilliseconds(call.adapterWait)},
               {"permitWaitMs", toMilliseconds(call.permitWait)},
+              {"turnWaitMs", toMilliseconds(call.turnWait)},
               {"firstByteMs", call.firstByte ? toMilliseconds(*call.firstByte) : -1},
               {"pauseMs", toMilliseconds(call.longestPause)},
               {"promptTokens", std::uint64_t{call.promptTokens}},
@@ -149,6 +150,17 @@
                  stats.permitWaits);
     text.counter("anvilscale_direct_permit_denials_total", "calls that got no credit of an endpoint's rate limit",
                  stats.permitDenials);
+    text.counter("anvilscale_direct_turn_requests_total", "requests for a reading turn of a contended engine",
+                 stats.turnRequests);
+    text.counter("anvilscale_direct_turn_grants_total", "reading turns that were granted", stats.turnGrants);
+    text.counter("anvilscale_direct_turn_refusals_total",
+                 "reading turns that would have come too late: the call went elsewhere or was refused",
+                 stats.turnRefusals);
+    text.counter("anvilscale_direct_turn_timeouts_total",
+                 "calls sent without the reading turn that they had asked for", stats.turnTimeouts);
+    text.gauge("anvilscale_direct_own_speed_engines",
+               "engines whose measured reading speed is used in place of their service's",
+               static_cast<double>(stats.ownSpeedEngines));
     text.counter("anvilscale_allowance_requests_total", "requests for credit sent to sidecars", stats.allowances.asks);
     text.counter("anvilscale_allowance_waits_total", "calls that waited for credit", stats.allowances.waits);
     text.counter("anvilscale_allowance_pools_lost_total", "sidecars that did not answer a request for credit",
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -180,8 +180,9 @@
 void DirectCalls::Impl::finishCall(CallHandle handle, EndedOutcome outcome, std::string_view reason,
                                    std::uint32_t status, TimePoint now)
 {
-    const auto node = calls.extract(handle);
-    const auto &call = node.mapped();
+    auto node = calls.extract(handle);
+    auto &call = node.mapped();
+    endReading(call);
     releaseCredit(handle, call, outcome, now);
     EndedCall done;
     done.requestId = call.info.requestId;
@@ -201,6 +202,7 @@
     done.allowanceWait = call.allowanceWait;
     done.adapterWait = call.adapterWait;
     done.permitWait = call.permitWait;
+    done.turnWait = call.turnWait;
     done.firstByte = call.firstByte;
     done.longestPause = call.longestPause;
     done.promptTokens = call.info.promptTokens;
--- a/src/direct/call_learning.cpp
+++ b/src/direct/call_learning.cpp
@@ -42,11 +42,26 @@
 // rank, so that calls that can meet their objective do not wait behind it.
 std::uint32_t DirectCalls::Impl::computeRank(const DirectCall &call, TimePoint now)
 {
-    const auto idleEngineTime = fromMilliseconds(estimates[call.service].reading.idleEngineMs(call.unreadTokens));
-    const bool isLate = call.isEngine && now + idleEngineTime > call.arrivedAt + call.objective;
+    const auto *entry = findEndpoint(call);
+    const auto &service = estimates[call.service].reading;
+    const double idleEngineMs = entry == nullptr
+                                    ? service.idleEngineMs(call.unreadTokens)
+                                    : EngineSpeed(*entry, service, init.policy).idleEngineMs(call.unreadTokens);
+    const bool isLate = call.isEngine && now + fromMilliseconds(idleEngineMs) > call.arrivedAt + call.objective;
     return call.priority + (isLate && init.policy.has(Mechanism::LateRank) ? init.policy.lateRankOffset : 0);
 }
 
+std::uint64_t DirectCalls::Impl::countOwnSpeeds() const
+{
+    return static_cast<std::uint64_t>(
+        std::count_if(endpoints.entries().begin(), endpoints.entries().end(), [this](const auto &item) {
+            const auto &entry = item.second;
+            const auto service = estimates.find(entry.record.service);
+            return service != estimates.end() && !entry.isSuperseded
+                   && EngineSpeed(entry, service->second.reading, init.policy).isOwn();
+        }));
+}
+
 // Sidecars report how many entries share the allowance.
 void DirectCalls::Impl::updateRetryShare(TimePoint now)
 {
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -74,6 +74,7 @@
     }
     impl_->config = config;
     impl_->routes = RouteTable(config.routes);
+    impl_->streamLimits = findStreamLimits(config);
     std::set<std::string> services;
     for (const auto &service : config.services) {
         services.insert(service.name);
@@ -121,6 +122,7 @@
     call.priority = route.priority;
     call.maxEndpoints = std::max<std::uint32_t>(1, route.maxEndpoints);
     call.objective = route.objective;
+    call.pauseLimit = route.pauseLimit;
     call.cutOffAt = std::min(call.deadline, call.arrivedAt + route.timeout);
     const bool limited = route.firstByteLimit > Duration(0);
     call.firstByteBy = limited ? std::min(call.deadline, call.arrivedAt + route.firstByteLimit) : call.deadline;
@@ -161,6 +163,8 @@
     query.excludedIds = &call.excludedIds;
     query.dataCentre = init.dataCentre;
     query.objective = call.objective;
+    const auto limits = streamLimits.find(call.service);
+    query.pauseLimit = limits == streamLimits.end() ? Duration(0) : limits->second.shortestPause;
     query.estimates = &estimates[call.service];
     query.policy = &init.policy;
     query.lastReceivedAt = endpoints.lastReceivedAt();
@@ -178,6 +182,7 @@
 
 void DirectCalls::Impl::routeCall(CallHandle handle, DirectCall &call, TimePoint now)
 {
+    endReading(call);
     if (stopIfQuarantined(handle, call, now)) {
         return;
     }
@@ -196,14 +201,19 @@
     // capacity. Only confirmed times count: a default value refuses no call.
     const bool refuses = init.policy.has(Mechanism::EarlyRefusal);
     if (refuses && now + choice->confirmedFirstByte > call.firstByteBy) {
-        const auto excess = choice->firstByte - call.objective;
-        refuseOrAbandon(handle, call, RefusalReason::DeadlineUnreachable,
-                        std::clamp(excess, defaultRetryAfter, maxRetryAfter), now);
+        refuseUnreachable(handle, call, choice->firstByte, now);
         return;
     }
     placeCall(handle, call, *choice, now);
 }
 
+void DirectCalls::Impl::refuseUnreachable(CallHandle handle, DirectCall &call, Duration firstByte, TimePoint now)
+{
+    const auto excess = firstByte - call.objective;
+    refuseOrAbandon(handle, call, RefusalReason::DeadlineUnreachable,
+                    std::clamp(excess, defaultRetryAfter, maxRetryAfter), now);
+}
+
 void DirectCalls::Impl::placeCall(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now)
 {
     call.uncachedTokens = choice.uncachedTokens;
@@ -264,10 +274,9 @@
     const auto published = query.minVersion;
     call.version = published == 0 ? 0 : std::max(published, entry.heldVersion(name, now));
     entry.hasDemandChanged = true;
-    const auto &reading = query.estimates->reading;
-    const double backlog = WaitForecast(entry, query, now).backlogMs();
-    call.tokensAhead = backlog / reading.msPerToken();
-    call.readingTime = fromMilliseconds(backlog + reading.idleEngineMs(call.unreadTokens));
+    const WaitForecast forecast(entry, query, now);
+    call.tokensAhead = forecast.backlogTokens();
+    call.readingTime = fromMilliseconds(forecast.backlogMs() + forecast.speed().idleEngineMs(call.unreadTokens));
     call.wasOnlyCall = entry.inFlight == 0;
     ++entry.inFlight;
     if (entry.awaitingFirstByte++ == 0) {
@@ -280,6 +289,7 @@
         ++entry.startedByAdapter[name];
         sendDemand(entry, now);
     }
+    reportSent(handle, call, entry, now);
     ++stats.sent;
     SendCall action;
     action.call = handle;
@@ -310,6 +320,10 @@
         stopAwaitingPermit(handle, call, now);
         return;
     }
+    if (call.step == CallStep::Turn) {
+        stopAwaitingTurn(handle, call, now);
+        return;
+    }
     entry->hasDemandChanged = true;
     decrement(entry->inFlight);
     if (!call.hasFirstByte) {
@@ -331,6 +345,7 @@
     auto &call = found->second;
     call.hasFirstByte = true;
     call.firstByte = now - call.arrivedAt;
+    impl_->reportFirstByte(call, now);
     if (auto *entry = impl_->findEndpoint(call)) {
         entry->recordByte(now);
         impl_->recordFirstByte(call, *entry, now);
@@ -364,6 +379,7 @@
 
 std::vector<DirectAction> DirectCalls::takeActions()
 {
+    impl_->flushReadings();
     return std::exchange(impl_->actions, {});
 }
 
@@ -399,6 +415,7 @@
 const DirectCallsStats &DirectCalls::stats() const
 {
     impl_->stats.open = impl_->calls.size();
+    impl_->stats.ownSpeedEngines = impl_->countOwnSpeeds();
     return impl_->stats;
 }
 
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -4,6 +4,7 @@
 #include "endpoint_choice.h"
 #include "endpoint_table.h"
 #include "pool_client.h"
+#include "reading_turns.h"
 #include "request_quarantine.h"
 #include "retry_allowance.h"
 #include "wait_forecast.h"
@@ -19,6 +20,7 @@
 enum class CallStep : std::uint8_t {
     Admission, ///< waits for credit of its workspace
     Permit, ///< waits for credit of its endpoint, which limits the calls of all entries
+    Turn, ///< waits for the permission of its engine's sidecar, with its adapter resident
     Waiting, ///< for its adapter at `endpointId`
     Sent,
     Count
@@ -39,6 +41,7 @@
     std::uint32_t priority = 0;
     std::uint32_t maxEndpoints = 1;
     Duration objective{};
+    Duration pauseLimit{}; // of its stream; 0: none
     TimePoint arrivedAt;
     TimePoint deadline; // of the caller
     TimePoint firstByteBy; // when the caller abandons a call without a first byte; never after the deadline
@@ -65,6 +68,9 @@
     Duration storeAge{}; // time since the store's last answer, at the last choice
     Duration adapterWait{};
     Duration permitWait{};
+    ReadingAttempt reading; // the current attempt, as reported to the engine's sidecar
+    std::uint32_t turnRequests = 0;
+    Duration turnWait{};
     std::optional<Duration> firstByte;
     Duration longestPause{}; // longest interval between parts of its answer
 
@@ -114,9 +120,13 @@
     std::map<CallHandle, DirectCall> calls;
     std::map<std::string, RetryAllowance> retryAllowances; // by service
     std::map<std::string, ServiceEstimates> estimates; // by service
+    std::map<std::string, StreamLimits> streamLimits; // by service
     double maxRetryBalance = RetryAllowance::defaultMaxBalance; // upper bound on the saved retries of each service
     std::map<std::string, SentDemand> sentDemands; // by address
     std::map<std::string, std::uint64_t> callsByModel; // calls by model, selects the model for an empty engine
+    std::uint64_t lastReading = 0; // number of the last attempt that was reported to a sidecar
+    std::unordered_map<std::uint64_t, CallHandle> readings; // calls by ReadingAttempt::number
+    std::map<std::string, PendingReadings> pendingReadings; // by address
     std::vector<DirectAction> actions;
     std::vector<EndedCall> endedCalls;
     std::vector<FailedAttempt> failedAttempts;
@@ -138,6 +148,8 @@
     std::uint32_t publishedVersion(const AdapterName &name) const;
     ChoiceQuery buildQuery(const DirectCall &call, TimePoint now);
     std::uint32_t computeRank(const DirectCall &call, TimePoint now);
+    /// Number of engines whose own reading speed is used in place of their service's.
+    std::uint64_t countOwnSpeeds() const;
     void recordFirstByte(const DirectCall &call, EndpointEntry &entry, TimePoint now);
     void recordRun(const DirectCall &call, TimePoint now);
     void updateRetryShare(TimePoint now);
@@ -167,7 +179,10 @@
     /// Refuses a call whose request is under quarantine; returns false for any other.
     bool stopIfQuarantined(CallHandle handle, DirectCall &call, TimePoint now);
     void placeCall(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now);
-    /// Sends the call, or asks for credit first if its endpoint has announced a rate limit.
+    /// Refuses a call whose first byte would come after its caller has left.
+    void refuseUnreachable(CallHandle handle, DirectCall &call, Duration firstByte, TimePoint now);
+    /// Sends the call. Asks for a turn first if its engine is contended, and for credit if its endpoint has announced a
+    /// rate limit.
     void requestSend(CallHandle handle, DirectCall &call, TimePoint now);
     void sendCall(CallHandle handle, DirectCall &call, TimePoint now);
     /// Sets or ends the rate limit of an endpoint; returns false if it is the same as before.
@@ -183,6 +198,36 @@
     /// Avoids the endpoint for `retryAfter` and places the call again.
     void denyPermit(CallHandle handle, DirectCall &call, Duration retryAfter, TimePoint now);
     void stopAwaitingPermit(CallHandle handle, DirectCall &call, TimePoint now);
+    bool needsTurn(const DirectCall &call, const EndpointEntry &entry, TimePoint now);
+    void requestTurn(CallHandle handle, DirectCall &call, EndpointEntry &entry, TimePoint now);
+    void stopAwaitingTurn(CallHandle handle, DirectCall &call, TimePoint now);
+    /// True if the endpoint of the call still takes calls and holds its adapter.
+    bool isAcceptedThere(const DirectCall &call, TimePoint now);
+    /// The turn was granted, or is not waited for any more.
+    void sendAfterTurn(CallHandle handle, DirectCall &call, TimePoint now);
+    /// The turn would come too late: places the call at another engine or refuses it.
+    void leaveTurnQueue(CallHandle handle, DirectCall &call, Duration wait, TimePoint now);
+    void onTurnQueued(CallHandle handle, DirectCall &call, Duration wait, TimePoint now);
+    /// Time for reading the prompt of the call at an idle engine.
+    Duration ownReadingTime(const DirectCall &call, const EndpointEntry &entry, TimePoint now);
+    /// Sends calls whose turn does not come in time, and marks pending reports as due.
+    void checkTurns(TimePoint now);
+    bool reportsReadings(const DirectCall &call, const EndpointEntry &entry) const;
+    /// The pending reports to the sidecar at this address; nullptr if it is not connected.
+    wire::ReadingUpdate *readingsTo(const std::string &address, bool isUrgent);
+    /// True if calls wait for a turn there.
+    bool hasReadingQueue(const std::string &address);
+    void addReadingRequest(CallHandle handle, DirectCall &call, const EndpointEntry &entry, TimePoint now);
+    void reportSent(CallHandle handle, DirectCall &call, const EndpointEntry &entry, TimePoint now);
+    void reportFirstByte(const DirectCall &call, TimePoint now);
+    ReadingAttempt forgetReading(DirectCall &call);
+    /// Reports the end of the attempt to the sidecar, if it was reported before.
+    void endReading(DirectCall &call);
+    void withdrawReading(const std::string &address, std::uint64_t number);
+    void reportRunningPrompts(const EndpointEntry &entry, TimePoint now);
+    /// Turns urgent reports into actions, one message for each sidecar.
+    void flushReadings();
+    void addStreamLimits(const std::string &service, wire::EnginePlan &plan) const;
     void waitForAdapter(CallHandle handle, DirectCall &call, TimePoint now);
     static void stopWaiting(EndpointEntry &entry, CallHandle handle, DirectCall &call, TimePoint now);
     void detachFromEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -28,6 +28,7 @@
     impl_->checkDeadlines(now);
     impl_->leaveStoppedEngines(now);
     impl_->checkWaitingCalls(now);
+    impl_->checkTurns(now);
     impl_->sendDemands(now);
     if (impl_->hasLimitedWorkspaces) {
         impl_->workspaceCredit->tick(impl_->endpoints, now);
@@ -147,6 +148,7 @@
         size.set_weights_mb(model.weightsMb);
         size.set_adapter_mb(model.adapterMb);
     }
+    addStreamLimits(service, plan);
     return plan;
 }
 
@@ -160,7 +162,9 @@
         adapterDemand.set_least_version(publishedVersion(name));
         return adapterDemand;
     };
-    for (const auto handle : entry.waitingCalls) {
+    auto waiting = entry.waitingCalls;
+    waiting.insert(entry.awaitingTurn.begin(), entry.awaitingTurn.end());
+    for (const auto handle : waiting) {
         const auto &call = calls.at(handle);
         auto &adapterDemand = demandOf(call.adapterName());
         adapterDemand.set_waiting(adapterDemand.waiting() + 1);
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -186,6 +186,23 @@
     candidates.erase(unrelated + sampledEngines, candidates.end());
 }
 
+// Cost of a prompt to the streams that it delays beyond their allowed pause: the time that it adds beyond the limit, for
+// each stream. An event takes several engine steps, so that a single prompt delays it by less. That is enough here, as
+// the cost only ranks engines: it is lower at a faster engine and at one with fewer streams.
+double pausePenaltyMs(const EndpointEntry &entry, const ChoiceQuery &query, double backlogMs, double ownMs,
+                      TimePoint now)
+{
+    const bool isContended = entry.hasFreshState(now) && entry.state->reading_budget() != 0;
+    const bool hasLimit = query.pauseLimit > Duration(0);
+    if (!isContended || !hasLimit || !query.policy->has(Mechanism::EngineSpeeds)) {
+        return 0;
+    }
+    const double beyond = std::min(ownMs, backlogMs + ownMs - milliseconds(query.pauseLimit));
+    const auto ownStreams = entry.inFlight - entry.awaitingFirstByte;
+    const double streams = std::max(entry.state->streams(), ownStreams); // the reported ones include own streams
+    return std::clamp(streams * beyond, 0.0, milliseconds(query.objective));
+}
+
 void scoreEngines(std::vector<Candidate> &candidates, const ChoiceQuery &query, TimePoint now)
 {
     const auto shared = sharedTokens(*query.info);
@@ -198,8 +215,9 @@
         const double cached = &entry == prefixHolder ? shared : 0;
         candidate.uncachedTokens = shared + ownTokens(*query.info) - cached;
         candidate.readingWork = query.estimates->reading.work(candidate.uncachedTokens, cached);
-        const double backlog = forecast.backlogMs();
-        const double own = query.estimates->reading.idleEngineMs(candidate.readingWork);
+        const double unread = forecast.backlogMs();
+        const double backlog = unread + forecast.queuedMs();
+        const double own = forecast.speed().idleEngineMs(candidate.readingWork);
         candidate.readingMs = backlog + own;
         // Own calls show the effect of evicted prefix caches and of long answers.
         const double slowness = query.policy->has(Mechanism::Slowness) ? entry.currentSlowness(now) : 1;
@@ -211,7 +229,8 @@
                 std::max(loading, slowness * backlog) + slowness * (forecast.plannedReadingMs() + own);
         }
         candidate.penaltyMs =
-            healthPenaltyMs(entry, query, now) + loadPenalty(candidate, placement, query, forecast, now);
+            healthPenaltyMs(entry, query, now) + loadPenalty(candidate, placement, query, forecast, now)
+            + pausePenaltyMs(entry, query, unread, own, now);
     }
 }
 
@@ -235,7 +254,7 @@
         return query.estimates->plainRunMs.count() != 0 ? whole : Duration(0);
     }
     const double presence = forecast.confirmedUntilResidentMs(best.presence);
-    if (!query.estimates->reading.isMeasured()) {
+    if (!forecast.speed().isMeasured()) {
         return fromMilliseconds(presence);
     }
     // Without a measured load time the whole estimate rests on a default.
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -18,6 +18,7 @@
     const std::set<std::string> *excludedIds = nullptr; // ids that the call must not go to again
     std::string_view dataCentre; // of this entry
     Duration objective{}; // of the call's route
+    Duration pauseLimit{}; // shortest allowed pause of the service's streams; 0: none
     const ServiceEstimates *estimates = nullptr; // of the service
     const DirectPolicy *policy = nullptr;
     TimePoint lastReceivedAt{}; // time of the last message from any sidecar
--- a/src/direct/endpoint_limits.cpp
+++ b/src/direct/endpoint_limits.cpp
@@ -85,6 +85,10 @@
 void DirectCalls::Impl::requestSend(CallHandle handle, DirectCall &call, TimePoint now)
 {
     auto &entry = *endpoints.find(call.endpointId);
+    if (needsTurn(call, entry, now)) {
+        requestTurn(handle, call, entry, now);
+        return;
+    }
     if (!entry.isLimited()) {
         sendCall(handle, call, now);
         return;
@@ -162,12 +166,7 @@
     if (stopIfQuarantined(decision.call, call, now)) {
         return;
     }
-    const auto *entry = findEndpoint(call);
-    const auto name = call.adapterName();
-    const bool acceptsCall =
-        entry != nullptr && !entry->isLeaving(now) && !entry->isPaused(now)
-        && (!call.isEngine || entry->presence(name, publishedVersion(name), now) == Presence::Resident);
-    if (acceptsCall) {
+    if (isAcceptedThere(call, now)) {
         sendCall(decision.call, call, now);
         return;
     }
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -133,6 +133,9 @@
     state = reported;
     stateReceivedAt = now;
     vanishedUntil = TimePoint{};
+    if (reported.read_ns_per_token() != 0) {
+        speed = {reported.read_ns_per_token(), reported.read_base_us()};
+    }
     if (!reported.models().empty()) {
         emptySince.reset();
     } else if (!emptySince) {
@@ -290,6 +293,7 @@
         entry.record = record;
         entry.record.leaving = record.leaving || wasRemovedLeaving(record, now);
         entry.hasAnnouncedLeaving = entry.record.leaving;
+        inheritSpeed(entry);
         addAddress(record.address, record.id);
         ++membershipRevision_;
         return RecordEffect::Changed;
@@ -306,6 +310,7 @@
     const bool moved = entry.record.address != record.address || entry.record.service != record.service
                        || entry.record.era != record.era || entry.record.createRevision != record.createRevision
                        || entry.record.startTimeMs != startTimeMs;
+    const bool hasNewAddress = entry.record.address != record.address;
     if (moved) {
         removeAddress(entry.record.address, record.id);
     }
@@ -314,6 +319,9 @@
     entry.record.leaving = leaving;
     entry.hasAnnouncedLeaving = entry.hasAnnouncedLeaving || record.leaving;
     if (moved) {
+        if (hasNewAddress) {
+            inheritSpeed(entry);
+        }
         addAddress(record.address, record.id);
     }
     membershipRevision_ += moved || changed ? 1 : 0;
@@ -333,6 +341,7 @@
     newEntry.isSuperseded = entry.isSuperseded;
     newEntry.listening = entry.listening;
     newEntry.visitedUntil = entry.visitedUntil;
+    newEntry.speed = entry.speed;
     entry = std::move(newEntry);
     ++membershipRevision_;
 }
@@ -449,6 +458,7 @@
                       [now](const auto &item) { return now - item.second.removedAt >= removalLifetime; });
         removedLeavers_[id] = {found->second.record.startTimeMs, now};
     }
+    keepSpeed(found->second);
     const auto address = found->second.record.address;
     byId_.erase(found);
     removeAddress(address, id);
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -32,6 +32,13 @@
     Count
 };
 
+/// Reading speed of an engine, as last reported by its sidecar.
+struct ReportedSpeed
+{
+    std::uint32_t nsPerToken = 0; // 0: not measured
+    std::uint32_t baseUs = 0;
+};
+
 /// State of one process of an endpoint; reset when another process starts under the same id.
 struct EndpointEntry
 {
@@ -58,14 +65,19 @@
     double failureShare = 0; // decayed share of own calls that failed
     std::optional<wire::DirectState> state;
     TimePoint stateReceivedAt{};
+    ReportedSpeed speed; // outlasts the state and the process: a later one runs on the same VM
     TimePoint vanishedUntil{}; // the connection to its sidecar was lost after a silence: its VM has probably stopped
     std::optional<TimePoint> emptySince; // since when the engine holds no model, as reported by its sidecar
     double lastSentUnreadTokens = 0; // own unreadTokens as last sent to the sidecar
     double waitingTokens = 0; // prompt tokens of own calls that wait for an adapter here
     double lastSentWaitingTokens = 0; // own waitingTokens as last sent to the sidecar
+    std::set<CallHandle> awaitingTurn; // own calls that wait for a reading turn here
+    double turnTokens = 0; // prompt tokens of these calls
+    TimePoint turnsAvoidedUntil{}; // its sidecar has not answered a request for a turn
     std::map<AdapterName, std::uint32_t> runningByAdapter; // own calls by adapter
     bool hasDemandChanged = true; // the demand may differ from the one last sent
-    bool hasUnsentRun = false; // a call was sent on an adapter that the last demand does not list as running
+    // A call was sent on, or waits for a turn with, an adapter that the last demand does not list as running.
+    bool hasUnsentRun = false;
     std::map<AdapterName, std::uint32_t> startedByAdapter; // since the last demand
     std::set<CallHandle> waitingCalls; // own calls that wait for an adapter here
     std::map<AdapterName, std::uint32_t> waitingByAdapter; // the same by adapter
@@ -159,6 +171,8 @@
     bool wasRemovedLeaving(const EndpointRecord &record, TimePoint now) const;
     bool hasConfiguredService(const EndpointEntry &entry) const;
     void markSuperseded(const std::string &address);
+    void inheritSpeed(EndpointEntry &entry);
+    void keepSpeed(const EndpointEntry &entry);
     void addAddress(const std::string &address, const std::string &id);
     void removeAddress(const std::string &address, const std::string &id);
 
@@ -169,6 +183,7 @@
     std::uint64_t examinedRecords_ = 0;
     std::optional<std::set<std::string>> services_; // empty without a configuration
     std::map<std::string, LeaverRemoval> removedLeavers_; // endpoints that were removed while leaving, by id
+    std::map<std::string, ReportedSpeed> keptSpeeds_; // of removed engines, by address
     std::uint64_t lastGeneration_ = 0;
     TimePoint lastReceivedAt_{};
 };
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -25,6 +25,7 @@
 {
     auto waiting = std::exchange(entry.waitingCalls, {});
     waiting.merge(entry.awaitingPermit);
+    waiting.merge(entry.awaitingTurn);
     endpoints.resetProcess(entry, startTimeMs, now);
     actions.emplace_back(DropConnections{entry.record.address});
     rerouteCalls(waiting, now);
@@ -49,9 +50,11 @@
 void DirectCalls::Impl::rerouteWaiting(EndpointEntry &entry, TimePoint now)
 {
     entry.waitingTokens = 0;
+    entry.turnTokens = 0;
     entry.waitingByAdapter.clear();
     auto waiting = std::exchange(entry.waitingCalls, {});
     waiting.merge(entry.awaitingPermit);
+    waiting.merge(entry.awaitingTurn);
     rerouteCalls(waiting, now);
 }
 
@@ -61,6 +64,8 @@
         auto &call = calls.at(handle);
         if (call.step == CallStep::Permit) {
             stopAwaitingPermit(handle, call, now);
+        } else if (call.step == CallStep::Turn) {
+            stopAwaitingTurn(handle, call, now);
         } else {
             call.adapterWait += now - call.stepStartedAt;
         }
@@ -118,8 +123,12 @@
     if (sameId && entry->isOlderThan(state.born())) {
         impl_->onRestarted(*entry, state.born(), now);
     }
+    const bool isFirst = !entry->state;
     entry->applyState(state, now);
     entry->hasDemandChanged = true;
+    if (isFirst) {
+        impl_->reportRunningPrompts(*entry, now);
+    }
     if (state.load_ms() != 0) {
         impl_->estimates[entry->record.service].loadMs = state.load_ms();
     }
@@ -148,6 +157,7 @@
     impl_->workspaceCredit->onPoolLost(address);
     impl_->endpointCredit->onPoolLost(address);
     impl_->sentDemands.erase(address);
+    impl_->pendingReadings.erase(address);
     auto *entry = impl_->endpoints.findByAddress(address);
     if (entry == nullptr) {
         return;
--- /dev/null
+++ b/src/direct/reading_reports.cpp
@@ -0,0 +1,180 @@
+// Reports of prompts to the sidecars of their engines: sent, read, ended or withdrawn.
+#include "direct_calls_impl.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anvilscale {
+
+namespace {
+
+Duration shorter(Duration known, Duration other)
+{
+    return known == Duration(0) || (other != Duration(0) && other < known) ? other : known;
+}
+
+std::uint64_t remainingUs(TimePoint end, TimePoint now)
+{
+    return static_cast<std::uint64_t>(std::max(Duration(0), end - now).count());
+}
+
+} // namespace
+
+std::map<std::string, StreamLimits> findStreamLimits(const DirectConfig &config)
+{
+    std::map<std::string, StreamLimits> result;
+    for (const auto &route : config.routes) {
+        if (route.repeat != RepeatRule::Stream) {
+            continue;
+        }
+        for (const auto &share : route.services) {
+            auto &limits = result[share.service];
+            limits.shortestObjective = shorter(limits.shortestObjective, route.objective);
+            limits.longestObjective = std::max(limits.longestObjective, route.objective);
+            limits.shortestPause = shorter(limits.shortestPause, route.pauseLimit);
+        }
+    }
+    return result;
+}
+
+void DirectCalls::Impl::addStreamLimits(const std::string &service, wire::EnginePlan &plan) const
+{
+    const auto found = streamLimits.find(service);
+    if (found == streamLimits.end()) {
+        return;
+    }
+    plan.set_shortest_objective_us(static_cast<std::uint64_t>(found->second.shortestObjective.count()));
+    plan.set_longest_objective_us(static_cast<std::uint64_t>(found->second.longestObjective.count()));
+    plan.set_shortest_pause_us(static_cast<std::uint64_t>(found->second.shortestPause.count()));
+}
+
+// Sidecars measure the speed of their engines by these reports, also where no turns apply.
+bool DirectCalls::Impl::reportsReadings(const DirectCall &call, const EndpointEntry &entry) const
+{
+    const bool isUsed = init.policy.has(Mechanism::ReadingTurns) || init.policy.has(Mechanism::EngineSpeeds);
+    return isUsed && call.isEngine && entry.state.has_value();
+}
+
+wire::ReadingUpdate *DirectCalls::Impl::readingsTo(const std::string &address, bool isUrgent)
+{
+    const auto *entry = endpoints.findByAddress(address);
+    if (entry == nullptr || !entry->state) {
+        return nullptr; // not connected: the sidecar ends all that it has of this entry
+    }
+    auto &pending = pendingReadings[address];
+    pending.isUrgent = pending.isUrgent || isUrgent;
+    return &pending.update;
+}
+
+bool DirectCalls::Impl::hasReadingQueue(const std::string &address)
+{
+    const auto *entry = endpoints.findByAddress(address);
+    return entry != nullptr && entry->state && entry->state->reading_queued() != 0;
+}
+
+void DirectCalls::Impl::addReadingRequest(CallHandle handle, DirectCall &call, const EndpointEntry &entry,
+                                          TimePoint now)
+{
+    if (call.reading.number == 0) {
+        call.reading.number = ++lastReading;
+        call.reading.address = entry.record.address;
+        readings[call.reading.number] = handle;
+    }
+    auto *update = readingsTo(call.reading.address, true);
+    if (update == nullptr) {
+        return;
+    }
+    auto &request = *update->add_requests();
+    request.set_call(call.reading.number);
+    request.set_tokens(static_cast<std::uint64_t>(std::ceil(call.unreadTokens)));
+    request.set_slack_us(remainingUs(call.arrivedAt + call.objective, now));
+    request.set_limit_us(remainingUs(call.firstByteBy, now));
+    request.set_priority(call.priority);
+    request.set_workspace(call.workspace);
+    request.set_pause_us(static_cast<std::uint64_t>(call.pauseLimit.count()));
+    request.set_sent(call.reading.isSent);
+}
+
+void DirectCalls::Impl::reportSent(CallHandle handle, DirectCall &call, const EndpointEntry &entry, TimePoint now)
+{
+    if (!reportsReadings(call, entry)) {
+        return;
+    }
+    call.reading.isSent = true;
+    if (!call.reading.isGranted) { // a granted call counts as sent at the sidecar
+        addReadingRequest(handle, call, entry, now);
+    }
+}
+
+void DirectCalls::Impl::reportFirstByte(const DirectCall &call, TimePoint now)
+{
+    if (call.reading.number == 0) {
+        return;
+    }
+    if (auto *update = readingsTo(call.reading.address, hasReadingQueue(call.reading.address))) {
+        auto &end = *update->add_ends();
+        end.set_call(call.reading.number);
+        end.set_stage(wire::READING_READ);
+        end.set_elapsed_us(remainingUs(now, call.stepStartedAt));
+    }
+}
+
+ReadingAttempt DirectCalls::Impl::forgetReading(DirectCall &call)
+{
+    readings.erase(call.reading.number);
+    return std::exchange(call.reading, {});
+}
+
+void DirectCalls::Impl::endReading(DirectCall &call)
+{
+    if (call.reading.number == 0) {
+        return;
+    }
+    const auto reading = forgetReading(call);
+    const bool wasReading = reading.isSent && !call.hasFirstByte; // calls may wait for the end of this work
+    const bool isUrgent = !reading.isSent || (wasReading && hasReadingQueue(reading.address));
+    if (auto *update = readingsTo(reading.address, isUrgent)) {
+        auto &end = *update->add_ends();
+        end.set_call(reading.number);
+        end.set_stage(reading.isSent ? wire::READING_ENDED : wire::READING_WITHDRAWN);
+        end.set_longest_pause_us(reading.isSent ? static_cast<std::uint64_t>(call.longestPause.count()) : 0);
+    }
+}
+
+// Lets a late grant for a call that has gone return to the sidecar.
+void DirectCalls::Impl::withdrawReading(const std::string &address, std::uint64_t number)
+{
+    if (auto *update = readingsTo(address, true)) {
+        auto &end = *update->add_ends();
+        end.set_call(number);
+        end.set_stage(wire::READING_WITHDRAWN);
+    }
+}
+
+// A sidecar that has restarted, or whose connection was lost, has no reports of the prompts that its engine still
+// reads. Streams that run already are not reported again: they end soon and their reading is over.
+void DirectCalls::Impl::reportRunningPrompts(const EndpointEntry &entry, TimePoint now)
+{
+    for (auto &[handle, call] : calls) {
+        if (call.step != CallStep::Sent || call.hasFirstByte || findEndpoint(call) != &entry
+            || !reportsReadings(call, entry)) {
+            continue;
+        }
+        call.reading.isSent = true;
+        addReadingRequest(handle, call, entry, now);
+    }
+}
+
+void DirectCalls::Impl::flushReadings()
+{
+    for (auto it = pendingReadings.begin(); it != pendingReadings.end();) {
+        if (!it->second.isUrgent) {
+            ++it;
+            continue;
+        }
+        actions.emplace_back(SendReadings{it->first, std::move(it->second.update)});
+        it = pendingReadings.erase(it);
+    }
+}
+
+} // namespace anvilscale
--- a/src/direct/wait_forecast.cpp
+++ b/src/direct/wait_forecast.cpp
@@ -22,6 +22,7 @@
     : entry_(entry)
     , query_(query)
     , now_(now)
+    , speed_(entry, query.estimates->reading, *query.policy)
     , name_(query.info->model, query.info->adapter)
 {
 }
@@ -38,16 +39,37 @@
 
 double WaitForecast::readingMs(double work) const
 {
-    return work * estimates().reading.msPerToken();
+    return work * speed_.msPerToken();
 }
 
-double WaitForecast::backlogMs() const
+const EngineSpeed &WaitForecast::speed() const
+{
+    return speed_;
+}
+
+double WaitForecast::backlogTokens() const
 {
     double tokens = entry_.unreadTokens;
     if (hasFreshState() && query_.policy->has(Mechanism::OthersWork)) {
         tokens += std::max(0.0, static_cast<double>(entry_.state->unread_tokens()) - entry_.lastSentUnreadTokens);
     }
-    return readingMs(tokens);
+    return tokens;
+}
+
+double WaitForecast::backlogMs() const
+{
+    return readingMs(backlogTokens());
+}
+
+// A call that can meet its objective passes those that cannot and some of the others: half of the queue on average.
+double WaitForecast::queuedMs() const
+{
+    if (!query_.policy->has(Mechanism::ReadingTurns)) {
+        return 0;
+    }
+    const double reported = hasFreshState() ? static_cast<double>(entry_.state->reading_queued()) : 0;
+    const double others = std::max(0.0, reported - entry_.turnTokens);
+    return readingMs(entry_.turnTokens + (query_.canMeetObjective ? others / 2 : others));
 }
 
 // Prevents calls from being sent to an engine whose work is only about to arrive. Without it they waited for up to a
--- a/src/direct/wait_forecast.h
+++ b/src/direct/wait_forecast.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "endpoint_choice.h"
+#include "engine_speed.h"
 
 namespace anvilscale {
 
@@ -11,8 +12,13 @@
 public:
     WaitForecast(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now);
 
-    /// Time for reading the prompts ahead of a call that is sent now.
+    const EngineSpeed &speed() const;
+    /// Prompt tokens that are read before those of a call that is sent now.
+    double backlogTokens() const;
+    /// Time for reading them.
     double backlogMs() const;
+    /// Time for reading the prompts that wait for a turn and are read before the call's own.
+    double queuedMs() const;
     /// Time for reading prompts of calls that wait for an adapter there; they are read before one that starts to wait
     /// now.
     double plannedReadingMs() const;
@@ -48,6 +54,7 @@
     const EndpointEntry &entry_;
     const ChoiceQuery &query_;
     TimePoint now_;
+    EngineSpeed speed_;
     AdapterName name_;
 };
 
