--- a/tests/unit/direct_fixture.h
+++ b/tests/unit/direct_fixture.h
@@ -77,7 +77,11 @@
 {
 protected:
     Calls()
-        : calls_(init())
+        : Calls(init())
+    {
+    }
+    explicit Calls(const DirectCallsInit &init)
+        : calls_(init)
     {
         calls_.applyConfig(makeConfig(1), now_);
     }
@@ -87,6 +91,12 @@
         init.dataCentre = "dc";
         return init;
     }
+    static DirectCallsInit initWithout(Mechanism mechanism)
+    {
+        auto result = init();
+        result.policy.disabled.set(static_cast<std::size_t>(mechanism));
+        return result;
+    }
     void addPlainEndpoints()
     {
         calls_.applyEndpoint(makeEndpoint("p-1", plainService, "10.0.0.1:80"), now_);
@@ -104,6 +114,7 @@
         info.host = host;
         info.path = path;
         info.callerTimeout = callerTimeout;
+        info.fingerprint = fingerprint_;
         if (path.starts_with("/s/")) {
             info.model = modelName;
             info.adapter = adapter;
@@ -187,6 +198,7 @@
     TimePoint now_{Seconds(100)};
     DirectCalls calls_;
     std::uint64_t lastCall_ = 0;
+    CallFingerprint fingerprint_; // of the calls to start
 };
 
 } // namespace anvilscale::test
