--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -548,7 +548,8 @@
         callServer_->loop().post([this, trafficActions = std::move(trafficActions)] {
             for (const auto &action : trafficActions) {
                 std::visit(Overloaded{[](const SendDemand &) {}, [](const AskAllowance &) {},
-                                      [](const ReportLimit &) {}, [](const SendReadings &) {}, [this](const RefreshRecords &) { refreshRecords(); },
+                                      [](const ReportLimit &) {}, [](const SendReadings &) {},
+                                      [this](const RefreshRecords &) { refreshRecords(); },
                                       [this](const auto &relayAction) { relay_.perform(relayAction); }},
                            action);
             }
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -156,8 +156,8 @@
     text.counter("anvilscale_direct_turn_refusals_total",
                  "reading turns that would have come too late: the call went elsewhere or was refused",
                  stats.turnRefusals);
-    text.counter("anvilscale_direct_turn_timeouts_total",
-                 "calls sent without the reading turn that they had asked for", stats.turnTimeouts);
+    text.counter("anvilscale_direct_turn_timeouts_total", "calls sent without the reading turn that they had asked for",
+                 stats.turnTimeouts);
     text.gauge("anvilscale_direct_own_speed_engines",
                "engines whose measured reading speed is used in place of their service's",
                static_cast<double>(stats.ownSpeedEngines));
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -10,6 +10,8 @@
 
 // A call sent with less time left would be cut off before its first byte.
 constexpr Duration minTimeToSend = Milliseconds(30);
+// Upper bound: estimates beyond it do not predict when capacity is available.
+constexpr Duration maxRetryAfter = Seconds(2);
 
 /// True for a status by which a caller takes the call for one that has not run and may send it again.
 bool promisesNotRun(std::uint32_t status)
@@ -163,6 +165,13 @@
     refuse(handle, statusUnavailable, reason, retryAfter, now);
 }
 
+void DirectCalls::Impl::refuseUnreachable(CallHandle handle, DirectCall &call, Duration firstByte, TimePoint now)
+{
+    const auto excess = firstByte - call.objective;
+    refuseOrAbandon(handle, call, RefusalReason::DeadlineUnreachable,
+                    std::clamp(excess, defaultRetryAfter, maxRetryAfter), now);
+}
+
 void DirectCalls::Impl::refuse(CallHandle handle, std::uint32_t status, RefusalReason reason, Duration retryAfter,
                                TimePoint now)
 {
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-// Upper bound: estimates beyond it do not predict when capacity is available.
-constexpr Duration maxRetryAfter = Seconds(2);
 // Time after the first configuration for sidecars to report what their engines hold.
 constexpr Duration sidecarReportTimeout = Milliseconds(1500);
 // A waiting call is placed again after the time of this many loads, or 1.5 times its estimate, whichever is longer:
@@ -207,13 +205,6 @@
     placeCall(handle, call, *choice, now);
 }
 
-void DirectCalls::Impl::refuseUnreachable(CallHandle handle, DirectCall &call, Duration firstByte, TimePoint now)
-{
-    const auto excess = firstByte - call.objective;
-    refuseOrAbandon(handle, call, RefusalReason::DeadlineUnreachable,
-                    std::clamp(excess, defaultRetryAfter, maxRetryAfter), now);
-}
-
 void DirectCalls::Impl::placeCall(CallHandle handle, DirectCall &call, const Choice &choice, TimePoint now)
 {
     call.uncachedTokens = choice.uncachedTokens;
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -186,9 +186,9 @@
     candidates.erase(unrelated + sampledEngines, candidates.end());
 }
 
-// Cost of a prompt to the streams that it delays beyond their allowed pause: the time that it adds beyond the limit, for
-// each stream. An event takes several engine steps, so that a single prompt delays it by less. That is enough here, as
-// the cost only ranks engines: it is lower at a faster engine and at one with fewer streams.
+// Cost of a prompt to the streams that it delays beyond their allowed pause: the time that it adds beyond the limit,
+// for each stream. An event takes several engine steps, so that a single prompt delays it by less. That is enough here,
+// as the cost only ranks engines: it is lower at a faster engine and at one with fewer streams.
 double pausePenaltyMs(const EndpointEntry &entry, const ChoiceQuery &query, double backlogMs, double ownMs,
                       TimePoint now)
 {
@@ -228,9 +228,9 @@
             candidate.firstByteMs =
                 std::max(loading, slowness * backlog) + slowness * (forecast.plannedReadingMs() + own);
         }
-        candidate.penaltyMs =
-            healthPenaltyMs(entry, query, now) + loadPenalty(candidate, placement, query, forecast, now)
-            + pausePenaltyMs(entry, query, unread, own, now);
+        candidate.penaltyMs = healthPenaltyMs(entry, query, now)
+                              + loadPenalty(candidate, placement, query, forecast, now)
+                              + pausePenaltyMs(entry, query, unread, own, now);
     }
 }
 
--- a/src/direct/reading_reports.cpp
+++ b/src/direct/reading_reports.cpp
@@ -69,7 +69,7 @@
 bool DirectCalls::Impl::hasReadingQueue(const std::string &address)
 {
     const auto *entry = endpoints.findByAddress(address);
-    return entry != nullptr && entry->state && entry->state->reading_queued() != 0;
+    return entry != nullptr && entry->state && (entry->turnTokens > 0 || entry->state->reading_queued() != 0);
 }
 
 void DirectCalls::Impl::addReadingRequest(CallHandle handle, DirectCall &call, const EndpointEntry &entry,
@@ -108,8 +108,8 @@
 
 void DirectCalls::Impl::reportFirstByte(const DirectCall &call, TimePoint now)
 {
-    if (call.reading.number == 0) {
-        return;
+    if (!call.reading.isSent) {
+        return; // not reported, or a late answer to an earlier attempt
     }
     if (auto *update = readingsTo(call.reading.address, hasReadingQueue(call.reading.address))) {
         auto &end = *update->add_ends();
