An engine stays connected while a call of the entry waits for a turn there

The connection to an engine that is no longer selected was closed although a grant was due. Tested: direct_listening_test, whose new case fails without the change.

--- a/src/direct/listening.cpp
+++ b/src/direct/listening.cpp
@@ -23,7 +23,8 @@
     if (now < entry.visitedUntil && !entry.record.leaving) {
         return Listening::Visited;
     }
-    const bool isInUse = entry.inFlight != 0 || !entry.waitingCalls.empty() || entry.record.leaving;
+    const bool isInUse =
+        entry.inFlight != 0 || !entry.waitingCalls.empty() || !entry.awaitingTurn.empty() || entry.record.leaving;
     return isInUse ? Listening::Finishing : Listening::Apart;
 }
 
--- a/tests/unit/direct_listening_test.cpp
+++ b/tests/unit/direct_listening_test.cpp
@@ -195,6 +195,25 @@
     EXPECT_EQ(std::count(after->begin(), after->end(), address(0)), 0);
 }
 
+// Guards against a turn whose grant cannot arrive because its entry has disconnected from the sidecar.
+TEST_F(Listening, EngineWithACallThatWaitsForATurnStaysConnected)
+{
+    addEngines(0, 1);
+    auto state = makeState({"a1"});
+    state.set_reading_budget(50);
+    state.set_unread_tokens(50);
+    large_->applyState(address(0), state, now_);
+    ASSERT_TRUE(sendCall("a1").address.empty());
+    ASSERT_EQ(large_->stats().turnRequests, 1U);
+    addEngines(1, 200);
+    EXPECT_EQ(std::count(listened_.begin(), listened_.end(), address(0)), 1);
+    large_->onCallerGone(CallHandle{lastCall_}, now_);
+    now_ += Seconds(2);
+    const auto after = large_->takeListenedEngines(now_);
+    ASSERT_TRUE(after.has_value());
+    EXPECT_EQ(std::count(after->begin(), after->end(), address(0)), 0);
+}
+
 class Visiting : public Listening
 {
 protected:
