--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -10,6 +10,8 @@
 
 // A call sent with less time left would be cut off before its first byte.
 constexpr Duration minTimeToSend = Milliseconds(30);
+// Upper bound: estimates beyond it do not predict when capacity is available.
+constexpr Duration maxRetryAfter = Seconds(2);
 
 /// True for a status by which a caller takes the call for one that has not run and may send it again.
 bool promisesNotRun(std::uint32_t status)
@@ -163,6 +165,13 @@
     refuse(handle, statusUnavailable, reason, retryAfter, now);
 }
 
+void DirectCalls::Impl::refuseUnreachable(CallHandle handle, DirectCall &call, Duration firstByte, TimePoint now)
+{
+    const auto excess = firstByte - call.objective;
+    refuseOrAbandon(handle, call, RefusalReason::DeadlineUnreachable,
+                    std::clamp(excess, defaultRetryAfter, maxRetryAfter), now);
+}
+
 void DirectCalls::Impl::refuse(CallHandle handle, std::uint32_t status, RefusalReason reason, Duration retryAfter,
                                TimePoint now)
 {
@@ -180,8 +189,9 @@
 void DirectCalls::Impl::finishCall(CallHandle handle, EndedOutcome outcome, std::string_view reason,
                                    std::uint32_t status, TimePoint now)
 {
-    const auto node = calls.extract(handle);
-    const auto &call = node.mapped();
+    auto node = calls.extract(handle);
+    auto &call = node.mapped();
+    endReading(call);
     releaseCredit(handle, call, outcome, now);
     EndedCall done;
     done.requestId = call.info.requestId;
@@ -201,6 +211,7 @@
     done.allowanceWait = call.allowanceWait;
     done.adapterWait = call.adapterWait;
     done.permitWait = call.permitWait;
+    done.turnWait = call.turnWait;
     done.firstByte = call.firstByte;
     done.longestPause = call.longestPause;
     done.promptTokens = call.info.promptTokens;
