Round learned figures only where deltas are built

With state_deltas switched off, a sidecar published load times with an error of up to a twentieth, so that the switch did not restore the earlier states.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -722,7 +722,7 @@
     /// no heartbeat or delta fits a state of an earlier start.
     explicit StatePublisher(std::uint64_t startTimeMs = 0, const DirectPolicy &policy = {});
     /// Sets the current engine state and assigns its `sequence`, which increases when more than load figures change.
-    /// Learned figures are published when they have changed by a twentieth.
+    /// With deltas, learned figures are published when they have changed by a twentieth.
     void update(const wire::DirectState &state);
     wire::Envelope buildMessage(PeerHandle entry);
     /// The entry has reported which state it has, 0 for none; a lost state is sent again. Entries that have not
--- a/src/direct/state_publisher.cpp
+++ b/src/direct/state_publisher.cpp
@@ -14,7 +14,7 @@
 // a number that takes four bytes.
 constexpr std::uint64_t firstSequenceRange = 1U << 28;
 
-// Share of a measured figure by which it has to change to be published: smaller changes affect no decision.
+// Share of a measured figure by which it has to change to be published. Entries use it with at most this error.
 constexpr std::uint64_t measuredFigureParts = 20;
 
 // Prevents messages to all entries for a learned time that changed by a millisecond.
@@ -49,7 +49,9 @@
 {
     auto next = state;
     sortAdapters(next);
-    keepMeasuredFigures(state_, next);
+    if (buildsDeltas_) {
+        keepMeasuredFigures(state_, next);
+    }
     auto serialized = serializeWithoutLoad(next);
     if (serialized != serialized_) {
         serialized_ = std::move(serialized);
--- a/tests/unit/state_delta_test.cpp
+++ b/tests/unit/state_delta_test.cpp
@@ -116,6 +116,19 @@
     EXPECT_TRUE(sendAfter(makeLearnedState(replaceLast(fullEngine, "b1"))).has_direct_state());
 }
 
+// Guards against a switch that leaves the rounding of deltas in the whole states.
+TEST_F(DeltaPublisher, SwitchedOffSidecarPublishesEveryChangeOfALearnedTime)
+{
+    DirectPolicy policy;
+    policy.disabled.set(static_cast<std::size_t>(Mechanism::StateDeltas));
+    publisher_ = StatePublisher(startTimeMs, policy);
+    publisher_.update(makeLearnedState(fullEngine));
+    connect(first);
+    auto state = makeLearnedState(fullEngine);
+    state.set_recent_load_ms(311);
+    EXPECT_EQ(sendAfter(state).direct_state().recent_load_ms(), 311U);
+}
+
 // Guards against a whole state after each demand that crossed a state on its way.
 TEST_F(DeltaPublisher, DemandSentBeforeTheLastStateArrivedRequestsNothing)
 {
