Deltas carry the message interval of a sidecar

With 32 to 62 entries connected, the interval changes with each entry that connects or visits, and each change sent a whole state to all entries.

--- a/src/direct/state_delta.h
+++ b/src/direct/state_delta.h
@@ -17,6 +17,8 @@
 };
 inline constexpr std::array stateFigures{
     StateFigure{&wire::DirectState::entries, &wire::DirectState::set_entries, false},
+    // Follows the number of connected entries, visits included.
+    StateFigure{&wire::DirectState::interval_ms, &wire::DirectState::set_interval_ms, false},
     StateFigure{&wire::DirectState::load_ms, &wire::DirectState::set_load_ms, true},
     StateFigure{&wire::DirectState::recent_load_ms, &wire::DirectState::set_recent_load_ms, true},
     StateFigure{&wire::DirectState::copy_ms, &wire::DirectState::set_copy_ms, true},
--- a/tests/unit/state_delta_test.cpp
+++ b/tests/unit/state_delta_test.cpp
@@ -190,6 +190,18 @@
     EXPECT_FALSE(sendAfter(state).direct_delta().has_figures()) << "only when one has changed";
 }
 
+// Guards against whole states to all entries for each entry that connects or visits: with 32 to 62 entries connected,
+// each one changes the message interval.
+TEST_F(DeltaPublisher, ChangedMessageIntervalIsSentAsDelta)
+{
+    connect(first);
+    auto state = makeLearnedState(fullEngine);
+    state.set_interval_ms(264);
+    const auto message = sendAfter(state);
+    ASSERT_TRUE(message.has_direct_delta());
+    EXPECT_EQ(message.direct_delta().figures().interval_ms(), 264U);
+}
+
 // Guards against sizes in docs/design/control-traffic.md that no message has.
 TEST_F(DeltaPublisher, SizesOfMessages)
 {
