Stricter tests of state deltas: restarts, reconnections, exact sizes

The exchange of messages includes sidecar restarts, lost connections and changed learned figures. Sizes are compared with those in the documentation.

--- a/tests/unit/state_delta_test.cpp
+++ b/tests/unit/state_delta_test.cpp
@@ -187,7 +187,9 @@
     EXPECT_EQ(message.direct_delta().figures().loads_at_once(), 5U);
     state = makeLearnedState(replaceLast(fullEngine, "b1"));
     state.set_loads_at_once(5);
-    EXPECT_FALSE(sendAfter(state).direct_delta().has_figures()) << "only when one has changed";
+    const auto later = sendAfter(state);
+    ASSERT_TRUE(later.has_direct_delta());
+    EXPECT_FALSE(later.direct_delta().has_figures()) << "only when one has changed";
 }
 
 // Guards against whole states to all entries for each entry that connects or visits: with 32 to 62 entries connected,
@@ -214,8 +216,9 @@
     const auto loaded = size(sendAfter(makeLearnedState(replaceLast(fullEngine, "a4712"))));
     const auto heartbeat = size(publisher_.buildMessage(first));
     std::cout << "bytes: whole state " << whole << ", delta " << loaded << ", heartbeat " << heartbeat << '\n';
-    EXPECT_LT(3 * loaded, whole);
-    EXPECT_LT(2 * heartbeat, loaded);
+    EXPECT_EQ(whole, 232U);
+    EXPECT_EQ(loaded, 55U);
+    EXPECT_EQ(heartbeat, 19U);
 }
 
 class DeltaCalls : public Calls
--- a/tests/unit/state_exchange_test.cpp
+++ b/tests/unit/state_exchange_test.cpp
@@ -50,6 +50,21 @@
             publisher_.onStateAcknowledged(first, demands_.front().second, acceptsDeltas_);
         }
     }
+    /// Restarts the sidecar. If the entry notices, the messages in transit are lost with its connection.
+    void restartSidecar(bool isNoticed)
+    {
+        publisher_ = StatePublisher(startTimeMs + 20 * step_);
+        publisher_.update(truth_);
+        if (isNoticed) {
+            loseConnection();
+        }
+    }
+    /// Loses the connection and the messages in transit at both ends.
+    void reconnect()
+    {
+        publisher_.onEntryLost(first);
+        loseConnection();
+    }
     /// True if the entry is in the state in which whole states alone would have left it.
     bool isExact() const
     {
@@ -77,6 +92,13 @@
         copy.clear_sequence();
         return copy.SerializeAsString();
     }
+    void loseConnection()
+    {
+        states_.clear();
+        demands_.clear();
+        entry_.onSidecarLost(now_);
+        reference_.onSidecarLost(now_);
+    }
     void receive(const wire::Envelope &message, const wire::DirectState &truth)
     {
         if (message.has_direct_heartbeat()) {
@@ -142,6 +164,7 @@
         const auto before = countWholeStates(delay, false);
         const auto with = countWholeStates(delay, true);
         std::cout << "delay " << delay << ": whole states " << before << " without deltas, " << with << " with\n";
+        EXPECT_GT(before, 50) << "the demands of this exchange cross states";
         EXPECT_LE(with, 3) << "at the start of the connection only";
     }
 }
@@ -173,6 +196,8 @@
     state.set_loads_in_time(*rc::gen::inRange(0U, 2U));
     state.set_entries(*rc::gen::weightedElement<std::uint32_t>({{20, 30}, {1, 31}}));
     state.set_copies(*rc::gen::inRange(0U, 2U));
+    state.set_load_ms(*rc::gen::element(200U, 400U)); // by more than the rounding
+    state.set_interval_ms(*rc::gen::element(250U, 264U));
     if (*rc::gen::weightedElement<bool>({{20, false}, {1, true}})) {
         state.clear_models();
     }
@@ -183,19 +208,29 @@
     ChangeLoad,
     Send,
     Lose,
-    Demand
+    Demand,
+    Restart,
+    UnnoticedRestart,
+    Reconnect
 };
 
 // Guards against any difference between an entry that gets deltas and heartbeats and one that gets whole states, with
-// messages lost and delayed.
+// messages lost and delayed, connections lost and the sidecar restarted.
 RC_GTEST_PROP(StateExchange, DeltasHaveTheEffectOfWholeStates, ())
 {
     Exchange exchange(*rc::gen::inRange<std::size_t>(0, 4), true);
     auto state = makeLearnedState(fullEngine);
     exchange.update(state);
     exchange.sendDemand();
-    const auto steps = *rc::gen::container<std::vector<Step>>(
-        60, rc::gen::element(Step::Change, Step::ChangeLoad, Step::Send, Step::Lose, Step::Demand));
+    const auto steps =
+        *rc::gen::container<std::vector<Step>>(60, rc::gen::weightedElement<Step>({{8, Step::Change},
+                                                                                   {8, Step::ChangeLoad},
+                                                                                   {8, Step::Send},
+                                                                                   {8, Step::Lose},
+                                                                                   {8, Step::Demand},
+                                                                                   {1, Step::Restart},
+                                                                                   {1, Step::UnnoticedRestart},
+                                                                                   {1, Step::Reconnect}}));
     for (const auto step : steps) {
         switch (step) {
         case Step::Change:
@@ -215,6 +250,15 @@
             break;
         case Step::Demand:
             exchange.sendDemand();
+            break;
+        case Step::Restart:
+            exchange.restartSidecar(true);
+            break;
+        case Step::UnnoticedRestart:
+            exchange.restartSidecar(false);
+            break;
+        case Step::Reconnect:
+            exchange.reconnect();
         }
         exchange.advance();
         RC_ASSERT(exchange.isExact());
