--- a/tests/unit/state_delta_test.cpp
+++ b/tests/unit/state_delta_test.cpp
@@ -147,6 +147,16 @@
     EXPECT_TRUE(publisher_.buildMessage(first).has_direct_state());
 }
 
+// Guards against the subscription of a lost connection, kept in memory and used for the next one.
+TEST_F(DeltaPublisher, LostConnectionEndsTheSubscription)
+{
+    connect(first);
+    const auto known = sendAfter(makeLearnedState(replaceLast(fullEngine, "b1"))).direct_delta().sequence();
+    publisher_.onEntryLost(first);
+    publisher_.onStateAcknowledged(first, known, true);
+    EXPECT_TRUE(publisher_.buildMessage(first).has_direct_state());
+}
+
 // Guards against a delta or heartbeat of a restarted sidecar that fits a state of its previous start by its number.
 TEST_F(DeltaPublisher, RestartedSidecarSendsTheWholeState)
 {
