Slots of plain endpoints are leased by one sidecar per service

An entry has one call in flight at most at a plain endpoint and cannot see the load of the others.

Tested: slot_table_test, direct_slots_test, all direct_*_test and endpoint_*_test programs.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -393,6 +393,18 @@
     std::string address; ///< address of the endpoint
     wire::EndpointLimit limit;
 };
+/// Sends the sidecar at this address a request for a slot of a plain endpoint.
+struct AskSlot
+{
+    std::string address; ///< address of the endpoint beside the sidecar
+    wire::SlotAsk ask;
+};
+/// Returns a slot to the sidecar at this address, or withdraws the request for it.
+struct ReturnSlot
+{
+    std::string address; ///< address of the endpoint beside the sidecar
+    wire::SlotReturn message;
+};
 /// An endpoint has contradicted its record: asks the store for news.
 struct RefreshRecords
 {
@@ -403,7 +415,7 @@
     std::string address;
 };
 using DirectAction = std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, AskAllowance,
-                                  ReportLimit, RefreshRecords, DropConnections>;
+                                  ReportLimit, AskSlot, ReturnSlot, RefreshRecords, DropConnections>;
 
 /// Finds routes by host and longest matching path prefix.
 class RouteTable
@@ -453,6 +465,7 @@
     Duration allowanceWait{}; ///< until the credit of its workspace was known
     Duration adapterWait{};
     Duration permitWait{}; ///< for credit of the rate limit of its endpoint
+    Duration slotWait{}; ///< for slots of plain endpoints, until sidecars answered
     std::optional<Duration> firstByte;
     Duration longestPause{}; ///< longest interval between two parts of an event stream
     Duration total{};
@@ -499,6 +512,17 @@
 /// Bounds the number of metrics.
 constexpr std::size_t maxCountedWorkspaces = 64;
 
+/// Slots of plain endpoints, requested by one entry.
+struct SlotStats
+{
+    std::uint64_t contendedServices = 0; ///< whose calls request slots now
+    std::uint64_t asks = 0;
+    std::uint64_t waits = 0; ///< requests that waited until a slot was free
+    std::uint64_t refusals = 0; ///< requests that could not get a slot in time
+    std::uint64_t timeouts = 0; ///< requests that were not answered; the entry chose by itself
+    std::uint64_t unused = 0; ///< granted slots that were returned without sending a call
+};
+
 struct DirectCallsStats
 {
     std::uint64_t calls = 0;
@@ -511,6 +535,7 @@
     std::uint64_t permitWaits = 0; ///< calls that asked for credit of an endpoint's limit
     std::uint64_t permitDenials = 0; ///< of these, the ones sent elsewhere or refused
     std::uint64_t quarantined = 0; // requests put under quarantine
+    SlotStats slots;
     Counters<AttemptEnd> ends;
     AllowanceStats allowances;
     std::map<std::string, WorkspaceStats> workspaces; ///< the first maxCountedWorkspaces; the rest under "other"
@@ -551,6 +576,11 @@
     void onSidecarLost(const std::string &address, TimePoint now);
     /// Credit from the sidecar beside the endpoint at this address.
     void onAllowanceAnswer(const std::string &address, const wire::AllowanceAnswer &answer, TimePoint now);
+    /// The sidecar beside the endpoint at this address has granted, queued or refused a request for a slot.
+    void onSlotAnswer(const std::string &address, const wire::SlotAnswer &answer, TimePoint now);
+    /// Ends the wait of requests for slots that were not answered in time. Called at nextSlotCheckAt() and by tick().
+    void checkSlotAnswers(TimePoint now);
+    std::optional<TimePoint> nextSlotCheckAt() const;
     /// Another entry, or the sidecar of an engine, reports the rate limit of an endpoint. Returns false if it was
     /// known already.
     bool applyEndpointLimit(const wire::EndpointLimit &limit, TimePoint now);
@@ -693,6 +723,49 @@
     std::unique_ptr<Impl> impl_;
 };
 
+// ---- slots of plain endpoints
+
+struct SlotMessage
+{
+    PeerHandle entry;
+    wire::SlotAnswer answer;
+};
+
+struct SlotTableStats
+{
+    std::uint64_t services = 0; ///< whose slots are held here
+    std::uint64_t leases = 0; ///< slots in use
+    std::uint64_t grants = 0;
+    std::uint64_t waits = 0; ///< calls that waited until a slot was free
+    std::uint64_t refusals = 0; ///< calls that could not get a slot in time
+    std::uint64_t expired = 0; ///< leases that were not returned
+};
+
+/// Held by one sidecar for a plain service: leases the slots of its endpoints to the calls of all entries. Memory is
+/// bounded: leases and waits expire, unused services are dropped.
+class SlotTable
+{
+public:
+    SlotTable();
+    ~SlotTable();
+    SlotTable(const SlotTable &) = delete;
+    SlotTable &operator=(const SlotTable &) = delete;
+
+    void onAsk(PeerHandle entry, const wire::SlotAsk &ask, TimePoint now);
+    /// Ends a lease or a wait; unknown ones are ignored.
+    void onReturn(PeerHandle entry, const wire::SlotReturn &message, TimePoint now);
+    void onEntryLost(PeerHandle entry, TimePoint now);
+    /// Ends leases and waits that have expired. Called at nextCheckAt().
+    void tick(TimePoint now);
+    std::optional<TimePoint> nextCheckAt() const;
+    std::vector<SlotMessage> takeMessages();
+    const SlotTableStats &stats() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
 /// Selects the message for each entry: the whole state if the entry lacks it, otherwise a heartbeat with the load
 /// figures only. Between many entries and engines nearly all messages are heartbeats.
 class StatePublisher
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -60,6 +60,7 @@
     VersionNamed,
     LoadsLearned,
     EndpointTold,
+    SlotsLeased,
     CallFailed,
     CallRefused,
     AnswerBroken,
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -301,6 +301,10 @@
                 control_.post([this, name, answer = message.allowance_answer()](Now now) {
                     calls_.onAllowanceAnswer(name, answer, now.mono);
                 });
+            } else if (message.has_slot_answer()) {
+                control_.post([this, name, answer = message.slot_answer()](Now now) {
+                    calls_.onSlotAnswer(name, answer, now.mono);
+                });
             } else if (message.has_endpoint_limit()) {
                 control_.post([this, limit = message.endpoint_limit()](Now now) {
                     if (calls_.applyEndpointLimit(limit, now.mono)) {
@@ -530,23 +534,47 @@
                 wire::Envelope message;
                 *message.mutable_endpoint_limit() = std::move(reportLimit->limit);
                 messenger_->sendTo(reportLimit->address, message);
+            } else if (auto *askSlot = std::get_if<AskSlot>(&action)) {
+                wire::Envelope message;
+                *message.mutable_slot_ask() = std::move(askSlot->ask);
+                messenger_->sendTo(askSlot->address, message);
+            } else if (auto *returnSlot = std::get_if<ReturnSlot>(&action)) {
+                wire::Envelope message;
+                *message.mutable_slot_return() = std::move(returnSlot->message);
+                messenger_->sendTo(returnSlot->address, message);
             } else {
                 trafficActions.push_back(std::move(action));
             }
         }
+        scheduleSlotCheck();
         if (trafficActions.empty()) {
             return;
         }
         callServer_->loop().post([this, trafficActions = std::move(trafficActions)] {
             for (const auto &action : trafficActions) {
                 std::visit(Overloaded{[](const SendDemand &) {}, [](const AskAllowance &) {},
-                                      [](const ReportLimit &) {}, [this](const RefreshRecords &) { refreshRecords(); },
+                                      [](const ReportLimit &) {}, [](const AskSlot &) {}, [](const ReturnSlot &) {},
+                                      [this](const RefreshRecords &) { refreshRecords(); },
                                       [this](const auto &relayAction) { relay_.perform(relayAction); }},
                            action);
             }
         });
     }
 
+    /// Checks for answers that are overdue sooner than the next tick: they are expected within milliseconds.
+    void scheduleSlotCheck()
+    {
+        const auto at = calls_.nextSlotCheckAt();
+        if (!at || *at >= slotCheckAt_) {
+            return;
+        }
+        slotCheckAt_ = *at;
+        control_.timers().subscribe(*at, [this](TimePoint now) {
+            slotCheckAt_ = TimePoint::max();
+            calls_.checkSlotAnswers(now);
+        });
+    }
+
     void refreshRecords()
     {
         if (watcher_) {
@@ -596,6 +624,7 @@
     bool isStoreRead_ = false; // control thread
     TimePoint nextMetricsAt_{}; // control thread
     TimePoint nextSelectionAt_{}; // control thread
+    TimePoint slotCheckAt_ = TimePoint::max(); // control thread; of the next check for answers of sidecars
     std::mutex sharedWatchMutex_; // guards sharedWatchAddress_
     // Address of the endpoint whose sidecar watches the store for this entry; empty if none.
     std::string sharedWatchAddress_;
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -92,6 +92,7 @@
               {"allowanceWaitMs", toMilliseconds(call.allowanceWait)},
               {"adapterWaitMs", toMilliseconds(call.adapterWait)},
               {"permitWaitMs", toMilliseconds(call.permitWait)},
+              {"slotWaitMs", toMilliseconds(call.slotWait)},
               {"firstByteMs", call.firstByte ? toMilliseconds(*call.firstByte) : -1},
               {"pauseMs", toMilliseconds(call.longestPause)},
               {"promptTokens", std::uint64_t{call.promptTokens}},
@@ -127,6 +128,21 @@
 
 } // namespace
 
+namespace {
+
+void appendSlotMetrics(MetricsText &text, const SlotStats &stats)
+{
+    text.gauge("anvilscale_slots_contended_services", "plain services whose calls request slots",
+               static_cast<double>(stats.contendedServices));
+    text.counter("anvilscale_slots_requests_total", "requests for slots sent to sidecars", stats.asks);
+    text.counter("anvilscale_slots_waits_total", "requests that waited until a slot was free", stats.waits);
+    text.counter("anvilscale_slots_refusals_total", "requests that could not get a slot in time", stats.refusals);
+    text.counter("anvilscale_slots_timeouts_total", "requests that no sidecar answered in time", stats.timeouts);
+    text.counter("anvilscale_slots_unused_total", "slots returned without sending a call", stats.unused);
+}
+
+} // namespace
+
 void appendDirectMetrics(MetricsText &text, const DirectCallsStats &stats)
 {
     text.counter("anvilscale_direct_calls_total", "calls that arrived", stats.calls);
@@ -155,6 +171,7 @@
                  stats.allowances.lostPools);
     text.counter("anvilscale_allowance_own_part_total", "calls charged to this entry's own part, without a sidecar",
                  stats.allowances.ownPart);
+    appendSlotMetrics(text, stats.slots);
     appendWorkspaceMetrics(text, stats);
     text.counters("anvilscale_direct_retries_total", "further attempts", "reason", stats.retries);
 }
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -103,6 +103,7 @@
     static constexpr Duration idleReportInterval = Milliseconds(200); // between reports while no load is in progress
     static constexpr Duration busyReportInterval = Milliseconds(25); // during a load, to report its end immediately
     static constexpr Duration loadLogInterval = Seconds(10); // between log lines of load times
+    static constexpr Duration slotLogInterval = Seconds(10); // between log lines of slots
     // Entries treat three missing messages as a loss and one as a sign of a paused VM. With few entries connected, all
     // of them get messages more often, down to minStateInterval.
     static constexpr Duration maxUpdateInterval = Milliseconds(500);
@@ -123,6 +124,7 @@
         , controller_(incarnation_ / 1000, policy)
         , allowancePools_(directAllowanceTimes(settings))
         , limitPools_(endpointLimitTimes())
+        , leasesSlots_(policy.has(Mechanism::SlotLeases))
         , control_([this](Now now) { afterEvents(now.mono); })
         , loop_("engine")
     {
@@ -146,6 +148,7 @@
             if (message.has_endpoint_limit()) {
                 control_.post([this, peer, limit = message.endpoint_limit()](Now) { sendLimit(limit, peer); });
             }
+            onSlotMessage(peer, message);
             if (!message.has_direct_demand()) {
                 return;
             }
@@ -159,10 +162,11 @@
             });
         };
         handlers.peerLost = [this](PeerHandle peer) {
-            control_.post([this, peer](Now) {
+            control_.post([this, peer](Now now) {
                 entries_.erase(peer);
                 statePublisher_.onEntryLost(peer);
                 controller_.onPeerLost(peer);
+                slots_.onEntryLost(peer, now.mono);
             });
         };
         handlers.fromTarget = [](const std::string &, wire::Envelope &&) {};
@@ -172,6 +176,54 @@
         return handlers;
     }
 
+    /// Requests for slots of plain endpoints and their returns. Without the mechanism they are ignored, as by an older
+    /// release.
+    void onSlotMessage(PeerHandle peer, const wire::Envelope &message)
+    {
+        if (!leasesSlots_) {
+            return;
+        }
+        if (message.has_slot_ask()) {
+            control_.post([this, peer, ask = message.slot_ask()](Now now) { slots_.onAsk(peer, ask, now.mono); });
+        }
+        if (message.has_slot_return()) {
+            control_.post([this, peer, end = message.slot_return()](Now now) { slots_.onReturn(peer, end, now.mono); });
+        }
+    }
+
+    void updateSlots(TimePoint now)
+    {
+        slots_.tick(now);
+        for (auto &message : slots_.takeMessages()) {
+            wire::Envelope envelope;
+            *envelope.mutable_slot_answer() = std::move(message.answer);
+            messenger_->sendTo(message.entry, envelope);
+        }
+        const auto at = slots_.nextCheckAt();
+        if (at && *at < slotCheckAt_) {
+            slotCheckAt_ = *at;
+            control_.timers().subscribe(*at, [this](TimePoint) { slotCheckAt_ = TimePoint::max(); });
+        }
+        logSlots(now);
+    }
+
+    void logSlots(TimePoint now)
+    {
+        const auto &stats = slots_.stats();
+        const auto decisions = stats.grants + stats.refusals;
+        if (now < nextSlotLogAt_ || decisions == loggedSlotDecisions_) {
+            return;
+        }
+        nextSlotLogAt_ = now + slotLogInterval;
+        loggedSlotDecisions_ = decisions;
+        logEvent(Event::SlotsLeased, {{"services", stats.services},
+                                      {"leases", stats.leases},
+                                      {"grants", stats.grants},
+                                      {"waits", stats.waits},
+                                      {"refusals", stats.refusals},
+                                      {"expired", stats.expired}});
+    }
+
     /// Sends the rate limit of an endpoint to all entries but the one that has reported it.
     void sendLimit(const wire::EndpointLimit &limit, PeerHandle source)
     {
@@ -296,6 +348,7 @@
 
     void afterEvents(TimePoint now)
     {
+        updateSlots(now);
         if (const auto order = controller_.nextOrder(now)) {
             sendOrder(*order);
         }
@@ -399,6 +452,11 @@
     AdapterController controller_; // control thread, as are the members below up to nextStateAt_
     AllowancePools allowancePools_; // control thread; of workspaces
     AllowancePools limitPools_; // control thread; of endpoints that have announced a rate limit
+    SlotTable slots_; // control thread
+    bool leasesSlots_ = true;
+    TimePoint slotCheckAt_ = TimePoint::max(); // control thread; when leases or waits expire
+    TimePoint nextSlotLogAt_{}; // control thread
+    std::uint64_t loggedSlotDecisions_ = 0; // control thread; in the last log line
     std::optional<double> reportedLimit_; // control thread; in the engine's last report
     std::set<PeerHandle> entries_; // entries that have sent a demand
     StatePublisher statePublisher_;
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -41,6 +41,7 @@
     }
     const bool failed = result.end == AttemptEnd::Unreachable || result.end == AttemptEnd::Broken;
     impl.detachFromEndpoint(handle, call, failed, now);
+    impl.returnUsedSlot(call, result, now);
     call.step = CallStep::Waiting; // at no endpoint until the next decision
     switch (result.end) {
     case AttemptEnd::Answered:
@@ -180,8 +181,9 @@
 void DirectCalls::Impl::finishCall(CallHandle handle, EndedOutcome outcome, std::string_view reason,
                                    std::uint32_t status, TimePoint now)
 {
-    const auto node = calls.extract(handle);
-    const auto &call = node.mapped();
+    auto node = calls.extract(handle);
+    auto &call = node.mapped();
+    releaseSlot(call, outcome);
     releaseCredit(handle, call, outcome, now);
     EndedCall done;
     done.requestId = call.info.requestId;
@@ -201,6 +203,7 @@
     done.allowanceWait = call.allowanceWait;
     done.adapterWait = call.adapterWait;
     done.permitWait = call.permitWait;
+    done.slotWait = call.slotWait;
     done.firstByte = call.firstByte;
     done.longestPause = call.longestPause;
     done.promptTokens = call.info.promptTokens;
--- a/src/direct/call_learning.cpp
+++ b/src/direct/call_learning.cpp
@@ -54,6 +54,7 @@
     for (const auto &[id, entry] : endpoints.entries()) {
         entries = entry.hasFreshState(now) ? std::max(entries, entry.state->entries()) : entries;
     }
+    knownEntries = entries;
     if (entries != 0 && init.retrySlack > 0) {
         maxRetryBalance = std::max(1.0, usableSlackShare * init.retrySlack / entries);
     }
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -132,6 +132,8 @@
     retryAllowances[call.service].onFirstAttempt(init.retryRatio, maxRetryBalance);
     if (call.isEngine) {
         ++callsByModel[call.info.model];
+    } else {
+        slots.recordCall(call.service, plainCapacity(call.service, now), knownEntries, now);
     }
     routeCall(handle, call, now);
 }
@@ -178,7 +180,8 @@
 
 void DirectCalls::Impl::routeCall(CallHandle handle, DirectCall &call, TimePoint now)
 {
-    if (stopIfQuarantined(handle, call, now)) {
+    returnUnusedSlot(call);
+    if (stopIfQuarantined(handle, call, now) || requestSlot(handle, call, now)) {
         return;
     }
     updateListening(now);
@@ -298,6 +301,10 @@
 
 void DirectCalls::Impl::detachFromEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now)
 {
+    if (call.step == CallStep::Slot) {
+        stopAwaitingSlot(call, now);
+        return;
+    }
     auto *entry = findEndpoint(call);
     if (entry == nullptr) {
         return; // the process has terminated, and its counters were reset
@@ -399,6 +406,7 @@
 const DirectCallsStats &DirectCalls::stats() const
 {
     impl_->stats.open = impl_->calls.size();
+    impl_->stats.slots.contendedServices = impl_->slots.contendedServices();
     return impl_->stats;
 }
 
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -6,6 +6,7 @@
 #include "pool_client.h"
 #include "request_quarantine.h"
 #include "retry_allowance.h"
+#include "slot_client.h"
 #include "wait_forecast.h"
 
 namespace anvilscale {
@@ -18,6 +19,7 @@
 
 enum class CallStep : std::uint8_t {
     Admission, ///< waits for credit of its workspace
+    Slot, ///< waits for a sidecar to select a plain endpoint with a free slot
     Permit, ///< waits for credit of its endpoint, which limits the calls of all entries
     Waiting, ///< for its adapter at `endpointId`
     Sent,
@@ -65,6 +67,11 @@
     Duration storeAge{}; // time since the store's last answer, at the last choice
     Duration adapterWait{};
     Duration permitWait{};
+    std::uint64_t slotNumber = 0; // of the request for a slot, or of the slot that the call has; 0: none
+    std::string slotAddress; // of the endpoint beside the sidecar that holds the slots
+    std::uint32_t slotRequests = 0;
+    bool choosesAlone = false; // requests no more slots
+    Duration slotWait{};
     std::optional<Duration> firstByte;
     Duration longestPause{}; // longest interval between parts of its answer
 
@@ -101,6 +108,8 @@
     WorkspaceTable workspaces;
     std::optional<PoolClient> workspaceCredit;
     bool hasLimitedWorkspaces = false;
+    SlotClient slots;
+    std::uint32_t knownEntries = 0; // number of entries, as reported by sidecars; 0 if unknown
     std::optional<PoolClient> endpointCredit; // for calls to endpoints that have announced a rate limit
     bool hasLimitedEndpoints = false; // some endpoint had a limit when the groups of endpointCredit were set
     EndpointTable endpoints;
@@ -183,6 +192,25 @@
     /// Avoids the endpoint for `retryAfter` and places the call again.
     void denyPermit(CallHandle handle, DirectCall &call, Duration retryAfter, TimePoint now);
     void stopAwaitingPermit(CallHandle handle, DirectCall &call, TimePoint now);
+    /// Calls per second of all entries that the endpoints of a plain service can process; 0 if unknown.
+    double plainCapacity(const std::string &service, TimePoint now);
+    /// Requests a slot for a call to a contended plain service; returns false for any other.
+    bool requestSlot(CallHandle handle, DirectCall &call, TimePoint now);
+    wire::SlotAsk buildSlotAsk(const DirectCall &call, const std::vector<PlainOption> &options, TimePoint now);
+    /// Time for which the call may wait for a slot.
+    Duration maxSlotWait(const DirectCall &call, TimePoint now);
+    void onSlotGranted(CallHandle handle, DirectCall &call, const std::string &endpointId, TimePoint now);
+    /// Places the call without a slot.
+    void chooseAlone(CallHandle handle, DirectCall &call, TimePoint now);
+    void stopAwaitingSlot(DirectCall &call, TimePoint now);
+    void returnSlot(DirectCall &call, wire::SlotReturn message);
+    /// Returns the slot of a call that was not sent with it.
+    void returnUnusedSlot(DirectCall &call);
+    /// Returns the slot of a call whose attempt has ended.
+    void returnUsedSlot(DirectCall &call, const AttemptResult &result, TimePoint now);
+    /// Returns the slot of a call that ends while it is waiting or running.
+    void releaseSlot(DirectCall &call, EndedOutcome outcome);
+    void onSlotSidecarLost(const std::string &address, TimePoint now);
     void waitForAdapter(CallHandle handle, DirectCall &call, TimePoint now);
     static void stopWaiting(EndpointEntry &entry, CallHandle handle, DirectCall &call, TimePoint now);
     void detachFromEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -34,6 +34,7 @@
     }
     impl_->updateAllowances(now);
     impl_->tickPermits(now);
+    checkSlotAnswers(now);
 }
 
 void DirectCalls::Impl::checkDeadlines(TimePoint now)
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -65,12 +65,11 @@
     return key;
 }
 
-double healthPenaltyMs(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
+double avoidancePenaltyMs(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
 {
     const auto &policy = *query.policy;
     double ms = 0;
     if (policy.has(Mechanism::Avoidance)) {
-        ms += policy.failurePenaltyMs * entry.failureShare;
         ms += now < entry.avoidedUntil ? policy.avoidancePenaltyMs : 0;
         ms += entry.isSilentFor(query.estimates->silenceTimeout(), now) ? policy.avoidancePenaltyMs : 0;
     }
@@ -84,6 +83,18 @@
     return ms;
 }
 
+double healthPenaltyMs(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
+{
+    const auto &policy = *query.policy;
+    const double failureMs = policy.has(Mechanism::Avoidance) ? policy.failurePenaltyMs * entry.failureShare : 0;
+    return failureMs + avoidancePenaltyMs(entry, query, now);
+}
+
+double centrePenaltyMs(const EndpointEntry &entry, const ChoiceQuery &query)
+{
+    return entry.record.dataCentre == query.dataCentre ? 0 : query.policy->remoteCentrePenaltyMs;
+}
+
 /// Number of engines that hold an adapter, and its call rate.
 struct Holders
 {
@@ -127,12 +138,6 @@
            + (candidate.entry != placement.homeEngine && policy.has(Mechanism::Home) ? policy.homePenaltyMs : 0);
 }
 
-bool isEligible(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
-{
-    return entry.record.service == *query.service && !entry.isLeaving(now) && !entry.isPaused(now)
-           && !entry.isSuperseded && entry.acceptsPlacement(now) && query.excludedIds->count(entry.record.id) == 0;
-}
-
 Placement findPlacement(std::vector<Candidate> &candidates, const ChoiceQuery &query, TimePoint now)
 {
     const AdapterName name{query.info->model, query.info->adapter};
@@ -215,12 +220,6 @@
     }
 }
 
-double plainWorkMs(const ChoiceQuery &query)
-{
-    const bool measured = query.estimates->plainRunMs.count() != 0;
-    return measured ? query.estimates->plainRunMs.quantile(0.5) : plainWorkShare * milliseconds(query.objective);
-}
-
 void scorePlain(std::vector<Candidate> &candidates, const ChoiceQuery &query, TimePoint now)
 {
     for (auto &candidate : candidates) {
@@ -245,6 +244,29 @@
 
 } // namespace
 
+bool isEligible(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
+{
+    return entry.record.service == *query.service && !entry.isLeaving(now) && !entry.isPaused(now)
+           && !entry.isSuperseded && entry.acceptsPlacement(now) && query.excludedIds->count(entry.record.id) == 0;
+}
+
+double plainWorkMs(const ChoiceQuery &query)
+{
+    const bool measured = query.estimates->plainRunMs.count() != 0;
+    return measured ? query.estimates->plainRunMs.quantile(0.5) : plainWorkShare * milliseconds(query.objective);
+}
+
+std::vector<PlainOption> findPlainOptions(const EndpointTable &table, const ChoiceQuery &query, TimePoint now)
+{
+    std::vector<PlainOption> result;
+    for (const auto &[id, entry] : table.entries()) {
+        if (isEligible(entry, query, now)) {
+            result.push_back({&entry, avoidancePenaltyMs(entry, query, now) + centrePenaltyMs(entry, query)});
+        }
+    }
+    return result;
+}
+
 EndpointEntry *findHomeToVisit(EndpointTable &table, const ChoiceQuery &query, TimePoint now)
 {
     const AdapterName name{query.info->model, query.info->adapter};
@@ -290,8 +312,7 @@
     }
     const auto tieKey = hash64(query.info->requestId);
     for (auto &candidate : candidates) {
-        candidate.penaltyMs +=
-            candidate.entry->record.dataCentre == query.dataCentre ? 0 : query.policy->remoteCentrePenaltyMs;
+        candidate.penaltyMs += centrePenaltyMs(*candidate.entry, query);
     }
     const auto best =
         std::min_element(candidates.begin(), candidates.end(), [&](const Candidate &a, const Candidate &b) {
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -39,6 +39,18 @@
 /// nullptr if it is connected, or to another engine that holds the adapter.
 EndpointEntry *findHomeToVisit(EndpointTable &table, const ChoiceQuery &query, TimePoint now);
 
+/// An endpoint that a plain call may go to.
+struct PlainOption
+{
+    const EndpointEntry *entry = nullptr;
+    double penaltyMs = 0; // besides its load and its failures
+};
+std::vector<PlainOption> findPlainOptions(const EndpointTable &table, const ChoiceQuery &query, TimePoint now);
+/// True if the call may go to this endpoint.
+bool isEligible(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now);
+/// Duration of a plain call, measured or assumed.
+double plainWorkMs(const ChoiceQuery &query);
+
 /// Returns the endpoint with the lowest estimate; empty if none is eligible.
 std::optional<Choice> chooseEndpoint(const EndpointTable &table, const ChoiceQuery &query, TimePoint now);
 
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -148,15 +148,14 @@
     impl_->workspaceCredit->onPoolLost(address);
     impl_->endpointCredit->onPoolLost(address);
     impl_->sentDemands.erase(address);
-    auto *entry = impl_->endpoints.findByAddress(address);
-    if (entry == nullptr) {
-        return;
-    }
-    const bool wasConnected = entry->state.has_value();
-    entry->onSidecarLost(impl_->endpoints.lastReceivedAt());
-    if (wasConnected) {
-        impl_->rerouteWaiting(*entry, now); // nobody orders the loads that these calls wait for
+    if (auto *entry = impl_->endpoints.findByAddress(address)) {
+        const bool wasConnected = entry->state.has_value();
+        entry->onSidecarLost(impl_->endpoints.lastReceivedAt());
+        if (wasConnected) {
+            impl_->rerouteWaiting(*entry, now); // nobody orders the loads that these calls wait for
+        }
     }
+    impl_->onSlotSidecarLost(address, now);
 }
 
 } // namespace anvilscale
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -39,6 +39,9 @@
     {424, LogLevel::Info, "loads_learned", "load measurements of a sidecar for its engine, logged every ten seconds"},
     {425, LogLevel::Info, "endpoint_told",
      "an endpoint reported with an answer that it is leaving, accepts no calls for a while or limits their rate"},
+    {427, LogLevel::Info, "slots_leased",
+     "slots of plain endpoints that this sidecar has granted to entries, logged every ten seconds while there are "
+     "calls"},
     {500, LogLevel::Warn, "call_failed", "a call failed after it was started"},
     {501, LogLevel::Debug, "call_refused", "a call was refused without being run"},
     {502, LogLevel::Warn, "answer_broken", "the end frame does not match the received frames"},
--- a/tests/unit/direct_fixture.h
+++ b/tests/unit/direct_fixture.h
@@ -76,8 +76,8 @@
 class Calls : public testing::Test
 {
 protected:
-    Calls()
-        : calls_(init())
+    explicit Calls(const DirectCallsInit &settings = init())
+        : calls_(settings)
     {
         calls_.applyConfig(makeConfig(1), now_);
     }
