--- a/tests/unit/slot_table_test.cpp
+++ b/tests/unit/slot_table_test.cpp
@@ -66,7 +66,7 @@
     void fill()
     {
         for (std::uint64_t call = 1; call <= slotsEach * endpoints_.size(); ++call) {
-            EXPECT_NE(take(entry_, call), "");
+            EXPECT_NE(take(entryOne, call), "");
         }
     }
     /// Runs calls one after the other at the endpoint, of which every `failedOf`-th fails; 0: none.
@@ -74,8 +74,8 @@
     {
         const auto all = std::exchange(endpoints_, {id});
         for (int i = 1; i <= calls; ++i) {
-            take(entry_, ++learned_);
-            giveBack(entry_, learned_, failedOf != 0 && i % failedOf == 0);
+            take(entryOne, ++learned_);
+            giveBack(entryOne, learned_, failedOf != 0 && i % failedOf == 0);
         }
         endpoints_ = all;
     }
@@ -85,7 +85,7 @@
         table_.tick(now_);
     }
 
-    static constexpr std::uint64_t entry_ = 1;
+    static constexpr std::uint64_t entryOne = 1;
     Duration deadline_ = Milliseconds(1500); // of each caller
     std::vector<std::string> endpoints_{"p-1", "p-2", "p-3"};
     SlotTable table_;
@@ -248,7 +248,7 @@
     endpoints_ = {"p-2"};
     fill();
     for (std::uint64_t call = 100; call < 160; ++call) {
-        ask(entry_, makeAsk(call, Seconds(1))); // wait for up to 600 ms at the endpoint without failures
+        ask(entryOne, makeAsk(call, Seconds(1))); // wait for up to 600 ms at the endpoint without failures
     }
     table_.takeMessages();
     endpoints_ = {"p-1", "p-2"};
@@ -260,7 +260,7 @@
 {
     learn("p-1", 100, 20);
     for (std::uint64_t call = 1; call <= slotsEach; ++call) {
-        EXPECT_NE(take(entry_, call), "p-1");
+        EXPECT_NE(take(entryOne, call), "p-1");
     }
 }
 
@@ -272,10 +272,10 @@
     int probes = 0;
     int sentBefore = 0;
     for (std::uint64_t call = 1; call <= 6000; ++call) {
-        const bool isProbe = take(entry_, call) == "p-1";
+        const bool isProbe = take(entryOne, call) == "p-1";
         sentBefore += isProbe && call <= 500 ? 1 : 0;
         probes += isProbe && call > 5000 ? 1 : 0;
-        giveBack(entry_, call);
+        giveBack(entryOne, call);
         advance(Milliseconds(10));
     }
     EXPECT_GE(sentBefore, 5) << "one of some fifty calls";
@@ -291,7 +291,7 @@
     auto messages = table_.takeMessages();
     ASSERT_EQ(messages.size(), 1U);
     EXPECT_TRUE(messages[0].answer.queued());
-    giveBack(entry_, 1);
+    giveBack(entryOne, 1);
     messages = table_.takeMessages();
     ASSERT_EQ(messages.size(), 1U);
     EXPECT_EQ(messages[0].entry, PeerHandle{2});
@@ -341,7 +341,7 @@
     ask(2, urgent);
     table_.takeMessages();
     for (const std::uint64_t expected : {1U, 2U, 3U}) {
-        giveBack(entry_, expected);
+        giveBack(entryOne, expected);
         const auto messages = table_.takeMessages();
         ASSERT_EQ(messages.size(), 1U);
         EXPECT_EQ(messages[0].answer.call(), expected);
@@ -352,11 +352,11 @@
 TEST_F(Slots, LeasesAndWaitsOfALostEntryEnd)
 {
     fill();
-    ask(entry_, makeAsk(100));
+    ask(entryOne, makeAsk(100));
     table_.takeMessages();
     ask(2, makeAsk(1));
     table_.takeMessages();
-    table_.onEntryLost(PeerHandle{entry_}, now_);
+    table_.onEntryLost(PeerHandle{entryOne}, now_);
     const auto messages = table_.takeMessages();
     ASSERT_EQ(messages.size(), 1U);
     EXPECT_EQ(messages[0].entry, PeerHandle{2});
@@ -372,8 +372,8 @@
     advance(Milliseconds(1));
     EXPECT_EQ(table_.stats().leases, 0U);
     EXPECT_EQ(table_.stats().expired, 18U);
-    giveBack(entry_, 1); // a late return
-    EXPECT_NE(take(entry_, 200), "");
+    giveBack(entryOne, 1); // a late return
+    EXPECT_NE(take(entryOne, 200), "");
 }
 
 // Guards against calls to an endpoint that is full with calls of entries that use another sidecar.
@@ -382,24 +382,24 @@
     endpoints_ = {"p-1", "p-2"};
     learn("p-1", 20, 0);
     learn("p-2", 20, 0);
-    const auto first = take(entry_, 1);
-    giveBack(entry_, 1, false, true);
+    const auto first = take(entryOne, 1);
+    giveBack(entryOne, 1, false, true);
     for (std::uint64_t call = 2; call <= 7; ++call) {
-        EXPECT_NE(take(entry_, call), first);
+        EXPECT_NE(take(entryOne, call), first);
     }
     advance(runTime);
-    EXPECT_EQ(take(entry_, 8), first);
+    EXPECT_EQ(take(entryOne, 8), first);
 }
 
 // Guards against a repeated or a late message that takes or frees a slot twice.
 TEST_F(Slots, DuplicateAndUnknownMessagesHaveNoEffect)
 {
-    take(entry_, 1);
-    ask(entry_, makeAsk(1));
+    take(entryOne, 1);
+    ask(entryOne, makeAsk(1));
     EXPECT_TRUE(table_.takeMessages().empty());
     EXPECT_EQ(table_.stats().leases, 1U);
-    giveBack(entry_, 1);
-    giveBack(entry_, 1);
+    giveBack(entryOne, 1);
+    giveBack(entryOne, 1);
     giveBack(2, 1);
     EXPECT_EQ(table_.stats().leases, 0U);
 }
@@ -414,15 +414,15 @@
     withdrawal.set_call(1);
     withdrawal.set_not_sent(true);
     table_.onReturn(PeerHandle{2}, withdrawal, now_);
-    giveBack(entry_, 1);
+    giveBack(entryOne, 1);
     EXPECT_TRUE(table_.takeMessages().empty());
 }
 
 // Guards against a sidecar whose memory grows with each service and endpoint that has ever been named.
 TEST_F(Slots, UnusedServicesAreForgotten)
 {
-    take(entry_, 1);
-    giveBack(entry_, 1);
+    take(entryOne, 1);
+    giveBack(entryOne, 1);
     EXPECT_EQ(table_.stats().services, 1U);
     advance(Seconds(120));
     EXPECT_EQ(table_.stats().services, 0U);
