--- a/src/direct/slot_table.h
+++ b/src/direct/slot_table.h
@@ -63,6 +63,9 @@
         std::uint64_t grants = 0;
         TimePoint promisedUntil{}; // the last refused caller was told to return then
         TimePoint usedAt{};
+
+        /// Measured or assumed.
+        double usualRunMs() const;
     };
     /// Where and when a waiting call is expected to get a slot.
     struct Forecast
