Select the slot sidecar among those that all entries listen to

Entries of a large fleet listen to different engines and would have selected different sidecars for one service; they all listen to the sidecars of the pools.

--- a/src/direct/slot_choice.cpp
+++ b/src/direct/slot_choice.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint64_t callsPerProbe = 50;
 // Endpoints whose costs differ by less than this share of a run are used evenly: measured run times differ by chance.
 constexpr double evenShare = 0.25;
+
 } // namespace
 
 double SlotTable::Impl::Service::usualRunMs() const
@@ -44,57 +45,50 @@
     return runMs(service, endpoint) * (ahead - endpoint.slots + 1) / endpoint.slots;
 }
 
-double SlotTable::Impl::costMs(const Service &service, const Waiting &call, const Option &option, TimePoint now)
-{
-    const auto &endpoint = *option.endpoint;
-    return waitMs(service, endpoint) + runMs(service, endpoint) + option.penaltyMs
-           + endpoint.failureRatio(now) * call.failureMs;
-}
-
 bool SlotTable::Impl::isProbeDue(const Service &service, const Endpoint &endpoint, TimePoint now)
 {
     return endpoint.inUse + endpoint.expected == 0 && service.grants - endpoint.lastGrant >= callsPerProbe
            && endpoint.failureRatio(now) >= minProbedRatio;
 }
 
-SlotTable::Impl::Forecast SlotTable::Impl::choose(const Service &service, const Waiting &call, TimePoint now)
+std::vector<SlotTable::Impl::Candidate> SlotTable::Impl::findCandidates(const Service &service, const Waiting &call,
+                                                                        TimePoint now)
 {
-    struct Candidate
-    {
-        const Option *option;
-        double waitMs;
-        double costMs;
-        double use; // share of the slots in use or expected to be
-    };
-    std::vector<Candidate> candidates;
-    double leastMs = 0;
+    std::vector<Candidate> result;
     for (const auto &option : call.options) {
         const auto &endpoint = *option.endpoint;
         const double wait = waitMs(service, endpoint);
         if (wait > 0 && now + fromMilliseconds(wait) >= call.until) {
             continue;
         }
-        const double cost = costMs(service, call, option, now);
-        leastMs = candidates.empty() ? cost : std::min(leastMs, cost);
-        candidates.push_back({&option, wait, cost, double(endpoint.inUse + endpoint.expected) / endpoint.slots});
+        const double failures = endpoint.failureRatio(now) * call.failureMs;
+        const double others = wait + runMs(service, endpoint) + option.penaltyMs;
+        const double use = static_cast<double>(endpoint.inUse + endpoint.expected) / endpoint.slots;
+        result.push_back({&option, wait, failures, others, use});
     }
-    const double tolerance = evenShare * service.usualRunMs();
-    const Candidate *best = nullptr;
+    return result;
+}
+
+SlotTable::Impl::Forecast SlotTable::Impl::choose(const Service &service, const Waiting &call, TimePoint now)
+{
+    const auto candidates = findCandidates(service, call, now);
+    if (candidates.empty()) {
+        return {};
+    }
+    const auto cheapest = std::min_element(candidates.begin(), candidates.end(),
+                                           [](const auto &a, const auto &b) { return a.costMs() < b.costMs(); });
+    const double limit = cheapest->costMs() + evenShare * service.usualRunMs();
+    const auto rank = [](const Candidate &one) { return std::pair(one.use, one.option->endpoint->lastGrant); };
+    const auto *best = &*cheapest;
     for (const auto &candidate : candidates) {
-        const auto &endpoint = *candidate.option->endpoint;
-        const double withoutFailures = candidate.costMs - endpoint.failureRatio(now) * call.failureMs;
-        if (isProbeDue(service, endpoint, now) && withoutFailures <= leastMs + tolerance) {
+        if (candidate.othersMs <= limit && isProbeDue(service, *candidate.option->endpoint, now)) {
             return {candidate.option, candidate.waitMs};
         }
-        if (candidate.costMs > leastMs + tolerance) {
-            continue;
-        }
-        const auto rank = [](const Candidate &one) { return std::pair(one.use, one.option->endpoint->lastGrant); };
-        if (best == nullptr || rank(candidate) < rank(*best)) {
+        if (candidate.costMs() <= limit && rank(candidate) < rank(*best)) {
             best = &candidate;
         }
     }
-    return best == nullptr ? Forecast{} : Forecast{best->option, best->waitMs};
+    return {best->option, best->waitMs};
 }
 
 // In order of priority; among equals the workspace with the fewest slots is next, then the call that came first. A
--- a/src/direct/slot_client.cpp
+++ b/src/direct/slot_client.cpp
@@ -26,11 +26,6 @@
 // A check that runs later than this shows a pause of this process: answers may have arrived meanwhile.
 constexpr Duration maxCheckDelay = Milliseconds(10);
 
-std::uint64_t selectionSeed(const std::string &service)
-{
-    return hash64(service, hash64("slots"));
-}
-
 } // namespace
 
 bool SlotClient::recordCall(const std::string &service, double callsPerSecond, std::uint32_t entries, TimePoint now)
@@ -65,7 +60,9 @@
         return {};
     }
     const auto acceptsAny = [](const EndpointEntry &) { return true; };
-    return selectSidecar(endpoints, selectionSeed(service), avoided_, now, acceptsAny);
+    // All entries listen to the sidecars that hold pools, also those that listen to different engines.
+    const auto seed = poolSelectionSeed(allowanceGroup(service));
+    return selectSidecar(endpoints, seed, avoided_, now, acceptsAny);
 }
 
 Duration SlotClient::answerTimeout() const
--- a/src/direct/slot_table.h
+++ b/src/direct/slot_table.h
@@ -67,6 +67,20 @@
         /// Measured or assumed.
         double usualRunMs() const;
     };
+    /// An endpoint where a call can get a slot in time.
+    struct Candidate
+    {
+        const Option *option = nullptr;
+        double waitMs = 0;
+        double failuresMs = 0; // cost of its failures to the call
+        double othersMs = 0; // wait, run time and penalty
+        double use = 0; // share of the slots that are in use or expected to be
+
+        double costMs() const
+        {
+            return failuresMs + othersMs;
+        }
+    };
     /// Where and when a waiting call is expected to get a slot.
     struct Forecast
     {
@@ -84,8 +98,8 @@
 
     static double runMs(const Service &service, const Endpoint &endpoint);
     static double waitMs(const Service &service, const Endpoint &endpoint);
-    static double costMs(const Service &service, const Waiting &call, const Option &option, TimePoint now);
     static bool isProbeDue(const Service &service, const Endpoint &endpoint, TimePoint now);
+    static std::vector<Candidate> findCandidates(const Service &service, const Waiting &call, TimePoint now);
     static Forecast choose(const Service &service, const Waiting &call, TimePoint now);
     static std::vector<std::list<Waiting>::iterator> orderWaiting(Service &service);
     bool isKnown(const CallKey &key) const;
