--- a/tests/unit/slot_fleet_test.cpp
+++ b/tests/unit/slot_fleet_test.cpp
@@ -127,6 +127,19 @@
     EXPECT_LE(counts.mostAtOnce, slotsEach);
 }
 
+// Guards against late and refused calls on a heavy day, after one of three endpoints has left and another one fails a
+// quarter of its calls: 85 calls per second for 12 slots.
+TEST_F(SlotFleet, CallsAreInTimeAtTheOnlyEndpointWithoutFailures)
+{
+    endpoints_ = {"p-1", "p-2"};
+    addEntries(26, Milliseconds(246));
+    run(Seconds(5), 4);
+    const auto counts = run(Seconds(20), 4);
+    EXPECT_EQ(counts.refused.count(""), 0U);
+    EXPECT_LE(counts.longestWait, Milliseconds(240)) << "the objective minus the run time";
+    EXPECT_LE(counts.byEndpoint.at("p-1"), 1700 / 20) << "probes";
+}
+
 // Guards against endpoints with free slots that are used unevenly because their measured run times differ by chance.
 TEST_F(SlotFleet, EntriesShareEndpointsEvenlyBelowTheirCapacity)
 {
