Report first bytes at contended engines at once

The queued tokens of the last state may be some tenths of a second older than the first waiting call, so that reports waited up to 50 ms for the next tick while the engine was idle.

--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -217,8 +217,8 @@
     bool reportsReadings(const DirectCall &call, const EndpointEntry &entry) const;
     /// The pending reports to the sidecar at this address; nullptr if it is not connected.
     wire::ReadingUpdate *readingsTo(const std::string &address, bool isUrgent);
-    /// True if calls wait for a turn there.
-    bool hasReadingQueue(const std::string &address);
+    /// True if calls of any entry may wait for a turn there.
+    bool mayHaveReadingQueue(const std::string &address);
     void addReadingRequest(CallHandle handle, DirectCall &call, const EndpointEntry &entry, TimePoint now);
     void reportSent(CallHandle handle, DirectCall &call, const EndpointEntry &entry, TimePoint now);
     void reportFirstByte(const DirectCall &call, TimePoint now);
--- a/src/direct/reading_reports.cpp
+++ b/src/direct/reading_reports.cpp
@@ -66,10 +66,11 @@
     return &pending.update;
 }
 
-bool DirectCalls::Impl::hasReadingQueue(const std::string &address)
+// The queued tokens of the last state do not show whether calls wait: it may be older than the first of them.
+bool DirectCalls::Impl::mayHaveReadingQueue(const std::string &address)
 {
     const auto *entry = endpoints.findByAddress(address);
-    return entry != nullptr && entry->state && (entry->turnTokens > 0 || entry->state->reading_queued() != 0);
+    return entry != nullptr && entry->state && (entry->turnTokens > 0 || entry->state->reading_budget() != 0);
 }
 
 void DirectCalls::Impl::addReadingRequest(CallHandle handle, DirectCall &call, const EndpointEntry &entry,
@@ -111,7 +112,7 @@
     if (!call.reading.isSent) {
         return; // not reported, or a late answer to an earlier attempt
     }
-    if (auto *update = readingsTo(call.reading.address, hasReadingQueue(call.reading.address))) {
+    if (auto *update = readingsTo(call.reading.address, mayHaveReadingQueue(call.reading.address))) {
         auto &end = *update->add_ends();
         end.set_call(call.reading.number);
         end.set_stage(wire::READING_READ);
@@ -132,7 +133,7 @@
     }
     const auto reading = forgetReading(call);
     const bool wasReading = reading.isSent && !call.hasFirstByte; // calls may wait for the end of this work
-    const bool isUrgent = !reading.isSent || (wasReading && hasReadingQueue(reading.address));
+    const bool isUrgent = !reading.isSent || (wasReading && mayHaveReadingQueue(reading.address));
     if (auto *update = readingsTo(reading.address, isUrgent)) {
         auto &end = *update->add_ends();
         end.set_call(reading.number);
