Extend the wait for a turn with the sidecar's latest forecast

Sidecars send a new forecast when other calls have passed a waiting one, but entries kept the first one and sent the call without a turn, ahead of the urgent ones. WaitEndsAtTwiceTheForecast asserted this to end a wait whose grant was lost; a sidecar sends no forecast after a grant, so that the wait still ends. The first byte limit now bounds it, at which the call is refused.

--- a/src/direct/reading_turns.cpp
+++ b/src/direct/reading_turns.cpp
@@ -111,10 +111,9 @@
 
 void DirectCalls::Impl::onTurnQueued(CallHandle handle, DirectCall &call, Duration wait, TimePoint now)
 {
-    if (!call.reading.isQueued) { // only the first forecast counts: later ones must not extend the wait
-        call.reading.isQueued = true;
-        call.reading.giveUpAt = now + 2 * wait + turnSlack;
-    }
+    // The sidecar sends a new forecast when other calls have passed this one. The first byte limit bounds the wait.
+    call.reading.isQueued = true;
+    call.reading.giveUpAt = std::min(now + 2 * wait + turnSlack, call.firstByteBy);
     const auto *entry = findEndpoint(call);
     if (entry == nullptr || !init.policy.has(Mechanism::EarlyRefusal)) {
         return;
@@ -178,6 +177,11 @@
             entry->turnsAvoidedUntil = now + turnAvoidanceTime;
         }
         ++stats.turnTimeouts;
+        if (now >= call.firstByteBy && init.policy.has(Mechanism::EarlyRefusal)) {
+            stopAwaitingTurn(handle, call, now);
+            refuseUnreachable(handle, call, now - call.arrivedAt, now);
+            continue;
+        }
         sendAfterTurn(handle, call, now);
     }
     for (auto &[address, pending] : pendingReadings) {
