--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -212,6 +212,8 @@
     void onTurnQueued(CallHandle handle, DirectCall &call, Duration wait, TimePoint now);
     /// Time for reading the prompt of the call at an idle engine.
     Duration ownReadingTime(const DirectCall &call, const EndpointEntry &entry, TimePoint now);
+    /// True if the call would be placed at another engine now.
+    bool hasBetterEngine(const DirectCall &call, TimePoint now);
     /// Sends calls whose turn does not come in time, and marks pending reports as due.
     void checkTurns(TimePoint now);
     bool reportsReadings(const DirectCall &call, const EndpointEntry &entry) const;
--- a/src/direct/reading_turns.cpp
+++ b/src/direct/reading_turns.cpp
@@ -157,6 +157,13 @@
     }
 }
 
+// The VM of a silent sidecar may have stopped: its engine would read the call after its caller has left.
+bool DirectCalls::Impl::hasBetterEngine(const DirectCall &call, TimePoint now)
+{
+    const auto choice = chooseEndpoint(endpoints, buildQuery(call, now), now);
+    return choice && choice->endpointId != call.endpointId;
+}
+
 void DirectCalls::Impl::checkTurns(TimePoint now)
 {
     std::vector<CallHandle> isDue;
@@ -182,6 +189,11 @@
             refuseUnreachable(handle, call, now - call.arrivedAt, now);
             continue;
         }
+        if (entry != nullptr && entry->isSidecarSilent(endpoints.lastReceivedAt()) && hasBetterEngine(call, now)) {
+            stopAwaitingTurn(handle, call, now);
+            routeCall(handle, call, now);
+            continue;
+        }
         sendAfterTurn(handle, call, now);
     }
     for (auto &[address, pending] : pendingReadings) {
--- a/tests/unit/direct_turn_failures_test.cpp
+++ b/tests/unit/direct_turn_failures_test.cpp
@@ -90,6 +90,25 @@
     EXPECT_TRUE(isSentWithoutTurn(request));
 }
 
+// Guards against a call that is sent to a stopped VM, which would read it after its caller has left, while another
+// engine is free. A stream is not moved once it was sent.
+TEST_F(Turns, WaitingCallLeavesASilentSidecarForAnotherEngine)
+{
+    addContended("e-1", addressOne);
+    const auto request = requestTurn();
+    answer(request, wire::READING_QUEUED, Seconds(2));
+    addEngine("e-2", addressTwo, {"a1"});
+    now_ += Milliseconds(1000);
+    calls_.applyState(addressTwo, makeState({"a1"}), now_);
+    takeAll();
+    calls_.tick(now_);
+    takeAll();
+    ASSERT_EQ(sent_.size(), 1U);
+    EXPECT_EQ(sent_.front().call, waiting_);
+    EXPECT_EQ(sent_.front().address, addressTwo);
+    EXPECT_TRUE(isWithdrawn(request));
+}
+
 // Guards against a second run of a call, and against its withdrawal while the engine reads it.
 TEST_F(Turns, LateAndDuplicateGrantsHaveNoEffect)
 {
