--- a/src/direct/reading_order.cpp
+++ b/src/direct/reading_order.cpp
@@ -100,17 +100,14 @@
         const auto before = cumulative.empty() ? 0 : cumulative.back();
         const auto startsIn = std::max<Duration>(Duration(0), prefillTime(before) - read);
         isBlocked = isBlocked || !fits(request);
-        // The starving start only matters, and is only computed, for a request that would be late by its place.
-        const bool isLateByPlace = budget != 0 && now + startsIn + prefillTime(tokens) > request.limitAt;
-        const auto startsBy = isLateByPlace ? startAsStarving(request, engineFreeAt) : TimePoint::max();
-        if (budget != 0 && now + startsIn > request.limitAt && startsBy > request.limitAt) {
+        if (budget != 0 && now + startsIn > request.limitAt
+            && startAsStarving(request, engineFreeAt) > request.limitAt) {
             refuse(waiting, startsIn, now);
             continue;
         }
         if (isBlocked) {
             const auto wait = prefillTime(workUntilTurn(request, cumulative)) - read;
-            const auto expected = std::min<Duration>(wait, startsBy - now);
-            answerWait(waiting->second, waiting->first, std::max<Duration>(expected, Duration(0)), now);
+            answerWait(waiting->second, waiting->first, std::max<Duration>(wait, Duration(0)), now);
         } else {
             grant(turn, now);
         }
