--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -221,13 +221,15 @@
     void onTurnQueued(CallHandle handle, DirectCall &call, Duration wait, TimePoint now);
     /// Time for reading the prompt of the call at an idle engine.
     Duration ownReadingTime(const DirectCall &call, const EndpointEntry &entry, TimePoint now);
+    /// True if the call would be placed at another engine now.
+    bool hasBetterEngine(const DirectCall &call, TimePoint now);
     /// Sends calls whose turn does not come in time, and marks pending reports as due.
     void checkTurns(TimePoint now);
     bool reportsReadings(const DirectCall &call, const EndpointEntry &entry) const;
     /// The pending reports to the sidecar at this address; nullptr if it is not connected.
     wire::ReadingUpdate *readingsTo(const std::string &address, bool isUrgent);
-    /// True if calls wait for a turn there.
-    bool hasReadingQueue(const std::string &address);
+    /// True if calls of any entry may wait for a turn there.
+    bool mayHaveReadingQueue(const std::string &address);
     void addReadingRequest(CallHandle handle, DirectCall &call, const EndpointEntry &entry, TimePoint now);
     void reportSent(CallHandle handle, DirectCall &call, const EndpointEntry &entry, TimePoint now);
     void reportFirstByte(const DirectCall &call, TimePoint now);
--- a/tests/unit/direct_turn_failures_test.cpp
+++ b/tests/unit/direct_turn_failures_test.cpp
@@ -29,13 +29,54 @@
     const auto request = requestTurn();
     answer(request, wire::READING_QUEUED, Milliseconds(150));
     advance(Milliseconds(350));
-    answer(request, wire::READING_QUEUED, Seconds(1));
+    takeAll();
+    EXPECT_TRUE(sent_.empty());
+    advance(Milliseconds(50));
+    takeAll();
+    EXPECT_TRUE(isSentWithoutTurn(request));
+}
+
+// Guards against calls that are sent without a turn, ahead of urgent ones, because these have passed them.
+TEST_F(Turns, LongerForecastExtendsTheWait)
+{
+    addContended("e-1", addressOne);
+    const auto request = requestTurn();
+    answer(request, wire::READING_QUEUED, Milliseconds(50));
+    advance(Milliseconds(150));
+    answer(request, wire::READING_QUEUED, Milliseconds(100)); // ends 300 ms later
+    advance(Milliseconds(250));
+    takeAll();
     EXPECT_TRUE(sent_.empty());
     advance(Milliseconds(50));
     takeAll();
     EXPECT_TRUE(isSentWithoutTurn(request));
 }
 
+// Guards against a wait without end where each forecast is longer than the one before, and against a call that is sent
+// after its caller has left.
+TEST_F(Turns, ForecastsExtendNoWaitBeyondTheFirstByteLimit)
+{
+    addContended("e-1", addressOne);
+    limitFirstByte(Seconds(1));
+    const auto request = requestTurn();
+    for (int i = 0; i < 19; ++i) {
+        calls_.applyState(addressOne, contendedState(), now_);
+        answer(request, wire::READING_QUEUED, Milliseconds(10));
+        answer(request, wire::READING_QUEUED, Milliseconds(20));
+        advance(Milliseconds(50));
+        takeAll();
+        ASSERT_TRUE(sent_.empty());
+        ASSERT_TRUE(refused_.empty());
+    }
+    answer(request, wire::READING_QUEUED, Milliseconds(10));
+    advance(Milliseconds(50));
+    takeAll();
+    EXPECT_TRUE(sent_.empty());
+    ASSERT_EQ(refused_.size(), 1U);
+    EXPECT_EQ(refused_.front().reason, RefusalReason::DeadlineUnreachable);
+    EXPECT_TRUE(isWithdrawn(request));
+}
+
 // Guards against waiting for a sidecar that has stopped after its first answer.
 TEST_F(Turns, SilentSidecarEndsTheWait)
 {
@@ -49,6 +90,25 @@
     EXPECT_TRUE(isSentWithoutTurn(request));
 }
 
+// Guards against a call that is sent to a stopped VM, which would read it after its caller has left, while another
+// engine is free. A stream is not moved once it was sent.
+TEST_F(Turns, WaitingCallLeavesASilentSidecarForAnotherEngine)
+{
+    addContended("e-1", addressOne);
+    const auto request = requestTurn();
+    answer(request, wire::READING_QUEUED, Seconds(2));
+    addEngine("e-2", addressTwo, {"a1"});
+    now_ += Milliseconds(1000);
+    calls_.applyState(addressTwo, makeState({"a1"}), now_);
+    takeAll();
+    calls_.tick(now_);
+    takeAll();
+    ASSERT_EQ(sent_.size(), 1U);
+    EXPECT_EQ(sent_.front().call, waiting_);
+    EXPECT_EQ(sent_.front().address, addressTwo);
+    EXPECT_TRUE(isWithdrawn(request));
+}
+
 // Guards against a second run of a call, and against its withdrawal while the engine reads it.
 TEST_F(Turns, LateAndDuplicateGrantsHaveNoEffect)
 {
