Reading turns use the service's speed until an engine's own is measured

Entries report the speed of the service with each prompt, and six samples show the ratio of the engine to it. Fails without the change: MeasuredSpeed.*, BudgetAppliesFromTheFirstReportOfTheServiceSpeed.

--- a/src/direct/measured_speed.cpp
+++ b/src/direct/measured_speed.cpp
@@ -14,6 +14,9 @@
 constexpr double minBaseChangeUs = 2000; // a few steps; less does not matter beside the time of a prompt
 constexpr double nanosecondsPerMs = 1e6;
 constexpr double microsecondsPerMs = 1e3;
+// Weight of the newest report of the service's speed: entries measure it from different calls.
+constexpr double newReportWeight = 0.1;
+constexpr std::size_t minRatios = 6; // samples from which the ratio to the service's speed is used
 
 std::uint32_t roundToTwoDigits(double value)
 {
@@ -33,27 +36,54 @@
 
 } // namespace
 
+void MeasuredSpeed::setServiceSpeed(std::uint32_t nsPerToken, std::uint32_t baseUs)
+{
+    if (nsPerToken == 0) {
+        return;
+    }
+    const double weight = hasServiceSpeed() ? newReportWeight : 1;
+    serviceMsPerToken_ += weight * (nsPerToken / nanosecondsPerMs - serviceMsPerToken_);
+    serviceBaseMs_ += weight * (baseUs / microsecondsPerMs - serviceBaseMs_);
+}
+
 void MeasuredSpeed::add(std::uint64_t tokens, Duration elapsed)
 {
     // `tokens` already accounts for the longer time per token of long prompts. With 0 own tokens the sample is used for
     // the linear fit whatever its length.
     speed_.add(static_cast<double>(tokens), 0, elapsed);
     ++sampleCount_;
-    if (!speed_.isMeasured()) {
-        return;
+    if (hasServiceSpeed()) {
+        const double expected = serviceBaseMs_ + static_cast<double>(tokens) * serviceMsPerToken_;
+        ratios_.add(milliseconds(elapsed) / expected);
+    }
+    if (speed_.isMeasured()) {
+        report(nsPerToken_, speed_.msPerToken() * nanosecondsPerMs, 0);
+        report(baseUs_, speed_.baseMs() * microsecondsPerMs, minBaseChangeUs);
+    } else if (ratios_.count() >= minRatios) {
+        report(nsPerToken_, msPerToken() * nanosecondsPerMs, 0);
+        report(baseUs_, ratioToService() * serviceBaseMs_ * microsecondsPerMs, minBaseChangeUs);
     }
-    report(nsPerToken_, speed_.msPerToken() * nanosecondsPerMs, 0);
-    report(baseUs_, speed_.baseMs() * microsecondsPerMs, minBaseChangeUs);
 }
 
-bool MeasuredSpeed::isMeasured() const
+bool MeasuredSpeed::hasServiceSpeed() const
+{
+    return serviceMsPerToken_ > 0;
+}
+
+double MeasuredSpeed::ratioToService() const
+{
+    return ratios_.count() >= minRatios ? ratios_.quantile(0.5) : 1;
+}
+
+bool MeasuredSpeed::isKnown() const
 {
-    return speed_.isMeasured();
+    return speed_.isMeasured() || hasServiceSpeed();
 }
 
 double MeasuredSpeed::msPerToken() const
 {
-    return speed_.msPerToken();
+    const bool usesService = !speed_.isMeasured() && hasServiceSpeed();
+    return usesService ? ratioToService() * serviceMsPerToken_ : speed_.msPerToken();
 }
 
 std::uint32_t MeasuredSpeed::reportedNsPerToken() const
--- a/src/direct/reading_queue.cpp
+++ b/src/direct/reading_queue.cpp
@@ -79,6 +79,7 @@
 void ReadingQueue::Impl::applyRequest(PeerHandle peer, const wire::ReadingRequest &message, TimePoint now)
 {
     const Key key{peer, message.call()};
+    speed.setServiceSpeed(message.service_ns_per_token(), message.service_base_us());
     Request request;
     request.tokens = message.tokens();
     request.priority = message.priority();
@@ -180,7 +181,7 @@
 void ReadingQueue::Impl::updateBudget(TimePoint now)
 {
     budget = 0;
-    if (!policy.has(Mechanism::ReadingTurns) || !speed.isMeasured()) {
+    if (!policy.has(Mechanism::ReadingTurns) || !speed.isKnown()) {
         return;
     }
     std::optional<Duration> limit;
@@ -280,7 +281,7 @@
 
 double ReadingQueue::msPerToken() const
 {
-    return impl_->speed.isMeasured() ? impl_->speed.msPerToken() : 0;
+    return impl_->speed.isKnown() ? impl_->speed.msPerToken() : 0;
 }
 
 double ReadingQueue::shareBeyondPause() const
--- a/src/direct/reading_reports.cpp
+++ b/src/direct/reading_reports.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr double nsPerMs = 1e6;
+constexpr double usPerMs = 1e3;
+
 Duration shorter(Duration known, Duration other)
 {
     return known == Duration(0) || (other != Duration(0) && other < known) ? other : known;
@@ -94,6 +97,10 @@
     request.set_workspace(call.workspace);
     request.set_pause_us(static_cast<std::uint64_t>(call.pauseLimit.count()));
     request.set_sent(call.reading.isSent);
+    if (const auto &speed = estimates[call.service].reading; speed.isMeasured()) {
+        request.set_service_ns_per_token(static_cast<std::uint32_t>(speed.msPerToken() * nsPerMs));
+        request.set_service_base_us(static_cast<std::uint32_t>(speed.baseMs() * usPerMs));
+    }
 }
 
 void DirectCalls::Impl::reportSent(CallHandle handle, DirectCall &call, const EndpointEntry &entry, TimePoint now)
