A target removed while it connects no longer ends all connections of a process

Cause: the monitor's receiving socket was closed while the dealer was still being connected, and the next event blocked the I/O thread of ZeroMQ. The monitor is now stopped first, as in reopenConnection.

--- a/src/net/messenger_impl.h
+++ b/src/net/messenger_impl.h
@@ -128,6 +128,7 @@
     void openDealer(Target &target);
     void reopenConnection(Target &target);
     void removeTarget(const std::string &name);
+    void closeSockets(Target &target);
     void send(Outgoing message);
     void sendToPeer(Outgoing message);
     void sendToTarget(Target &target, Outgoing message);
--- a/src/net/messenger_thread.cpp
+++ b/src/net/messenger_thread.cpp
@@ -53,6 +53,9 @@
             }
         }
     }
+    for (auto &[name, target] : targets) {
+        closeSockets(*target);
+    }
     targets.clear();
     router.close();
 }
@@ -151,12 +154,22 @@
     if (found == targets.end()) {
         return;
     }
-    socketWatch.remove(found->second->dealer);
-    socketWatch.remove(found->second->monitor);
+    closeSockets(*found->second);
     targets.erase(found);
     waitingTargets.erase(name);
 }
 
+// Ends the monitor before its receiving socket is closed. Without a receiver, the next event of the connection would
+// block the I/O thread of ZeroMQ for ever, and with it all connections of this process.
+void Messenger::Impl::closeSockets(Target &target)
+{
+    socketWatch.remove(target.dealer);
+    socketWatch.remove(target.monitor);
+    zmq_socket_monitor(target.dealer.handle(), nullptr, 0);
+    target.monitor.close();
+    target.dealer.close();
+}
+
 void Messenger::Impl::connectTarget(const std::string &name, const std::string &address, std::uint64_t epoch)
 {
     auto &target = targets[name];
@@ -164,8 +177,7 @@
         return;
     }
     if (target) {
-        socketWatch.remove(target->dealer);
-        socketWatch.remove(target->monitor);
+        closeSockets(*target);
     }
     waitingTargets.erase(name);
     target = std::make_unique<Target>();
@@ -222,12 +234,8 @@
 {
     target.epoch = nextEpoch();
     target.wasUpBefore = true;
-    socketWatch.remove(target.dealer);
-    socketWatch.remove(target.monitor);
-    zmq_socket_monitor(target.dealer.handle(), nullptr, 0);
-    target.monitor.close();
     target.dealer.set(zmq::sockopt::linger, 0);
-    target.dealer.close();
+    closeSockets(target);
     openDealer(target);
 }
 
--- a/tests/unit/net_test.cpp
+++ b/tests/unit/net_test.cpp
@@ -121,6 +121,24 @@
     EXPECT_EQ(entryEvents.fromTargets[0].protocol(), wireProtocol);
 }
 
+// Guards against connections that are all dead after a target was removed while its connection was being opened.
+TEST(MessengerTest, TargetsRemovedWhileConnectingDisturbNoOther)
+{
+    EventRecorder entryEvents;
+    EventRecorder sidecarEvents;
+    const auto entry = makeMessenger(entryEvents, "entry");
+    const auto sidecar = makeMessenger(sidecarEvents, "sidecar");
+    for (int i = 0; i < 300; ++i) {
+        const auto name = "removed-" + std::to_string(i);
+        entry->connectTo(name, addressOf(*sidecar));
+        std::this_thread::sleep_for(std::chrono::microseconds(20 * (i % 100))); // meets each step of the handshake
+        entry->disconnectFrom(name);
+    }
+    entry->connectTo("sidecar", addressOf(*sidecar));
+    entry->sendTo("sidecar", makeCallRequest(1));
+    EXPECT_TRUE(sidecarEvents.wait([&] { return sidecarEvents.fromPeers.size() == 1; }));
+}
+
 // Guards against keeping a connection that stopped delivering messages without a reset while ZeroMQ heartbeats are
 // off.
 TEST(MessengerTest, SilentTargetIsReconnected)
