--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -202,7 +202,6 @@
     SlotLeases, ///< shares the slots of contended plain endpoints between entries
     ReadingTurns, ///< orders the reading of prompts at a contended engine
     EngineSpeeds, ///< uses the measured reading speed of each engine
-    AdapterPlaces, ///< limits copies of adapters while adapter slots are contended
     StateDeltas, ///< sends the changes of an engine's adapters instead of its whole state
     Count
 };
@@ -210,11 +209,11 @@
 struct EnumNames<Mechanism>
 {
     static constexpr std::array<std::string_view, enumCount<Mechanism>> table{
-        "kept_parts",      "sampling",       "home",          "load_price",     "others_work",   "planned_work",
-        "popularity",      "awaited",        "slot_queue",    "store_forecast", "copies",        "slowness",
-        "avoidance",       "unreachable",    "early_refusal", "late_rank",      "in_time_first", "load_window",
-        "learned_reading", "learned_loads",  "learned_runs",  "learned_orders", "slot_leases",   "reading_turns",
-        "engine_speeds",   "adapter_places", "state_deltas"};
+        "kept_parts",      "sampling",      "home",          "load_price",     "others_work",   "planned_work",
+        "popularity",      "awaited",       "slot_queue",    "store_forecast", "copies",        "slowness",
+        "avoidance",       "unreachable",   "early_refusal", "late_rank",      "in_time_first", "load_window",
+        "learned_reading", "learned_loads", "learned_runs",  "learned_orders", "slot_leases",   "reading_turns",
+        "engine_speeds",   "state_deltas"};
 };
 
 /// Weights of the endpoint choice, expressed as additional waiting time. Times of loads, prompts and calls are
--- a/src/direct/state_delta.h
+++ b/src/direct/state_delta.h
@@ -39,7 +39,6 @@
     to.set_reading_budget(from.reading_budget());
     to.set_reading_queued(from.reading_queued());
     to.set_streams(from.streams());
-    to.set_slot_free_ms(from.slot_free_ms());
 }
 
 /// Sorts the adapters by name. Deltas require states in this order.
