One place for the units of messages and for the limits of a service's streams

Three files had the same unit constants, three the same conversion to microseconds, and entry and sidecar each a struct of stream limits.

--- a/src/direct/engine_speed.cpp
+++ b/src/direct/engine_speed.cpp
@@ -1,14 +1,14 @@
 // Selection of the reading speed of an engine, and reported speeds that are kept for an address.
 #include "engine_speed.h"
 
+#include "wire_units.h"
+
 #include <cmath>
 
 namespace anvilscale {
 
 namespace {
 
-constexpr double nsPerMs = 1e6;
-constexpr double usPerMs = 1e3;
 // Within this ratio the service's estimate is used: the difference is within the error of a measurement.
 constexpr double minDifference = 0.1;
 // Bounds the memory for the speeds of engines that were removed.
--- a/src/direct/measured_speed.cpp
+++ b/src/direct/measured_speed.cpp
@@ -1,6 +1,8 @@
 // Reported figures of an engine's speed.
 #include "measured_speed.h"
 
+#include "wire_units.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,8 +14,6 @@
 // more than a tenth.
 constexpr double minReportedChange = 0.06;
 constexpr double minBaseChangeUs = 2000; // a few steps; less does not matter beside the time of a prompt
-constexpr double nanosecondsPerMs = 1e6;
-constexpr double microsecondsPerMs = 1e3;
 // Weight of the newest report of the service's speed: entries measure it from different calls.
 constexpr double newReportWeight = 0.1;
 constexpr std::size_t minRatios = 6; // samples from which the ratio to the service's speed is used
@@ -42,8 +42,8 @@
         return;
     }
     const double weight = hasServiceSpeed() ? newReportWeight : 1;
-    serviceMsPerToken_ += weight * (nsPerToken / nanosecondsPerMs - serviceMsPerToken_);
-    serviceBaseMs_ += weight * (baseUs / microsecondsPerMs - serviceBaseMs_);
+    serviceMsPerToken_ += weight * (nsPerToken / nsPerMs - serviceMsPerToken_);
+    serviceBaseMs_ += weight * (baseUs / usPerMs - serviceBaseMs_);
 }
 
 void MeasuredSpeed::add(std::uint64_t tokens, Duration elapsed)
@@ -57,11 +57,11 @@
         ratios_.add(milliseconds(elapsed) / expected);
     }
     if (speed_.isMeasured()) {
-        report(nsPerToken_, speed_.msPerToken() * nanosecondsPerMs, 0);
-        report(baseUs_, speed_.baseMs() * microsecondsPerMs, minBaseChangeUs);
+        report(nsPerToken_, speed_.msPerToken() * nsPerMs, 0);
+        report(baseUs_, speed_.baseMs() * usPerMs, minBaseChangeUs);
     } else if (ratios_.count() >= minRatios) {
-        report(nsPerToken_, msPerToken() * nanosecondsPerMs, 0);
-        report(baseUs_, ratioToService() * serviceBaseMs_ * microsecondsPerMs, minBaseChangeUs);
+        report(nsPerToken_, msPerToken() * nsPerMs, 0);
+        report(baseUs_, ratioToService() * serviceBaseMs_ * usPerMs, minBaseChangeUs);
     }
 }
 
--- a/src/direct/reading_queue.cpp
+++ b/src/direct/reading_queue.cpp
@@ -29,8 +29,8 @@
 
 void ReadingQueue::applyPlan(const wire::EnginePlan &plan, TimePoint now)
 {
-    const Impl::StreamLimits limits{Duration(plan.shortest_objective_us()), Duration(plan.longest_objective_us()),
-                                    Duration(plan.shortest_pause_us())};
+    const StreamLimits limits{Duration(plan.shortest_objective_us()), Duration(plan.longest_objective_us()),
+                              Duration(plan.shortest_pause_us())};
     if (limits.shortestObjective == Duration(0) || limits == impl_->limits) {
         return;
     }
--- a/src/direct/reading_queue.h
+++ b/src/direct/reading_queue.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "measured_speed.h"
+#include "stream_limits.h"
 #include "stream_pauses.h"
 #include "workspace_shares.h"
 
@@ -12,14 +13,6 @@
 struct ReadingQueue::Impl
 {
     using Key = std::pair<PeerHandle, std::uint64_t>; // entry, its name of the call
-    /// Of the routes of the service's streams; 0: there are none, or no plan was received.
-    struct StreamLimits
-    {
-        Duration shortestObjective{};
-        Duration longestObjective{};
-        Duration shortestPause{};
-        bool operator==(const StreamLimits &) const = default;
-    };
     struct Request
     {
         std::uint64_t tokens = 0;
@@ -112,7 +105,7 @@
     void updateDueAt(TimePoint now);
 
     DirectPolicy policy;
-    StreamLimits limits;
+    StreamLimits limits; // of the engine's service; all 0 until a plan was received
     std::map<Key, Prompt> prompts; // in prefill
     std::map<Key, Stream> streams; // running
     WaitingMap waitingRequests;
--- a/src/direct/reading_reports.cpp
+++ b/src/direct/reading_reports.cpp
@@ -1,5 +1,6 @@
 // Reports of prompts to the sidecars of their engines: sent, read, ended or withdrawn.
 #include "direct_calls_impl.h"
+#include "wire_units.h"
 
 #include <algorithm>
 #include <cmath>
@@ -8,19 +9,11 @@
 
 namespace {
 
-constexpr double nsPerMs = 1e6;
-constexpr double usPerMs = 1e3;
-
 Duration shorter(Duration known, Duration other)
 {
     return known == Duration(0) || (other != Duration(0) && other < known) ? other : known;
 }
 
-std::uint64_t remainingUs(TimePoint end, TimePoint now)
-{
-    return static_cast<std::uint64_t>(std::max(Duration(0), end - now).count());
-}
-
 } // namespace
 
 std::map<std::string, StreamLimits> findStreamLimits(const DirectConfig &config)
@@ -46,9 +39,9 @@
     if (found == streamLimits.end()) {
         return;
     }
-    plan.set_shortest_objective_us(static_cast<std::uint64_t>(found->second.shortestObjective.count()));
-    plan.set_longest_objective_us(static_cast<std::uint64_t>(found->second.longestObjective.count()));
-    plan.set_shortest_pause_us(static_cast<std::uint64_t>(found->second.shortestPause.count()));
+    plan.set_shortest_objective_us(toMicroseconds(found->second.shortestObjective));
+    plan.set_longest_objective_us(toMicroseconds(found->second.longestObjective));
+    plan.set_shortest_pause_us(toMicroseconds(found->second.shortestPause));
 }
 
 // Sidecars measure the speed of their engines by these reports, also where no turns apply.
@@ -91,11 +84,11 @@
     auto &request = *update->add_requests();
     request.set_call(call.reading.number);
     request.set_tokens(static_cast<std::uint64_t>(std::ceil(call.unreadTokens)));
-    request.set_slack_us(remainingUs(call.arrivedAt + call.objective, now));
-    request.set_limit_us(remainingUs(call.firstByteBy, now));
+    request.set_slack_us(toMicroseconds(call.arrivedAt + call.objective - now));
+    request.set_limit_us(toMicroseconds(call.firstByteBy - now));
     request.set_priority(call.priority);
     request.set_workspace(call.workspace);
-    request.set_pause_us(static_cast<std::uint64_t>(call.pauseLimit.count()));
+    request.set_pause_us(toMicroseconds(call.pauseLimit));
     request.set_sent(call.reading.isSent);
     if (const auto &speed = estimates[call.service].reading; speed.isMeasured()) {
         request.set_service_ns_per_token(static_cast<std::uint32_t>(speed.msPerToken() * nsPerMs));
@@ -123,7 +116,7 @@
         auto &end = *update->add_ends();
         end.set_call(call.reading.number);
         end.set_stage(wire::READING_READ);
-        end.set_elapsed_us(remainingUs(now, call.stepStartedAt));
+        end.set_elapsed_us(toMicroseconds(now - call.stepStartedAt));
     }
 }
 
@@ -145,7 +138,7 @@
         auto &end = *update->add_ends();
         end.set_call(reading.number);
         end.set_stage(reading.isSent ? wire::READING_ENDED : wire::READING_WITHDRAWN);
-        end.set_longest_pause_us(reading.isSent ? static_cast<std::uint64_t>(call.longestPause.count()) : 0);
+        end.set_longest_pause_us(reading.isSent ? toMicroseconds(call.longestPause) : 0);
     }
 }
 
--- a/src/direct/reading_turns.h
+++ b/src/direct/reading_turns.h
@@ -2,6 +2,8 @@
 // streams of a service need.
 #pragma once
 
+#include "stream_limits.h"
+
 #include "anvilscale/direct.h"
 
 namespace anvilscale {
@@ -24,14 +26,6 @@
     bool isUrgent = false; // sent at the end of this pass of the control loop, otherwise at the next tick
 };
 
-/// Over the routes whose streams a service serves; 0: none.
-struct StreamLimits
-{
-    Duration shortestObjective{};
-    Duration longestObjective{};
-    Duration shortestPause{};
-};
-
 /// Limits by service.
 std::map<std::string, StreamLimits> findStreamLimits(const DirectConfig &config);
 
--- a/src/direct/slot_calls.cpp
+++ b/src/direct/slot_calls.cpp
@@ -1,5 +1,6 @@
 // Calls to contended plain services: the slot that each call requests from a sidecar, and its return.
 #include "direct_calls_impl.h"
+#include "wire_units.h"
 
 #include <algorithm>
 
@@ -7,18 +8,12 @@
 
 namespace {
 
-// Further requests of a call are not made: its endpoints change faster than sidecars hear of it.
+// Bounds the requests of one call: its endpoints change faster than their changes reach the sidecar.
 constexpr std::uint32_t maxSlotRequests = 4;
 // Part of the time until its deadline that a call may wait if it is late already.
 constexpr int lateWaitDivisor = 4;
 constexpr std::uint32_t firstServerError = 500;
 
-std::uint64_t toMicroseconds(Duration span)
-{
-    const auto us = std::chrono::duration_cast<std::chrono::microseconds>(span).count();
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, us));
-}
-
 bool isFailure(const AttemptResult &result)
 {
     return result.end == AttemptEnd::Unreachable || result.end == AttemptEnd::Broken
--- a/src/direct/slot_table.cpp
+++ b/src/direct/slot_table.cpp
@@ -1,6 +1,8 @@
 // Slots of plain endpoints: which of the waiting calls of all entries gets a slot, and at which endpoint.
 #include "slot_table.h"
 
+#include "wire_units.h"
+
 #include <algorithm>
 
 namespace anvilscale {
@@ -25,11 +27,6 @@
     return std::chrono::microseconds(std::min(us, most));
 }
 
-std::uint64_t toMicroseconds(Duration span)
-{
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(span).count());
-}
-
 double smoothed(double before, double value)
 {
     return before == 0 ? value : before + runWeight * (value - before);
