Log how an answer was framed and whether it ended inside an event

They now name the framing of the endpoint's answer, and whether an event stream that is complete by its framing ended inside an event. The HTTP client tells the latter by an outcome of its own, which its users still treat as complete: no decision changes.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -332,6 +332,21 @@
     }
 };
 
+/// How an endpoint marks the end of an answer.
+enum class AnswerFraming : std::uint8_t {
+    None, ///< no answer
+    Length,
+    Chunked,
+    UntilClose, ///< by closing its connection
+    Count
+};
+template<>
+struct EnumNames<AnswerFraming>
+{
+    static constexpr std::array<std::string_view, enumCount<AnswerFraming>> table{"none", "length", "chunked",
+                                                                                  "until_close"};
+};
+
 struct AttemptResult
 {
     AttemptEnd end = AttemptEnd::Broken;
@@ -339,6 +354,8 @@
     std::uint32_t status = 0; ///< of the endpoint's answer; 0 without an answer
     bool callerHasBytes = false; ///< part of the answer has been sent to the caller
     Duration longestPause{}; ///< longest interval between parts of an event stream, as received from the endpoint
+    AnswerFraming framing = AnswerFraming::None;
+    bool isTruncated = false; ///< an event stream that ended inside an event, although complete by its framing
 };
 
 /// Actions for the owner of the sockets.
@@ -458,6 +475,8 @@
     EndedOutcome outcome = EndedOutcome::Answered;
     std::string reason; ///< name of the RefusalReason or FailureReason; empty on success
     std::uint32_t status = 0; ///< of the endpoint's answer; 0 without an answer
+    AnswerFraming framing = AnswerFraming::None; ///< of the endpoint's answer
+    bool isTruncated = false; ///< the answer ended inside an event
     std::string service;
     std::string workspace; ///< empty if unknown
     std::string adapter;
--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -141,6 +141,26 @@
     std::size_t trailerBytes_ = 0;
 };
 
+/// Incremental parser of the bounds of events in an event stream, whose lines end with LF, CR or CRLF.
+class EventBounds
+{
+public:
+    void read(std::string_view data);
+    /// True between the first byte of an event and the empty line that ends it. A complete comment line is no event.
+    bool isInsideEvent() const;
+
+private:
+    void endLine();
+
+    bool isLineEmpty_ = true;
+    bool isComment_ = false; // the current line
+    bool hasFields_ = false; // complete lines of the current event
+    bool followsReturn_ = false; // the last byte was a CR, so that a LF belongs to the same line end
+};
+
+/// True for a response whose body is an event stream.
+bool isEventStream(const HttpHeaders &headers);
+
 /// A request. `body` is filled once it has been received completely.
 struct HttpRequestData
 {
@@ -303,6 +323,7 @@
 /// Outcome of an exchange with an endpoint.
 enum class ExchangeEnd : std::uint8_t {
     Complete,
+    Truncated, ///< complete by its framing, but an event stream that ended inside an event
     Unreachable, ///< connection refused or not established: no byte was sent
     Broken, ///< bytes may have been sent; the response is incomplete
     CancelConfirmed, ///< after a cancel the endpoint closed its side or ended its response
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -52,6 +52,8 @@
                                     {"end", std::string(toString(attempt.result.end))},
                                     {"refusal", std::string(toString(attempt.result.refusal))},
                                     {"status", std::uint64_t{attempt.result.status}},
+                                    {"framing", std::string(toString(attempt.result.framing))},
+                                    {"truncated", attempt.result.isTruncated},
                                     {"callerHasBytes", attempt.result.callerHasBytes},
                                     {"afterMs", toMilliseconds(attempt.elapsed)}});
 }
@@ -79,6 +81,8 @@
               {"outcome", std::string(toString(call.outcome))},
               {"reason", call.reason},
               {"status", std::uint64_t{call.status}},
+              {"framing", std::string(toString(call.framing))},
+              {"truncated", call.isTruncated},
               {"service", call.service},
               {"workspace", call.workspace},
               {"adapter", call.adapter},
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -100,6 +100,8 @@
         call.holdAnswer = action.holdAnswer;
         call.heldReply = HttpReply{};
         call.answer = EndpointAnswer{};
+        call.framing = AnswerFraming::None;
+        call.isTruncated = false;
         const auto remaining = action.deadline - EventLoop::now();
         if (remaining <= Duration(0)) {
             AttemptResult result;
@@ -186,6 +188,8 @@
         HttpClient *client = nullptr; // of the current attempt; null if none is in progress
         ExchangeId upstreamExchange = 0;
         EndpointAnswer answer;
+        AnswerFraming framing = AnswerFraming::None; // of the answer
+        bool isTruncated = false; // the answer ended inside an event
         HttpReply heldReply; // the answer received so far, while none of it has been forwarded
         TimePoint lastPartAt{}; // arrival of the last part of a forwarded answer
         Duration longestPause{}; // between two parts
@@ -211,6 +215,21 @@
         return reply;
     }
 
+    static AnswerFraming framingOf(const HttpResponseHead &head)
+    {
+        switch (head.body.framing()) {
+        case HttpBodyReader::Framing::Length:
+            return AnswerFraming::Length;
+        case HttpBodyReader::Framing::Chunked:
+            return AnswerFraming::Chunked;
+        case HttpBodyReader::Framing::UntilClose:
+            return AnswerFraming::UntilClose;
+        case HttpBodyReader::Framing::Count:
+            break;
+        }
+        return AnswerFraming::None;
+    }
+
     HttpClient &clientFor(const std::string &address)
     {
         auto &client = clients_[address];
@@ -237,6 +256,7 @@
     void onHead(HttpExchange exchange, const HttpResponseHead &head)
     {
         auto &call = calls_.at(exchange.value);
+        call.framing = framingOf(head);
         call.answer = Dialect::readAnswer(head, call.requestId, call.endpointId);
         if (call.answer.kind == AnswerKind::Foreign) {
             stopAttempt(call);
@@ -302,6 +322,7 @@
         }
         auto &call = found->second;
         call.client = nullptr;
+        call.isTruncated = end == ExchangeEnd::Truncated;
         const auto status = call.heldReply.status;
         if (end == ExchangeEnd::Unreachable) {
             endAttempt(exchange, call, AttemptEnd::Unreachable, 0);
@@ -311,7 +332,8 @@
             endAttempt(exchange, call, AttemptEnd::Refused, status);
             return;
         }
-        if (end != ExchangeEnd::Complete || call.answer.kind == AnswerKind::Foreign) {
+        const bool isComplete = end == ExchangeEnd::Complete || end == ExchangeEnd::Truncated;
+        if (!isComplete || call.answer.kind == AnswerKind::Foreign) {
             endAttempt(exchange, call, AttemptEnd::Broken, status);
             return;
         }
@@ -328,6 +350,8 @@
         result.end = AttemptEnd::Answered;
         result.status = status;
         result.longestPause = call.longestPause;
+        result.framing = call.framing;
+        result.isTruncated = call.isTruncated;
         const auto reportedAttempt = call.reportedAttempt;
         calls_.erase(found);
         handlers_.onAttemptEnded(exchange, reportedAttempt, result);
@@ -341,6 +365,8 @@
         result.status = status;
         result.callerHasBytes = call.isForwarding;
         result.longestPause = call.longestPause;
+        result.framing = call.framing;
+        result.isTruncated = call.isTruncated;
         handlers_.onAttemptEnded(exchange, call.reportedAttempt, result);
     }
 
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -37,6 +37,8 @@
     }
     impl.stats.ends.add(result.end);
     call.longestPause = result.longestPause;
+    call.framing = result.framing;
+    call.isTruncated = result.isTruncated;
     if (result.end != AttemptEnd::Answered) {
         impl.failedAttempts.push_back(
             {call.info.requestId, call.info.fingerprint, attempt, call.endpointId, result, now - call.stepStartedAt});
@@ -201,6 +203,8 @@
     done.outcome = outcome;
     done.reason = reason;
     done.status = status;
+    done.framing = call.framing;
+    done.isTruncated = call.isTruncated;
     done.service = call.service;
     done.workspace = call.workspace;
     done.adapter = call.info.adapter;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -80,6 +80,8 @@
     Duration slotWait{};
     std::optional<Duration> firstByte;
     Duration longestPause{}; // longest interval between parts of its answer
+    AnswerFraming framing = AnswerFraming::None; // of its last answer
+    bool isTruncated = false; // its last answer ended inside an event
 
     AdapterName adapterName() const
     {
--- a/src/endpoint/endpoint_runner.h
+++ b/src/endpoint/endpoint_runner.h
@@ -271,6 +271,7 @@
     {
         switch (end) {
         case ExchangeEnd::Complete:
+        case ExchangeEnd::Truncated:
             return {CallOutcome::Complete, FailureReason::None, 0};
         case ExchangeEnd::Unreachable:
             return {CallOutcome::Failed, FailureReason::EndpointUnreachable, 0};
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -2,7 +2,6 @@
 #include "http_answer.h"
 
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/String.h>
 
 #include <charconv>
 #include <sstream>
@@ -54,8 +53,7 @@
     hasBegun_ = true;
     status_ = status;
     headers_ = std::move(headers);
-    const auto *contentType = findHeader(headers_, "Content-Type");
-    isEventStream_ = contentType != nullptr && Poco::toLower(*contentType).starts_with("text/event-stream");
+    isEventStream_ = anvilscale::isEventStream(headers_);
     if (isEventStream_) {
         startForwarding();
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -39,6 +39,7 @@
     std::size_t writtenBytes = 0;
     std::string input;
     HttpResponseHead response;
+    std::optional<EventBounds> events; // of the response, if it is an event stream
     bool isHeadRequest = false;
     bool isPaused = false;
     bool hasDeadline = false; // the timer bounds the whole exchange, not only connecting
@@ -75,6 +76,7 @@
     bool readHead(Connection &connection);
     void readBody(Connection &connection);
     void onClosed(Connection &connection);
+    static ExchangeEnd completeEnd(const Connection &connection);
     void finish(Connection &connection, ExchangeEnd end);
     static void resetOnClose(Connection &connection);
     void closeConnection(Connection &connection);
@@ -385,6 +387,10 @@
         return true; // interim response
     }
     connection.response = std::move(*parsed);
+    connection.events.reset();
+    if (isEventStream(connection.response.headers)) {
+        connection.events.emplace();
+    }
     connection.step = Step::Body;
     const auto key = connection.key;
     if (connection.handlers.head) {
@@ -399,6 +405,9 @@
     auto &body = connection.response.body;
     const auto consumed = body.read(connection.input, data);
     connection.input.erase(0, consumed);
+    if (connection.events) {
+        connection.events->read(data);
+    }
     const auto key = connection.key;
     if (!data.empty() && connection.handlers.data) {
         connection.handlers.data(std::move(data));
@@ -409,7 +418,7 @@
     if (body.isBroken()) {
         finish(connection, ExchangeEnd::Broken);
     } else if (body.isDone()) {
-        finish(connection, ExchangeEnd::Complete);
+        finish(connection, completeEnd(connection));
     }
 }
 
@@ -422,7 +431,14 @@
     const bool isComplete = connection.step == Step::Body
                             && connection.response.body.framing() == HttpBodyReader::Framing::UntilClose
                             && !connection.response.body.isDone();
-    finish(connection, isComplete ? ExchangeEnd::Complete : ExchangeEnd::Broken);
+    finish(connection, isComplete ? completeEnd(connection) : ExchangeEnd::Broken);
+}
+
+// The end of a response that is complete by its framing.
+ExchangeEnd HttpClient::Impl::completeEnd(const Connection &connection)
+{
+    const bool isTruncated = connection.events && connection.events->isInsideEvent();
+    return isTruncated ? ExchangeEnd::Truncated : ExchangeEnd::Complete;
 }
 
 void HttpClient::Impl::finish(Connection &connection, ExchangeEnd end)
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <future>
+#include <map>
 
 namespace anvilscale {
 namespace {
@@ -142,6 +143,29 @@
     EXPECT_EQ(waitForEnd(broken), ExchangeEnd::Broken);
 }
 
+// Guards against taking a stream for complete that its endpoint broke off inside an event, however it is framed.
+TEST_F(HttpClientTest, StreamThatEndsInsideAnEventIsTruncated)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    const std::map<std::string, ExchangeEnd> ends{
+        {"\r\ndata: a\n\n", ExchangeEnd::Complete},
+        {"\r\ndata: a\n\ndata: b\n", ExchangeEnd::Truncated},
+        {"Content-Length: 9\r\n\r\ndata: a\n\n", ExchangeEnd::Complete},
+        {"Content-Length: 7\r\n\r\ndata: a", ExchangeEnd::Truncated},
+        {"Content-Length: 9\r\n\r\ndata: a", ExchangeEnd::Broken},
+        {"Transfer-Encoding: chunked\r\n\r\n7\r\ndata: a\r\n0\r\n\r\n", ExchangeEnd::Truncated},
+        {"Transfer-Encoding: chunked\r\n\r\n9\r\ndata: a\n\n\r\n", ExchangeEnd::Broken},
+    };
+    for (const auto &[response, expected] : ends) {
+        auto end = start();
+        auto socket = acceptConnection();
+        readRequest(socket);
+        send(socket, head + response);
+        socket.close();
+        EXPECT_EQ(waitForEnd(end), expected) << response;
+    }
+}
+
 // Guards against reusing a connection whose request body is not sent completely: the endpoint would read the next
 // request as part of that body.
 TEST_F(HttpClientTest, EarlyResponseEndsConnection)
