Failing tests: a stream that ends inside an event looks complete

Both paths, entry and sidecar: the endpoint frames a stream by the end of its connection and closes it inside an event.

--- a/tests/process/direct_test.cpp
+++ b/tests/process/direct_test.cpp
@@ -116,6 +116,30 @@
     EXPECT_FALSE(bytes.ends_with("0\r\n\r\n")) << bytes;
 }
 
+// Guards against a truncated stream that looks complete to its caller: the endpoint marks the end of the stream only by
+// closing its connection, and closes it inside an event.
+TEST_F(Direct, UnframedStreamThatEndsInsideAnEventDoesNotLookComplete)
+{
+    start();
+    EXPECT_EQ(call("/s/x", "r-1", "a1").status, 200);
+    controlStandin(enginePort_, R"({"fault":"unframed_break","times":1})", sidecarAddress);
+    const auto bytes = rawCall("/s/x", "r-2", "a1");
+    EXPECT_NE(bytes.find("piece 2"), std::string::npos) << bytes;
+    EXPECT_EQ(bytes.find("id: 3"), std::string::npos) << bytes;
+    EXPECT_FALSE(bytes.ends_with("0\r\n\r\n")) << bytes;
+}
+
+// Guards against cutting a complete stream that ends with its endpoint's connection.
+TEST_F(Direct, UnframedStreamIsForwardedCompletely)
+{
+    start();
+    EXPECT_EQ(call("/s/x", "r-1", "a1").status, 200);
+    controlStandin(enginePort_, R"({"fault":"unframed","times":1})", sidecarAddress);
+    const auto bytes = rawCall("/s/x", "r-2", "a1");
+    EXPECT_NE(bytes.find("piece 5"), std::string::npos) << bytes;
+    EXPECT_TRUE(bytes.ends_with("0\r\n\r\n")) << bytes;
+}
+
 // Guards against forwarding another request's late answer.
 TEST_F(Direct, AnotherRequestsAnswerIsNotPassedOn)
 {
--- a/tests/standins/site_replica.cpp
+++ b/tests/standins/site_replica.cpp
@@ -1,6 +1,7 @@
 // Stand-in for a replica of the users' platform: a model engine with adapter slots, or a plain service without slots.
 // GET /standin returns executed calls with their workspaces and received orders. POST /standin sets:
-//   {"fault": "break" | "refuse" | "foreign" | "mute", "times": N}  fault of the next N calls
+//   {"fault": "break" | "unframed" | "unframed_break" | "refuse" | "foreign" | "mute", "times": N}  fault of the next N
+//                         calls; "unframed": a stream that ends with its connection, "_break": inside an event
 //   {"lostOrders": N}     the next N orders are executed, but not answered
 //   {"id": "i-2"}         restarts the replica under another id
 //   {"crashOn": "TEXT"}   cuts the connection of each call whose body contains the text
@@ -246,9 +247,14 @@
     static void answerStream(HTTPServerRequest &request, HTTPServerResponse &response, const std::string &fault)
     {
         response.setContentType("text/event-stream");
-        response.setChunkedTransferEncoding(true);
+        response.setChunkedTransferEncoding(!fault.starts_with("unframed"));
         auto &out = response.send();
         for (int i = 1; i <= eventsPerStream; ++i) {
+            if (fault == "unframed_break" && i == 3) {
+                out << "id: " << i << "\ndata: pie" << std::flush;
+                closeConnection(request);
+                return;
+            }
             out << "id: " << i << "\ndata: piece " << i << "\n\n" << std::flush;
             if (fault == "break" && i == 2) {
                 closeConnection(request);
