A stream that ends inside an event counts as broken off

Callers got a short answer that was framed as complete: an endpoint marked the end of its stream only by closing the connection, broke off inside an event, and the entry took the close for the end (HttpClient::onClosed) and wrote the last chunk. The sidecar of the relayed path reported the outcome complete for the same reason.

Fix: the HTTP client follows the bounds of events and ends such a stream as truncated, whatever its framing; both paths treat that as broken. A stream without length or chunks that ends before its first event is truncated too: nothing distinguishes it from one that was cut off.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -148,6 +148,8 @@
     void read(std::string_view data);
     /// True between the first byte of an event and the empty line that ends it. A complete comment line is no event.
     bool isInsideEvent() const;
+    /// True once an event has ended.
+    bool hasEvent() const;
 
 private:
     void endLine();
@@ -155,6 +157,7 @@
     bool isLineEmpty_ = true;
     bool isComment_ = false; // the current line
     bool hasFields_ = false; // complete lines of the current event
+    bool hasEvent_ = false;
     bool followsReturn_ = false; // the last byte was a CR, so that a LF belongs to the same line end
 };
 
@@ -323,7 +326,7 @@
 /// Outcome of an exchange with an endpoint.
 enum class ExchangeEnd : std::uint8_t {
     Complete,
-    Truncated, ///< complete by its framing, but an event stream that ended inside an event
+    Truncated, ///< an event stream that is complete by its framing, but ended inside an event or without any
     Unreachable, ///< connection refused or not established: no byte was sent
     Broken, ///< bytes may have been sent; the response is incomplete
     CancelConfirmed, ///< after a cancel the endpoint closed its side or ended its response
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -332,8 +332,7 @@
             endAttempt(exchange, call, AttemptEnd::Refused, status);
             return;
         }
-        const bool isComplete = end == ExchangeEnd::Complete || end == ExchangeEnd::Truncated;
-        if (!isComplete || call.answer.kind == AnswerKind::Foreign) {
+        if (end != ExchangeEnd::Complete || call.answer.kind == AnswerKind::Foreign) {
             endAttempt(exchange, call, AttemptEnd::Broken, status);
             return;
         }
--- a/src/endpoint/endpoint_runner.h
+++ b/src/endpoint/endpoint_runner.h
@@ -257,7 +257,7 @@
             confirmCancel(key);
             return;
         }
-        if (end == ExchangeEnd::Broken) {
+        if (end == ExchangeEnd::Broken || end == ExchangeEnd::Truncated) {
             ++stats_.brokenAnswers;
         }
         auto outcome = outcomeOf(end);
@@ -271,13 +271,13 @@
     {
         switch (end) {
         case ExchangeEnd::Complete:
-        case ExchangeEnd::Truncated:
             return {CallOutcome::Complete, FailureReason::None, 0};
         case ExchangeEnd::Unreachable:
             return {CallOutcome::Failed, FailureReason::EndpointUnreachable, 0};
         case ExchangeEnd::CancelConfirmed:
             return {CallOutcome::Cancelled, FailureReason::CallerGone, 0};
         case ExchangeEnd::Broken:
+        case ExchangeEnd::Truncated:
         case ExchangeEnd::CancelUnconfirmed:
         case ExchangeEnd::Count:
             break;
--- a/src/net/event_bounds.cpp
+++ b/src/net/event_bounds.cpp
@@ -25,6 +25,7 @@
 void EventBounds::endLine()
 {
     if (isLineEmpty_) {
+        hasEvent_ = hasEvent_ || hasFields_;
         hasFields_ = false;
     } else if (!isComment_) {
         hasFields_ = true;
@@ -37,6 +38,11 @@
     return hasFields_ || !isLineEmpty_;
 }
 
+bool EventBounds::hasEvent() const
+{
+    return hasEvent_;
+}
+
 bool isEventStream(const HttpHeaders &headers)
 {
     const auto *contentType = findHeader(headers, "Content-Type");
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -437,7 +437,12 @@
 // The end of a response that is complete by its framing.
 ExchangeEnd HttpClient::Impl::completeEnd(const Connection &connection)
 {
-    const bool isTruncated = connection.events && connection.events->isInsideEvent();
+    if (!connection.events) {
+        return ExchangeEnd::Complete;
+    }
+    // Nothing but the events of an unframed stream shows that it has not been cut off before its first one.
+    const bool isUnframed = connection.response.body.framing() == HttpBodyReader::Framing::UntilClose;
+    const bool isTruncated = connection.events->isInsideEvent() || (isUnframed && !connection.events->hasEvent());
     return isTruncated ? ExchangeEnd::Truncated : ExchangeEnd::Complete;
 }
 
--- a/tests/unit/event_bounds_test.cpp
+++ b/tests/unit/event_bounds_test.cpp
@@ -44,6 +44,9 @@
     bounds.read(std::string_view(stream).substr(0, cut));
     bounds.read(std::string_view(stream).substr(cut));
     RC_ASSERT(bounds.isInsideEvent() == endsInsideEvent(stream));
+    EventBounds whole;
+    whole.read(stream);
+    RC_ASSERT(bounds.hasEvent() == whole.hasEvent());
 }
 
 } // namespace
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -150,6 +150,8 @@
     const std::map<std::string, ExchangeEnd> ends{
         {"\r\ndata: a\n\n", ExchangeEnd::Complete},
         {"\r\ndata: a\n\ndata: b\n", ExchangeEnd::Truncated},
+        {"\r\n", ExchangeEnd::Truncated},
+        {"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ExchangeEnd::Complete},
         {"Content-Length: 9\r\n\r\ndata: a\n\n", ExchangeEnd::Complete},
         {"Content-Length: 7\r\n\r\ndata: a", ExchangeEnd::Truncated},
         {"Content-Length: 9\r\n\r\ndata: a", ExchangeEnd::Broken},
