Reset the connection of a caller that gets a truncated answer without chunks

The kin of the cut stream, on the side of the caller: an HTTP/1.0 caller takes the end of the connection for the end of the answer, and an entry that had to cut an answer closed the connection in the ordinary way. The answer looked complete.

BrokenStreamDoesNotLookCompleteWithoutChunks failed before: no reset was seen. Such an answer now ends with a reset. Answers in chunks are closed as before, as a reset would discard events that have been sent and not yet read.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -60,6 +60,9 @@
 /// nullopt if the connection is broken. POCO's own call throws the same exception in both cases.
 std::optional<std::size_t> trySend(const Poco::Net::Socket &socket, std::string_view data);
 
+/// Makes close() reset the connection, which discards what is queued in the kernel.
+void resetOnClose(Poco::Net::Socket &socket);
+
 /// Reads the monotonic and the wall clock of the operating system. For daemons and tests with real processes only.
 Now readClocks();
 
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -170,7 +170,10 @@
         answer_.reset();
         state_ = State::Closing;
     }
-    if (answerEnd_ == AnswerEnd::Cut) {
+    if (answerEnd_ == AnswerEnd::Cut || answerEnd_ == AnswerEnd::Reset) {
+        if (answerEnd_ == AnswerEnd::Reset) {
+            resetOnClose(socket_);
+        }
         close();
         context_.onClosed(id_); // destroys this
         return;
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -66,6 +66,15 @@
     return errno == EAGAIN || errno == EWOULDBLOCK ? std::optional<std::size_t>(0) : std::nullopt;
 }
 
+void resetOnClose(Poco::Net::Socket &socket)
+{
+    try {
+        socket.impl()->setLinger(true, 0);
+    } catch (const Poco::Exception &) {
+        return; // already closed by the peer: no data is queued
+    }
+}
+
 struct EventLoop::Impl
 {
     struct WatchedSocket
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -110,7 +110,7 @@
         return;
     }
     if (!isEventStream_) {
-        close(AnswerEnd::Cut);
+        close(cutEnd());
         return;
     }
     forward("event: error\ndata: " + reply.body + "\n\n");
@@ -129,7 +129,7 @@
         this->reply(reply);
         return;
     }
-    close(AnswerEnd::Cut);
+    close(cutEnd());
 }
 
 std::string &HttpAnswer::output()
@@ -199,6 +199,11 @@
     output_.append("\r\n");
 }
 
+AnswerEnd HttpAnswer::cutEnd() const
+{
+    return acceptsChunked_ ? AnswerEnd::Cut : AnswerEnd::Reset;
+}
+
 void HttpAnswer::close(AnswerEnd end)
 {
     heldBody_.clear();
--- a/src/net/http_answer.h
+++ b/src/net/http_answer.h
@@ -11,7 +11,8 @@
     Open, ///< the response is incomplete
     Keep,
     Close,
-    Cut, ///< closed at once, so that the caller detects the truncated response
+    Cut, ///< closed at once: the caller detects the truncated response by its framing
+    Reset, ///< the same for a response that ends with its connection: only a reset shows that it is truncated
     Count
 };
 
@@ -44,6 +45,7 @@
     void forward(std::string_view data);
     void startForwarding();
     void close(AnswerEnd end);
+    AnswerEnd cutEnd() const;
 
     bool keepAlive_;
     bool acceptsChunked_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -78,7 +78,6 @@
     void onClosed(Connection &connection);
     static ExchangeEnd completeEnd(const Connection &connection);
     void finish(Connection &connection, ExchangeEnd end);
-    static void resetOnClose(Connection &connection);
     void closeConnection(Connection &connection);
     void makeIdle(Connection &connection);
     Duration readMaxIdleTime(const HttpResponseHead &response) const;
@@ -248,7 +247,9 @@
 {
     const auto found = connections.find(id);
     if (found != connections.end() && found->second->step != Step::Idle) {
-        resetOnClose(*found->second);
+        // After a plain close, a request queued during a network partition would still be delivered later and run for a
+        // caller that has left.
+        resetOnClose(found->second->socket);
         closeConnection(*found->second);
     }
 }
@@ -456,7 +457,7 @@
         makeIdle(connection);
     } else {
         if (end == ExchangeEnd::Broken) {
-            resetOnClose(connection);
+            resetOnClose(connection.socket);
         }
         closeConnection(connection);
     }
@@ -525,17 +526,6 @@
     }
 }
 
-// Discards data queued in the kernel. After a plain close, a request queued during a network partition would still be
-// delivered later and run for a caller that has left.
-void HttpClient::Impl::resetOnClose(Connection &connection)
-{
-    try {
-        connection.socket.setLinger(true, 0);
-    } catch (const Poco::Exception &) {
-        return; // already closed by the peer: no data is queued
-    }
-}
-
 void HttpClient::Impl::closeConnection(Connection &connection)
 {
     loop.timers().cancel(connection.timer);
--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -4,6 +4,7 @@
 
 #include "fleet.h"
 
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/StreamSocket.h>
 
 #include <array>
@@ -157,10 +158,11 @@
                         {"Authorization", "Bearer " + key}});
     }
     /// Returns all bytes of the answer up to the end of the connection.
-    std::string rawCall(const std::string &path, const std::string &id, const std::string &adapter) const
+    std::string rawCall(const std::string &path, const std::string &id, const std::string &adapter,
+                        const std::string &protocol = "HTTP/1.1") const
     {
         Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(httpPort_)));
-        const auto text = "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
+        const auto text = "POST " + path + " " + protocol + "\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
                           + "\r\nX-Anvilscale-Model: base/" + adapter
                           + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
         socket.sendBytes(text.data(), static_cast<int>(text.size()));
--- a/tests/process/direct_test.cpp
+++ b/tests/process/direct_test.cpp
@@ -129,6 +129,17 @@
     EXPECT_FALSE(bytes.ends_with("0\r\n\r\n")) << bytes;
 }
 
+// Guards against a broken stream that looks complete to a caller of HTTP/1.0, which takes the end of the connection for
+// the end of the answer: the connection must be reset.
+TEST_F(Direct, BrokenStreamDoesNotLookCompleteWithoutChunks)
+{
+    start();
+    EXPECT_EQ(call("/s/x", "r-1", "a1").status, 200);
+    EXPECT_TRUE(rawCall("/s/x", "r-2", "a1", "HTTP/1.0").ends_with("piece 5\n\n"));
+    controlStandin(enginePort_, R"({"fault":"break","times":1})", sidecarAddress);
+    EXPECT_THROW(rawCall("/s/x", "r-3", "a1", "HTTP/1.0"), Poco::Net::ConnectionResetException);
+}
+
 // Guards against cutting a complete stream that ends with its endpoint's connection.
 TEST_F(Direct, UnframedStreamIsForwardedCompletely)
 {
