--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -121,6 +121,7 @@
     std::string address; ///< "IP:PORT"
     std::string dataCentre;
     std::uint32_t slots = 0; ///< number of calls it processes concurrently
+    std::string softwareVersion; ///< of the endpoint's program; not of its models and adapters
     bool leaving = false;
     std::uint64_t startTimeMs = 0; ///< process start in Unix milliseconds, distinguishes incarnations; 0 if unknown
     std::uint64_t era = 0; ///< era of the store in which this record was read
@@ -267,10 +268,19 @@
     KeyDigest digest; ///< of a key that is present
 };
 
+/// A stream that broke off and that its caller resumes with another call.
+struct ResumedStream
+{
+    std::string lastEventId; ///< last event that the caller has
+    /// Request id of the call that brought the stream's first event; empty if the caller does not name it.
+    std::string firstRequestId;
+};
+
 /// Data of a call, taken from its request.
 struct CallInfo
 {
     std::string requestId;
+    std::optional<ResumedStream> resumed; ///< empty for a new call
     CallerKey key;
     CallFingerprint fingerprint;
     std::string host;
@@ -481,6 +491,8 @@
     std::string workspace; ///< empty if unknown
     std::string adapter;
     std::string endpointId; ///< of the last decision
+    std::string softwareVersion; ///< of the endpoint that the call was last sent to
+    std::optional<ResumedStream> resumed; ///< empty for a new call
     std::uint32_t attempts = 0;
     std::uint64_t configVersion = 0;
     Duration estimate{}; ///< estimated time to the first byte, at the last decision
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -460,6 +460,7 @@
             logEvent(Event::EndpointChanged, {{"endpoint", endpoint.id},
                                               {"service", endpoint.service},
                                               {"address", endpoint.address},
+                                              {"softwareVersion", endpoint.softwareVersion},
                                               {"leaving", endpoint.leaving},
                                               {"revision", endpoint.revision}});
         }
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -209,6 +209,8 @@
     done.workspace = call.workspace;
     done.adapter = call.info.adapter;
     done.endpointId = call.endpointId;
+    done.softwareVersion = call.softwareVersion;
+    done.resumed = call.info.resumed;
     done.attempts = call.attempt;
     done.configVersion = config ? config->version : 0;
     done.estimate = call.estimate;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -272,6 +272,7 @@
     call.tokensAhead = forecast.backlogTokens();
     call.readingTime = fromMilliseconds(forecast.backlogMs() + forecast.speed().idleEngineMs(call.unreadTokens));
     call.wasOnlyCall = entry.inFlight == 0;
+    call.softwareVersion = entry.record.softwareVersion;
     ++entry.inFlight;
     if (entry.awaitingFirstByte++ == 0) {
         entry.silentSince = now;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -53,6 +53,7 @@
     std::string endpointId;
     std::uint64_t endpointGeneration = 0; // generation of the EndpointEntry that counts the call
     std::uint64_t endpointStartTimeMs = 0; // start of that process; 0 if unknown
+    std::string softwareVersion; // of the endpoint that it was last sent to
     double uncachedTokens = 0; // prompt tokens that are probably not cached by the endpoint
     double unreadTokens = 0; // the same as work: long prompts count for more
     double tokensAhead = 0; // tokens that the endpoint reads before this call, at sending
--- a/tests/unit/site_dialect_test.cpp
+++ b/tests/unit/site_dialect_test.cpp
@@ -66,6 +66,20 @@
     EXPECT_EQ(info->callerTimeout, Seconds(5));
 }
 
+TEST(SiteCalls, ResumedStreamIsRead)
+{
+    auto request = makeCallerRequest();
+    request.headers.emplace_back("last-event-id", "12");
+    ASSERT_TRUE(SiteDialect::readCall(request)->resumed);
+    EXPECT_EQ(SiteDialect::readCall(request)->resumed->firstRequestId, "");
+    request.headers.emplace_back("resumes", "9c40");
+    EXPECT_EQ(SiteDialect::readCall(request)->resumed->firstRequestId, "9c40");
+    EXPECT_EQ(SiteDialect::readCall(request)->resumed->lastEventId, "12");
+    const auto forwarded = SiteDialect::callRequest(request, SendCall{}, Seconds(1));
+    EXPECT_EQ(headerValue(forwarded, "Resumes"), "9c40");
+    EXPECT_EQ(headerValue(forwarded, "Last-Event-Id"), "12");
+}
+
 TEST(SiteCalls, InvalidRequestsAreRejected)
 {
     auto request = makeCallerRequest();
@@ -302,6 +316,7 @@
     const auto &record = std::get<EndpointRecord>(page->records[0]);
     EXPECT_EQ(record.id, "i-1");
     EXPECT_EQ(record.dataCentre, "z");
+    EXPECT_EQ(record.softwareVersion, "v1");
     EXPECT_EQ(record.createRevision, 4U);
     EXPECT_EQ(record.revision, 5U);
     EXPECT_EQ(record.startTimeMs, 1767883170666U);
