--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -60,12 +60,16 @@
         startDaemon(name, out.str());
     }
     void startSidecar()
+    {
+        startSidecar("side-1", sidecarAddress, enginePort_);
+    }
+    void startSidecar(const std::string &name, const std::string &address, unsigned enginePort)
     {
         std::ostringstream out;
-        out << R"({"role":"direct-sidecar","name":"side-1","dataCentre":"dc","control":{"address":")" << sidecarAddress
-            << R"(","port":)" << controlPort_ << R"(},"direct":{"endpoint":"http://)" << sidecarAddress << ":"
-            << enginePort_ << R"("},"log":{"file":"-"}})";
-        startDaemon("side-1", out.str());
+        out << R"({"role":"direct-sidecar","name":")" << name << R"(","dataCentre":"dc","control":{"address":")"
+            << address << R"(","port":)" << controlPort_ << R"(},"direct":{"endpoint":"http://)" << address << ":"
+            << enginePort << R"("},"log":{"file":"-"}})";
+        startDaemon(name, out.str());
     }
     void startDaemon(const std::string &name, const std::string &settings)
     {
