The test of truncated streams lets no connection be reused

It hung once in a run of all tests beside others: after a complete response the client kept the connection, which the test's server closed, and used it for the next exchange before it saw the close, while the test waited for a new connection. Its responses now end their connections; what they check is the same.

--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -146,7 +146,7 @@
 // Guards against taking a stream for complete that its endpoint broke off inside an event, however it is framed.
 TEST_F(HttpClientTest, StreamThatEndsInsideAnEventIsTruncated)
 {
-    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n";
     const std::map<std::string, ExchangeEnd> ends{
         {"\r\ndata: a\n\n", ExchangeEnd::Complete},
         {"\r\ndata: a\n\ndata: b\n", ExchangeEnd::Truncated},
