A resumed stream goes on only at the software version that began it

Callers got streams whose events came from two software versions: a resumed stream was placed like a new call, at an entry that had never seen it, and no part of the system knew the versions of endpoints (hypothesis 1).

Entries now report where a stream began to two sidecars that all entries select by the request id, and look it up there before they resume one; the call is then placed among the endpoints of that service and version. Where nobody knows, it goes on only if one version alone has served for a minute, and is refused as not run otherwise.

--- a/include/anvilscale/base.h
+++ b/include/anvilscale/base.h
@@ -272,6 +272,8 @@
     OverAllowance, ///< its workspace has used its allowance
     AllowanceUnknown, ///< whether its workspace may use more could not be found out in time
     EndpointLimit, ///< all endpoints that could serve it have reached their rate limits
+    OriginUnknown, ///< it resumes a stream, and the software version that began it is not known
+    SoftwareVersionGone, ///< it resumes a stream that no endpoint of its software version can continue
     Count
 };
 template<>
@@ -310,7 +312,9 @@
                                                                                   "caller_key_unknown",
                                                                                   "over_allowance",
                                                                                   "allowance_unknown",
-                                                                                  "endpoint_limit"};
+                                                                                  "endpoint_limit",
+                                                                                  "origin_unknown",
+                                                                                  "software_version_gone"};
 };
 
 /// Reason for a further attempt. Each value has a counter.
--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -268,6 +268,14 @@
     KeyDigest digest; ///< of a key that is present
 };
 
+/// Where a stream began.
+struct StreamOrigin
+{
+    std::string service;
+    std::string softwareVersion; ///< of the endpoint
+    bool operator==(const StreamOrigin &) const = default;
+};
+
 /// A stream that broke off and that its caller resumes with another call.
 struct ResumedStream
 {
@@ -380,6 +388,7 @@
     TimePoint deadline; ///< deadline of the caller
     bool hidesKey = false; ///< the caller's key is not forwarded
     std::string workspace; ///< told to the endpoint; empty: none
+    StreamOrigin origin; ///< of the stream, if this attempt starts it
     bool isLimited = false; ///< the endpoint has announced a rate limit
     bool holdAnswer = false; ///< another attempt may follow: forward only a complete, successful answer
 };
@@ -431,6 +440,18 @@
     std::string address; ///< address of the endpoint beside the sidecar
     wire::SlotReturn message;
 };
+/// Reports to the sidecar at this address where streams began.
+struct ReportOrigins
+{
+    std::string address; ///< address of the endpoint beside the sidecar
+    wire::OriginReport report;
+};
+/// Requests the origin of a stream from the sidecar at this address.
+struct AskOrigin
+{
+    std::string address; ///< address of the endpoint beside the sidecar
+    wire::OriginAsk ask;
+};
 /// An endpoint has contradicted its record: asks the store for news.
 struct RefreshRecords
 {
@@ -446,8 +467,9 @@
 {
     std::string address;
 };
-using DirectAction = std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, AskAllowance,
-                                  ReportLimit, AskSlot, ReturnSlot, RefreshRecords, DropConnections, SendReadings>;
+using DirectAction =
+    std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, AskAllowance, ReportLimit, AskSlot,
+                 ReturnSlot, RefreshRecords, DropConnections, SendReadings, ReportOrigins, AskOrigin>;
 
 /// Finds routes by host and longest matching path prefix.
 class RouteTable
@@ -503,6 +525,7 @@
     Duration permitWait{}; ///< for credit of the rate limit of its endpoint
     Duration turnWait{}; ///< for reading turns
     Duration slotWait{}; ///< for slots of plain endpoints, until sidecars answered
+    Duration originWait{}; ///< for the origin of the stream that it resumes
     std::optional<Duration> firstByte;
     Duration longestPause{}; ///< longest interval between two parts of an event stream
     Duration total{};
@@ -576,6 +599,17 @@
     std::uint64_t unused = 0; ///< granted slots that were returned without sending a call
 };
 
+/// Streams that calls resume, and what one entry knows of their origins.
+struct OriginStats
+{
+    std::uint64_t reported = 0; ///< streams that began at this entry, or were resumed there
+    std::uint64_t resumed = 0; ///< calls that resume a stream
+    std::uint64_t own = 0; ///< of these, with an origin that the entry knew itself
+    std::uint64_t told = 0; ///< with an origin that a sidecar knew
+    std::uint64_t assumed = 0; ///< placed at the only software version that has served lately
+    std::uint64_t timeouts = 0; ///< requests for an origin that a sidecar did not answer in time
+};
+
 struct DirectCallsStats
 {
     std::uint64_t calls = 0;
@@ -594,6 +628,7 @@
     std::uint64_t ownSpeedEngines = 0; ///< engines whose reading speed differs from their service's
     std::uint64_t quarantined = 0; // requests put under quarantine
     SlotStats slots;
+    OriginStats origins;
     Counters<AttemptEnd> ends;
     Counters<StateMessage> stateMessages;
     AllowanceStats allowances;
@@ -641,12 +676,17 @@
     void onReadingAnswer(const std::string &address, const wire::ReadingAnswer &answer, TimePoint now);
     /// The sidecar beside the endpoint at this address has granted, queued or refused a request for a slot.
     void onSlotAnswer(const std::string &address, const wire::SlotAnswer &answer, TimePoint now);
-    /// Ends the wait of requests for slots that were not answered in time. Called at nextSlotCheckAt() and by tick().
-    void checkSlotAnswers(TimePoint now);
-    std::optional<TimePoint> nextSlotCheckAt() const;
+    /// Answer of the sidecar beside the endpoint at this address to a request for the origin of a stream.
+    void onOriginAnswer(const std::string &address, const wire::OriginAnswer &answer, TimePoint now);
+    /// Ends the wait of requests for slots and origins that were not answered in time. Called at nextAnswerCheckAt()
+    /// and by tick().
+    void checkAnswers(TimePoint now);
+    std::optional<TimePoint> nextAnswerCheckAt() const;
     /// Another entry, or the sidecar of an engine, reports the rate limit of an endpoint. Returns false if it was
     /// known already.
     bool applyEndpointLimit(const wire::EndpointLimit &limit, TimePoint now);
+    /// All records of the store have been read once.
+    void onStoreRead(TimePoint now);
     /// The store has answered: all its earlier changes have been applied.
     void onStoreAnswered(TimePoint now);
     /// Addresses of the engines whose sidecars this entry has to be connected to; empty if they are the same as at the
@@ -664,6 +704,9 @@
     bool onEndpointNotice(const std::string &endpointId, const EndpointNotice &notice, TimePoint now);
     /// The endpoint has started its answer.
     void onAnswerStarted(CallHandle call, std::uint32_t attempt, TimePoint now);
+    /// An event stream is now forwarded to the caller, so that no other endpoint can answer the call any more.
+    /// `origin`: as in the SendCall of the attempt that is forwarded.
+    void onStreamStarted(CallHandle call, const StreamOrigin &origin, TimePoint now);
     void onAttemptEnded(CallHandle call, std::uint32_t attempt, const AttemptResult &result, TimePoint now);
     void onCallerGone(CallHandle call, TimePoint now);
     /// Checks deadlines and waiting calls and sends demand to sidecars. Called every directTickInterval.
@@ -885,6 +928,38 @@
     std::unique_ptr<Impl> impl_;
 };
 
+struct OriginTableStats
+{
+    std::uint64_t streams = 0; ///< whose origins are known now
+    std::uint64_t reported = 0;
+    std::uint64_t told = 0; ///< requests that were answered with an origin
+    std::uint64_t unknown = 0; ///< requests for other streams
+    std::uint64_t dropped = 0; ///< reports beyond the limit of the table
+};
+
+/// Held by a sidecar: where the streams of all entries began, under the request ids of their first calls. Memory is
+/// bounded: origins expire with their callers, and reports to a full table are dropped.
+class OriginTable
+{
+public:
+    void onReport(const wire::OriginReport &report, TimePoint now);
+    wire::OriginAnswer answer(const wire::OriginAsk &ask, TimePoint now);
+    /// Forgets expired origins.
+    void tick(TimePoint now);
+    const OriginTableStats &stats() const;
+
+private:
+    struct KnownOrigin
+    {
+        StreamOrigin origin;
+        TimePoint validUntil;
+    };
+
+    std::unordered_map<std::string, KnownOrigin> origins_; // by request id
+    TimePoint nextSweepAt_{};
+    OriginTableStats stats_;
+};
+
 /// Selects the message for each entry: a heartbeat with the load figures only if the entry has the state, a delta if it
 /// has an earlier one, and the whole state otherwise. Between many entries and engines nearly all messages are
 /// heartbeats.
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -63,6 +63,7 @@
     ReadingTurns,
     ReadingMeasured,
     SlotsLeased,
+    OriginsTold,
     CallFailed,
     CallRefused,
     AnswerBroken,
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -265,6 +265,11 @@
                 calls_.onAnswerStarted(CallHandle{exchange.value}, attempt, now.mono);
             });
         };
+        handlers.onStreamStarted = [this](HttpExchange exchange, const StreamOrigin &origin) {
+            control_.post([this, exchange, origin](Now now) {
+                calls_.onStreamStarted(CallHandle{exchange.value}, origin, now.mono);
+            });
+        };
         handlers.onAttemptEnded = [this](HttpExchange exchange, std::uint32_t attempt, AttemptResult result) {
             control_.post([this, exchange, attempt, result](Now now) {
                 calls_.onAttemptEnded(CallHandle{exchange.value}, attempt, result, now.mono);
@@ -313,6 +318,10 @@
                 control_.post([this, name, answer = message.slot_answer()](Now now) {
                     calls_.onSlotAnswer(name, answer, now.mono);
                 });
+            } else if (message.has_origin_answer()) {
+                control_.post([this, name, answer = message.origin_answer()](Now now) {
+                    calls_.onOriginAnswer(name, answer, now.mono);
+                });
             } else if (message.has_endpoint_limit()) {
                 control_.post([this, limit = message.endpoint_limit()](Now now) {
                     if (calls_.applyEndpointLimit(limit, now.mono)) {
@@ -367,7 +376,12 @@
         handlers.record = [this](StoreRecord record) {
             control_.post([this, record = std::move(record)](Now now) { applyRecord(record, now.mono); });
         };
-        handlers.complete = [this] { control_.post([this](Now) { isStoreRead_ = true; }); };
+        handlers.complete = [this] {
+            control_.post([this](Now now) {
+                isStoreRead_ = true;
+                calls_.onStoreRead(now.mono);
+            });
+        };
         handlers.answered = [this](Duration sinceLastAnswer, bool isRecovery) {
             control_.post([this, sinceLastAnswer, isRecovery](Now now) {
                 calls_.onStoreAnswered(now.mono);
@@ -555,11 +569,19 @@
                 wire::Envelope message;
                 *message.mutable_slot_return() = std::move(returnSlot->message);
                 messenger_->sendTo(returnSlot->address, message);
+            } else if (auto *reportOrigins = std::get_if<ReportOrigins>(&action)) {
+                wire::Envelope message;
+                *message.mutable_origin_report() = std::move(reportOrigins->report);
+                messenger_->sendTo(reportOrigins->address, message);
+            } else if (auto *askOrigin = std::get_if<AskOrigin>(&action)) {
+                wire::Envelope message;
+                *message.mutable_origin_ask() = std::move(askOrigin->ask);
+                messenger_->sendTo(askOrigin->address, message);
             } else {
                 trafficActions.push_back(std::move(action));
             }
         }
-        scheduleSlotCheck();
+        scheduleAnswerCheck();
         if (trafficActions.empty()) {
             return;
         }
@@ -567,7 +589,8 @@
             for (const auto &action : trafficActions) {
                 std::visit(Overloaded{[](const SendDemand &) {}, [](const AskAllowance &) {},
                                       [](const ReportLimit &) {}, [](const AskSlot &) {}, [](const ReturnSlot &) {},
-                                      [](const SendReadings &) {}, [this](const RefreshRecords &) { refreshRecords(); },
+                                      [](const SendReadings &) {}, [](const ReportOrigins &) {},
+                                      [](const AskOrigin &) {}, [this](const RefreshRecords &) { refreshRecords(); },
                                       [this](const auto &relayAction) { relay_.perform(relayAction); }},
                            action);
             }
@@ -575,16 +598,16 @@
     }
 
     /// Checks for answers that are overdue sooner than the next tick: they are expected within milliseconds.
-    void scheduleSlotCheck()
+    void scheduleAnswerCheck()
     {
-        const auto at = calls_.nextSlotCheckAt();
-        if (!at || *at >= slotCheckAt_) {
+        const auto at = calls_.nextAnswerCheckAt();
+        if (!at || *at >= answerCheckAt_) {
             return;
         }
-        slotCheckAt_ = *at;
+        answerCheckAt_ = *at;
         control_.timers().subscribe(*at, [this](TimePoint now) {
-            slotCheckAt_ = TimePoint::max();
-            calls_.checkSlotAnswers(now);
+            answerCheckAt_ = TimePoint::max();
+            calls_.checkAnswers(now);
         });
     }
 
@@ -637,7 +660,7 @@
     bool isStoreRead_ = false; // control thread
     TimePoint nextMetricsAt_{}; // control thread
     TimePoint nextSelectionAt_{}; // control thread
-    TimePoint slotCheckAt_ = TimePoint::max(); // control thread; of the next check for answers of sidecars
+    TimePoint answerCheckAt_ = TimePoint::max(); // control thread; of the next check for answers of sidecars
     std::mutex sharedWatchMutex_; // guards sharedWatchAddress_
     // Address of the endpoint whose sidecar watches the store for this entry; empty if none.
     std::string sharedWatchAddress_;
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -101,6 +101,7 @@
               {"permitWaitMs", toMilliseconds(call.permitWait)},
               {"turnWaitMs", toMilliseconds(call.turnWait)},
               {"slotWaitMs", toMilliseconds(call.slotWait)},
+              {"originWaitMs", toMilliseconds(call.originWait)},
               {"firstByteMs", call.firstByte ? toMilliseconds(*call.firstByte) : -1},
               {"pauseMs", toMilliseconds(call.longestPause)},
               {"promptTokens", std::uint64_t{call.promptTokens}},
@@ -149,6 +150,16 @@
     text.counter("anvilscale_slots_unused_total", "slots returned without sending a call", stats.unused);
 }
 
+void appendOriginMetrics(MetricsText &text, const OriginStats &stats)
+{
+    text.counter("anvilscale_origins_reported_total", "streams whose origin was reported to sidecars", stats.reported);
+    text.counter("anvilscale_origins_resumed_total", "calls that resume a stream", stats.resumed);
+    text.counters("anvilscale_origins_found_total", "resumed streams by the source of their origin", "source",
+                  {{"own", stats.own}, {"sidecar", stats.told}, {"sole_version", stats.assumed}});
+    text.counter("anvilscale_origins_timeouts_total", "requests for origins that sidecars did not answer in time",
+                 stats.timeouts);
+}
+
 } // namespace
 
 void appendDirectMetrics(MetricsText &text, const DirectCallsStats &stats)
@@ -193,6 +204,7 @@
     text.counter("anvilscale_allowance_own_part_total", "calls charged to this entry's own part, without a sidecar",
                  stats.allowances.ownPart);
     appendSlotMetrics(text, stats.slots);
+    appendOriginMetrics(text, stats.origins);
     appendWorkspaceMetrics(text, stats);
     text.counters("anvilscale_direct_retries_total", "further attempts", "reason", stats.retries);
 }
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -14,6 +14,8 @@
     /// Called before onAnswerStarted and onAttemptEnded of the attempt.
     std::function<void(const std::string &endpointId, EndpointNotice)> onEndpointNotice;
     std::function<void(HttpExchange, std::uint32_t attempt)> onAnswerStarted;
+    /// An event stream is now forwarded; `origin` is the one of its SendCall.
+    std::function<void(HttpExchange, const StreamOrigin &origin)> onStreamStarted;
     std::function<void(HttpExchange, std::uint32_t attempt, AttemptResult)> onAttemptEnded;
     std::function<void(HttpExchange)> onCallerGone;
 };
@@ -96,6 +98,7 @@
         stopAttempt(call);
         call.attempt = action.attempt;
         call.endpointId = action.endpointId;
+        call.origin = action.origin;
         call.isLimited = action.isLimited;
         call.holdAnswer = action.holdAnswer;
         call.heldReply = HttpReply{};
@@ -183,6 +186,7 @@
         std::string endpointId;
         std::uint32_t attempt = 0; // of the exchange in progress
         std::uint32_t reportedAttempt = 0; // under which its answer and end are reported; the last one requested
+        StreamOrigin origin; // of its stream, if the current attempt starts it
         bool isLimited = false; // sent under a rate limit of the endpoint
         bool holdAnswer = false;
         HttpClient *client = nullptr; // of the current attempt; null if none is in progress
@@ -275,6 +279,7 @@
         call.heldReply.status = head.status;
         call.heldReply.headers = head.headers;
         if (call.answer.kind == AnswerKind::Success && call.answer.isEventStream) {
+            handlers_.onStreamStarted(exchange, call.origin);
             startForwarding(exchange, call);
         }
     }
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -105,6 +105,7 @@
     static constexpr Duration busyReportInterval = Milliseconds(25); // during a load, to report its end immediately
     static constexpr Duration loadLogInterval = Seconds(10); // between log lines of load times
     static constexpr Duration slotLogInterval = Seconds(10); // between log lines of slots
+    static constexpr Duration originLogInterval = Seconds(10); // between log lines of streams' origins
     // Entries treat three missing messages as a loss and one as a sign of a paused VM. With few entries connected, all
     // of them get messages more often, down to minStateInterval.
     static constexpr Duration maxUpdateInterval = Milliseconds(500);
@@ -158,6 +159,7 @@
                 });
             }
             onSlotMessage(peer, message);
+            onOriginMessage(peer, message);
             if (!message.has_direct_demand()) {
                 return;
             }
@@ -202,6 +204,37 @@
         }
     }
 
+    /// Reports of streams that have begun, and requests of entries that resume them.
+    void onOriginMessage(PeerHandle peer, const wire::Envelope &message)
+    {
+        if (message.has_origin_report()) {
+            control_.post([this, report = message.origin_report()](Now now) { origins_.onReport(report, now.mono); });
+        }
+        if (message.has_origin_ask()) {
+            control_.post([this, peer, ask = message.origin_ask()](Now now) {
+                wire::Envelope reply;
+                *reply.mutable_origin_answer() = origins_.answer(ask, now.mono);
+                messenger_->sendTo(peer, reply);
+            });
+        }
+    }
+
+    void logOrigins(TimePoint now)
+    {
+        const auto &stats = origins_.stats();
+        const auto changes = stats.told + stats.unknown + stats.dropped;
+        if (now < nextOriginLogAt_ || changes == loggedOriginChanges_) {
+            return;
+        }
+        nextOriginLogAt_ = now + originLogInterval;
+        loggedOriginChanges_ = changes;
+        logEvent(Event::OriginsTold, {{"streams", stats.streams},
+                                      {"reported", stats.reported},
+                                      {"told", stats.told},
+                                      {"unknown", stats.unknown},
+                                      {"dropped", stats.dropped}});
+    }
+
     void updateSlots(TimePoint now)
     {
         slots_.tick(now);
@@ -362,6 +395,8 @@
     void afterEvents(TimePoint now)
     {
         updateSlots(now);
+        origins_.tick(now);
+        logOrigins(now);
         if (const auto order = controller_.nextOrder(now)) {
             sendOrder(*order);
         }
@@ -430,6 +465,7 @@
         auto state = controller_.state(now);
         state.set_interval_ms(static_cast<std::uint32_t>(toMilliseconds(stateInterval())));
         state.set_shares_store(!settings_.direct().store().empty());
+        state.set_keeps_origins(true);
         reading_.addTo(state);
         statePublisher_.update(state);
     }
@@ -492,6 +528,9 @@
     TimePoint slotCheckAt_ = TimePoint::max(); // control thread; when leases or waits expire
     TimePoint nextSlotLogAt_{}; // control thread
     std::uint64_t loggedSlotDecisions_ = 0; // control thread; in the last log line
+    OriginTable origins_; // control thread
+    TimePoint nextOriginLogAt_{}; // control thread
+    std::uint64_t loggedOriginChanges_ = 0; // control thread; in the last log line
     std::optional<double> reportedLimit_; // control thread; in the engine's last report
     std::set<PeerHandle> entries_; // entries that have sent a demand
     StatePublisher statePublisher_;
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -221,6 +221,7 @@
     done.permitWait = call.permitWait;
     done.turnWait = call.turnWait;
     done.slotWait = call.slotWait;
+    done.originWait = call.originWait;
     done.firstByte = call.firstByte;
     done.longestPause = call.longestPause;
     done.promptTokens = call.info.promptTokens;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -129,6 +129,15 @@
 void DirectCalls::Impl::startCall(CallHandle handle, DirectCall &call, TimePoint now)
 {
     call.step = CallStep::Waiting;
+    if (call.info.resumed && call.repeat == RepeatRule::Stream) {
+        resumeCall(handle, call, now);
+    } else {
+        beginCall(handle, call, now);
+    }
+}
+
+void DirectCalls::Impl::beginCall(CallHandle handle, DirectCall &call, TimePoint now)
+{
     retryAllowances[call.service].onFirstAttempt(init.retryRatio, maxRetryBalance);
     if (call.isEngine) {
         ++callsByModel[call.info.model];
@@ -161,6 +170,7 @@
     query.modelReload = model == nullptr ? Duration(0) : model->reload;
     query.canMeetObjective = now < call.arrivedAt + call.objective;
     query.excludedIds = &call.excludedIds;
+    query.softwareVersion = call.origin ? &call.origin->softwareVersion : nullptr;
     query.dataCentre = init.dataCentre;
     query.objective = call.objective;
     const auto limits = streamLimits.find(call.service);
@@ -190,6 +200,10 @@
     updateListening(now);
     visitHome(call, now);
     const auto choice = chooseEndpoint(endpoints, buildQuery(call, now), now);
+    if (!choice && isVersionGone(call, now)) {
+        refuseOrAbandon(handle, call, RefusalReason::SoftwareVersionGone, Duration(0), now);
+        return;
+    }
     if (!choice) {
         const auto reason =
             isServiceLimited(call.service, now) ? RefusalReason::EndpointLimit : RefusalReason::NoEndpoint;
@@ -296,6 +310,7 @@
     action.deadline = call.deadline;
     action.hidesKey = config->workspaces.has_value();
     action.workspace = call.workspace;
+    action.origin = {entry.record.service, entry.record.softwareVersion};
     action.isLimited = entry.isLimited();
     action.holdAnswer = call.isRepeatable() && call.executionCount + 1 < call.maxEndpoints;
     actions.emplace_back(std::move(action));
@@ -303,6 +318,10 @@
 
 void DirectCalls::Impl::detachFromEndpoint(CallHandle handle, DirectCall &call, bool failed, TimePoint now)
 {
+    if (call.step == CallStep::Origin) {
+        call.originWait = now - call.stepStartedAt;
+        return;
+    }
     if (call.step == CallStep::Slot) {
         stopAwaitingSlot(call, now);
         return;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -3,11 +3,13 @@
 
 #include "endpoint_choice.h"
 #include "endpoint_table.h"
+#include "origin_client.h"
 #include "pool_client.h"
 #include "reading_turns.h"
 #include "request_quarantine.h"
 #include "retry_allowance.h"
 #include "slot_client.h"
+#include "version_history.h"
 #include "wait_forecast.h"
 
 namespace anvilscale {
@@ -20,6 +22,7 @@
 
 enum class CallStep : std::uint8_t {
     Admission, ///< waits for credit of its workspace
+    Origin, ///< waits for sidecars to tell where the stream began that it resumes
     Slot, ///< waits for a sidecar to select a plain endpoint with a free slot
     Permit, ///< waits for credit of its endpoint, which limits the calls of all entries
     Turn, ///< waits for the permission of its engine's sidecar, with its adapter resident
@@ -40,6 +43,8 @@
     bool isEngine = false;
     RepeatRule repeat = RepeatRule::NonIdempotent;
     bool isResumable = false;
+    std::optional<StreamOrigin> origin; // of the stream that it resumes; empty for a new call
+    Duration originWait{};
     std::uint32_t priority = 0;
     std::uint32_t maxEndpoints = 1;
     Duration objective{};
@@ -118,6 +123,8 @@
     std::optional<PoolClient> workspaceCredit;
     bool hasLimitedWorkspaces = false;
     SlotClient slots;
+    OriginClient origins;
+    VersionHistory versionHistory;
     std::uint32_t knownEntries = 0; // number of entries, as reported by sidecars; 0 if unknown
     std::optional<PoolClient> endpointCredit; // for calls to endpoints that have announced a rate limit
     bool hasLimitedEndpoints = false; // some endpoint had a limit when the groups of endpointCredit were set
@@ -181,6 +188,19 @@
     /// Sets what the route decides about the call.
     void applyRoute(DirectCall &call, const DirectRoute &route) const;
     void startCall(CallHandle handle, DirectCall &call, TimePoint now);
+    /// Finds out where the stream began that the call resumes, before it begins.
+    void resumeCall(CallHandle handle, DirectCall &call, TimePoint now);
+    /// Performs the results of lookups, and sends requests of further ones.
+    void resolveOrigins(TimePoint now);
+    void checkOriginAnswers(TimePoint now);
+    /// Turns reports of origins that are due into actions.
+    void flushOrigins(TimePoint now);
+    /// No sidecar knows the origin: goes on at the only software version that it can be, or refuses the call.
+    void assumeOrigin(CallHandle handle, DirectCall &call, bool mayBeKnownLater, TimePoint now);
+    void continueStream(CallHandle handle, DirectCall &call, const StreamOrigin &origin, TimePoint now);
+    /// True for a resumed stream that no endpoint can continue.
+    bool isVersionGone(const DirectCall &call, TimePoint now) const;
+    void beginCall(CallHandle handle, DirectCall &call, TimePoint now);
     void routeCall(CallHandle handle, DirectCall &call, TimePoint now);
     /// The sidecar at this address has sent a whole state, or a delta that results in it.
     void applyState(const std::string &address, const wire::DirectState &state, TimePoint now);
@@ -254,6 +274,7 @@
     void onSlotGranted(CallHandle handle, DirectCall &call, const std::string &endpointId, TimePoint now);
     /// Places the call without a slot.
     void chooseAlone(CallHandle handle, DirectCall &call, TimePoint now);
+    void checkSlotAnswers(TimePoint now);
     void stopAwaitingSlot(DirectCall &call, TimePoint now);
     void returnSlot(DirectCall &call, wire::SlotReturn message);
     /// Returns the slot of a call that was not sent with it.
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -35,7 +35,20 @@
     }
     impl_->updateAllowances(now);
     impl_->tickPermits(now);
-    checkSlotAnswers(now);
+    checkAnswers(now);
+}
+
+void DirectCalls::checkAnswers(TimePoint now)
+{
+    impl_->checkSlotAnswers(now);
+    impl_->checkOriginAnswers(now);
+}
+
+std::optional<TimePoint> DirectCalls::nextAnswerCheckAt() const
+{
+    const auto slots = impl_->slots.nextCheckAt();
+    const auto origins = impl_->origins.nextCheckAt();
+    return slots && origins ? std::min(*slots, *origins) : slots ? slots : origins;
 }
 
 void DirectCalls::Impl::checkDeadlines(TimePoint now)
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -263,10 +263,16 @@
 
 } // namespace
 
+bool runsVersion(const EndpointEntry &entry, const ChoiceQuery &query)
+{
+    return query.softwareVersion == nullptr || entry.record.softwareVersion == *query.softwareVersion;
+}
+
 bool isEligible(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
 {
     return entry.record.service == *query.service && !entry.isLeaving(now) && !entry.isPaused(now)
-           && !entry.isSuperseded && entry.acceptsPlacement(now) && query.excludedIds->count(entry.record.id) == 0;
+           && !entry.isSuperseded && entry.acceptsPlacement(now) && runsVersion(entry, query)
+           && query.excludedIds->count(entry.record.id) == 0;
 }
 
 double plainWorkMs(const ChoiceQuery &query)
@@ -294,7 +300,7 @@
     std::uint64_t highest = 0;
     for (auto &[id, entry] : table.entries()) {
         if (entry.record.service != *query.service || entry.isSuperseded || entry.isLeaving(now) || entry.isPaused(now)
-            || now < entry.avoidedUntil || query.excludedIds->count(id) != 0) {
+            || now < entry.avoidedUntil || !runsVersion(entry, query) || query.excludedIds->count(id) != 0) {
             continue;
         }
         if (entry.acceptsPlacement(now)
--- a/src/direct/endpoint_choice.h
+++ b/src/direct/endpoint_choice.h
@@ -16,6 +16,7 @@
     bool canMeetObjective = true; // the objective can still be met
     Duration modelReload{}; // into a restarted engine; 0 if unknown
     const std::set<std::string> *excludedIds = nullptr; // ids that the call must not go to again
+    const std::string *softwareVersion = nullptr; // that the endpoint must run; null for any
     std::string_view dataCentre; // of this entry
     Duration objective{}; // of the call's route
     Duration pauseLimit{}; // shortest allowed pause of the service's streams; 0: none
@@ -47,6 +48,8 @@
     double penaltyMs = 0; // besides its load and its failures
 };
 std::vector<PlainOption> findPlainOptions(const EndpointTable &table, const ChoiceQuery &query, TimePoint now);
+/// True if the endpoint runs the software version that the call needs.
+bool runsVersion(const EndpointEntry &entry, const ChoiceQuery &query);
 /// True if the call may go to this endpoint.
 bool isEligible(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now);
 /// Duration of a plain call, measured or assumed.
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -12,8 +12,13 @@
     if (restarted) {
         impl_->onRestarted(*known, record.startTimeMs, now);
     }
+    const auto previous = known == nullptr ? record : known->record;
     const auto effect = impl_->endpoints.applyRecord(record, now);
-    if (record.leaving && effect != RecordEffect::Stale) {
+    const bool hasNewVersion = effect != RecordEffect::Stale && previous.softwareVersion != record.softwareVersion;
+    if (hasNewVersion) {
+        impl_->versionHistory.onVersionEnded(previous, now);
+    }
+    if (effect != RecordEffect::Stale && (record.leaving || hasNewVersion)) {
         impl_->rerouteWaiting(*impl_->endpoints.find(record.id), now);
     }
     return restarted || effect == RecordEffect::Changed;
@@ -43,6 +48,7 @@
 {
     endpoints.setLeaving(entry);
     rerouteWaiting(entry, now);
+    versionHistory.onVersionEnded(entry.record, now);
     endpoints.remove(std::string(entry.record.id), now);
 }
 
@@ -185,6 +191,8 @@
         }
     }
     impl_->onSlotSidecarLost(address, now);
+    impl_->origins.onSidecarLost(address, now);
+    impl_->resolveOrigins(now);
 }
 
 } // namespace anvilscale
--- /dev/null
+++ b/src/direct/resumed_calls.cpp
@@ -0,0 +1,143 @@
+// Calls that resume streams: the origin of each stream, and the endpoints that may continue it.
+#include "direct_calls_impl.h"
+
+#include <algorithm>
+
+namespace anvilscale {
+
+namespace {
+
+// Bound on the time between the start of a stream and a call that resumes it.
+constexpr Duration maxStreamAge = Seconds(60);
+// Age of the store's last answer up to which this entry knows the endpoints that serve.
+constexpr Duration maxStoreAge = Seconds(2);
+
+} // namespace
+
+void DirectCalls::onStreamStarted(CallHandle handle, const StreamOrigin &origin, TimePoint now)
+{
+    const auto found = impl_->calls.find(handle);
+    if (found == impl_->calls.end() || !found->second.isResumable) {
+        return;
+    }
+    const auto &call = found->second;
+    ++impl_->stats.origins.reported;
+    impl_->origins.add(call.info.requestId, origin, call.deadline);
+    if (call.info.resumed && !call.info.resumed->firstRequestId.empty()) {
+        impl_->origins.add(call.info.resumed->firstRequestId, origin, call.deadline);
+    }
+    impl_->flushOrigins(now);
+}
+
+void DirectCalls::onStoreRead(TimePoint now)
+{
+    impl_->versionHistory.onStoreRead(now);
+}
+
+void DirectCalls::onOriginAnswer(const std::string &address, const wire::OriginAnswer &answer, TimePoint now)
+{
+    impl_->origins.onAnswer(address, answer, now);
+    impl_->resolveOrigins(now);
+}
+
+void DirectCalls::Impl::checkOriginAnswers(TimePoint now)
+{
+    origins.checkAnswers(now);
+    resolveOrigins(now);
+    flushOrigins(now);
+}
+
+void DirectCalls::Impl::flushOrigins(TimePoint now)
+{
+    for (auto &report : origins.takeReports(endpoints, now)) {
+        actions.emplace_back(std::move(report));
+    }
+}
+
+void DirectCalls::Impl::resumeCall(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    ++stats.origins.resumed;
+    const auto &requestId = call.info.resumed->firstRequestId;
+    if (const auto *own = origins.find(requestId, now)) {
+        ++stats.origins.own;
+        continueStream(handle, call, *own, now);
+        return;
+    }
+    if (requestId.empty()) {
+        const bool mayBeKnownLater = false;
+        assumeOrigin(handle, call, mayBeKnownLater, now);
+        return;
+    }
+    call.step = CallStep::Origin;
+    call.stepStartedAt = now;
+    origins.lookUp(handle, requestId, endpoints, now);
+    resolveOrigins(now);
+}
+
+void DirectCalls::Impl::resolveOrigins(TimePoint now)
+{
+    for (const auto &result : origins.takeResults()) {
+        const auto found = calls.find(result.call);
+        if (found == calls.end() || found->second.step != CallStep::Origin) {
+            continue; // the caller has left, or the call is past its deadline
+        }
+        auto &call = found->second;
+        call.originWait = now - call.stepStartedAt;
+        call.step = CallStep::Waiting;
+        if (result.origin) {
+            ++stats.origins.told;
+            continueStream(result.call, call, *result.origin, now);
+        } else {
+            assumeOrigin(result.call, call, !result.isAnswered, now);
+        }
+    }
+    stats.origins.timeouts = origins.timeouts();
+    for (auto &ask : origins.takeAsks()) {
+        actions.emplace_back(std::move(ask));
+    }
+}
+
+// A version that this entry has not seen may have begun the stream, unless it knows all that have served since.
+void DirectCalls::Impl::assumeOrigin(CallHandle handle, DirectCall &call, bool mayBeKnownLater, TimePoint now)
+{
+    const auto *route = routes.find(call.info.host, call.info.path);
+    const bool hasOneService = route != nullptr && route->services.size() == 1;
+    const auto version = hasOneService && now - storeAnsweredAt <= maxStoreAge
+                             ? versionHistory.soleVersion(call.service, endpoints, maxStreamAge, now)
+                             : std::nullopt;
+    if (!version) {
+        refuse(handle, statusUnavailable, RefusalReason::OriginUnknown,
+               mayBeKnownLater ? defaultRetryAfter : Duration(0), now);
+        return;
+    }
+    ++stats.origins.assumed;
+    continueStream(handle, call, {call.service, *version}, now);
+}
+
+void DirectCalls::Impl::continueStream(CallHandle handle, DirectCall &call, const StreamOrigin &origin, TimePoint now)
+{
+    const auto *route = routes.find(call.info.host, call.info.path);
+    const bool isRouted = route != nullptr
+                          && std::any_of(route->services.begin(), route->services.end(),
+                                         [&](const ServiceShare &share) { return share.service == origin.service; });
+    if (!isRouted) {
+        refuse(handle, statusUnavailable, RefusalReason::SoftwareVersionGone, Duration(0), now);
+        return;
+    }
+    call.service = origin.service;
+    call.isEngine = findEngine(call.service) != nullptr;
+    call.origin = origin;
+    beginCall(handle, call, now);
+}
+
+bool DirectCalls::Impl::isVersionGone(const DirectCall &call, TimePoint now) const
+{
+    return call.origin && std::none_of(endpoints.entries().begin(), endpoints.entries().end(), [&](const auto &item) {
+               const auto &entry = item.second;
+               return entry.record.service == call.origin->service
+                      && entry.record.softwareVersion == call.origin->softwareVersion && !entry.isLeaving(now)
+                      && !entry.isSuperseded;
+           });
+}
+
+} // namespace anvilscale
--- a/src/direct/slot_calls.cpp
+++ b/src/direct/slot_calls.cpp
@@ -152,21 +152,16 @@
     routeCall(handle, call, now);
 }
 
-void DirectCalls::checkSlotAnswers(TimePoint now)
+void DirectCalls::Impl::checkSlotAnswers(TimePoint now)
 {
-    for (const auto &[number, request] : impl_->slots.takeOverdue(now)) {
-        ++impl_->stats.slots.timeouts;
-        auto &call = impl_->calls.at(request.call);
-        impl_->stopAwaitingSlot(call, now);
-        impl_->chooseAlone(request.call, call, now);
+    for (const auto &[number, request] : slots.takeOverdue(now)) {
+        ++stats.slots.timeouts;
+        auto &call = calls.at(request.call);
+        stopAwaitingSlot(call, now);
+        chooseAlone(request.call, call, now);
     }
 }
 
-std::optional<TimePoint> DirectCalls::nextSlotCheckAt() const
-{
-    return impl_->slots.nextCheckAt();
-}
-
 void DirectCalls::Impl::stopAwaitingSlot(DirectCall &call, TimePoint now)
 {
     slots.cancel(call.slotNumber);
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -46,6 +46,8 @@
     {428, LogLevel::Info, "slots_leased",
      "slots of plain endpoints that this sidecar has granted to entries, logged every ten seconds while there are "
      "calls"},
+    {429, LogLevel::Info, "origins_told",
+     "origins of streams that this sidecar keeps for entries that resume them, logged every ten seconds while asked"},
     {500, LogLevel::Warn, "call_failed", "a call failed after it was started"},
     {501, LogLevel::Debug, "call_refused", "a call was refused without being run"},
     {502, LogLevel::Warn, "answer_broken", "the end frame does not match the received frames"},
--- a/tests/unit/direct_slot_failures_test.cpp
+++ b/tests/unit/direct_slot_failures_test.cpp
@@ -8,7 +8,7 @@
 {
     makeContended();
     const auto ask = askSlot("/n/x");
-    EXPECT_LE(*calls_.nextSlotCheckAt() - now_, Milliseconds(40));
+    EXPECT_LE(*calls_.nextAnswerCheckAt() - now_, Milliseconds(40));
     checkAnswers();
     const auto actions = calls_.takeActions();
     ASSERT_EQ(actions.size(), 2U);
@@ -41,7 +41,7 @@
     makeContended();
     const auto ask = askSlot();
     now_ += Milliseconds(120);
-    calls_.checkSlotAnswers(now_);
+    calls_.checkAnswers(now_);
     EXPECT_EQ(calls_.stats().slots.timeouts, 0U);
     EXPECT_EQ(grant(ask, "p-1").endpointId, "p-1");
 }
--- a/tests/unit/direct_slots_fixture.h
+++ b/tests/unit/direct_slots_fixture.h
@@ -101,8 +101,8 @@
     }
     void checkAnswers()
     {
-        now_ = calls_.nextSlotCheckAt().value_or(now_);
-        calls_.checkSlotAnswers(now_);
+        now_ = calls_.nextAnswerCheckAt().value_or(now_);
+        calls_.checkAnswers(now_);
     }
 };
 
