--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -545,39 +545,7 @@
         reportCrashes();
         std::vector<DirectAction> trafficActions;
         for (auto &action : actions) {
-            if (auto *sendDemand = std::get_if<SendDemand>(&action)) {
-                wire::Envelope message;
-                *message.mutable_direct_demand() = std::move(sendDemand->demand);
-                messenger_->sendTo(sendDemand->address, message);
-            } else if (auto *askAllowance = std::get_if<AskAllowance>(&action)) {
-                wire::Envelope message;
-                *message.mutable_allowance_ask() = std::move(askAllowance->ask);
-                messenger_->sendTo(askAllowance->address, message);
-            } else if (auto *sendReadings = std::get_if<SendReadings>(&action)) {
-                wire::Envelope message;
-                *message.mutable_reading_update() = std::move(sendReadings->update);
-                messenger_->sendTo(sendReadings->address, message);
-            } else if (auto *reportLimit = std::get_if<ReportLimit>(&action)) {
-                wire::Envelope message;
-                *message.mutable_endpoint_limit() = std::move(reportLimit->limit);
-                messenger_->sendTo(reportLimit->address, message);
-            } else if (auto *askSlot = std::get_if<AskSlot>(&action)) {
-                wire::Envelope message;
-                *message.mutable_slot_ask() = std::move(askSlot->ask);
-                messenger_->sendTo(askSlot->address, message);
-            } else if (auto *returnSlot = std::get_if<ReturnSlot>(&action)) {
-                wire::Envelope message;
-                *message.mutable_slot_return() = std::move(returnSlot->message);
-                messenger_->sendTo(returnSlot->address, message);
-            } else if (auto *reportOrigins = std::get_if<ReportOrigins>(&action)) {
-                wire::Envelope message;
-                *message.mutable_origin_report() = std::move(reportOrigins->report);
-                messenger_->sendTo(reportOrigins->address, message);
-            } else if (auto *askOrigin = std::get_if<AskOrigin>(&action)) {
-                wire::Envelope message;
-                *message.mutable_origin_ask() = std::move(askOrigin->ask);
-                messenger_->sendTo(askOrigin->address, message);
-            } else {
+            if (!sendMessage(action)) {
                 trafficActions.push_back(std::move(action));
             }
         }
@@ -587,16 +555,73 @@
         }
         callServer_->loop().post([this, trafficActions = std::move(trafficActions)] {
             for (const auto &action : trafficActions) {
-                std::visit(Overloaded{[](const SendDemand &) {}, [](const AskAllowance &) {},
-                                      [](const ReportLimit &) {}, [](const AskSlot &) {}, [](const ReturnSlot &) {},
-                                      [](const SendReadings &) {}, [](const ReportOrigins &) {},
-                                      [](const AskOrigin &) {}, [this](const RefreshRecords &) { refreshRecords(); },
-                                      [this](const auto &relayAction) { relay_.perform(relayAction); }},
-                           action);
+                performTraffic(action);
             }
         });
     }
 
+    // Actions that are messages to sidecars.
+    static void fill(wire::Envelope &message, SendDemand &action)
+    {
+        *message.mutable_direct_demand() = std::move(action.demand);
+    }
+    static void fill(wire::Envelope &message, AskAllowance &action)
+    {
+        *message.mutable_allowance_ask() = std::move(action.ask);
+    }
+    static void fill(wire::Envelope &message, SendReadings &action)
+    {
+        *message.mutable_reading_update() = std::move(action.update);
+    }
+    static void fill(wire::Envelope &message, ReportLimit &action)
+    {
+        *message.mutable_endpoint_limit() = std::move(action.limit);
+    }
+    static void fill(wire::Envelope &message, AskSlot &action)
+    {
+        *message.mutable_slot_ask() = std::move(action.ask);
+    }
+    static void fill(wire::Envelope &message, ReturnSlot &action)
+    {
+        *message.mutable_slot_return() = std::move(action.message);
+    }
+    static void fill(wire::Envelope &message, ReportOrigins &action)
+    {
+        *message.mutable_origin_report() = std::move(action.report);
+    }
+    static void fill(wire::Envelope &message, AskOrigin &action)
+    {
+        *message.mutable_origin_ask() = std::move(action.ask);
+    }
+
+    /// Sends an action that is a message to a sidecar; returns false for any other.
+    bool sendMessage(DirectAction &action)
+    {
+        return std::visit(
+            [this](auto &item) {
+                wire::Envelope message;
+                if constexpr (requires { fill(message, item); }) {
+                    fill(message, item);
+                    messenger_->sendTo(item.address, message);
+                    return true;
+                }
+                return false;
+            },
+            action);
+    }
+
+    /// Traffic thread. Performs an action that is no message to a sidecar.
+    void performTraffic(const DirectAction &action)
+    {
+        std::visit(Overloaded{[this](const RefreshRecords &) { refreshRecords(); },
+                              [this](const auto &item) {
+                                  if constexpr (requires { relay_.perform(item); }) {
+                                      relay_.perform(item);
+                                  }
+                              }},
+                   action);
+    }
+
     /// Checks for answers that are overdue sooner than the next tick: they are expected within milliseconds.
     void scheduleAnswerCheck()
     {
