The age of a resumed stream is bounded by the time that its caller still waits

The longest wait of new calls less what this caller still waits bounds the age of its stream, mostly to a few seconds.

--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -131,9 +131,13 @@
     call.step = CallStep::Waiting;
     if (call.info.resumed && call.repeat == RepeatRule::Stream) {
         resumeCall(handle, call, now);
-    } else {
-        beginCall(handle, call, now);
+        return;
+    }
+    if (call.repeat == RepeatRule::Stream) {
+        auto &longest = longestCallerTimeouts[call.service];
+        longest = std::max(longest, call.info.callerTimeout);
     }
+    beginCall(handle, call, now);
 }
 
 void DirectCalls::Impl::beginCall(CallHandle handle, DirectCall &call, TimePoint now)
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-// Bound on the time between the start of a stream and a call that resumes it.
+// Bound on the age of a resumed stream where no call has shown how long callers wait.
 constexpr Duration maxStreamAge = Seconds(60);
+// Calls of a caller are on their way for different times.
+constexpr Duration streamAgeMargin = Seconds(1);
 // Age of the store's last answer up to which this entry knows the endpoints that serve.
 constexpr Duration maxStoreAge = Seconds(2);
 
@@ -97,13 +99,22 @@
     }
 }
 
+// A caller that waits for `longestWait` in all, and still for the call's timeout, began its stream no longer ago than
+// the difference.
+Duration DirectCalls::Impl::maxAgeOfStream(const DirectCall &call) const
+{
+    const auto known = longestCallerTimeouts.find(call.service);
+    const auto longestWait = known == longestCallerTimeouts.end() ? maxStreamAge : known->second;
+    return std::min(maxStreamAge, std::max(Duration(0), longestWait - call.info.callerTimeout) + streamAgeMargin);
+}
+
 // A version that this entry has not seen may have begun the stream, unless it knows all that have served since.
 void DirectCalls::Impl::assumeOrigin(CallHandle handle, DirectCall &call, bool mayBeKnownLater, TimePoint now)
 {
     const auto *route = routes.find(call.info.host, call.info.path);
     const bool hasOneService = route != nullptr && route->services.size() == 1;
     const auto version = hasOneService && now - storeAnsweredAt <= maxStoreAge
-                             ? versionHistory.soleVersion(call.service, endpoints, maxStreamAge, now)
+                             ? versionHistory.soleVersion(call.service, endpoints, maxAgeOfStream(call), now)
                              : std::nullopt;
     if (!version) {
         refuse(handle, statusUnavailable, RefusalReason::OriginUnknown,
