--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -928,13 +928,16 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// Longest request id whose origin is kept: callers choose their ids.
+constexpr std::size_t maxOriginIdBytes = 128;
+
 struct OriginTableStats
 {
     std::uint64_t streams = 0; ///< whose origins are known now
     std::uint64_t reported = 0;
     std::uint64_t told = 0; ///< requests that were answered with an origin
     std::uint64_t unknown = 0; ///< requests for other streams
-    std::uint64_t dropped = 0; ///< reports beyond the limit of the table
+    std::uint64_t dropped = 0; ///< reports beyond the limits of the table
 };
 
 /// Held by a sidecar: where the streams of all entries began, under the request ids of their first calls. Memory is
--- a/src/direct/origin_client.cpp
+++ b/src/direct/origin_client.cpp
@@ -28,6 +28,9 @@
 
 void OriginClient::add(const std::string &requestId, const StreamOrigin &origin, TimePoint validUntil)
 {
+    if (requestId.size() > maxOriginIdBytes) {
+        return;
+    }
     if (streams_.try_emplace(requestId, OwnStream{origin, validUntil, {}}).second) {
         unreported_.push_back(requestId);
     }
@@ -184,6 +187,7 @@
         }
     }
     std::vector<ReportOrigins> result;
+    result.reserve(reports.size());
     for (auto &[address, message] : reports) {
         result.push_back({address, std::move(message)});
     }
--- a/src/direct/origin_table.cpp
+++ b/src/direct/origin_table.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-// Bounds the memory to some 10 MB; streams of a minute from a thousand calls per second.
+// Streams of a minute from a thousand calls per second; bounds the memory to some 20 MB.
 constexpr std::size_t maxOrigins = 1U << 16;
 constexpr Duration maxLifetime = Seconds(60);
 constexpr Duration sweepInterval = Seconds(1);
@@ -19,7 +19,8 @@
         ++stats_.reported;
         const auto lifetime = std::min<Duration>(std::chrono::microseconds(item.valid_us()), maxLifetime);
         const auto known = origins_.find(item.request());
-        if (known == origins_.end() && origins_.size() >= maxOrigins) {
+        const bool exceedsLimit = origins_.size() >= maxOrigins || item.request().size() > maxOriginIdBytes;
+        if (known == origins_.end() && exceedsLimit) {
             ++stats_.dropped;
             continue;
         }
--- a/src/direct/sidecar_selection.h
+++ b/src/direct/sidecar_selection.h
@@ -36,6 +36,7 @@
         lowest.resize(std::min(lowest.size(), count));
     }
     std::vector<std::string> addresses;
+    addresses.reserve(lowest.size());
     for (const auto &[hash, address] : lowest) {
         addresses.push_back(*address);
     }
--- a/tests/unit/resumed_calls_test.cpp
+++ b/tests/unit/resumed_calls_test.cpp
@@ -285,6 +285,10 @@
     EXPECT_GT(table.stats().dropped, 0U);
     table.tick(start + Seconds(6));
     EXPECT_EQ(table.stats().streams, 0U);
+    const auto dropped = table.stats().dropped;
+    item.set_request(std::string(129, 'x'));
+    table.onReport(report, start + Seconds(6));
+    EXPECT_EQ(table.stats().dropped, dropped + 1) << "ids are chosen by callers";
 }
 
 } // namespace anvilscale::test
