Callers that name no stream go on at the only version that is known now

Such callers belong to deployments in which one version serves at a time. Callers that name the first call keep the strict proof. The new test fails without the change.

--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -103,6 +103,10 @@
 // the difference.
 Duration DirectCalls::Impl::maxAgeOfStream(const DirectCall &call) const
 {
+    // Callers name no stream only where a single version serves at a time: what is known now counts.
+    if (call.info.resumed->firstRequestId.empty()) {
+        return Duration(0);
+    }
     const auto known = longestCallerTimeouts.find(call.service);
     const auto longestWait = known == longestCallerTimeouts.end() ? maxStreamAge : known->second;
     return std::min(maxStreamAge, std::max(Duration(0), longestWait - call.info.callerTimeout) + streamAgeMargin);
--- a/tests/unit/resumed_calls_test.cpp
+++ b/tests/unit/resumed_calls_test.cpp
@@ -165,7 +165,7 @@
     EXPECT_EQ(fleet.resumeStream(1, "two"), "v1");
 }
 
-// Guards against a caller that does not name the first call of its stream.
+// Guards against a caller that does not name the first call of its stream, where several versions serve.
 TEST(ResumedCalls, StreamWithoutANameIsNotGuessed)
 {
     StreamFleet fleet(2, twoVersions);
@@ -174,6 +174,18 @@
     EXPECT_EQ(fleet.lastRefusal.reason, RefusalReason::OriginUnknown);
 }
 
+// Guards against refusing all resumed streams after a loss of all processes where callers name no stream, as in
+// deployments with a single version.
+TEST(ResumedCalls, StreamWithoutANameGoesOnAtTheSoleVersion)
+{
+    StreamFleet fleet(1, {"v1", "v1"});
+    fleet.restartEntry(0);
+    fleet.entry(0).onStoreAnswered(fleet.now());
+    EXPECT_EQ(fleet.resumeStream(0, ""), "v1");
+    fleet.addEngine("v2");
+    EXPECT_EQ(fleet.resumeStream(0, ""), std::nullopt);
+}
+
 // Guards against an origin of the endpoint that a call was to move to, while the first one's stream is forwarded.
 TEST(ResumedCalls, OriginIsTheOneOfTheForwardedAttempt)
 {
