Compare only the software versions when a record of an endpoint comes

Each record of the store copied the whole record known before it, with its models and adapters, to compare one field. The comparison and the end of the version before now come ahead of applying the record. A stale record of another version marks the current one as ended then, too, which changes nothing: endpoints that are present count by themselves.

--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -12,12 +12,11 @@
     if (restarted) {
         impl_->onRestarted(*known, record.startTimeMs, now);
     }
-    const auto previous = known == nullptr ? record : known->record;
-    const auto effect = impl_->endpoints.applyRecord(record, now);
-    const bool hasNewVersion = effect != RecordEffect::Stale && previous.softwareVersion != record.softwareVersion;
+    const bool hasNewVersion = known != nullptr && known->record.softwareVersion != record.softwareVersion;
     if (hasNewVersion) {
-        impl_->versionHistory.onVersionEnded(previous, now);
+        impl_->versionHistory.onVersionEnded(known->record, now);
     }
+    const auto effect = impl_->endpoints.applyRecord(record, now);
     if (effect != RecordEffect::Stale && (record.leaving || hasNewVersion)) {
         impl_->rerouteWaiting(*impl_->endpoints.find(record.id), now);
     }
