Log the prompt parts that calls share, and how long a broken attempt had been answered

Crashes of engines could not be compared by prompt part: lines named a hash of the whole request only, and the time from an attempt's first byte to its break had to be joined from two lines.

No change of decisions. CallFingerprint becomes one of two kinds of Fingerprint, so that parts and requests cannot be mixed up.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -148,19 +148,35 @@
     Duration withheldFor{}; ///< time since the removal was seen; removals are withheld in case the record reappears
     std::uint64_t revision = 0; ///< store revision of the removal; 0 if unknown
 };
-/// Identifies the content of a request. Equal for all repeats of a request, at any entry, although each has its own
-/// request id.
-struct CallFingerprint
+std::string fingerprintText(std::uint64_t value);
+std::optional<std::uint64_t> readFingerprint(std::string_view text);
+
+/// Hash by which entries, logs and records identify something that callers send. `Content` tells kinds apart.
+template<class Content>
+struct Fingerprint
 {
     std::uint64_t value = 0;
-    auto operator<=>(const CallFingerprint &) const = default; // NOLINT(modernize-use-nullptr): not a pointer
+    auto operator<=>(const Fingerprint &) const = default; // NOLINT(modernize-use-nullptr): not a pointer
 
     /// 16 hexadecimal digits, as in logs.
-    std::string text() const;
+    std::string text() const
+    {
+        return fingerprintText(value);
+    }
     /// Parses the text form; empty for any other text.
-    static std::optional<CallFingerprint> read(std::string_view text);
+    static std::optional<Fingerprint> read(std::string_view text)
+    {
+        const auto value = readFingerprint(text);
+        return value ? std::optional(Fingerprint{*value}) : std::nullopt;
+    }
 };
 
+/// Identifies the content of a request. Equal for all repeats of a request, at any entry, although each has its own
+/// request id.
+using CallFingerprint = Fingerprint<struct CallContent>;
+/// Identifies a part of prompts by the id that callers give it.
+using PartFingerprint = Fingerprint<struct PartContent>;
+
 /// Calls in progress at an endpoint when it broke them off, as seen by one entry. Any of them may have crashed it.
 struct CrashReport
 {
@@ -303,6 +319,10 @@
 
 CallFingerprint computeFingerprint(std::string_view method, std::string_view target, std::string_view body,
                                    const CallInfo &info);
+/// Longest list of shared parts that is kept of a call: callers choose the length of theirs.
+constexpr std::size_t maxSharedParts = 16;
+/// The parts that other calls may have too, in prompt order: all but the last, and the first maxSharedParts of them.
+std::vector<PartFingerprint> sharedParts(const std::vector<PromptPart> &parts);
 
 /// Reason reported by an endpoint that did not run a call.
 enum class EndpointRefusal : std::uint8_t {
@@ -504,6 +524,7 @@
 {
     std::string requestId;
     CallFingerprint fingerprint;
+    std::vector<PartFingerprint> parts; ///< shared ones, in prompt order
     EndedOutcome outcome = EndedOutcome::Answered;
     std::string reason; ///< name of the RefusalReason or FailureReason; empty on success
     std::uint32_t status = 0; ///< of the endpoint's answer; 0 without an answer
@@ -538,10 +559,12 @@
 {
     std::string requestId;
     CallFingerprint fingerprint;
+    std::vector<PartFingerprint> parts; ///< shared ones, in prompt order
     std::uint32_t attempt = 0;
     std::string endpointId;
     AttemptResult result;
     Duration elapsed{}; ///< time since the call was sent
+    std::optional<Duration> answeredFor; ///< time since the first byte of the attempt's answer; empty without one
 };
 
 /// Limits of the connections of one entry to sidecars, for each service with engines. Engines beyond them get calls of
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -15,6 +15,15 @@
     return std::chrono::duration<double>(span).count();
 }
 
+std::string partsText(const std::vector<PartFingerprint> &parts)
+{
+    std::string text;
+    for (const auto &part : parts) {
+        text += (text.empty() ? "" : ",") + part.text();
+    }
+    return text;
+}
+
 } // namespace
 
 DirectLog::DirectLog()
@@ -47,6 +56,7 @@
     }
     logEvent(Event::AttemptFailed, {{"request", attempt.requestId},
                                     {"fingerprint", attempt.fingerprint.text()},
+                                    {"parts", partsText(attempt.parts)},
                                     {"attempt", std::uint64_t{attempt.attempt}},
                                     {"endpoint", attempt.endpointId},
                                     {"end", std::string(toString(attempt.result.end))},
@@ -55,7 +65,8 @@
                                     {"framing", std::string(toString(attempt.result.framing))},
                                     {"truncated", attempt.result.isTruncated},
                                     {"callerHasBytes", attempt.result.callerHasBytes},
-                                    {"afterMs", toMilliseconds(attempt.elapsed)}});
+                                    {"afterMs", toMilliseconds(attempt.elapsed)},
+                                    {"answeredMs", attempt.answeredFor ? toMilliseconds(*attempt.answeredFor) : -1}});
 }
 
 void DirectLog::requestQuarantined(CallFingerprint request)
@@ -87,6 +98,7 @@
               {"workspace", call.workspace},
               {"adapter", call.adapter},
               {"fingerprint", call.fingerprint.text()},
+              {"parts", partsText(call.parts)},
               {"endpoint", call.endpointId},
               {"softwareVersion", call.softwareVersion},
               {"resumes", call.resumed ? call.resumed->firstRequestId : std::string()},
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -40,8 +40,9 @@
     call.framing = result.framing;
     call.isTruncated = result.isTruncated;
     if (result.end != AttemptEnd::Answered) {
-        impl.failedAttempts.push_back(
-            {call.info.requestId, call.info.fingerprint, attempt, call.endpointId, result, now - call.stepStartedAt});
+        const auto answeredFor = call.hasFirstByte ? std::optional(now - call.firstByteAt) : std::nullopt;
+        impl.failedAttempts.push_back({call.info.requestId, call.info.fingerprint, call.parts, attempt, call.endpointId,
+                                       result, now - call.stepStartedAt, answeredFor});
     }
     const bool failed = result.end == AttemptEnd::Unreachable || result.end == AttemptEnd::Broken;
     impl.detachFromEndpoint(handle, call, failed, now);
@@ -200,6 +201,7 @@
     EndedCall done;
     done.requestId = call.info.requestId;
     done.fingerprint = call.info.fingerprint;
+    done.parts = std::move(call.parts);
     done.outcome = outcome;
     done.reason = reason;
     done.status = status;
--- a/src/direct/call_fingerprint.cpp
+++ b/src/direct/call_fingerprint.cpp
@@ -1,29 +1,30 @@
-// Fingerprints that identify repeats of a request.
+// Fingerprints that identify repeats of a request, and the parts of its prompt.
 #include "anvilscale/direct.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
 
 namespace anvilscale {
 
-std::string CallFingerprint::text() const
+std::string fingerprintText(std::uint64_t value)
 {
     std::array<char, 17> digits{};
     std::snprintf(digits.data(), digits.size(), "%016llx", static_cast<unsigned long long>(value));
     return digits.data();
 }
 
-std::optional<CallFingerprint> CallFingerprint::read(std::string_view text)
+std::optional<std::uint64_t> readFingerprint(std::string_view text)
 {
     constexpr std::size_t digits = 16;
     constexpr int base = 16;
-    CallFingerprint result;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), result.value, base);
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
     if (text.size() != digits || error != std::errc() || end != text.data() + text.size()) {
         return std::nullopt;
     }
-    return result;
+    return value;
 }
 
 CallFingerprint computeFingerprint(std::string_view method, std::string_view target, std::string_view body,
@@ -37,4 +38,15 @@
     return CallFingerprint{value};
 }
 
+std::vector<PartFingerprint> sharedParts(const std::vector<PromptPart> &parts)
+{
+    const auto count = parts.empty() ? 0 : std::min(parts.size() - 1, maxSharedParts);
+    std::vector<PartFingerprint> result;
+    result.reserve(count);
+    for (std::size_t i = 0; i < count; ++i) {
+        result.push_back({hash64(parts[i].id)});
+    }
+    return result;
+}
+
 } // namespace anvilscale
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -101,6 +101,7 @@
     call.arrivedAt = now;
     call.deadline = now + info.callerTimeout;
     call.info = std::move(info);
+    call.parts = sharedParts(call.info.parts);
     impl.applyRoute(call, *route);
     auto &stored = impl.calls.insert_or_assign(handle, std::move(call)).first->second;
     if (const auto reason = impl.identifyCaller(stored, *route); reason != RefusalReason::None) {
@@ -366,6 +367,7 @@
     }
     auto &call = found->second;
     call.hasFirstByte = true;
+    call.firstByteAt = now;
     call.firstByte = now - call.arrivedAt;
     impl_->reportFirstByte(call, now);
     if (auto *entry = impl_->findEndpoint(call)) {
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -34,6 +34,7 @@
 struct DirectCall
 {
     CallInfo info;
+    std::vector<PartFingerprint> parts; // shared ones, in prompt order
     std::string workspace; // empty if unknown
     Allowance allowance; // of the workspace, when the call was charged
     double allowanceCost = 0; // charged to the workspace; 0 if it is not limited
@@ -69,6 +70,7 @@
     std::set<std::string> excludedIds; // ids that the call must not go to again
     std::uint32_t executionCount = 0; // number of endpoints that have run it or may have
     bool hasFirstByte = false; // the current attempt has received its first byte
+    TimePoint firstByteAt{}; // of the current attempt, if it has one
     std::uint32_t version = 0; // requested by the current attempt
     Duration estimate{}; // of the last choice
     Duration readingTime{}; // part of the estimate that the engine spends reading prompts
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -34,6 +34,18 @@
     EXPECT_EQ(CallFingerprint{0xabc}.text(), "0000000000000abc");
 }
 
+// Guards against comparing calls by parts that no other call can have, and against lists of any length.
+TEST(SharedParts, LeavesOutTheLastPartAndEndsAtALimit)
+{
+    EXPECT_TRUE(sharedParts({}).empty());
+    EXPECT_TRUE(sharedParts({{"own", 10}}).empty());
+    const auto parts = sharedParts({{"a", 10}, {"b", 20}, {"own", 30}});
+    ASSERT_EQ(parts.size(), 2U);
+    EXPECT_EQ(parts, sharedParts({{"a", 1}, {"b", 2}, {"other", 3}}));
+    EXPECT_EQ(PartFingerprint::read(parts[0].text()), parts[0]);
+    EXPECT_EQ(sharedParts(std::vector<PromptPart>(1000, {"a", 1})).size(), maxSharedParts);
+}
+
 TEST_F(Calls, AnOlderConfigurationNeverComesBack)
 {
     auto newer = makeConfig(5);
@@ -451,4 +463,22 @@
     EXPECT_EQ(ended[0].configVersion, 1U);
 }
 
+// Guards against log lines from which calls at crashed engines cannot be compared.
+TEST_F(Calls, FailedAttemptNamesItsPartsAndHowLongItWasAnswered)
+{
+    addEngine("e-1", addressOne, {"a1"});
+    startCall("/s/x", "a1");
+    const auto send = takeSentCall();
+    calls_.onAnswerStarted(send.call, send.attempt, now_);
+    now_ += Milliseconds(70);
+    endAttempt(send, AttemptEnd::Broken);
+    const auto failed = calls_.takeFailedAttempts();
+    ASSERT_EQ(failed.size(), 1U);
+    EXPECT_EQ(failed[0].parts, sharedParts({{"shared", 2000}, {"own", 1000}}));
+    EXPECT_EQ(failed[0].answeredFor, Duration(Milliseconds(70)));
+    const auto ended = calls_.takeEnded();
+    ASSERT_EQ(ended.size(), 1U);
+    EXPECT_EQ(ended[0].parts, failed[0].parts);
+}
+
 } // namespace anvilscale::test
