--- a/tests/standins/site_replica.cpp
+++ b/tests/standins/site_replica.cpp
@@ -5,6 +5,9 @@
 //   {"lostOrders": N}     the next N orders are executed, but not answered
 //   {"id": "i-2"}         restarts the replica under another id
 //   {"crashOn": "TEXT"}   cuts the connection of each call whose body contains the text
+//   {"crashOnPart": "ID", "downMs": N}  begins the answer to each call with this prompt part, then crashes: cuts all
+//                         connections for N ms, and has lost its model and adapters
+//   {"born": N}           start time to report, later after each crash; 0 for none
 //   {"leaving": true}     marks all answers as those of a leaving replica
 //   {"retryAfter": N}     Retry-After of refusals, in seconds
 //   {"limit": "N"}        announces a limit of N requests a second in answers to calls; empty for none
@@ -52,6 +55,8 @@
         const auto path = request.getURI();
         if (path == "/standin") {
             handleControl(request, response);
+        } else if (isDown()) {
+            closeConnection(request);
         } else if (path == "/api/report") {
             sendJson(response, HTTPServerResponse::HTTP_OK, makeReport());
         } else if (path == "/api/order") {
@@ -73,6 +78,9 @@
         retryAfterSeconds_ = fieldOr(*body, "retryAfter", retryAfterSeconds_);
         rateLimit_ = fieldOr<std::string>(*body, "limit", rateLimit_);
         crashOn_ = fieldOr<std::string>(*body, "crashOn", crashOn_);
+        crashOnPart_ = fieldOr<std::string>(*body, "crashOnPart", crashOnPart_);
+        downTime_ = std::chrono::milliseconds(fieldOr<int>(*body, "downMs", static_cast<int>(downTime_.count())));
+        startTimeMs_ = fieldOr<Poco::Int64>(*body, "born", startTimeMs_);
         if (body->has("id")) {
             id_ = body->getValue<std::string>("id");
             adapters_.clear();
@@ -86,6 +94,7 @@
         status.set("turnedAway", refusedCalls_);
         status.set("overfull", hasExceededSlots_);
         status.set("orders", orders_);
+        status.set("crashes", crashes_);
         sendJson(response, HTTPServerResponse::HTTP_OK, status);
     }
 
@@ -115,9 +124,42 @@
         result.set("pending", pending);
         result.set("busy", false);
         result.set("sequence", sequence_);
+        if (startTimeMs_ != 0) {
+            result.set("born", startTimeMs_);
+        }
         return result;
     }
 
+    bool isDown()
+    {
+        const std::scoped_lock lock(mutex_);
+        return Clock::now() < downUntil_;
+    }
+
+    bool hasCrashedSince(int crashes)
+    {
+        const std::scoped_lock lock(mutex_);
+        return crashes_ != crashes;
+    }
+
+    void crash()
+    {
+        const std::scoped_lock lock(mutex_);
+        ++crashes_;
+        downUntil_ = Clock::now() + downTime_;
+        startTimeMs_ += startTimeMs_ == 0 ? 0 : 1;
+        adapters_.clear();
+        hasModel_ = false;
+        sequence_ = 0;
+    }
+
+    /// The prompt of the call has the part that crashes this replica.
+    bool hasCrashingPart(const HTTPServerRequest &request) const
+    {
+        const auto parts = "," + request.get("X-Anvilscale-Prefix-Hash", "");
+        return !crashOnPart_.empty() && parts.find("," + crashOnPart_ + ":") != std::string::npos;
+    }
+
     void handleOrder(HTTPServerRequest &request, HTTPServerResponse &response)
     {
         const auto body = readJson(request);
@@ -190,8 +232,10 @@
         const auto body = readBody(request);
         const auto id = request.get("X-Anvilscale-Request-Id", "");
         std::string fault;
+        int crashes = 0;
         {
             const std::scoped_lock lock(mutex_);
+            crashes = crashes_;
             if (isLeaving_) {
                 response.set("Server-Leaving", "1");
             }
@@ -201,7 +245,7 @@
             if (refuseIfUnavailable(request, response)) {
                 return;
             }
-            fault = takeNextFault();
+            fault = hasCrashingPart(request) ? "crash" : takeNextFault();
             if (fault == "refuse") {
                 ++refusedCalls_;
                 response.set("X-Anvilscale-Not-Executed", "1");
@@ -228,7 +272,7 @@
         if (slots_ == 0) {
             answerPlain(request, response, fault, body);
         } else {
-            answerStream(request, response, fault);
+            answerStream(request, response, fault, crashes);
         }
     }
 
@@ -244,7 +288,8 @@
         closeConnection(request);
     }
 
-    static void answerStream(HTTPServerRequest &request, HTTPServerResponse &response, const std::string &fault)
+    /// `crashes`: number of crashes before the call.
+    void answerStream(HTTPServerRequest &request, HTTPServerResponse &response, const std::string &fault, int crashes)
     {
         response.setContentType("text/event-stream");
         response.setChunkedTransferEncoding(!fault.starts_with("unframed"));
@@ -261,6 +306,13 @@
                 return;
             }
             std::this_thread::sleep_for(eventInterval);
+            if (fault == "crash" && i == 2) {
+                crash();
+            }
+            if (hasCrashedSince(crashes)) {
+                closeConnection(request);
+                return;
+            }
         }
     }
 
@@ -277,6 +329,11 @@
     int remainingFaults_ = 0;
     int orderRepliesToLose_ = 0;
     std::string crashOn_; // disabled if empty
+    std::string crashOnPart_; // disabled if empty
+    std::chrono::milliseconds downTime_{0}; // after a crash
+    Clock::time_point downUntil_{};
+    int crashes_ = 0;
+    Poco::Int64 startTimeMs_ = 0; // not reported if 0
     bool isLeaving_ = false;
     int retryAfterSeconds_ = 0; // 0 for no header
     std::string rateLimit_; // empty for no header
