Bound the time that crash evidence takes of an entry

Each expired or evicted crash walked all suspected parts, each tick walked all parts for due clearances, and each report was judged by itself. After a crash of many engines that is 10,000 parts and hundreds of reports at an entry with a tenth of a core.

A crash now lists its parts, clearances wait in a list of their own, and crashes are judged at most five times a second.

--- a/src/direct/part_quarantine.cpp
+++ b/src/direct/part_quarantine.cpp
@@ -63,13 +63,18 @@
             continue;
         }
         for (const auto &suspect : prompt) {
-            auto &part = parts_[suspect.part];
-            auto &suspicion = part.crashes[crash.number];
+            auto &suspicion = addSuspicion(crash, suspect.part);
             suspicion.round = std::max(suspicion.round, suspect.round);
-            schedulePublication(suspect.part, part, now);
+            schedulePublication(suspect.part, now);
         }
     }
+}
+
+PartQuarantine::Suspicion &PartQuarantine::addSuspicion(Crash &crash, PartFingerprint id)
+{
     isChanged_ = true;
+    crash.parts.insert(id);
+    return parts_[id].crashes[crash.number];
 }
 
 PartQuarantine::Crash &PartQuarantine::findCrash(ProcessFingerprint process, TimePoint now)
@@ -110,12 +115,10 @@
 {
     for (const auto process : clearance.crashes) {
         // The report of the crash may come later.
-        const auto number = findCrash(process, now).number;
-        auto &suspicion = parts_[clearance.part].crashes[number];
+        auto &suspicion = addSuspicion(findCrash(process, now), clearance.part);
         suspicion.isCleared = true;
         suspicion.isPublished = true;
     }
-    isChanged_ = true;
 }
 
 bool PartQuarantine::isClearedByAnswer(const std::vector<PartFingerprint> &parts, std::uint64_t lastCrash) const
@@ -136,48 +139,51 @@
             continue;
         }
         for (auto &[number, suspicion] : found->second.crashes) {
-            suspicion.isCleared = suspicion.isCleared || number <= lastCrash;
+            if (number <= lastCrash && !suspicion.isCleared) {
+                suspicion.isCleared = true;
+                isChanged_ = true;
+            }
         }
-        schedulePublication(id, found->second, now);
+        schedulePublication(id, now);
     }
-    isChanged_ = true;
 }
 
 // Entries clear the parts of most crashes by themselves, or the crashes stop. Only parts that come near a quarantine at
 // entries without such answers are worth a record.
-void PartQuarantine::schedulePublication(PartFingerprint id, Part &part, TimePoint now) const
+void PartQuarantine::schedulePublication(PartFingerprint id, TimePoint now)
 {
+    const auto &crashes = parts_.at(id).crashes;
     const auto isOpen = [](std::uint64_t, const Suspicion &suspicion) { return !suspicion.isPublished; };
-    const bool hasCleared = std::any_of(part.crashes.begin(), part.crashes.end(), [](const auto &item) {
+    const bool hasCleared = std::any_of(crashes.begin(), crashes.end(), [](const auto &item) {
         return item.second.isCleared && !item.second.isPublished;
     });
-    if (!hasCleared || countRounds(part.crashes, isOpen) + 1 < minRounds) {
-        part.publishAt.reset();
-    } else if (!part.publishAt) {
+    if (hasCleared && countRounds(crashes, isOpen) + 1 >= minRounds) {
         const auto share = hash64(id.text(), seed_) % static_cast<std::uint64_t>(publicationSpread.count());
-        part.publishAt = now + Duration(static_cast<Duration::rep>(share));
+        publications_.try_emplace(id, now + Duration(static_cast<Duration::rep>(share)));
     }
 }
 
 void PartQuarantine::publishDue(TimePoint now)
 {
-    for (auto &[id, part] : parts_) {
-        if (!part.publishAt || now < *part.publishAt) {
-            continue;
-        }
-        schedulePublication(id, part, now); // another entry may have published it meanwhile
-        if (!part.publishAt) {
-            continue;
+    std::erase_if(publications_, [&](const auto &item) {
+        const auto &[id, dueAt] = item;
+        if (now < dueAt) {
+            return false;
         }
         PartClearance clearance{id, {}};
-        for (auto &[number, suspicion] : part.crashes) {
-            if (suspicion.isCleared && !std::exchange(suspicion.isPublished, suspicion.isCleared)) {
-                clearance.crashes.push_back(byNumber_.at(number));
+        const auto found = parts_.find(id);
+        if (found != parts_.end()) {
+            for (auto &[number, suspicion] : found->second.crashes) {
+                if (suspicion.isCleared && !std::exchange(suspicion.isPublished, true)) {
+                    clearance.crashes.push_back(byNumber_.at(number));
+                }
             }
         }
-        part.publishAt.reset();
-        clearances_.push_back(std::move(clearance));
-    }
+        if (!clearance.crashes.empty()) { // or another entry has published it meanwhile
+            clearances_.push_back(std::move(clearance));
+        }
+        return true;
+    });
 }
 
 void PartQuarantine::onHistoryApplied(TimePoint now)
@@ -206,7 +212,8 @@
         forgetExpired(now);
     }
     publishDue(now);
-    if (isChanged_ || now >= judgeAt_) {
+    if ((isChanged_ || now >= judgeAt_) && now >= nextJudgementAt_) {
+        nextJudgementAt_ = now + judgementInterval;
         judge(now);
     }
 }
@@ -224,13 +231,12 @@
 void PartQuarantine::forget(std::map<ProcessFingerprint, Crash>::iterator crash)
 {
     const auto number = crash->second.number;
-    for (auto it = parts_.begin(); it != parts_.end();) {
-        auto &[id, part] = *it;
-        if (part.crashes.erase(number) != 0 && part.crashes.empty()) {
-            setQuarantined(id, part, false);
-            it = parts_.erase(it);
-        } else {
-            ++it;
+    for (const auto id : crash->second.parts) {
+        const auto found = parts_.find(id);
+        found->second.crashes.erase(number);
+        if (found->second.crashes.empty()) {
+            setQuarantined(id, found->second, false);
+            parts_.erase(found);
         }
     }
     byNumber_.erase(number);
@@ -253,12 +259,8 @@
 
 bool PartQuarantine::supportsQuarantine(const Crash &crash) const
 {
-    return std::any_of(crash.prompts.begin(), crash.prompts.end(), [this](const SuspectPrompt &prompt) {
-        return std::any_of(prompt.begin(), prompt.end(), [this](const SuspectPart &suspect) {
-            const auto found = parts_.find(suspect.part);
-            return found != parts_.end() && found->second.isQuarantined;
-        });
-    });
+    return std::any_of(crash.parts.begin(), crash.parts.end(),
+                       [this](PartFingerprint id) { return parts_.at(id).isQuarantined; });
 }
 
 void PartQuarantine::judge(TimePoint now)
@@ -270,7 +272,7 @@
     for (const auto &[process, crash] : crashes_) {
         if (crash.countsFrom > now) {
             judgeAt_ = std::min(judgeAt_, crash.countsFrom);
-        } else if (const auto cause = findCause(crash, suspects)) {
+        } else if (const auto cause = suspects.empty() ? std::nullopt : findCause(crash, suspects)) {
             causedRounds[*cause].insert(parts_.at(*cause).crashes.at(crash.number).round);
         }
     }
@@ -287,6 +289,9 @@
     };
     Suspects suspects;
     for (const auto &[id, part] : parts_) {
+        if (part.crashes.size() < minRounds) {
+            continue;
+        }
         const auto rounds = countRounds(part.crashes, counts);
         const auto crashes =
             static_cast<std::size_t>(std::count_if(part.crashes.begin(), part.crashes.end(),
--- a/src/direct/part_quarantine.h
+++ b/src/direct/part_quarantine.h
@@ -57,6 +57,8 @@
     // Clearances wait up to this long, in case another entry publishes the same.
     static constexpr Duration publicationSpread = Milliseconds(500);
     static constexpr Duration sweepInterval = Seconds(1);
+    // Bounds the time spent on judging while many engines crash.
+    static constexpr Duration judgementInterval = Milliseconds(200);
 
     using Suspects = std::map<PartFingerprint, std::size_t>;
 
@@ -65,7 +67,8 @@
         std::uint64_t number = 0; // in the order in which this entry has learned of them
         TimePoint learnedAt;
         TimePoint countsFrom;
-        std::vector<SuspectPrompt> prompts; // each once; invariant: their parts have a suspicion of this crash
+        std::vector<SuspectPrompt> prompts; // each once
+        std::set<PartFingerprint> parts; // of the prompts and of clearances; invariant: each has a suspicion
     };
     struct Suspicion
     {
@@ -76,13 +79,13 @@
     struct Part
     {
         std::map<std::uint64_t, Suspicion> crashes; // by number
-        std::optional<TimePoint> publishAt; // when its clearance is published
         bool isQuarantined = false;
     };
 
     Crash &findCrash(ProcessFingerprint process, TimePoint now);
     static bool addPrompt(Crash &crash, const SuspectPrompt &prompt);
-    void schedulePublication(PartFingerprint id, Part &part, TimePoint now) const;
+    Suspicion &addSuspicion(Crash &crash, PartFingerprint id);
+    void schedulePublication(PartFingerprint id, TimePoint now);
     void publishDue(TimePoint now);
     void forgetExpired(TimePoint now);
     void forget(std::map<ProcessFingerprint, Crash>::iterator crash);
@@ -103,6 +106,8 @@
     bool isChanged_ = false; // since the last judgement
     TimePoint judgeAt_ = TimePoint::max(); // when the next crash begins to count
     TimePoint nextSweepAt_{};
+    TimePoint nextJudgementAt_{};
+    std::map<PartFingerprint, TimePoint> publications_; // of clearances, when they are due
     std::vector<PartClearance> clearances_;
     std::vector<PartVerdict> verdicts_;
 };
