The end of a leaving engine is no crash

Calls at endpoints that have announced that they leave are no suspects any more. The test fails without the condition.

--- a/src/direct/crashing_parts.cpp
+++ b/src/direct/crashing_parts.cpp
@@ -29,7 +29,9 @@
 void DirectCalls::Impl::recordBreak(const DirectCall &call, TimePoint now)
 {
     quarantine.onCallBroken(call.info.fingerprint, call.endpointId, call.endpointStartTimeMs, now);
-    const bool isSuspect = !call.hasFirstByte || now - call.firstByteAt <= crashDelay;
+    const auto *entry = findEndpoint(call);
+    const bool hasJustBegun = !call.hasFirstByte || now - call.firstByteAt <= crashDelay;
+    const bool isSuspect = hasJustBegun && (entry == nullptr || !entry->isLeaving(now)); // leaving endpoints end
     crashWatch.onBroken(calledProcess(call),
                         isSuspect ? crashingParts.suspect(call.parts, call.lastCrash) : SuspectPrompt{}, now);
 }
--- a/tests/unit/part_quarantine_test.cpp
+++ b/tests/unit/part_quarantine_test.cpp
@@ -189,6 +189,20 @@
     EXPECT_EQ(prompts, 1);
 }
 
+// Guards against taking the planned end of an engine for a crash.
+TEST_F(CrashingParts, AnEngineThatLeavesHasNotCrashed)
+{
+    const auto send = beginAnswer({"first", "sound"});
+    auto record = makeEndpoint(send.endpointId, engineService, send.address);
+    record.startTimeMs = 1001 + static_cast<std::uint64_t>(send.endpointId.back() - '0');
+    record.leaving = true;
+    calls_.applyEndpoint(record, now_);
+    endAttempt(send, AttemptEnd::Broken);
+    calls_.removeEndpoint(send.endpointId, now_);
+    pass(Seconds(3));
+    EXPECT_EQ(calls_.stats().crashingParts.crashes, 0U);
+}
+
 /// Evidence of one entry, without calls.
 class PartEvidence : public testing::Test
 {
