--- a/src/direct/call_fingerprint.cpp
+++ b/src/direct/call_fingerprint.cpp
@@ -1,4 +1,4 @@
-// Fingerprints that identify repeats of a request, and the parts of its prompt.
+// Fingerprints of requests, prompt parts and processes.
 #include "anvilscale/direct.h"
 
 #include <algorithm>
@@ -27,6 +27,11 @@
     return value;
 }
 
+ProcessFingerprint fingerprintOf(const std::string &endpointId, std::uint64_t startTimeMs)
+{
+    return {hash64(endpointId, startTimeMs)};
+}
+
 CallFingerprint computeFingerprint(std::string_view method, std::string_view target, std::string_view body,
                                    const CallInfo &info)
 {
--- a/src/direct/part_quarantine.cpp
+++ b/src/direct/part_quarantine.cpp
@@ -22,11 +22,6 @@
 
 } // namespace
 
-ProcessFingerprint fingerprintOf(const std::string &endpointId, std::uint64_t startTimeMs)
-{
-    return {hash64(endpointId, startTimeMs)};
-}
-
 PartQuarantine::PartQuarantine(std::uint64_t seed)
     : seed_(seed)
 {
--- a/src/direct/part_quarantine.h
+++ b/src/direct/part_quarantine.h
@@ -45,12 +45,11 @@
 private:
     // A sound part is cleared before as many rounds: it is answered on between them.
     static constexpr std::size_t minRounds = 3;
-    // Crashes from which on minCausedRounds are enough.
+    // With as many crashes, minCausedRounds are enough.
     static constexpr std::size_t manyCrashes = 5;
     // Rounds of a suspect of which it is the likeliest cause.
     static constexpr std::size_t minCausedRounds = 2;
-    // A crash counts from then on: answers that had begun when it became known show within this time whether they
-    // survive.
+    // Time from learning of a crash until it counts: answers that have begun by then show whether they survive.
     static constexpr Duration judgementDelay = crashDelay;
     static constexpr std::size_t maxCrashes = 256;
     static constexpr std::size_t maxPromptsPerCrash = 32;
@@ -60,7 +59,7 @@
     // Bounds the time spent on judging while many engines crash.
     static constexpr Duration judgementInterval = Milliseconds(200);
 
-    using Suspects = std::map<PartFingerprint, std::size_t>;
+    using Suspects = std::map<PartFingerprint, std::size_t>; // with the number of their crashes
 
     struct Crash
     {
@@ -92,7 +91,7 @@
     void evictOldest();
     bool supportsQuarantine(const Crash &crash) const;
     void judge(TimePoint now);
-    /// Parts that are suspected of enough crashes, with their number.
+    /// Parts that are suspected of enough crashes to be their cause.
     Suspects findSuspects(TimePoint now) const;
     std::optional<PartFingerprint> findCause(const Crash &crash, const Suspects &suspects) const;
     void setQuarantined(PartFingerprint id, Part &part, bool isQuarantined);
