A request that crashes engines by itself does not hold back the parts of its prompt

A request that crashes each engine that runs it, under new ids, comes under quarantine after three crashes. Its shared parts were suspected in the same three rounds: calls of the same caller that share them were refused for ten minutes, and as they were refused nothing could clear the parts.

The fingerprint of the request now stands behind the shared parts of a suspected prompt. The last suspect of a prompt is the cause of a crash, so that a repeated request explains its crashes; requests that are all different never come to a second round. The check of old answers in AnAnswerThatGoesOnForLongIsNoSuspect looks at all parts of a prompt now, not at the last one only.

--- a/src/direct/crashing_parts.cpp
+++ b/src/direct/crashing_parts.cpp
@@ -3,6 +3,21 @@
 
 namespace anvilscale {
 
+namespace {
+
+/// The shared parts of a call and, behind them, the call's request. A request that crashes endpoints by itself, each
+/// time that it is repeated, is then suspected as its parts are, and as the last suspect it is the cause.
+std::vector<PartFingerprint> partsAndRequest(const DirectCall &call)
+{
+    auto parts = call.parts;
+    if (!parts.empty()) {
+        parts.push_back({call.info.fingerprint.value});
+    }
+    return parts;
+}
+
+} // namespace
+
 bool DirectCalls::Impl::isQuarantined(const DirectCall &call, TimePoint now) const
 {
     return crashingParts.isQuarantined(call.parts) || quarantine.isQuarantined(call.info.fingerprint, now);
@@ -33,7 +48,8 @@
     const bool hasJustBegun = !call.hasFirstByte || now - call.firstByteAt <= crashDelay;
     const bool isSuspect = hasJustBegun && (entry == nullptr || !entry->isLeaving(now)); // leaving endpoints end
     crashWatch.onBroken(calledProcess(call),
-                        isSuspect ? crashingParts.suspect(call.parts, call.lastCrash) : SuspectPrompt{}, now);
+                        isSuspect ? crashingParts.suspect(partsAndRequest(call), call.lastCrash) : SuspectPrompt{},
+                        now);
 }
 
 CalledProcess DirectCalls::Impl::calledProcess(const DirectCall &call)
--- a/src/direct/part_quarantine.cpp
+++ b/src/direct/part_quarantine.cpp
@@ -335,7 +335,9 @@
     }
     part.isQuarantined = isQuarantined;
     quarantinedParts_ += isQuarantined ? 1 : -1;
-    verdicts_.push_back({id, isQuarantined, part.crashes.size()});
+    const auto isOpen = [](const auto &item) { return !item.second.isCleared; };
+    const auto crashes = std::count_if(part.crashes.begin(), part.crashes.end(), isOpen);
+    verdicts_.push_back({id, isQuarantined, static_cast<std::size_t>(crashes)});
 }
 
 std::vector<PartClearance> PartQuarantine::takeClearances()
--- a/tests/unit/part_quarantine_test.cpp
+++ b/tests/unit/part_quarantine_test.cpp
@@ -52,7 +52,7 @@
     {
         CallInfo info;
         info.requestId = "r" + std::to_string(++lastCall_);
-        info.fingerprint = {lastCall_};
+        info.fingerprint = repeated_.value_or(CallFingerprint{lastCall_});
         info.host = host;
         info.path = "/s/x";
         info.callerTimeout = Seconds(4);
@@ -104,6 +104,7 @@
 
     std::uint64_t startTimeMs_ = 1000;
     std::vector<std::string> adapters_{"a1"}; // that all engines hold
+    std::optional<CallFingerprint> repeated_; // of the next calls; empty: all differ
 };
 
 // Guards against requests that are all different and crash one engine after another by a prompt part that they share.
@@ -125,6 +126,19 @@
     EXPECT_TRUE(isServed({"first", "sound"}));
 }
 
+// Guards against holding back the parts of a request that crashes engines by itself, each time that it is repeated.
+TEST_F(CrashingParts, ARepeatedRequestIsTheCauseAndNotItsParts)
+{
+    repeated_ = CallFingerprint{77};
+    for (int i = 0; i < 3; ++i) {
+        crash(beginAnswer({"first", "caller"}));
+    }
+    EXPECT_FALSE(isServed({"first", "caller"})) << "the request";
+    repeated_.reset();
+    pass(Seconds(2));
+    EXPECT_TRUE(isServed({"first", "caller"})) << "others on its parts";
+}
+
 // Guards against calls that wait for their adapter and are sent although their prompt came under quarantine.
 TEST_F(CrashingParts, AWaitingCallEndsWithTheQuarantine)
 {
@@ -183,7 +197,8 @@
     for (const auto &report : calls_.takeCrashReports()) {
         for (const auto &prompt : report.prompts) {
             ++prompts;
-            EXPECT_NE(prompt.back().part, oldPart);
+            EXPECT_TRUE(std::none_of(prompt.begin(), prompt.end(),
+                                     [oldPart](const SuspectPart &suspect) { return suspect.part == oldPart; }));
         }
     }
     EXPECT_EQ(prompts, 1);
