--- a/tests/unit/part_quarantine_test.cpp
+++ b/tests/unit/part_quarantine_test.cpp
@@ -69,7 +69,7 @@
     SendCall beginAnswer(const std::vector<std::string> &parts)
     {
         startCallOn(parts);
-        const auto send = takeSentCall();
+        auto send = takeSentCall();
         now_ += Milliseconds(100);
         calls_.onAnswerStarted(send.call, send.attempt, now_);
         return send;
