--- a/review/standins.h
+++ b/review/standins.h
@@ -6,6 +6,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -353,6 +354,7 @@
 {
     const pid_t child = fork();
     if (child == 0) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL); // no process outlives the script
         dup2(output, STDOUT_FILENO);
         dup2(output, STDERR_FILENO);
         setenv("ANVILSCALE_SETTINGS", settings.c_str(), 1);
