Log where the fencing number of a sidecar comes from

The log showed the number of each order (event 420), but not when and from what it was taken, so that a number that falls because its source falls could not be told from one that was raised and forgotten, or from an order that arrives late. Event 430 is written once for each number.

--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -64,6 +64,7 @@
     ReadingMeasured,
     SlotsLeased,
     OriginsTold,
+    FencingNumberTaken,
     CallFailed,
     CallRefused,
     AnswerBroken,
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -57,6 +57,7 @@
         });
         control_.post([this](Now) { requestReport(); });
         logEvent(Event::ProcessStarted, {{"role", settings_.role()}, {"incarnation", incarnation_}});
+        logEvent(Event::FencingNumberTaken, {{"fence", incarnation_ / 1000}, {"source", "time_of_day"}});
     }
 
     /// Calls do not pass through the sidecar, so there is no work to wait for.
