Take repeated writes to the store out of the crash reporter

One call at a time with a timeout and a pause that doubles: what else writes to the store needs the same.

--- a/src/daemon/crash_reporter.h
+++ b/src/daemon/crash_reporter.h
@@ -1,9 +1,7 @@
 // Writes crash reports of an entry to the platform's store, from which all entries read them.
 #pragma once
 
-#include "store_watcher.h"
-
-#include "anvilscale/direct_path.h"
+#include "store_caller.h"
 
 #include <deque>
 
@@ -37,17 +35,9 @@
     CrashReporter(Loop &loop, const CrashReporterInit &init, CrashReporterHandlers handlers)
         : loop_(loop)
         , name_(init.name)
-        , times_(init.times)
         , handlers_(std::move(handlers))
-        , random_(init.seed)
-        , client_(loop, clientInit(init))
-        , retryDelay_(init.times.initialRetryDelay)
-    {
-    }
-    ~CrashReporter()
+        , caller_(loop, {init.address, init.times, init.seed}, callerHandlers())
     {
-        loop_.timers().cancel(nextCallTimer_);
-        loop_.timers().cancel(timeoutTimer_);
     }
     CrashReporter(const CrashReporter &) = delete;
     CrashReporter &operator=(const CrashReporter &) = delete;
@@ -84,8 +74,7 @@
                         std::make_move_iterator(reports.end()));
         if (!isBusy_) {
             isBusy_ = true;
-            // The jitter prevents all entries from writing at the same time.
-            scheduleNext(random_.jitter(times_.initialRetryDelay));
+            caller_.scheduleWithJitter();
         }
     }
 
@@ -102,13 +91,17 @@
     static constexpr std::uint64_t maxNames = 64;
     static constexpr std::size_t maxReportsPerCall = 32; // limit of the store
 
-    static HttpClientInit clientInit(const CrashReporterInit &init)
+    StoreCallerHandlers callerHandlers()
     {
-        HttpClientInit result;
-        result.address = init.address;
-        result.connectTimeout = init.times.silenceTimeout;
-        result.maxIdleConnections = 0;
-        return result;
+        StoreCallerHandlers handlers;
+        handlers.due = [this] { writeNext(); };
+        handlers.refused = [this](StoreStatus status) {
+            if (status == StoreStatus::Missing) {
+                lease_ = 0; // expired, or lost by the store
+            }
+        };
+        handlers.failed = handlers_.failed;
+        return handlers;
     }
 
     void enqueue(std::variant<CrashReport, ClearanceReport> report)
@@ -120,7 +113,7 @@
         }
         if (!isBusy_) {
             isBusy_ = true;
-            scheduleNext(batchDelay);
+            caller_.schedule(batchDelay);
         }
     }
 
@@ -141,30 +134,31 @@
     {
         // Used for new reports for half of its duration, so that the last one is valid for the other half.
         const auto leaseDuration = crashReportLifetime;
-        startCall(Dialect::leaseRequest(leaseDuration),
-                  [this, usableUntil = loop_.now() + leaseDuration / 2](const std::string &body) {
-                      const auto lease = Dialect::readLease(body);
-                      if (!lease) {
-                          onFailure(StoreFailureKind::Unreadable);
-                          return;
-                      }
-                      lease_ = *lease;
-                      leaseUsableUntil_ = usableUntil;
-                      writeNext();
-                  });
+        caller_.call(Dialect::leaseRequest(leaseDuration),
+                     [this, usableUntil = loop_.now() + leaseDuration / 2](const HttpResponseHead & /*head*/,
+                                                                           const std::string &body) {
+                         const auto lease = Dialect::readLease(body);
+                         if (!lease) {
+                             caller_.fail(StoreFailureKind::Unreadable);
+                             return;
+                         }
+                         lease_ = *lease;
+                         leaseUsableUntil_ = usableUntil;
+                         writeNext();
+                     });
     }
 
     void writeReports()
     {
         const auto count = std::min(pending_.size(), maxReportsPerCall);
         inFlight_.assign(pending_.begin(), pending_.begin() + static_cast<std::ptrdiff_t>(count));
-        startCall(Dialect::crashReportsRequest(inFlight_, lease_), [this](const std::string &) {
-            handlers_.written(inFlight_.size());
-            retryDelay_ = times_.initialRetryDelay;
-            isFailing_ = false;
-            markWritten();
-            writeNext();
-        });
+        caller_.call(Dialect::crashReportsRequest(inFlight_, lease_),
+                     [this](const HttpResponseHead & /*head*/, const std::string & /*body*/) {
+                         handlers_.written(inFlight_.size());
+                         caller_.succeeded();
+                         markWritten();
+                         writeNext();
+                     });
     }
 
     /// Reports may have been added or dropped during the write.
@@ -180,74 +174,17 @@
         }
     }
 
-    void startCall(EndpointRequest request, std::function<void(const std::string &)> onDone)
-    {
-        answerStatus_ = 0;
-        answerBody_.clear();
-        timeoutTimer_ = loop_.timers().subscribe(loop_.now() + times_.retrySilenceTimeout, [this](TimePoint) {
-            client_.abort(currentExchange_);
-            onFailure(StoreFailureKind::Silent);
-        });
-        ExchangeHandlers handlers;
-        handlers.head = [this](const HttpResponseHead &head) { answerStatus_ = head.status; };
-        handlers.data = [this](const std::string &data) { answerBody_ += data; };
-        handlers.end = [this, onDone = std::move(onDone)](ExchangeEnd end) {
-            loop_.timers().cancel(timeoutTimer_);
-            onEnd(end, onDone);
-        };
-        currentExchange_ = client_.start(request, Duration(0), std::move(handlers));
-    }
-
-    void onEnd(ExchangeEnd end, const std::function<void(const std::string &)> &onDone)
-    {
-        if (end != ExchangeEnd::Complete) {
-            onFailure(end == ExchangeEnd::Unreachable ? StoreFailureKind::Unreachable : StoreFailureKind::Broken);
-            return;
-        }
-        const auto status = Dialect::storeStatus(answerStatus_);
-        if (status == StoreStatus::Ok) {
-            onDone(answerBody_);
-            return;
-        }
-        if (status == StoreStatus::Missing) {
-            lease_ = 0; // expired, or lost by the store
-        }
-        onFailure(StoreFailureKind::Refused);
-    }
-
-    void onFailure(StoreFailureKind kind)
-    {
-        handlers_.failed(kind, answerStatus_, !std::exchange(isFailing_, true));
-        scheduleNext(random_.jitter(retryDelay_));
-        retryDelay_ = std::min(2 * retryDelay_, times_.maxRetryDelay);
-    }
-
-    void scheduleNext(Duration delay)
-    {
-        loop_.timers().cancel(nextCallTimer_);
-        nextCallTimer_ = loop_.timers().subscribe(loop_.now() + delay, [this](TimePoint) { writeNext(); });
-    }
-
     Loop &loop_;
     std::string name_;
-    StoreTimes times_;
     CrashReporterHandlers handlers_;
-    Random random_;
-    Client client_;
-    TimerHandle nextCallTimer_; // starts the next call
-    TimerHandle timeoutTimer_; // of the current call
     std::deque<NamedCrashReport> pending_; // oldest first; invariant: at most maxNames, unique names
     std::vector<NamedCrashReport> inFlight_; // written by the current call
     std::deque<WrittenReport> writtenReports_; // oldest first; invariant: unique names
     std::uint64_t nextNumber_ = 0; // number of the next report
     bool isBusy_ = false; // a call is in progress or scheduled
-    bool isFailing_ = false; // calls have failed since the last successful write
     std::uint64_t lease_ = 0; // 0 if none
     TimePoint leaseUsableUntil_{}; // end of its use for new reports
-    Duration retryDelay_;
-    std::uint32_t answerStatus_ = 0; // of the current call
-    std::string answerBody_;
-    ExchangeId currentExchange_ = 0; // current call
+    StoreCaller<Dialect, Loop, Client> caller_;
 };
 
 } // namespace anvilscale
