Pause between watches also after changes of records that entries do not use

A watch that brought only such changes was followed by the next one at once: 200 changes within 2 s caused 200 calls to the store (StoreWatcher.ChangesOfUnusedRecordsCauseFewCalls, which failed with 200 against 5). Any other writer in the store can cause that, and so could many sidecars that take fencing numbers. The pause now follows whenever the revision has moved.

--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -30,13 +30,14 @@
     Refused, ///< the status says that the store has not performed the call
     Unreadable, ///< the body cannot be parsed
     Outdated, ///< the answer is from an earlier era than a previous answer
+    OutOfRange, ///< the position in the answer cannot be used as a fencing number
     Count
 };
 template<>
 struct EnumNames<StoreFailureKind>
 {
     static constexpr std::array<std::string_view, enumCount<StoreFailureKind>> table{
-        "unreachable", "broken", "silent", "refused", "unreadable", "outdated"};
+        "unreachable", "broken", "silent", "refused", "unreadable", "outdated", "out_of_range"};
 };
 
 /// A failed call to the store, for the log.
@@ -262,8 +263,9 @@
         }
         isHistoryGone_ = false;
         onAnswered();
+        // Changes of records that entries do not use count as well: each would cause a call at once.
+        const bool hasChanges = page->revision > revision_ || !page->records.empty();
         revision_ = std::max(revision_, page->revision);
-        const bool hasChanges = !page->records.empty();
         applyPage(*page);
         if (requestSharedWatch()) {
             return;
--- a/tests/support/virtual_store.h
+++ b/tests/support/virtual_store.h
@@ -170,7 +170,7 @@
 };
 
 /// Protocol of the virtual store: a line with its revision and the last id of the page, or "-" on the last page; then
-/// lines of "id leaving removed revision".
+/// lines of "id leaving removed revision". Items "unused..." are not endpoints.
 struct VirtualDialect
 {
     static EndpointRequest rangeRequest(const std::string &after, bool mayBeOld)
@@ -197,6 +197,9 @@
         page.hasMore = page.lastKey != "-";
         VirtualStore::Item item;
         while (in >> item.id >> item.leaving >> item.removed >> item.revision) {
+            if (item.id.starts_with("unused")) {
+                continue;
+            }
             if (item.removed) {
                 EndpointRemoved removed{item.id};
                 removed.revision = item.revision;
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -371,6 +371,18 @@
     EXPECT_LE(entry.loop.calls - before, 10U);
 }
 
+// Guards against a call to the store for each change of a record that entries do not use.
+TEST(StoreWatcher, ChangesOfUnusedRecordsCauseFewCalls)
+{
+    WatchedStore entry(2000);
+    const auto before = entry.loop.calls;
+    for (int i = 0; i < 200; ++i) {
+        entry.loop.change("unused", false);
+        entry.loop.run(Milliseconds(10));
+    }
+    EXPECT_LE(entry.loop.calls - before, 5U);
+}
+
 // Guards against an entry that serves with the old state of its first read.
 TEST(StoreWatcher, FirstWatchUpdatesAnOldFirstRead)
 {
