--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -871,12 +871,18 @@
 class AdapterController
 {
 public:
-    /// `fencingNumber` increases with each start of the sidecar.
-    explicit AdapterController(std::uint64_t fencingNumber, DirectPolicy policy = {});
+    /// Sends no orders before setFencingNumber().
+    explicit AdapterController(DirectPolicy policy = {});
     ~AdapterController();
     AdapterController(const AdapterController &) = delete;
     AdapterController &operator=(const AdapterController &) = delete;
 
+    /// Allows orders. `number` is higher than all that this or an earlier process has used for the engine.
+    void setFencingNumber(std::uint64_t number);
+    /// True until a number is set, and again once the engine has refused it as too low.
+    bool needsFencingNumber() const;
+    /// No number can be had for the time being. Entries are notified, as nothing will be loaded meanwhile.
+    void onFencingNumberFailed();
     void applyDemand(PeerHandle peer, const wire::DirectDemand &demand, TimePoint now);
     void onPeerLost(PeerHandle peer);
     void applyReport(const EngineStateReport &report, TimePoint now);
--- a/include/anvilscale/direct_path.h
+++ b/include/anvilscale/direct_path.h
@@ -158,9 +158,29 @@
         } -> std::same_as<StoreStatus>;
 };
 
+/// Writes that take a position in the store's history. They may be repeated if unanswered.
+template<class T>
+concept FencingDialect = requires(std::string_view holder, const std::string &body, const HttpResponseHead &head)
+{
+    /// `holder`: name of the process, shown to operators.
+    {
+        T::fencingRequest(holder)
+        } -> std::same_as<EndpointRequest>;
+    /// Revision of the write; empty if the body names none.
+    {
+        T::readWriteRevision(body)
+        } -> std::same_as<std::optional<std::uint64_t>>;
+    {
+        T::storeEra(head)
+        } -> std::same_as<std::uint64_t>;
+    {
+        T::storeStatus(std::uint32_t{})
+        } -> std::same_as<StoreStatus>;
+};
+
 /// Adapter of the direct path to a platform. Stateless, no I/O.
 template<class T>
-concept DirectDialect = SharedStoreDialect<T> && CrashReportDialect<T> && requires(
+concept DirectDialect = SharedStoreDialect<T> && CrashReportDialect<T> && FencingDialect<T> && requires(
     const HttpRequestData &request, const SendCall &send, const HttpResponseHead &head, const EngineOrder &order,
     const std::string &text, std::string_view view, Duration span)
 {
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -65,6 +65,7 @@
     SlotsLeased,
     OriginsTold,
     FencingNumberTaken,
+    FencingNumberFailed,
     CallFailed,
     CallRefused,
     AnswerBroken,
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -4,6 +4,7 @@
 #include "control_loop.h"
 #include "direct_settings.h"
 #include "engine_reading.h"
+#include "fencing_client.h"
 #include "process.h"
 #include "shared_store_watch.h"
 
@@ -53,11 +54,11 @@
             init.maxIdleTime = Milliseconds(700);
             init.idleMargin = Milliseconds(300);
             client_ = std::make_unique<HttpClient>(loop_, init);
+            startFencing();
             startSharedWatch();
         });
         control_.post([this](Now) { requestReport(); });
         logEvent(Event::ProcessStarted, {{"role", settings_.role()}, {"incarnation", incarnation_}});
-        logEvent(Event::FencingNumberTaken, {{"fence", incarnation_ / 1000}, {"source", "time_of_day"}});
     }
 
     /// Calls do not pass through the sidecar, so there is no work to wait for.
@@ -82,6 +83,7 @@
         control_.stop();
         loop_.post([this] {
             client_.reset();
+            fencing_.reset();
             sharedWatch_.reset();
         });
         loop_.stop();
@@ -123,8 +125,7 @@
     DirectSidecar(const settings::Settings &settings, const DirectPolicy &policy)
         : settings_(settings)
         , incarnation_(newIncarnation())
-        // Fencing number in milliseconds: grows with each start on this VM, the only sender of orders.
-        , controller_(incarnation_ / 1000, policy)
+        , controller_(policy)
         , reading_(policy,
                    [this](PeerHandle peer, const wire::Envelope &message) { messenger_->sendTo(peer, message); })
         , allowancePools_(directAllowanceTimes(settings))
@@ -293,12 +294,53 @@
         sendLimit(limit, PeerHandle{});
     }
 
-    /// Starts watching the store for entries that send their requests here.
-    void startSharedWatch()
+    /// Requests the first fencing number.
+    void startFencing()
+    {
+        FencingClientHandlers handlers;
+        handlers.obtained = [this](std::uint64_t number, StorePosition position) {
+            control_.post([this, number, position](Now now) { onFencingNumber(number, position, now.mono); });
+        };
+        handlers.failed = [this](StoreFailureKind kind, std::uint32_t status, bool isFirst) {
+            control_.post([this, kind, status, isFirst](Now) { onFencingFailed(kind, status, isFirst); });
+        };
+        const auto store = storeWatcherInit(settings_, incarnation_);
+        const FencingClientInit init{store.address, settings_.name(), store.times, store.seed};
+        fencing_ = std::make_unique<FencingClient<Dialect>>(loop_, init, std::move(handlers));
+        fencing_->request();
+    }
+
+    void onFencingNumber(std::uint64_t number, StorePosition position, TimePoint now)
+    {
+        isRequestingFence_ = false;
+        controller_.setFencingNumber(number);
+        logEvent(Event::FencingNumberTaken, {{"fence", number},
+                                             {"era", position.era},
+                                             {"revision", position.revision},
+                                             {"waitMs", toMilliseconds(now - fenceRequestedAt_)}});
+    }
+
+    void onFencingFailed(StoreFailureKind kind, std::uint32_t status, bool isFirst)
     {
-        if (settings_.direct().store().empty()) {
+        controller_.onFencingNumberFailed();
+        if (isFirst) {
+            logEvent(Event::FencingNumberFailed,
+                     {{"failure", std::string(toString(kind))}, {"status", std::uint64_t{status}}});
+        }
+    }
+
+    void renewFencingNumber(TimePoint now)
+    {
+        if (!controller_.needsFencingNumber() || std::exchange(isRequestingFence_, true)) {
             return;
         }
+        fenceRequestedAt_ = now;
+        loop_.post([this] { fencing_->request(); });
+    }
+
+    /// Starts watching the store for entries that send their requests here.
+    void startSharedWatch()
+    {
         const auto watcher = storeWatcherInit(settings_, incarnation_);
         const SharedStoreWatchInit init{settings_.direct().store(), watcher.address, watcher.times};
         const auto sendUpdate = [this](PeerHandle entry, const wire::StoreNews &update) {
@@ -398,6 +440,7 @@
         updateSlots(now);
         origins_.tick(now);
         logOrigins(now);
+        renewFencingNumber(now);
         if (const auto order = controller_.nextOrder(now)) {
             sendOrder(*order);
         }
@@ -465,7 +508,7 @@
     {
         auto state = controller_.state(now);
         state.set_interval_ms(static_cast<std::uint32_t>(toMilliseconds(stateInterval())));
-        state.set_shares_store(!settings_.direct().store().empty());
+        state.set_shares_store(true);
         state.set_keeps_origins(true);
         reading_.addTo(state);
         statePublisher_.update(state);
@@ -520,6 +563,8 @@
     settings::Settings settings_;
     std::uint64_t incarnation_;
     AdapterController controller_; // control thread, as are the members below up to nextStateAt_
+    bool isRequestingFence_ = true; // control thread; start() requests the first number
+    TimePoint fenceRequestedAt_ = EventLoop::now(); // control thread; since when there is no number
     EngineReading reading_; // control thread
     std::optional<TimePoint> readingTimerAt_; // control thread; earliest pending timer of scheduleReading()
     AllowancePools allowancePools_; // control thread; of workspaces
@@ -547,7 +592,8 @@
     ControlLoop control_;
     EventLoop loop_;
     std::unique_ptr<HttpClient> client_; // the loop's thread
-    std::unique_ptr<SharedStoreWatch<Dialect>> sharedWatch_; // the loop's thread; null if the settings name no store
+    std::unique_ptr<FencingClient<Dialect>> fencing_; // the loop's thread
+    std::unique_ptr<SharedStoreWatch<Dialect>> sharedWatch_; // the loop's thread
     std::unique_ptr<Messenger> messenger_;
 };
 
--- a/src/direct/adapter_controller.cpp
+++ b/src/direct/adapter_controller.cpp
@@ -21,15 +21,30 @@
 
 } // namespace
 
-AdapterController::AdapterController(std::uint64_t fencingNumber, DirectPolicy policy)
+AdapterController::AdapterController(DirectPolicy policy)
     : impl_(std::make_unique<Impl>())
 {
-    impl_->fencingNumber = fencingNumber;
     impl_->policy = policy;
 }
 
 AdapterController::~AdapterController() = default;
 
+void AdapterController::setFencingNumber(std::uint64_t number)
+{
+    impl_->fencingNumber = number;
+    impl_->revision += std::exchange(impl_->isFencingUnavailable, false) ? 1 : 0;
+}
+
+bool AdapterController::needsFencingNumber() const
+{
+    return impl_->fencingNumber == 0;
+}
+
+void AdapterController::onFencingNumberFailed()
+{
+    impl_->revision += std::exchange(impl_->isFencingUnavailable, true) ? 0 : 1;
+}
+
 void AdapterController::applyDemand(PeerHandle peer, const wire::DirectDemand &demand, TimePoint now)
 {
     impl_->applyDemand(peer, demand, now);
@@ -311,6 +326,7 @@
     state.set_endpoint_id(endpointId);
     state.set_entries(static_cast<std::uint32_t>(demands.size() - visitors.size()));
     state.set_reachable(isReachable);
+    state.set_orders_blocked(isFencingUnavailable);
     state.set_slots(plan.adapter_slots());
     state.set_unread_tokens(tokens.unread);
     state.set_waiting_tokens(tokens.waiting);
--- a/src/direct/adapter_controller_impl.h
+++ b/src/direct/adapter_controller_impl.h
@@ -74,7 +74,8 @@
     void addLoadTimes(wire::DirectState &state) const;
 
     DirectPolicy policy;
-    std::uint64_t fencingNumber = 0;
+    std::uint64_t fencingNumber = 0; // 0 if none: no order is sent
+    bool isFencingUnavailable = false; // none could be had since it was needed; invariant: false while there is one
     std::string endpointId; // of the engine's current incarnation, as far as known
     // Incarnation whose last report said that it is leaving; its successor may be known before it has reported.
     std::string leavingId;
--- a/src/direct/adapter_controller_orders.cpp
+++ b/src/direct/adapter_controller_orders.cpp
@@ -20,8 +20,6 @@
 constexpr Duration usageLifetime = Seconds(60); // older calls contribute less than a thousandth
 // Keeps a newly loaded adapter until entries have received its state and sent the first call.
 constexpr Duration settleTime = Milliseconds(300);
-// Larger than any clock step, for an engine that has seen a higher number from an earlier start.
-constexpr std::uint64_t fenceStep = 60'000;
 // Time for which an unanswered order is treated as possibly still to be applied; the platform gives no bound.
 // Longer than any delay that was seen.
 constexpr Duration lostOrderLifetime = Seconds(30);
@@ -155,7 +153,7 @@
 {
     const bool known =
         report && isReachable && plan.config_version() != 0 && !endpointId.empty() && endpointId != rejectedId;
-    if (!known || pendingOrder || unconfirmedOrder || now < nextOrderAt) {
+    if (!known || fencingNumber == 0 || pendingOrder || unconfirmedOrder || now < nextOrderAt) {
         return std::nullopt;
     }
     // Loads adapters first that let the most calls meet their objective: late calls lose little by a longer wait and
@@ -204,8 +202,9 @@
         nextOrderAt = now + conflictBackoff;
         return;
     case EngineOrderResult::FencedOff:
-        // Only this VM orders its engine, so the higher number is from an earlier start with another clock.
-        fencingNumber += fenceStep;
+        // The number is of no more use: the higher one may be any.
+        fencingNumber = 0;
+        nextOrderAt = now + rejectionBackoff;
         return;
     case EngineOrderResult::OtherIncarnation:
         // The engine has restarted. If the answer does not name its new incarnation, the entries report it from the
--- a/src/direct/wait_forecast.cpp
+++ b/src/direct/wait_forecast.cpp
@@ -13,8 +13,8 @@
 constexpr double defaultModelLoadMs = 3000;
 // Declared by the platform: load time of a recently held adapter relative to one from the weight store.
 constexpr double copyTimeShare = 0.1;
-// Without a sidecar the engine gets no orders, so that the adapter is not loaded.
-constexpr double missingSidecarMs = 20'000;
+// Without a sidecar, or with one that has no fencing number, the engine gets no orders: the adapter is not loaded.
+constexpr double noOrdersMs = 20'000;
 
 } // namespace
 
@@ -179,7 +179,10 @@
         return 0;
     }
     if (!hasFreshState()) {
-        return entry_.isStateExpected(now_) ? loadMs() : missingSidecarMs;
+        return entry_.isStateExpected(now_) ? loadMs() : noOrdersMs;
+    }
+    if (isLoadBlocked(presence)) {
+        return noOrdersMs;
     }
     double ms = modelLoadMs();
     if (name_.second.empty()) {
@@ -192,6 +195,11 @@
     return ms + adapterLoadMs() + slotWaitMs() + (entry_.isReplacementBlocked(name_, now_) ? meanRunMs() : 0);
 }
 
+bool WaitForecast::isLoadBlocked(Presence presence) const
+{
+    return presence == Presence::Absent && hasFreshState() && entry_.state->orders_blocked();
+}
+
 bool WaitForecast::hasMeasuredLoads() const
 {
     return estimates().loadMs > 0;
@@ -207,6 +215,9 @@
     if (presence == Presence::Resident || !hasFreshState()) {
         return 0;
     }
+    if (isLoadBlocked(presence)) {
+        return noOrdersMs;
+    }
     const bool declared = query_.modelReload > Duration(0) || entry_.state->model_ms() != 0;
     if (!hasMeasuredLoads()) {
         return declared ? modelLoadMs() : 0;
@@ -216,6 +227,9 @@
 
 double WaitForecast::confirmedRemainingMs(Presence presence) const
 {
+    if (isLoadBlocked(presence)) {
+        return noOrdersMs;
+    }
     if (presence != Presence::Absent || !hasFreshState() || !hasMeasuredLoads()) {
         return 0;
     }
--- a/src/direct/wait_forecast.h
+++ b/src/direct/wait_forecast.h
@@ -49,6 +49,8 @@
     double loadsAheadMs(double loadTime) const;
     double meanRunMs() const;
     bool hasFreshState() const;
+    /// True if the adapter would have to be loaded, and the sidecar reports that it cannot order loads.
+    bool isLoadBlocked(Presence presence) const;
     const ServiceEstimates &estimates() const;
 
     const EndpointEntry &entry_;
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -49,6 +49,8 @@
     {429, LogLevel::Info, "origins_told",
      "origins of streams that this sidecar keeps for entries that resume them, logged every ten seconds while asked"},
     {430, LogLevel::Info, "fencing_number_taken", "this sidecar has a new fencing number for its orders to the engine"},
+    {431, LogLevel::Warn, "fencing_number_failed",
+     "this sidecar gets no fencing number from the store and sends no orders; the request is repeated"},
     {500, LogLevel::Warn, "call_failed", "a call failed after it was started"},
     {501, LogLevel::Debug, "call_refused", "a call was refused without being run"},
     {502, LogLevel::Warn, "answer_broken", "the end frame does not match the received frames"},
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <map>
 #include <optional>
 #include <string>
 #include <thread>
@@ -44,7 +45,9 @@
 class Process
 {
 public:
-    Process(const std::vector<std::string> &command, const std::string &errorFile)
+    /// `environment`: further variables of the process.
+    Process(const std::vector<std::string> &command, const std::string &errorFile,
+            const std::map<std::string, std::string> &environment = {})
     {
         std::vector<char *> arguments;
         arguments.reserve(command.size() + 1);
@@ -61,6 +64,9 @@
             sigset_t emptySet;
             sigemptyset(&emptySet);
             ::sigprocmask(SIG_SETMASK, &emptySet, nullptr);
+            for (const auto &[name, value] : environment) {
+                ::setenv(name.c_str(), value.c_str(), 1); // NOLINT(concurrency-mt-unsafe): the child has one thread
+            }
             ::execv(arguments[0], arguments.data());
             ::_exit(127);
         }
--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -63,21 +63,24 @@
     {
         startSidecar("side-1", sidecarAddress, enginePort_);
     }
-    void startSidecar(const std::string &name, const std::string &address, unsigned enginePort)
+    /// `environment`: further variables of the process.
+    void startSidecar(const std::string &name, const std::string &address, unsigned enginePort,
+                      const std::map<std::string, std::string> &environment = {})
     {
         std::ostringstream out;
         out << R"({"role":"direct-sidecar","name":")" << name << R"(","dataCentre":"dc","control":{"address":")"
             << address << R"(","port":)" << controlPort_ << R"(},"direct":{"endpoint":"http://)" << address << ":"
-            << enginePort << R"("},"log":{"file":"-"}})";
-        startDaemon(name, out.str());
+            << enginePort << R"(","store":"http://127.0.0.1:)" << storePort_ << R"("},"log":{"file":"-"}})";
+        startDaemon(name, out.str(), environment);
     }
-    void startDaemon(const std::string &name, const std::string &settings)
+    void startDaemon(const std::string &name, const std::string &settings,
+                     const std::map<std::string, std::string> &environment = {})
     {
         std::ofstream(fleet_.settingsFile(name)) << settings;
         daemons_.erase(name);
         daemons_[name] = std::make_unique<Process>(
             std::vector<std::string>{buildFolder() + "/bin/anvilscaled", "--settings", fleet_.settingsFile(name)},
-            fleet_.logFile(name));
+            fleet_.logFile(name), environment);
     }
     std::string readLog(const std::string &name) const
     {
--- a/tests/standins/site_replica.cpp
+++ b/tests/standins/site_replica.cpp
@@ -3,6 +3,7 @@
 //   {"fault": "break" | "unframed" | "unframed_break" | "refuse" | "foreign" | "mute", "times": N}  fault of the next N
 //                         calls; "unframed": a stream that ends with its connection, "_break": inside an event
 //   {"lostOrders": N}     the next N orders are executed, but not answered
+//   {"checksFencing": false}  executes orders with any fencing number
 //   {"id": "i-2"}         restarts the replica under another id
 //   {"crashOn": "TEXT"}   cuts the connection of each call whose body contains the text
 //   {"crashOnPart": "ID", "downMs": N}  begins the answer to each call with this prompt part, then crashes: cuts all
@@ -74,6 +75,7 @@
         nextFault_ = fieldOr<std::string>(*body, "fault", nextFault_);
         remainingFaults_ = fieldOr(*body, "times", remainingFaults_);
         orderRepliesToLose_ = fieldOr(*body, "lostOrders", orderRepliesToLose_);
+        checksFencing_ = fieldOr(*body, "checksFencing", checksFencing_);
         isLeaving_ = fieldOr(*body, "leaving", isLeaving_);
         retryAfterSeconds_ = fieldOr(*body, "retryAfter", retryAfterSeconds_);
         rateLimit_ = fieldOr<std::string>(*body, "limit", rateLimit_);
@@ -170,11 +172,11 @@
             return;
         }
         const auto fence = body->getValue<Poco::Int64>("fencing_token");
-        if (fence < highestFence_) {
+        if (checksFencing_ && fence < highestFence_) {
             sendJson(response, 412, JsonObject());
             return;
         }
-        highestFence_ = fence;
+        highestFence_ = std::max(highestFence_, fence);
         if (fieldOr<Poco::Int64>(*body, "expected", sequence_) != sequence_) {
             sendJson(response, 409, JsonObject());
             return;
@@ -325,6 +327,7 @@
     std::map<std::string, int> newestVersions_; // newest version of an adapter, less 1
     Poco::Int64 sequence_ = 0;
     Poco::Int64 highestFence_ = 0;
+    bool checksFencing_ = true;
     std::string nextFault_;
     int remainingFaults_ = 0;
     int orderRepliesToLose_ = 0;
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -18,6 +18,12 @@
     anvilscale_test(${source} anvilscale_daemon anvilscale_ctl)
 endforeach()
 
+# Preloaded into daemons by process tests.
+add_library(shifted_clock SHARED ${PROJECT_SOURCE_DIR}/tests/support/shifted_clock.cpp)
+target_compile_options(shifted_clock PRIVATE ${ANVILSCALE_WARNINGS})
+target_link_libraries(shifted_clock PRIVATE ${CMAKE_DL_LIBS})
+set_target_properties(shifted_clock PROPERTIES LIBRARY_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/tests)
+
 # Tests with the real processes.
 file(GLOB process_tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/process/*_test.cpp)
 foreach(source ${process_tests})
--- a/tests/unit/direct_controller_test.cpp
+++ b/tests/unit/direct_controller_test.cpp
@@ -46,6 +46,10 @@
 class AdapterControllerTest : public testing::Test
 {
 protected:
+    AdapterControllerTest()
+    {
+        controller_.setFencingNumber(firstFence);
+    }
     void setDemand(const std::vector<std::string> &waiting, const std::string &endpointId = "i-1")
     {
         controller_.applyDemand(PeerHandle{1}, demandFor(endpointId, waiting, slots_), now_);
@@ -70,7 +74,7 @@
     TimePoint now_{Seconds(100)};
     std::uint32_t slots_ = engineSlots;
     std::uint64_t loaded_ = 0; // orders that `load` has completed
-    AdapterController controller_{firstFence};
+    AdapterController controller_;
 };
 
 // Guards against a leaving state that is sent late, or that is attributed to the next incarnation.
@@ -190,16 +194,45 @@
     ASSERT_TRUE(controller_.nextOrder(now_));
 }
 
-// Guards against an engine that refuses all orders because an earlier start used a higher fencing number.
-TEST_F(AdapterControllerTest, RaisesItsFenceWhenAnEarlierStartWasAhead)
+// Guards against orders with a number that the engine has refused, and against an engine that gets no orders after it
+// has seen a higher number.
+TEST_F(AdapterControllerTest, OrdersWithANewNumberAfterItsOwnWasTooLow)
 {
     setDemand({"a1"});
     controller_.applyReport(reportOf(7, {}), now_);
     const auto refused = controller_.nextOrder(now_);
+    ASSERT_TRUE(refused);
     controller_.onOrderEnded(refused->id, EngineOrderResult::FencedOff, "", now_);
+    advance(Seconds(10));
+    EXPECT_FALSE(controller_.nextOrder(now_));
+    EXPECT_TRUE(controller_.needsFencingNumber());
+    controller_.setFencingNumber(firstFence + 1);
+    EXPECT_FALSE(controller_.needsFencingNumber());
     const auto next = controller_.nextOrder(now_);
     ASSERT_TRUE(next);
-    EXPECT_GT(next->fencingNumber, refused->fencingNumber + 2000);
+    EXPECT_EQ(next->fencingNumber, firstFence + 1);
+}
+
+// Guards against orders of a restarted sidecar before it knows a number above those of its predecessor, and against
+// entries that wait for loads which it cannot order.
+TEST(AdapterController, SendsNoOrdersWithoutAFencingNumber)
+{
+    const TimePoint now{Seconds(100)};
+    AdapterController controller;
+    controller.applyDemand(PeerHandle{1}, demandFor("i-1", {"a1"}), now);
+    controller.applyReport(reportOf(7, {}), now);
+    EXPECT_TRUE(controller.needsFencingNumber());
+    EXPECT_FALSE(controller.nextOrder(now));
+    EXPECT_FALSE(controller.state(now).orders_blocked()) << "the request has not failed yet";
+    const auto before = controller.revision();
+    controller.onFencingNumberFailed();
+    EXPECT_TRUE(controller.state(now).orders_blocked());
+    EXPECT_GT(controller.revision(), before) << "entries are notified at once";
+    EXPECT_FALSE(controller.nextOrder(now));
+    controller.setFencingNumber(firstFence);
+    EXPECT_FALSE(controller.state(now).orders_blocked());
+    EXPECT_GT(controller.revision(), before + 1);
+    EXPECT_TRUE(controller.nextOrder(now));
 }
 
 // Guards against concurrent loads from an overloaded store, and against loading for late calls before those that can
--- a/tests/unit/engine_reading_test.cpp
+++ b/tests/unit/engine_reading_test.cpp
@@ -64,7 +64,7 @@
 
     TimePoint now_{Seconds(100)};
     std::vector<wire::ReadingAnswer> sent_;
-    AdapterController controller_{1};
+    AdapterController controller_;
     EngineReading reading_{DirectPolicy{}, [this](PeerHandle peer, const wire::Envelope &message) {
                                EXPECT_EQ(peer, entry);
                                sent_.push_back(message.reading_answer());
--- a/tests/unit/site_dialect_test.cpp
+++ b/tests/unit/site_dialect_test.cpp
@@ -471,6 +471,35 @@
     EXPECT_FALSE(SiteDialect::readLease("{}"));
 }
 
+TEST(SiteStore, FencingRequestWritesOneItemWithoutACondition)
+{
+    const auto request = SiteDialect::fencingRequest("side-1");
+    EXPECT_EQ(request.method, "POST");
+    EXPECT_EQ(request.target, "/api/kv-txn");
+    EXPECT_EQ(request.body, R"({"delete":[],"expected":[],"puts":[{"key":"anvilscale/fence","lease":0,)"
+                            R"("value":"c2lkZS0x"}]})");
+}
+
+// Guards against fencing numbers from bodies that are no answer to a write.
+TEST(SiteStore, RevisionOfAWriteIsRead)
+{
+    EXPECT_EQ(SiteDialect::readWriteRevision(R"({"revision":77120})"), 77120U);
+    for (const auto *body :
+         {"", "<html>", "{}", "[1]", R"({"revision":"7"})", R"({"revision":-7})", R"({"revision":7.5})"}) {
+        EXPECT_FALSE(SiteDialect::readWriteRevision(body)) << body;
+    }
+}
+
+// Guards against records of this system that entries take for unreadable ones of others.
+TEST(SiteStore, FencingItemIsNoRecord)
+{
+    const auto page = SiteDialect::readWatch(
+        R"({"store_revision":9,"events":[{"key":"anvilscale/fence","value":"c2lkZS0x","revision":9,"lease":0}]})");
+    ASSERT_TRUE(page);
+    EXPECT_TRUE(page->records.empty());
+    EXPECT_EQ(page->rejectedRecords, 0U);
+}
+
 TEST(SiteStore, StatusesAndErasAreRead)
 {
     EXPECT_EQ(SiteDialect::storeStatus(200), StoreStatus::Ok);
