Bound the bytes that clients of stores and engines read (answers without end)

What operators would see: an entry or sidecar is killed by its memory limit after the store or the engine has sent bytes that are no answer and never end; its callers' connections are cut.

Cause: the users of HttpClient kept whatever came until their timeouts (10 s for a store's answer that goes on), and interim responses were not counted against the limit of a head.

Fix: a request names the longest answer that it may have, beyond which the connection is reset (8 MB for the store, 64 kB for writes, 1 MB for an engine's report, 4 MB for relayed endpoints as before, where the rest was read and dropped), and a head counts with its interim responses. A watch whose changes do not fit is followed by a whole read, page by page. Head, chunk size and trailers were bounded before.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -324,6 +324,9 @@
     HttpHeaders headers;
     std::string body;
     bool needsNewConnection = false; ///< never reuses an idle connection, which the endpoint may be closing
+    /// Maximum size of the response body; a longer one ends the exchange as TooLarge. 0: the handlers bound what they
+    /// keep.
+    std::uint64_t maxAnswerBytes = 0;
 };
 
 /// Outcome of an exchange with an endpoint.
@@ -332,6 +335,7 @@
     Truncated, ///< an event stream that is complete by its framing, but ended inside an event or without any
     Unreachable, ///< connection refused or not established: no byte was sent
     Broken, ///< bytes may have been sent; the response is incomplete
+    TooLarge, ///< the response is longer than the request allows; the connection was reset
     CancelConfirmed, ///< after a cancel the endpoint closed its side or ended its response
     CancelUnconfirmed,
     Count
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -104,6 +104,8 @@
 private:
     // The engine runs on the same VM: without an answer in this time it is stopped or overloaded.
     static constexpr Duration answerTimeout = Milliseconds(500);
+    // A report lists adapters and running calls, a few hundred at most.
+    static constexpr std::uint64_t maxAnswerBytes = 1U << 20;
     static constexpr Duration idleReportInterval = Milliseconds(200); // between reports while no load is in progress
     static constexpr Duration busyReportInterval = Milliseconds(25); // during a load, to report its end immediately
     static constexpr Duration loadLogInterval = Seconds(10); // between log lines of load times
@@ -367,6 +369,7 @@
     void sendRequest(EndpointRequest request, Duration timeout,
                      std::function<void(Now, std::optional<HttpResponseHead>, std::string)> done)
     {
+        request.maxAnswerBytes = maxAnswerBytes;
         loop_.post([this, request = std::move(request), timeout, done = std::move(done)] {
             auto head = std::make_shared<std::optional<HttpResponseHead>>();
             auto body = std::make_shared<std::string>();
--- a/src/daemon/shared_store_watch.h
+++ b/src/daemon/shared_store_watch.h
@@ -98,6 +98,7 @@
         answerBody_.clear();
         auto watchRequest = Dialect::watchRequest(revision_, Duration(0));
         watchRequest.needsNewConnection = !isReachable_;
+        watchRequest.maxAnswerBytes = maxStoreAnswerBytes;
         loop_.timers().cancel(timeoutTimer_);
         timeoutTimer_ = loop_.timers().subscribe(now + silenceTimeout_, [this](TimePoint) {
             client_.abort(currentExchange_);
--- a/src/daemon/store_caller.h
+++ b/src/daemon/store_caller.h
@@ -59,8 +59,9 @@
     {
         schedule(random_.jitter(times_.initialRetryDelay));
     }
-    void call(const EndpointRequest &request, AnswerHandler onAnswer)
+    void call(EndpointRequest request, AnswerHandler onAnswer)
     {
+        request.maxAnswerBytes = maxAnswerBytes;
         head_ = HttpResponseHead{};
         body_.clear();
         timeoutTimer_ = loop_.timers().subscribe(loop_.now() + times_.retrySilenceTimeout, [this](TimePoint) {
@@ -90,6 +91,8 @@
     }
 
 private:
+    static constexpr std::uint64_t maxAnswerBytes = 64U << 10; // answers to writes name a revision or a lease
+
     static HttpClientInit clientInit(const StoreCallerInit &init)
     {
         HttpClientInit result;
@@ -102,7 +105,7 @@
     void onEnd(ExchangeEnd end, const AnswerHandler &onAnswer)
     {
         if (end != ExchangeEnd::Complete) {
-            fail(end == ExchangeEnd::Unreachable ? StoreFailureKind::Unreachable : StoreFailureKind::Broken);
+            fail(storeFailureOf(end));
             return;
         }
         const auto status = Dialect::storeStatus(head_.status);
--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -30,6 +30,7 @@
     Refused, ///< the status says that the store has not performed the call
     Unreadable, ///< the body cannot be parsed
     Outdated, ///< the answer is from an earlier era than a previous answer
+    TooLarge, ///< the answer is longer than maxStoreAnswerBytes
     OutOfRange, ///< the position in the answer cannot be used as a fencing number
     Count
 };
@@ -37,9 +38,26 @@
 struct EnumNames<StoreFailureKind>
 {
     static constexpr std::array<std::string_view, enumCount<StoreFailureKind>> table{
-        "unreachable", "broken", "silent", "refused", "unreadable", "outdated", "out_of_range"};
+        "unreachable", "broken", "silent", "refused", "unreadable", "outdated", "too_large", "out_of_range"};
 };
 
+/// Returns the reason of a call that did not end with a whole answer.
+constexpr StoreFailureKind storeFailureOf(ExchangeEnd end)
+{
+    switch (end) {
+    case ExchangeEnd::Unreachable:
+        return StoreFailureKind::Unreachable;
+    case ExchangeEnd::TooLarge:
+        return StoreFailureKind::TooLarge;
+    default:
+        return StoreFailureKind::Broken;
+    }
+}
+
+// Maximum size of a page or of the changes since a position. The store limits pages to about a megabyte. Changes may
+// be more after a long pause; if they do not fit, everything is read again page by page.
+constexpr std::uint64_t maxStoreAnswerBytes = 8U << 20;
+
 /// A failed call to the store, for the log.
 struct StoreFailure
 {
@@ -403,6 +421,7 @@
     {
         // An existing connection may be broken without notice, and a retry on it would hang.
         request.needsNewConnection = !isReachable_;
+        request.maxAnswerBytes = maxStoreAnswerBytes;
         isPausing_ = false;
         answerStatus_ = 0;
         answerEra_ = 0;
@@ -422,12 +441,9 @@
         };
         handlers.end = [this, onDone = std::move(onDone)](ExchangeEnd end) {
             loop_.timers().cancel(timeoutTimer_);
-            if (end == ExchangeEnd::Unreachable) {
-                onFailure(StoreFailureKind::Unreachable);
-                return;
-            }
             if (end != ExchangeEnd::Complete) {
-                onFailure(StoreFailureKind::Broken);
+                isReading_ = isReading_ || end == ExchangeEnd::TooLarge;
+                onFailure(storeFailureOf(end));
                 return;
             }
             onStatus(Dialect::storeStatus(answerStatus_), onDone);
--- a/src/endpoint/endpoint_runner.h
+++ b/src/endpoint/endpoint_runner.h
@@ -257,7 +257,7 @@
             confirmCancel(key);
             return;
         }
-        if (end == ExchangeEnd::Broken || end == ExchangeEnd::Truncated) {
+        if (end == ExchangeEnd::Broken || end == ExchangeEnd::TooLarge || end == ExchangeEnd::Truncated) {
             ++stats_.brokenAnswers;
         }
         auto outcome = outcomeOf(end);
@@ -277,6 +277,7 @@
         case ExchangeEnd::CancelConfirmed:
             return {CallOutcome::Cancelled, FailureReason::CallerGone, 0};
         case ExchangeEnd::Broken:
+        case ExchangeEnd::TooLarge:
         case ExchangeEnd::Truncated:
         case ExchangeEnd::CancelUnconfirmed:
         case ExchangeEnd::Count:
@@ -420,16 +421,13 @@
         }
     }
 
-    void fetch(const EndpointRequest &request, Duration timeout, const std::shared_ptr<Reply> &reply,
+    void fetch(EndpointRequest request, Duration timeout, const std::shared_ptr<Reply> &reply,
                std::function<void(ExchangeEnd)> end)
     {
+        request.maxAnswerBytes = maxReplyBytes;
         ExchangeHandlers exchangeHandlers;
         exchangeHandlers.head = [reply](const HttpResponseHead &head) { reply->status = head.status; };
-        exchangeHandlers.data = [reply](const std::string &data) {
-            if (reply->body.size() + data.size() <= maxReplyBytes) {
-                reply->body.append(data);
-            }
-        };
+        exchangeHandlers.data = [reply](const std::string &data) { reply->body.append(data); };
         exchangeHandlers.end = std::move(end);
         client_.start(request, timeout, std::move(exchangeHandlers));
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t maxReadBytes = 64U << 10;
-constexpr std::size_t maxHeadBytes = 64U << 10;
+constexpr std::size_t maxHeadBytes = 64U << 10; // of a response, with its interim responses
 constexpr int readMode = Poco::Net::PollSet::POLL_READ;
 constexpr int writeMode = Poco::Net::PollSet::POLL_WRITE;
 constexpr int errorMode = Poco::Net::PollSet::POLL_ERROR;
@@ -40,6 +40,9 @@
     std::string input;
     HttpResponseHead response;
     std::optional<EventBounds> events; // of the response, if it is an event stream
+    std::size_t headBytes = 0; // read so far, with interim responses
+    std::uint64_t bodyBytes = 0; // read so far
+    std::uint64_t maxBodyBytes = 0; // 0: no limit
     bool isHeadRequest = false;
     bool isPaused = false;
     bool hasDeadline = false; // the timer bounds the whole exchange, not only connecting
@@ -200,6 +203,9 @@
     connection->input.clear();
     connection->isPaused = false;
     connection->isHeadRequest = request.method == "HEAD";
+    connection->headBytes = 0;
+    connection->bodyBytes = 0;
+    connection->maxBodyBytes = request.maxAnswerBytes;
     connection->step = isReused ? Step::Sending : Step::Connecting;
     const auto key = connection->key;
     connection->hasDeadline = timeout != Duration(0);
@@ -372,12 +378,15 @@
 bool HttpClient::Impl::readHead(Connection &connection)
 {
     const auto length = headLength(connection.input);
+    const auto headBytes = connection.headBytes + (length == 0 ? connection.input.size() : length);
+    if (headBytes > maxHeadBytes) {
+        finish(connection, ExchangeEnd::Broken);
+        return false;
+    }
     if (length == 0) {
-        if (connection.input.size() > maxHeadBytes) {
-            finish(connection, ExchangeEnd::Broken);
-        }
         return false;
     }
+    connection.headBytes = headBytes;
     auto parsed = parseResponseHead(std::string_view(connection.input).substr(0, length), connection.isHeadRequest);
     connection.input.erase(0, length);
     if (!parsed) {
@@ -410,6 +419,11 @@
         connection.events->read(data);
     }
     const auto key = connection.key;
+    connection.bodyBytes += data.size();
+    if (connection.maxBodyBytes != 0 && connection.bodyBytes > connection.maxBodyBytes) {
+        finish(connection, ExchangeEnd::TooLarge);
+        return;
+    }
     if (!data.empty() && connection.handlers.data) {
         connection.handlers.data(std::move(data));
     }
@@ -456,7 +470,7 @@
     if (isReusable) {
         makeIdle(connection);
     } else {
-        if (end == ExchangeEnd::Broken) {
+        if (end == ExchangeEnd::Broken || end == ExchangeEnd::TooLarge) {
             resetOnClose(connection.socket);
         }
         closeConnection(connection);
