Bound what an entry holds of an answer that it does not forward yet (answers without end)

What callers would see: an entry is killed by its memory limit while an endpoint's refusal or failure goes on without end, and their connections are cut. Held answers were bounded only where no further attempt could follow.

Fix: the body of a refusal is not kept, and one of more than 64 kB ends with its connection; the call is still one that has not run. A failure of more than 4 MB counts as a broken answer. A success that is held for a retry is forwarded from 4 MB on, as others are from 256 kB.

--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -102,6 +102,7 @@
         call.isLimited = action.isLimited;
         call.holdAnswer = action.holdAnswer;
         call.heldReply = HttpReply{};
+        call.refusalBytes = 0;
         call.answer = EndpointAnswer{};
         call.framing = AnswerFraming::None;
         call.isTruncated = false;
@@ -170,8 +171,13 @@
     static constexpr std::uint32_t statusGatewayTimeout = 504;
     // Maximum of answer bytes read from an endpoint and not yet sent to the caller.
     static constexpr std::size_t maxUnsentBytes = 256U << 10;
-    // Size beyond which a successful answer is forwarded before it is complete, unless another attempt may follow.
+    // Size beyond which a successful answer is forwarded before it is complete.
     static constexpr std::size_t maxHeldBytes = 256U << 10;
+    // The same where another attempt may follow, and the maximum size of an endpoint's own failure: a longer one is not
+    // forwarded.
+    static constexpr std::size_t maxHeldForRetryBytes = 4U << 20;
+    // Maximum size of the body of a refusal, which is not kept. Longer ones cost more than a new connection.
+    static constexpr std::size_t maxRefusalBytes = 64U << 10;
     // A running endpoint accepts a connection within milliseconds.
     static constexpr Duration connectTimeout = Milliseconds(400);
     // Prevents the use of a connection that the endpoint is about to close as idle.
@@ -194,6 +200,7 @@
         EndpointAnswer answer;
         AnswerFraming framing = AnswerFraming::None; // of the answer
         bool isTruncated = false; // the answer ended inside an event
+        std::size_t refusalBytes = 0; // received of the body of a refusal
         HttpReply heldReply; // the answer received so far, while none of it has been forwarded
         TimePoint lastPartAt{}; // arrival of the last part of a forwarded answer
         Duration longestPause{}; // between two parts
@@ -312,11 +319,26 @@
             forward(exchange, call, std::move(data));
             return;
         }
+        if (call.answer.kind == AnswerKind::Refused) {
+            call.refusalBytes += data.size();
+            if (call.refusalBytes > maxRefusalBytes) {
+                stopAttempt(call);
+                endAttempt(exchange, call, AttemptEnd::Refused, call.heldReply.status);
+            }
+            return;
+        }
         call.heldReply.body += data;
-        const bool isLarge = call.heldReply.body.size() > maxHeldBytes;
-        if (isLarge && call.answer.kind == AnswerKind::Success && !call.holdAnswer) {
+        const bool isSuccess = call.answer.kind == AnswerKind::Success;
+        const auto maxBytes = isSuccess && !call.holdAnswer ? maxHeldBytes : maxHeldForRetryBytes;
+        if (call.heldReply.body.size() <= maxBytes) {
+            return;
+        }
+        if (isSuccess) {
             startForwarding(exchange, call);
+            return;
         }
+        stopAttempt(call);
+        endAttempt(exchange, call, AttemptEnd::Broken, call.heldReply.status);
     }
 
     void onEnd(HttpExchange exchange, std::uint32_t attempt, ExchangeEnd end)
