Bound the bytes that the key-value service and the VM list may send (answers without end)

Cause: POCO's session reads any number of header lines and interim responses, and skips what is no chunk size; only the deadline of an exchange ended that. A watch has no deadline: it read for ever. A connection with bytes behind its answer was kept until its next use, and one whose watch had ended until the process stopped.

Fix: the socket counts the bytes of a head (64 kB) and of a body with its framing, and fails beyond them; for a watch anew with each line. Connections with bytes left over, and those of lost watches, are closed at once.

--- a/src/platform/etcd_watch.cpp
+++ b/src/platform/etcd_watch.cpp
@@ -14,6 +14,7 @@
 // A connection without data for this long is reopened, in case its peer vanished without closing it.
 constexpr Duration maxIdleTime = std::chrono::minutes(1);
 constexpr std::size_t maxLineBytes = 8U << 20;
+constexpr std::size_t maxEventBytes = 4 * maxLineBytes; // of one line, with the framing of its chunks
 constexpr int httpOk = 200;
 
 // Like std::getline with a maximum length, so that an endless line cannot exhaust the memory.
@@ -108,6 +109,13 @@
         return ReadResult::Lost;
     }
     auto &connection = *connections_[endpoint % connections_.size()];
+    const auto result = readEvents(connection);
+    connection.close();
+    return result;
+}
+
+EtcdWatch::ReadResult EtcdWatch::readEvents(HttpConnection &connection)
+{
     const auto deadline = HttpConnection::Clock::now() + shared_.init().timeout;
     const auto in = connection.open(etcdPath(KvOp::Watch), etcdBody(request_, nextRevision_), deadline, maxIdleTime);
     if (!in || connection.status() != httpOk) {
@@ -115,7 +123,9 @@
     }
     try {
         std::string line;
+        connection.setReceiveLimit(maxEventBytes);
         while (!isStopped_ && readLine(**in, line)) {
+            connection.setReceiveLimit(maxEventBytes);
             const auto message = parseEtcdWatch(line);
             if (!message.isValid) {
                 break;
--- a/src/platform/etcd_watch.h
+++ b/src/platform/etcd_watch.h
@@ -37,6 +37,8 @@
 
     void run();
     ReadResult connectAndRead(std::size_t endpoint);
+    /// Opens the connection and reads events until it is lost.
+    ReadResult readEvents(HttpConnection &connection);
     ReadResult handleMessage(const EtcdWatchMessage &message);
     void report(KvStatus status, bool event, std::vector<KvEntry> entries = {});
 
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 constexpr std::size_t readBufferBytes = 16U << 10;
+constexpr std::size_t maxHeadBytes = 64U << 10; // of a response, with its interim responses
+// Bytes of a chunked body for each byte of its content. The framing of chunks of a few bytes takes as much as they.
+constexpr std::size_t maxFramingFactor = 4;
 
 Poco::Timespan remainingTime(HttpConnection::Clock::time_point deadline)
 {
@@ -38,13 +41,23 @@
         deadline_.reset();
         setReceiveTimeout(Poco::Timespan(idleTimeout.count()));
     }
+    void setReceiveLimit(std::size_t bytes)
+    {
+        remainingBytes_ = bytes;
+    }
+    bool isReceiveLimitReached() const
+    {
+        return remainingBytes_ == 0;
+    }
     int receiveBytes(void *buffer, int length, int flags) override
     {
-        if (deadline_) {
-            requireTimeLeft();
-            setReceiveTimeout(remainingTime(*deadline_));
+        if (remainingBytes_ == 0) {
+            throw Poco::DataException("the response is too long");
         }
-        return Poco::Net::StreamSocketImpl::receiveBytes(buffer, length, flags);
+        const int received = receiveInTime(
+            buffer, static_cast<int>(std::min<std::size_t>(static_cast<std::size_t>(length), remainingBytes_)), flags);
+        remainingBytes_ -= received > 0 ? static_cast<std::size_t>(received) : 0;
+        return received;
     }
     int sendBytes(const void *buffer, int length, int flags) override
     {
@@ -56,6 +69,14 @@
     }
 
 private:
+    int receiveInTime(void *buffer, int length, int flags)
+    {
+        if (deadline_) {
+            requireTimeLeft();
+            setReceiveTimeout(remainingTime(*deadline_));
+        }
+        return Poco::Net::StreamSocketImpl::receiveBytes(buffer, length, flags);
+    }
     void requireTimeLeft() const
     {
         if (Clock::now() >= *deadline_) {
@@ -64,6 +85,7 @@
     }
 
     std::optional<Clock::time_point> deadline_;
+    std::size_t remainingBytes_ = maxHeadBytes; // that may still be received
 };
 
 HttpConnection::HttpConnection(const std::string &url)
@@ -141,6 +163,7 @@
     }
     session_->sendRequest(request) << body << std::flush;
     response_.clear();
+    deadlineSocket_->setReceiveLimit(maxHeadBytes);
     return session_->receiveResponse(response_);
 }
 
@@ -154,6 +177,7 @@
     try {
         deadlineSocket_->setDeadline(deadline);
         std::istream &in = send(method, path, body);
+        deadlineSocket_->setReceiveLimit(maxFramingFactor * maxBytes);
         HttpAnswer answer;
         answer.status = response_.getStatus();
         std::vector<char> chunk(readBufferBytes);
@@ -167,16 +191,31 @@
         const bool isTruncated = in.bad()
                                  || (response_.hasContentLength()
                                      && answer.body.size() != static_cast<std::size_t>(response_.getContentLength64()));
-        if (isTruncated || !response_.getKeepAlive()) {
+        const auto error = endError();
+        if (isTruncated || !response_.getKeepAlive() || !isReusable()) {
             close();
         }
         if (isTruncated) {
-            return tl::unexpected(ExchangeError::NoAnswer);
+            return tl::unexpected(error);
         }
         return answer;
     } catch (const Poco::Exception &) {
+        const auto error = endError();
         close();
-        return tl::unexpected(ExchangeError::NoAnswer);
+        return tl::unexpected(error);
+    }
+}
+
+ExchangeError HttpConnection::endError() const
+{
+    const bool isTooLarge = deadlineSocket_ != nullptr && deadlineSocket_->isReceiveLimitReached();
+    return isTooLarge ? ExchangeError::TooLarge : ExchangeError::NoAnswer;
+}
+
+void HttpConnection::setReceiveLimit(std::size_t bytes)
+{
+    if (deadlineSocket_ != nullptr) {
+        deadlineSocket_->setReceiveLimit(bytes);
     }
 }
 
--- a/src/platform/http_connection.h
+++ b/src/platform/http_connection.h
@@ -42,9 +42,12 @@
                                                      const std::string &body, Clock::time_point deadline,
                                                      std::size_t maxBytes);
     /// Sends a POST request and returns its response as a stream, valid until the next call or close(). `idleTimeout`
-    /// bounds each read.
+    /// bounds each read, setReceiveLimit() the bytes.
     tl::expected<std::istream *, ExchangeError> open(const std::string &path, const std::string &body,
                                                      Clock::time_point deadline, Duration idleTimeout);
+    /// The stream of open() fails after this many further bytes, with those of its framing. Without a limit, a server
+    /// that sends nothing but framing keeps its reader busy for ever.
+    void setReceiveLimit(std::size_t bytes);
     int status() const
     {
         return response_.getStatus();
@@ -59,6 +62,8 @@
     bool connect(Clock::time_point deadline);
     bool isReusable();
     std::istream &send(const std::string &method, const std::string &path, const std::string &body);
+    /// Why a response has ended early.
+    ExchangeError endError() const;
 
     Poco::URI uri_;
     std::unique_ptr<Poco::Net::HTTPClientSession> session_;
