Failing test: a relayed process that starts after its clock was set back is never seen

Callers see fewer sidecars until it is started again. Not mended here: the incarnation is compared in four parts, and a process must be able to start while the key-value service is away.

--- a/tests/unit/state_membership_test.cpp
+++ b/tests/unit/state_membership_test.cpp
@@ -120,6 +120,22 @@
     EXPECT_EQ(fixture.state(), MemberState::Leaving);
 }
 
+// Guards against a process that gets no work for its whole life because it started after its clock was set back: its
+// incarnation is lower than that of the process before, which is gone.
+TEST(Membership, RestartAfterTheClockWasSetBackIsSeen)
+{
+    MembershipFixture fixture;
+    fixture.listVm(VmState::Live);
+    fixture.heartbeat(2000);
+    ASSERT_EQ(fixture.state(), MemberState::Live);
+    fixture.run(Seconds(10));
+    for (int i = 0; i < 20; ++i) {
+        fixture.run(Milliseconds(500));
+        fixture.heartbeat(1000);
+    }
+    EXPECT_EQ(fixture.state(), MemberState::Live);
+}
+
 // A lagging "leaving" entry of a replaced VM must not retire its successor, but the successor gets no new work while it
 // is listed.
 TEST(Membership, LaggingListDoesNotRetireSuccessor)
