--- a/tests/process/endless_relay_test.cpp
+++ b/tests/process/endless_relay_test.cpp
@@ -1,5 +1,5 @@
-// Entries whose endpoints send bytes without end: in place of an answer, after a refusal or after a failure of their
-// own.
+// Entries and sidecars whose endpoints send bytes without end: in place of an answer or a report, after a refusal or
+// after a failure of their own.
 #include "direct_fleet.h"
 #include "support/endless_server.h"
 
