Log what tells the hypotheses apart: absent callers, calls open at the end of a drain, refusals without an id

No line told whether the caller of a request had left before the request was sent, whether a process ended with calls at endpoints, or whether a refusal named its request. New: counter anvilscale_direct_absent_caller_attempts_total; openCalls and callsAtEndpoints of drain_finished; namesRequest and reusedConnection of attempt_failed. No decision changes.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -418,6 +418,8 @@
     AttemptEnd end = AttemptEnd::Broken;
     EndpointRefusal refusal = EndpointRefusal::None;
     std::uint32_t status = 0; ///< of the endpoint's answer; 0 without an answer
+    bool namesRequest = false; ///< the endpoint's answer carried the id of the request
+    bool isOnReusedConnection = false; ///< earlier requests had been answered on the connection
     bool callerHasBytes = false; ///< part of the answer has been sent to the caller
     Duration longestPause{}; ///< longest interval between parts of an event stream, as received from the endpoint
     AnswerFraming framing = AnswerFraming::None;
--- a/include/anvilscale/direct_path.h
+++ b/include/anvilscale/direct_path.h
@@ -41,6 +41,7 @@
 {
     AnswerKind kind = AnswerKind::Foreign;
     EndpointRefusal refusal = EndpointRefusal::None;
+    bool namesRequest = false; ///< carries the id of the request
     bool isEventStream = false; ///< an event stream: forwarded as it arrives
     EndpointNotice notice; ///< empty if another endpoint than the addressed one answered
 };
--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -183,6 +183,7 @@
     std::uint32_t status = 0;
     HttpHeaders headers;
     bool keepAlive = true;
+    bool isOnReusedConnection = false; ///< set by HttpClient: earlier responses were received on the connection
     HttpBodyReader body;
 };
 
@@ -299,6 +300,9 @@
     /// Ends a response that cannot be completed: sends `reply` if nothing has been sent yet, otherwise closes the
     /// connection, so that the caller cannot accept the truncated response as complete.
     void cut(HttpExchange exchange, HttpReply reply);
+    /// True if the caller has closed or reset its connection, also if that has not been read yet. Thread of the
+    /// exchange only.
+    bool hasCallerLeft(HttpExchange exchange) const;
     /// Sets the limits for everything read from now on.
     void updateLimits(std::uint32_t maxHeadBytes, std::uint64_t maxBodyBytes, Duration headTimeout,
                       Duration idleTimeout);
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -65,9 +65,11 @@
         callServer_->closeAfterAnswers();
         callServer_->loop().post([this, done = std::move(done)] {
             auto isFinished = std::make_shared<bool>(false);
-            const auto finish = [isFinished, done] {
+            const auto finish = [this, isFinished, done] {
                 if (!std::exchange(*isFinished, true)) {
-                    logEvent(Event::DrainFinished);
+                    const auto calls = relay_.calls();
+                    logEvent(Event::DrainFinished,
+                             {{"openCalls", calls.open}, {"callsAtEndpoints", calls.atEndpoints}});
                     done();
                 }
             };
@@ -671,6 +673,9 @@
     {
         MetricsText text;
         appendDirectMetrics(text, calls_.stats());
+        text.counter("anvilscale_direct_absent_caller_attempts_total",
+                     "attempts that were about to be sent when their callers had left",
+                     relay_.attemptsForAbsentCallers());
         callLog_.appendMetrics(text);
         storeLog_.appendMetrics(text);
         appendMessengerMetrics(text, messenger_->stats());
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -64,6 +64,8 @@
                                     {"status", std::uint64_t{attempt.result.status}},
                                     {"framing", std::string(toString(attempt.result.framing))},
                                     {"truncated", attempt.result.isTruncated},
+                                    {"namesRequest", attempt.result.namesRequest},
+                                    {"reusedConnection", attempt.result.isOnReusedConnection},
                                     {"callerHasBytes", attempt.result.callerHasBytes},
                                     {"afterMs", toMilliseconds(attempt.elapsed)},
                                     {"answeredMs", attempt.answeredFor ? toMilliseconds(*attempt.answeredFor) : -1}});
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -3,6 +3,7 @@
 
 #include "anvilscale/direct_path.h"
 
+#include <atomic>
 #include <unordered_map>
 
 namespace anvilscale {
@@ -20,10 +21,11 @@
     std::function<void(HttpExchange)> onCallerGone;
 };
 
-struct RelayStats
+/// Calls in progress.
+struct RelayedCalls
 {
-    std::uint64_t connections = 0; // to endpoints
-    std::uint64_t requests = 0; // to endpoints
+    std::uint64_t open = 0;
+    std::uint64_t atEndpoints = 0; // part of them
 };
 
 /// Makes no decisions: each attempt is an action of the control thread, and its result is reported back.
@@ -106,6 +108,7 @@
         call.answer = EndpointAnswer{};
         call.framing = AnswerFraming::None;
         call.isTruncated = false;
+        call.isOnReusedConnection = false;
         const auto remaining = action.deadline - EventLoop::now();
         if (remaining <= Duration(0)) {
             AttemptResult result;
@@ -113,6 +116,9 @@
             handlers_.onAttemptEnded(exchange, action.attempt, result);
             return;
         }
+        if (server_->hasCallerLeft(exchange)) {
+            ++attemptsForAbsentCallers_;
+        }
         call.client = &clientFor(action.address);
         call.upstreamExchange = call.client->start(Dialect::callRequest(call.request, action, remaining), remaining,
                                                    handlersFor(exchange, action));
@@ -154,15 +160,21 @@
         clients_.clear();
     }
 
-    RelayStats stats() const
+    /// Traffic thread only.
+    RelayedCalls calls() const
     {
-        RelayStats result;
-        for (const auto &[address, client] : clients_) {
-            result.connections += client->counts().connections;
-            result.requests += client->counts().requests;
+        RelayedCalls result;
+        for (const auto &[exchange, call] : calls_) {
+            ++result.open;
+            result.atEndpoints += call.client != nullptr ? 1 : 0;
         }
         return result;
     }
+    /// Attempts that were about to be sent when their callers had left. Any thread.
+    std::uint64_t attemptsForAbsentCallers() const
+    {
+        return attemptsForAbsentCallers_;
+    }
 
 private:
     static constexpr std::uint32_t statusBadRequest = 400;
@@ -200,6 +212,7 @@
         EndpointAnswer answer;
         AnswerFraming framing = AnswerFraming::None; // of the answer
         bool isTruncated = false; // the answer ended inside an event
+        bool isOnReusedConnection = false; // the answer came on one
         std::size_t refusalBytes = 0; // received of the body of a refusal
         HttpReply heldReply; // the answer received so far, while none of it has been forwarded
         TimePoint lastPartAt{}; // arrival of the last part of a forwarded answer
@@ -268,6 +281,7 @@
     {
         auto &call = calls_.at(exchange.value);
         call.framing = framingOf(head);
+        call.isOnReusedConnection = head.isOnReusedConnection;
         call.answer = Dialect::readAnswer(head, call.requestId, call.endpointId);
         if (call.answer.kind == AnswerKind::Foreign) {
             stopAttempt(call);
@@ -389,6 +403,8 @@
         result.end = end;
         result.refusal = call.answer.refusal;
         result.status = status;
+        result.namesRequest = call.answer.namesRequest;
+        result.isOnReusedConnection = call.isOnReusedConnection;
         result.callerHasBytes = call.isForwarding;
         result.longestPause = call.longestPause;
         result.framing = call.framing;
@@ -419,6 +435,7 @@
     HttpServer *server_ = nullptr;
     std::unordered_map<std::uint64_t, RelayedCall> calls_; // by exchange id
     std::unordered_map<std::string, std::unique_ptr<HttpClient>> clients_; // by address
+    std::atomic<std::uint64_t> attemptsForAbsentCallers_ = 0;
 };
 
 } // namespace anvilscale
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -3,6 +3,8 @@
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
+#include <Poco/Net/SocketImpl.h>
+#include <poll.h>
 
 #include <algorithm>
 
@@ -47,6 +49,12 @@
     return exchange_;
 }
 
+bool CallerConnection::hasPeerClosed() const
+{
+    pollfd descriptor{socket_.impl()->sockfd(), POLLRDHUP, 0};
+    return ::poll(&descriptor, 1, 0) > 0;
+}
+
 void CallerConnection::onReady(int mode)
 {
     if ((mode & writeMode) != 0) {
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -42,6 +42,8 @@
         }
     }
     HttpExchange exchange() const;
+    /// True if the peer has closed or reset the connection, also if input before that has not been read yet.
+    bool hasPeerClosed() const;
     /// Closes the connection if no exchange is in progress.
     void closeIfIdle();
     /// Sends an error response and closes; used for connections over the limit.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -44,6 +44,7 @@
     std::uint64_t bodyBytes = 0; // read so far
     std::uint64_t maxBodyBytes = 0; // 0: no limit
     bool isHeadRequest = false;
+    bool isReused = false; // has served an earlier exchange
     bool isPaused = false;
     bool hasDeadline = false; // the timer bounds the whole exchange, not only connecting
     int pollModes = 0;
@@ -194,6 +195,7 @@
         connection->key = node.key();
         connections.insert(std::move(node));
     }
+    connection->isReused = isReused;
     connection->handlers = std::move(handlers);
     connection->output =
         formatRequestHead(request.method, request.target, request.host.empty() ? address.toString() : request.host,
@@ -397,6 +399,7 @@
         return true; // interim response
     }
     connection.response = std::move(*parsed);
+    connection.response.isOnReusedConnection = connection.isReused;
     connection.events.reset();
     if (isEventStream(connection.response.headers)) {
         connection.events.emplace();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -303,6 +303,12 @@
     impl_->updateAnswer(exchange, [reply = std::move(reply)](HttpAnswer &answer) { answer.cut(reply); });
 }
 
+bool HttpServer::hasCallerLeft(HttpExchange exchange) const
+{
+    const auto *connection = impl_->findWorker(exchange).findConnection(exchange);
+    return connection == nullptr || connection->hasPeerClosed();
+}
+
 void HttpServer::closeAfterAnswers()
 {
     for (auto &worker : impl_->workers) {
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -13,7 +13,7 @@
     {105, LogLevel::Error, "reload_rejected", "the changed settings are invalid; the previous settings stay active"},
     {106, LogLevel::Warn, "restart_needed", "the settings changed in a way that requires a restart"},
     {110, LogLevel::Info, "drain_started", "no new work is accepted; calls in progress continue"},
-    {111, LogLevel::Info, "drain_finished", "all calls in progress have ended"},
+    {111, LogLevel::Info, "drain_finished", "the calls in progress have ended, or the grace period"},
     {200, LogLevel::Info, "config_moved", "a higher configuration revision is active"},
     {201, LogLevel::Error, "config_rejected", "a delta or snapshot could not be applied"},
     {202, LogLevel::Warn, "config_stale", "the configuration has not been confirmed within the allowed time"},
