--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -56,7 +56,8 @@
             << controlAddress << R"(","port":)" << controlPort_ << R"(},"http":{"at":"127.0.0.1:)" << ports.http
             << R"("},"direct":{"store":)"
             << R"("http://127.0.0.1:)" << storePort_ << R"(","ready":{"at":"127.0.0.1:)" << ports.ready
-            << R"("},"storePauseMs":50,"graceMs":8000,"metricsPort":)" << ports.metrics << R"(},"log":{"file":"-"}})";
+            << R"("},"storePauseMs":50,"graceMs":)" << graceMs_ << R"(,"metricsPort":)" << ports.metrics
+            << R"(},"log":{"file":"-"}})";
         startDaemon(name, out.str());
     }
     void startSidecar()
@@ -198,6 +199,7 @@
     unsigned metricsPort_ = freePort();
     std::map<std::string, std::unique_ptr<Process>> daemons_;
     int probeCount_ = 0;
+    int graceMs_ = 8000; // of entries that are started from now on
 };
 
 } // namespace fleet
