A request whose caller has left is not sent to an endpoint

What callers saw: a request that must run once ran at a paused entry and at the entry that its caller had gone on to. Cause: bytes that arrived before a close or a reset can still be read. The entry that continued read the request, decided on it and sent it before its traffic thread read the end of the connection; the order was left to chance.

RunOnce.RequestTakenBackFromAPausedEntryIsNotRun failed in 3 of 3 runs before and passes in 5 of 5.

--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -674,7 +674,7 @@
         MetricsText text;
         appendDirectMetrics(text, calls_.stats());
         text.counter("anvilscale_direct_absent_caller_attempts_total",
-                     "attempts that were about to be sent when their callers had left",
+                     "attempts that were not sent because their callers had left",
                      relay_.attemptsForAbsentCallers());
         callLog_.appendMetrics(text);
         storeLog_.appendMetrics(text);
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -116,8 +116,13 @@
             handlers_.onAttemptEnded(exchange, action.attempt, result);
             return;
         }
+        // The process may have stood still since it read the request. Its caller may have gone to another entry
+        // meanwhile.
         if (server_->hasCallerLeft(exchange)) {
             ++attemptsForAbsentCallers_;
+            handlers_.onCallerGone(exchange);
+            finish(action.call, errorReply(statusBadGateway, toString(FailureReason::CallerGone), Duration(0)));
+            return;
         }
         call.client = &clientFor(action.address);
         call.upstreamExchange = call.client->start(Dialect::callRequest(call.request, action, remaining), remaining,
@@ -170,7 +175,7 @@
         }
         return result;
     }
-    /// Attempts that were about to be sent when their callers had left. Any thread.
+    /// Attempts that were not sent because their callers had left. Any thread.
     std::uint64_t attemptsForAbsentCallers() const
     {
         return attemptsForAbsentCallers_;
