Answers of earlier requests and attempts are not taken for those of the current one

What callers saw: a request that runs is answered 503, which promises that it has not run, or it is sent once more and runs twice. Cause: a refusal that names no request was believed on any connection, so that a late one to an earlier request on a kept connection was taken for the answer to the next; and a second refusal of an attempt carries the id of the call, so that it was taken for that of the call's next attempt on the same connection. Fix: on a reused connection only an answer that names its request counts, failures included; attempts after the first use new connections, on which nothing earlier can arrive.

--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -125,8 +125,10 @@
             return;
         }
         call.client = &clientFor(action.address);
-        call.upstreamExchange = call.client->start(Dialect::callRequest(call.request, action, remaining), remaining,
-                                                   handlersFor(exchange, action));
+        auto request = Dialect::callRequest(call.request, action, remaining);
+        // A second answer to an earlier attempt carries the same id. It cannot arrive on a new connection.
+        request.needsNewConnection = action.attempt > 1;
+        call.upstreamExchange = call.client->start(request, remaining, handlersFor(exchange, action));
     }
 
     void perform(const RefuseCall &action)
@@ -288,7 +290,10 @@
         call.framing = framingOf(head);
         call.isOnReusedConnection = head.isOnReusedConnection;
         call.answer = Dialect::readAnswer(head, call.requestId, call.endpointId);
-        if (call.answer.kind == AnswerKind::Foreign) {
+        // On a reused connection, an answer that names no request may be a late one to an earlier request.
+        const bool mayBeLate = head.isOnReusedConnection && !call.answer.namesRequest;
+        if (call.answer.kind == AnswerKind::Foreign || mayBeLate) {
+            call.answer.kind = AnswerKind::Foreign;
             stopAttempt(call);
             endAttempt(exchange, call, AttemptEnd::Broken, head.status);
             return;
--- /dev/null
+++ b/tests/unit/direct_relay_test.cpp
@@ -0,0 +1,162 @@
+// DirectRelay with an endpoint whose answers are scripted: which answers it takes for those of an attempt.
+#include "daemon/direct_relay.h"
+#include "site_dialect.h"
+#include "support/scripted_endpoint.h"
+
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <gtest/gtest.h>
+
+#include <mutex>
+
+namespace anvilscale::test {
+
+namespace {
+
+/// A relay that sends each call to one endpoint, and again there while the attempts are refused.
+class RelayToOne
+{
+public:
+    static constexpr std::uint32_t maxAttempts = 3;
+
+    explicit RelayToOne(std::string address)
+        : address_(std::move(address))
+        , relay_(handlers())
+    {
+        HttpServerInit init;
+        init.address = "127.0.0.1";
+        HttpServer::Handlers serverHandlers;
+        serverHandlers.request = [this](HttpExchange exchange, HttpRequestData request) {
+            relay_.onRequest(exchange, std::move(request));
+        };
+        serverHandlers.disconnected = [this](HttpExchange exchange, FailureReason) {
+            relay_.onCallerDisconnected(exchange);
+        };
+        serverHandlers.bytesSent = [this](HttpExchange exchange, std::uint64_t bytes) {
+            relay_.onBytesSent(exchange, bytes);
+        };
+        serverHandlers.errorReply = [](HttpError) { return HttpReply{}; };
+        server_ = std::move(*HttpServer::create(init, serverHandlers));
+        relay_.attach(*server_);
+        server_->start();
+    }
+    ~RelayToOne()
+    {
+        server_->loop().post([this] { relay_.close(); });
+        server_->shutdown();
+    }
+    RelayToOne(const RelayToOne &) = delete;
+    RelayToOne &operator=(const RelayToOne &) = delete;
+
+    /// Returns the status that a caller gets.
+    int call(const std::string &id) const
+    {
+        Poco::Net::HTTPClientSession session("127.0.0.1", server_->port());
+        Poco::Net::HTTPRequest request("POST", "/n/x", "HTTP/1.1");
+        request.set("X-Anvilscale-Request-Id", id);
+        request.setContentLength(0);
+        session.sendRequest(request);
+        Poco::Net::HTTPResponse response;
+        session.receiveResponse(response);
+        return response.getStatus();
+    }
+    std::vector<AttemptEnd> ends() const
+    {
+        const std::scoped_lock lock(mutex_);
+        return ends_;
+    }
+
+private:
+    RelayHandlers handlers()
+    {
+        RelayHandlers result;
+        result.onCall = [this](HttpExchange exchange, const CallInfo &) { send(exchange, 1); };
+        result.onEndpointNotice = [](const std::string &, EndpointNotice) {};
+        result.onAnswerStarted = [](HttpExchange, std::uint32_t) {};
+        result.onStreamStarted = [](HttpExchange, const StreamOrigin &) {};
+        result.onCallerGone = [](HttpExchange) {};
+        result.onAttemptEnded = [this](HttpExchange exchange, std::uint32_t attempt,
+                                       const AttemptResult &attemptResult) {
+            {
+                const std::scoped_lock lock(mutex_);
+                ends_.push_back(attemptResult.end);
+            }
+            if (attemptResult.end == AttemptEnd::Refused && attempt < maxAttempts) {
+                send(exchange, attempt + 1);
+            } else if (attemptResult.end != AttemptEnd::Answered) {
+                server_->loop().post([this, exchange] {
+                    relay_.perform(AbandonCall{CallHandle{exchange.value}, FailureReason::EndpointCut});
+                });
+            }
+        };
+        return result;
+    }
+
+    void send(HttpExchange exchange, std::uint32_t attempt)
+    {
+        SendCall action;
+        action.call = CallHandle{exchange.value};
+        action.attempt = attempt;
+        action.endpointId = "s-1";
+        action.address = address_;
+        action.deadline = EventLoop::now() + Seconds(30);
+        server_->loop().post([this, action] { relay_.perform(action); });
+    }
+
+    std::string address_;
+    mutable std::mutex mutex_;
+    std::vector<AttemptEnd> ends_; // guarded by mutex_
+    std::unique_ptr<HttpServer> server_;
+    DirectRelay<site::SiteDialect> relay_;
+};
+
+std::string refusal(const std::string &headers)
+{
+    return ScriptedEndpoint::answer("421 Misdirected Request", headers);
+}
+
+} // namespace
+
+// Guards against the refusal of an attempt that comes twice and is taken for the refusal of the next attempt of the
+// same call, which runs: both carry the call's id.
+TEST(DirectRelay, SecondRefusalOfAnAttemptIsNotTakenForThatOfTheNext)
+{
+    std::atomic<int> requests = 0;
+    ScriptedEndpoint endpoint([&](const ScriptedRequest &request) {
+        const auto refused = refusal("X-Anvilscale-Request-Id: " + request.id + "\r\n");
+        if (++requests == 1) {
+            return refused;
+        }
+        return (request.number == 1 ? std::string() : refused) + ScriptedEndpoint::success(request.id);
+    });
+    RelayToOne relay(endpoint.address());
+    EXPECT_EQ(relay.call("r-1"), 200);
+    EXPECT_EQ(relay.ends(), (std::vector{AttemptEnd::Refused, AttemptEnd::Answered}));
+    EXPECT_EQ(requests, 2);
+}
+
+// Guards against the failure of another request, which carries no id and comes late on a reused connection, forwarded
+// as the answer to this one.
+TEST(DirectRelay, LateFailureWithoutAnIdIsNotForwarded)
+{
+    ScriptedEndpoint endpoint([&](const ScriptedRequest &request) {
+        const auto failure = ScriptedEndpoint::answer("500 Error", "X-Anvilscale-Server-Signature: sig\r\n");
+        return (request.number == 1 ? std::string() : failure) + ScriptedEndpoint::success(request.id);
+    });
+    RelayToOne relay(endpoint.address());
+    EXPECT_EQ(relay.call("r-1"), 200);
+    EXPECT_EQ(relay.call("r-2"), 502);
+    EXPECT_EQ(relay.ends(), (std::vector{AttemptEnd::Answered, AttemptEnd::Broken}));
+}
+
+// Guards against distrust of an endpoint that refuses a request on a new connection without naming it.
+TEST(DirectRelay, RefusalWithoutAnIdCountsOnANewConnection)
+{
+    ScriptedEndpoint endpoint([&](const ScriptedRequest &) { return refusal(""); });
+    RelayToOne relay(endpoint.address());
+    EXPECT_EQ(relay.call("r-1"), 502);
+    EXPECT_EQ(relay.ends().front(), AttemptEnd::Refused);
+}
+
+} // namespace anvilscale::test
