Calls in progress are answered when the grace period of an entry ends

What callers saw: the connection of a call that runs at an endpoint is closed without a byte when its entry ends. A caller may take that for a request that was not read and send it again; it then runs twice. Cause: at the end of the grace period the process closed all connections as they were. Answers are written before the connections close; requests that arrive in between are refused at once.

--- a/include/anvilscale/base.h
+++ b/include/anvilscale/base.h
@@ -366,14 +366,16 @@
     CallerGone,
     SlowReader,
     AnswerIncomplete, ///< frame count or digest does not match
+    ProcessStopped, ///< the process that served the call has ended
     Count
 };
 template<>
 struct EnumNames<FailureReason>
 {
     static constexpr std::array<std::string_view, enumCount<FailureReason>> table{
-        "none",         "endpoint_error",  "endpoint_unreachable", "endpoint_cut", "endpoint_restarted",
-        "sidecar_lost", "deadline_passed", "caller_gone",          "slow_reader",  "answer_incomplete"};
+        "none",           "endpoint_error",  "endpoint_unreachable", "endpoint_cut", "endpoint_restarted",
+        "sidecar_lost",   "deadline_passed", "caller_gone",          "slow_reader",  "answer_incomplete",
+        "process_stopped"};
 };
 
 /// State of an adapter version at an engine, as tracked by its sidecar.
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -70,7 +70,8 @@
                     const auto calls = relay_.calls();
                     logEvent(Event::DrainFinished,
                              {{"openCalls", calls.open}, {"callsAtEndpoints", calls.atEndpoints}});
-                    done();
+                    relay_.endCalls();
+                    callServer_->loop().post(done); // after the answers have been written
                 }
             };
             auto &timers = callServer_->loop().timers();
@@ -674,8 +675,7 @@
         MetricsText text;
         appendDirectMetrics(text, calls_.stats());
         text.counter("anvilscale_direct_absent_caller_attempts_total",
-                     "attempts that were not sent because their callers had left",
-                     relay_.attemptsForAbsentCallers());
+                     "attempts that were not sent because their callers had left", relay_.attemptsForAbsentCallers());
         callLog_.appendMetrics(text);
         storeLog_.appendMetrics(text);
         appendMessengerMetrics(text, messenger_->stats());
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -51,6 +51,10 @@
             server_->reply(exchange, errorReply(statusBadRequest, toString(info.error()), Duration(0)));
             return;
         }
+        if (isEnding_) {
+            server_->reply(exchange, leavingReply());
+            return;
+        }
         info->fingerprint = computeFingerprint(request.method, request.target, request.body, *info);
         auto &call = calls_[exchange.value];
         call.request = std::move(request);
@@ -160,6 +164,25 @@
                                        toString(action.reason), Duration(0)));
     }
 
+    /// Answers all calls in progress, and refuses new ones. For a process that is about to end: callers take a
+    /// connection that is closed without an answer for one whose request was not read, and send it again.
+    void endCalls()
+    {
+        isEnding_ = true;
+        std::vector<std::uint64_t> exchanges;
+        exchanges.reserve(calls_.size());
+        for (const auto &[exchange, call] : calls_) {
+            exchanges.push_back(exchange);
+        }
+        for (const auto exchange : exchanges) {
+            const auto &call = calls_.at(exchange);
+            const bool mayHaveRun = call.mayHaveRun || call.client != nullptr;
+            finish(CallHandle{exchange},
+                   mayHaveRun ? errorReply(statusBadGateway, toString(FailureReason::ProcessStopped), Duration(0))
+                              : leavingReply());
+        }
+    }
+
     /// Closes all connections to endpoints. Must be called before the event loop of the server is destroyed.
     void close()
     {
@@ -187,7 +210,10 @@
     static constexpr std::uint32_t statusBadRequest = 400;
     static constexpr std::uint32_t statusUnauthorized = 401;
     static constexpr std::uint32_t statusBadGateway = 502;
+    static constexpr std::uint32_t statusUnavailable = 503;
     static constexpr std::uint32_t statusGatewayTimeout = 504;
+    // Other entries serve callers that return to the load balancer.
+    static constexpr Duration leavingRetryAfter = Milliseconds(50);
     // Maximum of answer bytes read from an endpoint and not yet sent to the caller.
     static constexpr std::size_t maxUnsentBytes = 256U << 10;
     // Size beyond which a successful answer is forwarded before it is complete.
@@ -214,6 +240,7 @@
         StreamOrigin origin; // of its stream, if the current attempt starts it
         bool isLimited = false; // sent under a rate limit of the endpoint
         bool holdAnswer = false;
+        bool mayHaveRun = false; // at the endpoint of an attempt that has ended
         HttpClient *client = nullptr; // of the current attempt; null if none is in progress
         ExchangeId upstreamExchange = 0;
         EndpointAnswer answer;
@@ -246,6 +273,13 @@
         return reply;
     }
 
+    static HttpReply leavingReply()
+    {
+        auto reply = errorReply(statusUnavailable, toString(RefusalReason::Leaving), leavingRetryAfter);
+        reply.closesConnection = true;
+        return reply;
+    }
+
     static AnswerFraming framingOf(const HttpResponseHead &head)
     {
         switch (head.body.framing()) {
@@ -409,6 +443,7 @@
 
     void endAttempt(HttpExchange exchange, RelayedCall &call, AttemptEnd end, std::uint32_t status)
     {
+        call.mayHaveRun = call.mayHaveRun || (end != AttemptEnd::Refused && end != AttemptEnd::Unreachable);
         AttemptResult result;
         result.end = end;
         result.refusal = call.answer.refusal;
@@ -445,6 +480,7 @@
     HttpServer *server_ = nullptr;
     std::unordered_map<std::uint64_t, RelayedCall> calls_; // by exchange id
     std::unordered_map<std::string, std::unique_ptr<HttpClient>> clients_; // by address
+    bool isEnding_ = false; // all calls are refused
     std::atomic<std::uint64_t> attemptsForAbsentCallers_ = 0;
 };
 
--- a/tests/unit/direct_relay_test.cpp
+++ b/tests/unit/direct_relay_test.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <gtest/gtest.h>
 
+#include <future>
 #include <mutex>
 
 namespace anvilscale::test {
@@ -20,8 +21,10 @@
 public:
     static constexpr std::uint32_t maxAttempts = 3;
 
-    explicit RelayToOne(std::string address)
+    /// `lastAttempt`: calls wait after it until the relay ends them.
+    explicit RelayToOne(std::string address, std::uint32_t lastAttempt = maxAttempts)
         : address_(std::move(address))
+        , lastAttempt_(lastAttempt)
         , relay_(handlers())
     {
         HttpServerInit init;
@@ -49,6 +52,14 @@
     RelayToOne(const RelayToOne &) = delete;
     RelayToOne &operator=(const RelayToOne &) = delete;
 
+    /// Ends all calls once `count` attempts have ended and `open` calls are in progress.
+    void endCallsAfter(std::size_t count, std::uint64_t open)
+    {
+        while (ends().size() < count || openCalls() < open) {
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
+        server_->loop().post([this] { relay_.endCalls(); });
+    }
     /// Returns the status that a caller gets.
     int call(const std::string &id) const
     {
@@ -71,7 +82,11 @@
     RelayHandlers handlers()
     {
         RelayHandlers result;
-        result.onCall = [this](HttpExchange exchange, const CallInfo &) { send(exchange, 1); };
+        result.onCall = [this](HttpExchange exchange, const CallInfo &) {
+            if (lastAttempt_ != 0) {
+                send(exchange, 1);
+            }
+        };
         result.onEndpointNotice = [](const std::string &, EndpointNotice) {};
         result.onAnswerStarted = [](HttpExchange, std::uint32_t) {};
         result.onStreamStarted = [](HttpExchange, const StreamOrigin &) {};
@@ -82,6 +97,9 @@
                 const std::scoped_lock lock(mutex_);
                 ends_.push_back(attemptResult.end);
             }
+            if (attempt >= lastAttempt_ && lastAttempt_ != maxAttempts) {
+                return;
+            }
             if (attemptResult.end == AttemptEnd::Refused && attempt < maxAttempts) {
                 send(exchange, attempt + 1);
             } else if (attemptResult.end != AttemptEnd::Answered) {
@@ -93,6 +111,13 @@
         return result;
     }
 
+    std::uint64_t openCalls()
+    {
+        std::promise<std::uint64_t> open;
+        server_->loop().post([&] { open.set_value(relay_.calls().open); });
+        return open.get_future().get();
+    }
+
     void send(HttpExchange exchange, std::uint32_t attempt)
     {
         SendCall action;
@@ -105,6 +130,7 @@
     }
 
     std::string address_;
+    std::uint32_t lastAttempt_;
     mutable std::mutex mutex_;
     std::vector<AttemptEnd> ends_; // guarded by mutex_
     std::unique_ptr<HttpServer> server_;
@@ -159,4 +185,25 @@
     EXPECT_EQ(relay.ends().front(), AttemptEnd::Refused);
 }
 
+// Guards against connections that are closed without an answer when the process ends while calls wait: callers could
+// not tell whether they have run.
+TEST(DirectRelay, CallsThatWaitWhenTheProcessEndsAreAnsweredByWhatIsKnownOfThem)
+{
+    struct Case
+    {
+        std::string answer; // of the endpoint; the connection breaks if empty
+        std::uint32_t attempts;
+        int status;
+    };
+    const std::vector<Case> cases{{"", 0, 503}, {refusal(""), 1, 503}, {"", 1, 502}};
+    for (const auto &item : cases) {
+        ScriptedEndpoint endpoint([&](const ScriptedRequest &) { return item.answer; });
+        RelayToOne relay(endpoint.address(), item.attempts);
+        auto status = std::async(std::launch::async, [&] { return relay.call("r-1"); });
+        relay.endCallsAfter(item.attempts, 1);
+        EXPECT_EQ(status.get(), item.status) << item.attempts << " attempts, answer " << item.answer;
+        EXPECT_EQ(relay.call("r-2"), 503) << "a new call";
+    }
+}
+
 } // namespace anvilscale::test
