Soak of requests that must run once: entries under faults, endpoints that answer wrongly, callers that go on elsewhere

Checked by request id: never run twice, never run after a promise, never run after it was taken back from a paused entry, no connection closed without an answer while the request runs.

--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -61,6 +61,8 @@
             const int file = ::open(errorFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
             ::dup2(file, STDERR_FILENO);
             ::dup2(file, STDOUT_FILENO);
+            // A connection that the test closes must not stay open here.
+            ::close_range(STDERR_FILENO + 1, ~0U, 0);
             sigset_t emptySet;
             sigemptyset(&emptySet);
             ::sigprocmask(SIG_SETMASK, &emptySet, nullptr);
--- a/tests/support/scripted_endpoint.h
+++ b/tests/support/scripted_endpoint.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <list>
 #include <string>
@@ -20,6 +21,7 @@
 struct ScriptedRequest
 {
     std::string id; ///< of the X-Anvilscale-Request-Id header
+    std::uint64_t connection = 0;
     std::size_t number = 0; ///< on its connection, from 1
     std::string body;
 };
@@ -29,9 +31,12 @@
 public:
     /// Returns the bytes that answer a request; the connection is closed if there are none.
     using Script = std::function<std::string(const ScriptedRequest &)>;
+    /// Returns for how long a new connection is not read.
+    using ReadDelay = std::function<std::chrono::milliseconds(std::uint64_t connection)>;
 
-    explicit ScriptedEndpoint(Script script)
+    explicit ScriptedEndpoint(Script script, ReadDelay readDelay = {})
         : script_(std::move(script))
+        , readDelay_(std::move(readDelay))
         , socket_(Poco::Net::SocketAddress("127.0.0.1", 0))
         , thread_([this] { serve(); })
     {
@@ -71,18 +76,24 @@
 
     void serve()
     {
+        std::uint64_t lastConnection = 0;
         while (!isStopped_) {
             if (socket_.poll(Poco::Timespan(0, pollIntervalUs), Poco::Net::Socket::SELECT_READ)) {
-                connections_.emplace_back(
-                    [this, connection = socket_.acceptConnection()] { serveConnection(connection); });
+                connections_.emplace_back([this, number = ++lastConnection, connection = socket_.acceptConnection()] {
+                    serveConnection(number, connection);
+                });
             }
         }
     }
 
-    void serveConnection(Poco::Net::StreamSocket connection)
+    void serveConnection(std::uint64_t number, Poco::Net::StreamSocket connection)
     {
+        if (readDelay_) {
+            std::this_thread::sleep_for(readDelay_(number));
+        }
         std::string input;
         ScriptedRequest request;
+        request.connection = number;
         while (readRequest(connection, input, request)) {
             const auto bytes = script_(request);
             const auto sent = ::send(connection.impl()->sockfd(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -142,6 +153,7 @@
     }
 
     Script script_;
+    ReadDelay readDelay_;
     Poco::Net::ServerSocket socket_;
     std::list<std::thread> connections_; // thread_ only, until it has ended
     std::atomic<bool> isStopped_ = false;
--- a/tests/tests.cmake
+++ b/tests/tests.cmake
@@ -30,6 +30,12 @@
     anvilscale_test(${source} anvilscale_daemon anvilscale_ctl)
 endforeach()
 
+# The soak with the real processes plays one seed; scripts/soak.sh plays others.
+file(GLOB soak_tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/soak/*_test.cpp)
+foreach(source ${soak_tests})
+    anvilscale_test(${source} anvilscale_daemon anvilscale_ctl)
+endforeach()
+
 # The fault matrix drives the decision objects through an in-memory link in virtual time.
 file(GLOB fault_sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/faults/*.cpp)
 if(fault_sources)
