Read the status of a foreign answer before its connection is destroyed

Cause: DirectRelay::onHead reset the connection of an answer that belongs to no request, which destroys the head, and read the head's status after that (use after free on the traffic thread). Evidence: DirectRelay.LateFailureWithoutAnIdIsNotForwarded under the address sanitizer on: heap-use-after-free in onHead. Fix: the end of the attempt is reported first.

Test: the same one under the sanitizer (scripts/sanitize.sh).

--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -328,8 +328,8 @@
         const bool mayBeLate = head.isOnReusedConnection && !call.answer.namesRequest;
         if (call.answer.kind == AnswerKind::Foreign || mayBeLate) {
             call.answer.kind = AnswerKind::Foreign;
-            stopAttempt(call);
             endAttempt(exchange, call, AttemptEnd::Broken, head.status);
+            stopAttempt(call); // destroys `head`
             return;
         }
         call.answer.notice.endsLimit =
