Attempts that are refused or not answered are logged with the endpoint's status

What operators saw: attempt_failed names status 200 for attempts that were refused, or not answered at all. Cause: the status of a reply that had not been filled. It is 0 now until the endpoint's head comes, and the head's from then on.

DirectRelay.StatusOfAFailedAttemptIsTheEndpoints failed before (200 where 421 and 0 were due).

--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -108,6 +108,7 @@
         call.isLimited = action.isLimited;
         call.holdAnswer = action.holdAnswer;
         call.heldReply = HttpReply{};
+        call.heldReply.status = 0; // no answer yet
         call.refusalBytes = 0;
         call.answer = EndpointAnswer{};
         call.framing = AnswerFraming::None;
@@ -322,6 +323,7 @@
     {
         auto &call = calls_.at(exchange.value);
         call.framing = framingOf(head);
+        call.heldReply.status = head.status;
         call.isOnReusedConnection = head.isOnReusedConnection;
         call.answer = Dialect::readAnswer(head, call.requestId, call.endpointId);
         // On a reused connection, an answer that names no request may be a late one to an earlier request.
@@ -341,7 +343,6 @@
             return;
         }
         handlers_.onAnswerStarted(exchange, call.reportedAttempt);
-        call.heldReply.status = head.status;
         call.heldReply.headers = head.headers;
         if (call.answer.kind == AnswerKind::Success && call.answer.isEventStream) {
             handlers_.onStreamStarted(exchange, call.origin);
--- a/tests/unit/direct_relay_test.cpp
+++ b/tests/unit/direct_relay_test.cpp
@@ -77,6 +77,12 @@
         const std::scoped_lock lock(mutex_);
         return ends_;
     }
+    /// Status that was reported with the first end.
+    std::uint32_t firstStatus() const
+    {
+        const std::scoped_lock lock(mutex_);
+        return firstStatus_;
+    }
 
 private:
     RelayHandlers handlers()
@@ -95,6 +101,7 @@
                                        const AttemptResult &attemptResult) {
             {
                 const std::scoped_lock lock(mutex_);
+                firstStatus_ = ends_.empty() ? attemptResult.status : firstStatus_;
                 ends_.push_back(attemptResult.end);
             }
             if (attempt >= lastAttempt_ && lastAttempt_ != maxAttempts) {
@@ -133,6 +140,7 @@
     std::uint32_t lastAttempt_;
     mutable std::mutex mutex_;
     std::vector<AttemptEnd> ends_; // guarded by mutex_
+    std::uint32_t firstStatus_ = 0; // guarded by mutex_
     std::unique_ptr<HttpServer> server_;
     DirectRelay<site::SiteDialect> relay_;
 };
@@ -185,6 +193,22 @@
     EXPECT_EQ(relay.ends().front(), AttemptEnd::Refused);
 }
 
+// Guards against a log that names a success where an endpoint refused a request or did not answer it.
+TEST(DirectRelay, StatusOfAFailedAttemptIsTheEndpoints)
+{
+    struct Case
+    {
+        std::string answer; // of the endpoint; the connection breaks if empty
+        std::uint32_t status;
+    };
+    for (const auto &item : {Case{refusal(""), 421}, Case{"", 0}}) {
+        ScriptedEndpoint endpoint([&](const ScriptedRequest &) { return item.answer; });
+        RelayToOne relay(endpoint.address());
+        EXPECT_EQ(relay.call("r-1"), 502);
+        EXPECT_EQ(relay.firstStatus(), item.status);
+    }
+}
+
 // Guards against connections that are closed without an answer when the process ends while calls wait: callers could
 // not tell whether they have run.
 TEST(DirectRelay, CallsThatWaitWhenTheProcessEndsAreAnsweredByWhatIsKnownOfThem)
