--- a/tests/soak/run_once_soak_test.cpp
+++ b/tests/soak/run_once_soak_test.cpp
@@ -110,8 +110,8 @@
         const std::string signedBy = "X-Anvilscale-Server-Signature: sig\r\n";
         const std::string notExecuted = "X-Anvilscale-Not-Executed: 1\r\n";
         const std::string unavailable = "503 Service Unavailable";
-        const auto success = ScriptedEndpoint::success(request.id);
-        const auto refusal = ScriptedEndpoint::answer(unavailable, named + notExecuted);
+        auto success = ScriptedEndpoint::success(request.id);
+        auto refusal = ScriptedEndpoint::answer(unavailable, named + notExecuted);
         switch (deed) {
         case Deed::Refuse:
             return refusal;
@@ -355,6 +355,7 @@
         }
         std::atomic<bool> isStopped = false;
         std::vector<std::thread> callers;
+        callers.reserve(callerCount);
         for (int i = 0; i < callerCount; ++i) {
             callers.emplace_back(
                 [&, i] { SoakCaller(entries_, record).run(seed, "c" + std::to_string(i), isStopped); });
--- a/tests/unit/direct_relay_test.cpp
+++ b/tests/unit/direct_relay_test.cpp
@@ -158,7 +158,7 @@
 {
     std::atomic<int> requests = 0;
     ScriptedEndpoint endpoint([&](const ScriptedRequest &request) {
-        const auto refused = refusal("X-Anvilscale-Request-Id: " + request.id + "\r\n");
+        auto refused = refusal("X-Anvilscale-Request-Id: " + request.id + "\r\n");
         if (++requests == 1) {
             return refused;
         }
