The test of a repeat after an upgrade tells which call ran too often and what its caller was told

A run too many was seen once and could not be traced, as the test compared sums only. Each key's runs are checked too, and a call of the loop that ran without success is named.

--- a/tests/process/handover_test.cpp
+++ b/tests/process/handover_test.cpp
@@ -38,6 +38,20 @@
         return parse(request(fleet_.endpointPort(sidecar), "GET", "/standin/record").body)->getValue<int>("total");
     }
 
+    /// Number of runs by key, at all endpoints.
+    std::map<std::string, int> runsByKey()
+    {
+        std::map<std::string, int> runs;
+        for (const auto *sidecar : {"desk-1", "desk-2"}) {
+            const auto list =
+                parse(request(fleet_.endpointPort(sidecar), "GET", "/standin/record").body)->getArray("runs");
+            for (std::size_t i = 0; i < list->size(); ++i) {
+                ++runs[list->getObject(static_cast<unsigned>(i))->getValue<std::string>("key")];
+            }
+        }
+        return runs;
+    }
+
     Fleet fleet_;
 };
 
@@ -56,8 +70,13 @@
 
     fleet_.startService("desk-2", "admission");
     fleet_.publishVmList();
+    std::map<std::string, Answer> failed; // calls without success, by key
     ASSERT_TRUE(eventually([&] {
-        admit(newKey());
+        const auto otherKey = newKey();
+        const auto answer = admit(otherKey);
+        if (answer.status != 200) {
+            failed[otherKey] = answer;
+        }
         return runCount("desk-2") != 0;
     })) << "the second sidecar acquired no slots; "
         << fleet_.folder();
@@ -74,6 +93,12 @@
         << repeat.body << fleet_.folder();
     EXPECT_EQ(repeat.body, first.body);
     EXPECT_EQ(runCount("desk-1") + runCount("desk-2"), total) << "the repeat ran again";
+    for (const auto &[ranKey, count] : runsByKey()) {
+        EXPECT_EQ(count, 1) << ranKey;
+        const auto answer = failed.find(ranKey);
+        EXPECT_TRUE(answer == failed.end())
+            << ranKey << " ran and was answered " << answer->second.status << " " << answer->second.body;
+    }
 }
 
 } // namespace
