Failing tests: two uses of the time of day that decide wrongly after a step of the clock

An endpoint that reports an earlier start time than its process before gets no calls for what it holds. A new owner of at-most-once slots whose clock is 40 s behind runs a key again that the owner before has run: its take-over time lies before the key's stamp.

--- a/tests/unit/direct_restart_test.cpp
+++ b/tests/unit/direct_restart_test.cpp
@@ -134,4 +134,21 @@
     EXPECT_EQ(takeSentCall().endpointId, "e-2");
 }
 
+// Guards against an endpoint that gets no calls for what it holds because it restarted after its clock was set back:
+// its start time is lower than that of its process before.
+TEST_F(Restarts, EndpointThatReportsAnEarlierStartIsUsedAgain)
+{
+    calls_.applyEndpoint(recordOf(secondStartMs), now_);
+    applyState(stateOf(secondStartMs, {"a1"}));
+    for (int i = 0; i < 20; ++i) {
+        now_ += Milliseconds(500);
+        calls_.applyEndpoint(recordOf(firstStartMs), now_);
+        applyState(stateOf(firstStartMs, {"a2"}));
+        calls_.tick(now_);
+    }
+    takeActions<SendCall>();
+    startCall("/s/x", "a2");
+    EXPECT_FALSE(takeActions<SendCall>().empty());
+}
+
 } // namespace anvilscale::test
--- a/tests/unit/state_slots_test.cpp
+++ b/tests/unit/state_slots_test.cpp
@@ -42,11 +42,13 @@
     std::string name;
     SeenKeys seen{SeenKeys::Limits{}};
     bool isCrashed = false;
+    Duration clockLag{}; // of its time of day, against that of the cluster
     bool isDisconnected = false; // disconnected from the key-value service
     std::vector<KvHandle> interruptedWatches; // watches that lost an event while disconnected
     std::unique_ptr<SlotOwner> owner;
 
-    void onReply(KvReply reply, Now at);
+    Now now() const;
+    void onReply(KvReply reply);
     void submit(const std::function<void(KvRequest)> &to, KvRequest request);
     void reconnect();
 };
@@ -63,7 +65,7 @@
     {
         removedSidecars.push_back(std::move(sidecars[name]));
         sidecars[name] = std::make_unique<Sidecar>(*this, name, incarnation);
-        sidecars[name]->owner->start(cluster.now());
+        sidecars[name]->owner->start(sidecars[name]->now());
         return *sidecars[name];
     }
     void announceMembers()
@@ -75,20 +77,20 @@
             }
         }
         for (const auto &[name, sidecar] : sidecars) {
-            sidecar->owner->onMembers(names, cluster.now());
+            sidecar->owner->onMembers(names, sidecar->now());
         }
     }
     void deliver(const std::string &to, const wire::Envelope &envelope)
     {
-        cluster.later(Milliseconds(1), [this, to, envelope](Now at) {
+        cluster.later(Milliseconds(1), [this, to, envelope](Now) {
             const auto found = sidecars.find(to);
             if (found == sidecars.end() || found->second->isCrashed || dropsHandovers) {
                 return;
             }
             if (envelope.has_slot_handover()) {
-                found->second->owner->onHandover(envelope.slot_handover(), at);
+                found->second->owner->onHandover(envelope.slot_handover(), found->second->now());
             } else {
-                found->second->owner->onHandoverAck(envelope.slot_handover_ack(), at);
+                found->second->owner->onHandoverAck(envelope.slot_handover_ack(), found->second->now());
             }
         });
     }
@@ -97,7 +99,7 @@
     {
         std::vector<Sidecar *> owners;
         for (const auto &[name, sidecar] : sidecars) {
-            if (sidecar->owner->owns(slot, cluster.now()).isOwned) {
+            if (sidecar->owner->owns(slot, sidecar->now()).isOwned) {
                 owners.push_back(sidecar.get());
             }
         }
@@ -132,12 +134,19 @@
             group.deliver(to, envelope);
         }
     };
-    auto client = group.cluster.makeClient([this](const KvReply &reply, Now at) { onReply(reply, at); });
+    auto client = group.cluster.makeClient([this](const KvReply &reply, Now) { onReply(reply); });
     owner =
         std::make_unique<SlotOwner>(init, [this, client](KvRequest request) { submit(client, std::move(request)); });
 }
 
-void Sidecar::onReply(KvReply reply, Now at)
+Now Sidecar::now() const
+{
+    auto result = group.cluster.now();
+    result.wall.ms -= std::chrono::duration_cast<Milliseconds>(clockLag).count();
+    return result;
+}
+
+void Sidecar::onReply(KvReply reply)
 {
     if (isDisconnected && reply.isEvent) {
         interruptedWatches.push_back(reply.id);
@@ -150,7 +159,7 @@
         reply.status = KvStatus::Unknown;
     }
     if (!isCrashed) {
-        owner->onReply(reply, at);
+        owner->onReply(reply, now());
     }
 }
 
@@ -163,7 +172,7 @@
         KvReply reply;
         reply.id = request.id;
         reply.status = KvStatus::Unavailable;
-        group.cluster.later(Milliseconds(1), [this, reply](Now at) { onReply(reply, at); });
+        group.cluster.later(Milliseconds(1), [this, reply](Now) { onReply(reply); });
         return;
     }
     to(std::move(request));
@@ -176,7 +185,7 @@
         KvReply reply;
         reply.id = id;
         reply.status = KvStatus::Unavailable;
-        onReply(reply, group.cluster.now());
+        onReply(reply);
     }
 }
 
@@ -218,6 +227,38 @@
                 20.0);
 }
 
+// Guards against a second run of a key by a new owner whose time of day is behind by more than operators promise: its
+// take-over time is before the key, which it accepts once its clock has reached it.
+TEST(SlotOwner, KeyOfTheOwnerBeforeIsNotRunByOneWhoseClockIsBehind)
+{
+    Group group;
+    auto &a = group.add("a");
+    auto &b = group.add("b");
+    b.clockLag = Seconds(40);
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(5), [&] { return group.allOwnedOnce(); }));
+    const auto service = *group.config->service("admission");
+    Random random(5);
+    group.cluster.run(Seconds(20));
+    std::string key;
+    do {
+        key = makeKey(group.cluster.now().wall, random);
+    } while (!a.owner->owns(slotOf(key, slotCount), group.cluster.now()).isOwned);
+    const auto slot = slotOf(key, slotCount);
+    const auto minKeyTime = a.owner->owns(slot, group.cluster.now()).minKeyTime;
+    ASSERT_EQ(a.seen.admit(key, 1, service, minKeyTime, ExecutionHandle{1}, group.cluster.now()).kind,
+              KeyDecisionKind::Run);
+    a.isCrashed = true;
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(60), [&] { return b.owner->owns(slot, b.now()).isOwned; }));
+    for (int i = 0; i < 50; ++i) {
+        group.cluster.run(Seconds(1));
+        const auto owned = b.owner->owns(slot, b.now());
+        const auto repeat = b.seen.admit(key, 1, service, owned.minKeyTime, ExecutionHandle{2}, b.now());
+        ASSERT_NE(repeat.kind, KeyDecisionKind::Run) << "after " << i << " s";
+    }
+}
+
 // A drain must transfer the keys before the table names the new owner, so that a repeat gets the first answer.
 TEST(SlotOwner, DrainTransfersKeysWithoutRefusedWindow)
 {
