A request whose caller left while its endpoint was being connected is not sent

Cause: the caller's connection was looked at when an attempt started, and the request written when the connection to the endpoint stood. An entry that stands still in between finds that connection first. Fix: HttpClient tells when a new connection is established, before the first byte, and the caller is looked at there too.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -350,6 +350,7 @@
 /// Callbacks of one exchange. They may cancel, pause or start exchanges.
 struct ExchangeHandlers
 {
+    std::function<void()> connected; ///< a new connection is established; the first byte is sent after it
     std::function<void(const HttpResponseHead &)> head;
     std::function<void(std::string)> data;
     std::function<void(ExchangeEnd)> end; ///< always the last callback
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -121,12 +121,7 @@
             handlers_.onAttemptEnded(exchange, action.attempt, result);
             return;
         }
-        // The process may have stood still since it read the request. Its caller may have gone to another entry
-        // meanwhile.
-        if (server_->hasCallerLeft(exchange)) {
-            ++attemptsForAbsentCallers_;
-            handlers_.onCallerGone(exchange);
-            finish(action.call, errorReply(statusBadGateway, toString(FailureReason::CallerGone), Duration(0)));
+        if (endIfCallerLeft(exchange)) {
             return;
         }
         call.client = &clientFor(action.address);
@@ -313,12 +308,27 @@
     ExchangeHandlers handlersFor(HttpExchange exchange, const SendCall &action)
     {
         ExchangeHandlers handlers;
+        handlers.connected = [this, exchange] { endIfCallerLeft(exchange); };
         handlers.head = [this, exchange](const HttpResponseHead &head) { onHead(exchange, head); };
         handlers.data = [this, exchange](std::string data) { onData(exchange, std::move(data)); };
         handlers.end = [this, exchange, attempt = action.attempt](ExchangeEnd end) { onEnd(exchange, attempt, end); };
         return handlers;
     }
 
+    /// Ends the call if its caller has left. Called right before each request is sent: the process may have stood still
+    /// since it read the caller's, and the caller may have gone to another entry meanwhile.
+    bool endIfCallerLeft(HttpExchange exchange)
+    {
+        if (!server_->hasCallerLeft(exchange)) {
+            return false;
+        }
+        ++attemptsForAbsentCallers_;
+        handlers_.onCallerGone(exchange);
+        finish(CallHandle{exchange.value},
+               errorReply(statusBadGateway, toString(FailureReason::CallerGone), Duration(0)));
+        return true;
+    }
+
     void onHead(HttpExchange exchange, const HttpResponseHead &head)
     {
         auto &call = calls_.at(exchange.value);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -308,7 +308,14 @@
         connection.timer = TimerHandle{};
     }
     connection.step = Step::Sending;
-    send(connection);
+    const auto key = connection.key;
+    // The handler may abort the exchange, which destroys the connection.
+    if (const auto connected = std::move(connection.handlers.connected)) {
+        connected();
+    }
+    if (connections.count(key) != 0) {
+        send(connection);
+    }
 }
 
 void HttpClient::Impl::send(Connection &connection)
--- a/tests/unit/direct_relay_test.cpp
+++ b/tests/unit/direct_relay_test.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
 
 #include <future>
@@ -52,6 +53,16 @@
     RelayToOne(const RelayToOne &) = delete;
     RelayToOne &operator=(const RelayToOne &) = delete;
 
+    /// The traffic thread stands still after the next attempt has been started, until `isReleased`.
+    void holdAfterSend(std::promise<void> &isHeld, std::future<void> isReleased)
+    {
+        isHeld_ = &isHeld;
+        isReleased_ = std::move(isReleased);
+    }
+    std::uint16_t port() const
+    {
+        return server_->port();
+    }
     /// Ends all calls once `count` attempts have ended and `open` calls are in progress.
     void endCallsAfter(std::size_t count, std::uint64_t open)
     {
@@ -133,7 +144,17 @@
         action.endpointId = "s-1";
         action.address = address_;
         action.deadline = EventLoop::now() + Seconds(30);
-        server_->loop().post([this, action] { relay_.perform(action); });
+        auto &loop = server_->loop();
+        if (isHeld_ == nullptr) {
+            loop.post([this, action] { relay_.perform(action); });
+            return;
+        }
+        // The loop has polled the caller's connection without a result when the attempt is started.
+        loop.timers().subscribe(EventLoop::now() + Milliseconds(20), [this, action](TimePoint) {
+            relay_.perform(action);
+            std::exchange(isHeld_, nullptr)->set_value();
+            isReleased_.wait();
+        });
     }
 
     std::string address_;
@@ -141,6 +162,8 @@
     mutable std::mutex mutex_;
     std::vector<AttemptEnd> ends_; // guarded by mutex_
     std::uint32_t firstStatus_ = 0; // guarded by mutex_
+    std::promise<void> *isHeld_ = nullptr; // traffic thread, once a call was sent
+    std::future<void> isReleased_;
     std::unique_ptr<HttpServer> server_;
     DirectRelay<site::SiteDialect> relay_;
 };
@@ -193,6 +216,35 @@
     EXPECT_EQ(relay.ends().front(), AttemptEnd::Refused);
 }
 
+// Guards against a run for a caller that has left while the connection to the endpoint was being established: the
+// process stood still, and finds the connection established before it finds the caller gone.
+TEST(DirectRelay, CallerThatLeavesDuringAConnectGetsNoRun)
+{
+    std::mutex mutex;
+    std::vector<std::string> runs;
+    ScriptedEndpoint endpoint([&](const ScriptedRequest &request) {
+        const std::scoped_lock lock(mutex);
+        runs.push_back(request.id);
+        return ScriptedEndpoint::success(request.id);
+    });
+    RelayToOne relay(endpoint.address());
+    std::promise<void> isHeld;
+    std::promise<void> isReleased;
+    relay.holdAfterSend(isHeld, isReleased.get_future());
+    {
+        Poco::Net::StreamSocket caller(Poco::Net::SocketAddress("127.0.0.1", relay.port()));
+        const std::string text =
+            "POST /n/x HTTP/1.1\r\nHost: h\r\nX-Anvilscale-Request-Id: r-1\r\nContent-Length: 0\r\n\r\n";
+        caller.sendBytes(text.data(), static_cast<int>(text.size()));
+        isHeld.get_future().wait();
+        std::this_thread::sleep_for(Milliseconds(50)); // the kernel completes the connection to the endpoint
+    }
+    isReleased.set_value();
+    EXPECT_EQ(relay.call("r-2"), 200);
+    const std::scoped_lock lock(mutex);
+    EXPECT_EQ(runs, std::vector<std::string>{"r-2"});
+}
+
 // Guards against a log that names a success where an endpoint refused a request or did not answer it.
 TEST(DirectRelay, StatusOfAFailedAttemptIsTheEndpoints)
 {
