Child processes of tests have closed what they inherit before the test goes on

Trace: their callers closed their connections while another entry was being started, and that entry was stopped by the plan before it had closed the sockets that a fork copies; the connections stayed open until it went on. The fault is the soak's.

--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -6,6 +6,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <cstdlib>
@@ -55,6 +57,8 @@
             arguments.push_back(const_cast<char *>(part.c_str()));
         }
         arguments.push_back(nullptr);
+        std::array<int, 2> pipe{};
+        const bool hasPipe = ::pipe2(pipe.data(), O_CLOEXEC) == 0;
         pid_ = ::fork();
         if (pid_ == 0) {
             ::prctl(PR_SET_PDEATHSIG, SIGKILL); // prevents orphans if the test crashes
@@ -72,6 +76,14 @@
             ::execv(arguments[0], arguments.data());
             ::_exit(127);
         }
+        if (hasPipe) {
+            ::close(pipe[1]);
+            // Ends once the child has closed what it inherited, so that it can be stopped without keeping it open.
+            char byte = 0;
+            while (::read(pipe[0], &byte, 1) < 0 && errno == EINTR) {
+            }
+            ::close(pipe[0]);
+        }
     }
     ~Process()
     {
