--- a/tests/unit/state_slots_test.cpp
+++ b/tests/unit/state_slots_test.cpp
@@ -48,6 +48,8 @@
     std::unique_ptr<SlotOwner> owner;
 
     Now now() const;
+    /// Returns a new key of a slot that this sidecar owns.
+    std::string newOwnedKey() const;
     void onReply(KvReply reply);
     void submit(const std::function<void(KvRequest)> &to, KvRequest request);
     void reconnect();
@@ -146,6 +148,16 @@
     return result;
 }
 
+std::string Sidecar::newOwnedKey() const
+{
+    Random random(5);
+    std::string key;
+    do {
+        key = makeKey(now().wall, random);
+    } while (!owner->owns(slotOf(key, slotCount), now()).isOwned);
+    return key;
+}
+
 void Sidecar::onReply(KvReply reply)
 {
     if (isDisconnected && reply.isEvent) {
@@ -238,12 +250,8 @@
     group.announceMembers();
     ASSERT_TRUE(group.cluster.runUntil(Seconds(5), [&] { return group.allOwnedOnce(); }));
     const auto service = *group.config->service("admission");
-    Random random(5);
     group.cluster.run(Seconds(20));
-    std::string key;
-    do {
-        key = makeKey(group.cluster.now().wall, random);
-    } while (!a.owner->owns(slotOf(key, slotCount), group.cluster.now()).isOwned);
+    const auto key = a.newOwnedKey();
     const auto slot = slotOf(key, slotCount);
     const auto minKeyTime = a.owner->owns(slot, group.cluster.now()).minKeyTime;
     ASSERT_EQ(a.seen.admit(key, 1, service, minKeyTime, ExecutionHandle{1}, group.cluster.now()).kind,
@@ -268,12 +276,8 @@
     group.announceMembers();
     ASSERT_TRUE(group.cluster.runUntil(Seconds(5), [&] { return group.allOwnedOnce(); }));
     const auto service = *group.config->service("admission");
-    Random random(5);
     group.cluster.run(Seconds(20));
-    std::string key;
-    do {
-        key = makeKey(group.cluster.now().wall, random);
-    } while (!a.owner->owns(slotOf(key, slotCount), group.cluster.now()).isOwned);
+    const auto key = a.newOwnedKey();
     const auto slot = slotOf(key, slotCount);
     const auto minKeyTime = a.owner->owns(slot, group.cluster.now()).minKeyTime;
     ASSERT_EQ(a.seen.admit(key, 1, service, minKeyTime, ExecutionHandle{1}, group.cluster.now()).kind,
