--- a/tests/soak/run_once_soak_test.cpp
+++ b/tests/soak/run_once_soak_test.cpp
@@ -3,8 +3,6 @@
 #include "process/direct_fleet.h"
 #include "support/scripted_endpoint.h"
 
-#include <poll.h>
-
 #include <random>
 #include <set>
 
@@ -128,14 +126,17 @@
         auto success = ScriptedEndpoint::success(request.id);
         auto refusal = ScriptedEndpoint::answer(unavailable, named + notExecuted);
         switch (behaviour) {
-        case Behaviour::Refuse:
-            return refusal;
         case Behaviour::RefuseTwice:
-            return addLate(request, refusal, refusal);
+            answerLate(request, refusal);
+            return refusal;
         case Behaviour::RefuseTwiceUnnamed:
-            return addLate(request, ScriptedEndpoint::answer(unavailable, notExecuted), refusal);
+            answerLate(request, ScriptedEndpoint::answer(unavailable, notExecuted));
+            return refusal;
+        case Behaviour::Refuse:
+            return refusal;
         case Behaviour::AnswerTwice:
-            return addLate(request, success, success);
+            answerLate(request, success);
+            return success;
         case Behaviour::FailUnavailable:
             return ScriptedEndpoint::answer(unavailable, named + signedBy);
         case Behaviour::FailTooMany:
@@ -158,11 +159,11 @@
         return success;
     }
 
-    std::string addLate(const ScriptedRequest &request, const std::string &late, std::string now)
+    /// Sends `answer` before the next one on the connection.
+    void answerLate(const ScriptedRequest &request, const std::string &answer)
     {
         const std::scoped_lock lock(record_.mutex);
-        lateAnswers_[request.connection] = late;
-        return now;
+        lateAnswers_[request.connection] = answer;
     }
 
     std::uint64_t seed_;
