--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -320,6 +320,21 @@
     bool operator==(const StreamOrigin &) const = default;
 };
 
+/// How an entry found where a resumed stream began.
+enum class OriginSource : std::uint8_t {
+    None, ///< not resumed, or unknown
+    Own, ///< the stream began at this entry
+    Told, ///< by a sidecar
+    SoleVersion, ///< no other version can have begun it
+    Count
+};
+template<>
+struct EnumNames<OriginSource>
+{
+    static constexpr std::array<std::string_view, enumCount<OriginSource>> table{"none", "own", "sidecar",
+                                                                                 "sole_version"};
+};
+
 /// A stream that broke off and that its caller resumes with another call.
 struct ResumedStream
 {
@@ -566,6 +581,8 @@
     std::string endpointId; ///< of the last decision
     std::string softwareVersion; ///< of the endpoint that the call was last sent to
     std::optional<ResumedStream> resumed; ///< empty for a new call
+    OriginSource originSource = OriginSource::None; ///< of the stream that it resumes
+    Duration storeKnownFor{}; ///< time since this entry has known the store; 0 if it does not yet
     std::uint32_t attempts = 0;
     std::uint64_t configVersion = 0;
     Duration estimate{}; ///< estimated time to the first byte, at the last decision
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -111,6 +111,8 @@
               {"softwareVersion", call.softwareVersion},
               {"resumes", call.resumed ? call.resumed->firstRequestId : std::string()},
               {"afterEvent", call.resumed ? call.resumed->lastEventId : std::string()},
+              {"originSource", std::string(toString(call.originSource))},
+              {"storeKnownMs", toMilliseconds(call.storeKnownFor)},
               {"attempts", std::uint64_t{call.attempts}},
               {"config", call.configVersion},
               {"estimateMs", toMilliseconds(call.estimate)},
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -214,6 +214,8 @@
     done.endpointId = call.endpointId;
     done.softwareVersion = call.softwareVersion;
     done.resumed = call.info.resumed;
+    done.originSource = call.originSource;
+    done.storeKnownFor = versionHistory.knownFor(now);
     done.attempts = call.attempt;
     done.configVersion = config ? config->version : 0;
     done.estimate = call.estimate;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -46,6 +46,7 @@
     RepeatRule repeat = RepeatRule::NonIdempotent;
     bool isResumable = false;
     std::optional<StreamOrigin> origin; // of the stream that it resumes; empty for a new call
+    OriginSource originSource = OriginSource::None;
     Duration originWait{};
     std::uint32_t priority = 0;
     std::uint32_t maxEndpoints = 1;
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -63,6 +63,7 @@
     const auto &requestId = call.info.resumed->firstRequestId;
     if (const auto *own = origins.find(requestId, now)) {
         ++stats.origins.own;
+        call.originSource = OriginSource::Own;
         continueStream(handle, call, *own, now);
         return;
     }
@@ -89,6 +90,7 @@
         call.step = CallStep::Waiting;
         if (result.origin) {
             ++stats.origins.told;
+            call.originSource = OriginSource::Told;
             continueStream(result.call, call, *result.origin, now);
         } else {
             assumeOrigin(result.call, call, !result.isAnswered, now);
@@ -127,6 +129,7 @@
         return;
     }
     ++stats.origins.assumed;
+    call.originSource = OriginSource::SoleVersion;
     continueStream(handle, call, {call.service, *version}, now);
 }
 
--- a/src/direct/version_history.cpp
+++ b/src/direct/version_history.cpp
@@ -13,6 +13,11 @@
     endedAt_[record.service][record.softwareVersion] = now;
 }
 
+Duration VersionHistory::knownFor(TimePoint now) const
+{
+    return knownSince_ ? now - *knownSince_ : Duration(0);
+}
+
 std::optional<std::string> VersionHistory::soleVersion(const std::string &service, const EndpointTable &endpoints,
                                                        Duration span, TimePoint now) const
 {
