A resumed stream of unknown origin needs proof from the store that one version alone has served

Callers got streams with events of two software versions, answered 200: a version had just ended, entries had restarted (or had even seen it end), and a resumed stream went on at the other version.

Entries now keep a record of each version of a service with resumable streams in the store, from its first endpoint until 71 s after its last one. An entry that has just started reads which versions its predecessors knew, and one that ended before counts until its streams can no longer be waited for (60 s, less the time that the caller still waits). So all callers need the proof, and a new entry can give it. Records that were read count only after a watch has confirmed them: the first read may be seconds old, and is followed by a watch that does not wait. Removals are conditional on the revision.

Test replaced: SoleVersionIsAssumedForYoungStreams demanded that calls seen at an entry bound the age of a stream, which is the fault. In its place: SoleVersionIsKnownFromTheStore (no refusal after a start), ShortCallsOfOthersDoNotBoundTheAgeOfAStream and three more. StreamWithoutANameGoesOnAtTheSoleVersion waits a second for the record first.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -140,6 +140,31 @@
     std::uint32_t version = 0;
 };
 
+/// A software version that endpoints of a service run or have run lately. Written and removed by entries.
+struct SoftwareVersionRecord
+{
+    std::string key; ///< name of the record in the store
+    std::string service;
+    std::string softwareVersion;
+    std::uint64_t revision = 0; ///< store revision of its last change
+    bool isRemoved = false; ///< only `key` is set
+};
+
+/// A change that an entry makes to these records. May be repeated.
+struct SoftwareVersionWrite
+{
+    enum class Kind : std::uint8_t {
+        Record,
+        Remove, ///< if the record has not changed since `revision`
+        Count
+    };
+    Kind kind = Kind::Record;
+    std::string key; ///< of the record to remove
+    std::string service;
+    std::string softwareVersion;
+    std::uint64_t revision = 0;
+};
+
 /// Removal of an endpoint's record from the store.
 struct EndpointRemoved
 {
@@ -214,8 +239,8 @@
 {
     std::vector<PartClearance> clearances;
 };
-using StoreRecord =
-    std::variant<DirectConfig, EndpointRecord, EndpointRemoved, PublishedVersion, CrashReport, ClearanceReport>;
+using StoreRecord = std::variant<DirectConfig, EndpointRecord, EndpointRemoved, PublishedVersion, CrashReport,
+                                 ClearanceReport, SoftwareVersionRecord>;
 
 // ---- policy
 
@@ -749,6 +774,9 @@
     bool applyEndpoint(const EndpointRecord &record, TimePoint now);
     void removeEndpoint(const std::string &id, TimePoint now);
     void applyVersion(const PublishedVersion &version, TimePoint now);
+    void applySoftwareVersion(const SoftwareVersionRecord &record, TimePoint now);
+    /// Records of software versions to write or remove now.
+    std::vector<SoftwareVersionWrite> takeSoftwareVersionWrites(TimePoint now);
     /// Calls that broke off at an endpoint, as seen by any entry; reports of this entry may be included.
     void applyCrashReport(const CrashReport &report, TimePoint now);
     /// Prompt parts that another entry has cleared; reports of this entry may be included.
@@ -777,6 +805,10 @@
     bool applyEndpointLimit(const wire::EndpointLimit &limit, TimePoint now);
     /// All records of the store have been read once.
     void onStoreRead(TimePoint now);
+    /// All records of the store are read from now on, once more perhaps.
+    void onStoreReadStarted();
+    /// All changes of the store up to now have been applied: the records that were read may have been some seconds old.
+    void onStoreCurrent(TimePoint now);
     /// The store has answered: all its earlier changes have been applied.
     void onStoreAnswered(TimePoint now);
     /// Addresses of the engines whose sidecars this entry has to be connected to; empty if they are the same as at the
--- a/include/anvilscale/direct_path.h
+++ b/include/anvilscale/direct_path.h
@@ -159,6 +159,22 @@
         } -> std::same_as<StoreStatus>;
 };
 
+/// Changes of the records of software versions. All of them may be repeated if unanswered.
+template<class T>
+concept SoftwareVersionDialect = requires(const SoftwareVersionWrite &write, const std::string &body)
+{
+    /// Revision of the write; empty if the body names none.
+    {
+        T::readWriteRevision(body)
+        } -> std::same_as<std::optional<std::uint64_t>>;
+    {
+        T::softwareVersionRequest(write)
+        } -> std::same_as<EndpointRequest>;
+    {
+        T::storeStatus(std::uint32_t{})
+        } -> std::same_as<StoreStatus>;
+};
+
 /// Writes that take a position in the store's history. They may be repeated if unanswered.
 template<class T>
 concept FencingDialect = requires(std::string_view holder, const std::string &body, const HttpResponseHead &head)
@@ -181,9 +197,10 @@
 
 /// Adapter of the direct path to a platform. Stateless, no I/O.
 template<class T>
-concept DirectDialect = SharedStoreDialect<T> && CrashReportDialect<T> && FencingDialect<T> && requires(
-    const HttpRequestData &request, const SendCall &send, const HttpResponseHead &head, const EngineOrder &order,
-    const std::string &text, std::string_view view, Duration span)
+concept DirectDialect =
+    SharedStoreDialect<T> && CrashReportDialect<T> && FencingDialect<T> && SoftwareVersionDialect<T> && requires(
+        const HttpRequestData &request, const SendCall &send, const HttpResponseHead &head, const EngineOrder &order,
+        const std::string &text, std::string_view view, Duration span)
 {
     {
         T::readCall(request)
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -83,6 +83,7 @@
     StoreSharerFailed,
     CrashReportFailed,
     StoreRestored,
+    SoftwareVersionFailed,
     VmListDown,
     StoreRecordRejected,
     UnexpectedError,
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -7,6 +7,7 @@
 #include "direct_relay.h"
 #include "direct_settings.h"
 #include "process.h"
+#include "software_version_writer.h"
 #include "store_log.h"
 
 #include "anvilscale/daemon.h"
@@ -45,7 +46,7 @@
         control_.post([this](Now) { onTick(); });
         messenger_->start();
         callServer_->loop().post([this] {
-            startCrashReporter();
+            startStoreWriters();
             startWatcher({});
         });
         callServer_->start();
@@ -88,7 +89,7 @@
         callServer_->loop().post([this, settings] {
             if (settings.direct().store() != settings_.direct().store()) {
                 settings_.mutable_direct()->set_store(settings.direct().store());
-                startCrashReporter();
+                startStoreWriters();
                 startWatcher(watcher_->reportedEndpoints());
             }
             if (settings.SerializeAsString() != settings_.SerializeAsString()) {
@@ -106,6 +107,7 @@
             callServer_->loop().post([this] {
                 watcher_.reset();
                 crashReporter_.reset();
+                versionWriter_.reset();
                 relay_.close();
             });
             callServer_->shutdown();
@@ -359,6 +361,18 @@
         watcher_->start();
     }
 
+    void startStoreWriters()
+    {
+        startCrashReporter();
+        const auto init = crashReporterInit(settings_, incarnation_);
+        versionWriter_ = std::make_unique<SoftwareVersionWriter<Dialect>>(
+            callServer_->loop(), StoreCallerInit{init.address, init.times, init.seed},
+            [this](StoreFailureKind kind, std::uint32_t status, bool isFirst) {
+                control_.post(
+                    [this, kind, status, isFirst](Now) { storeLog_.softwareVersionFailed(kind, status, isFirst); });
+            });
+    }
+
     void startCrashReporter()
     {
         CrashReporterHandlers handlers;
@@ -385,6 +399,8 @@
                 calls_.onStoreRead(now.mono);
             });
         };
+        handlers.readStarted = [this] { control_.post([this](Now) { calls_.onStoreReadStarted(); }); };
+        handlers.current = [this] { control_.post([this](Now now) { calls_.onStoreCurrent(now.mono); }); };
         handlers.answered = [this](Duration sinceLastAnswer, bool isRecovery) {
             control_.post([this, sinceLastAnswer, isRecovery](Now now) {
                 calls_.onStoreAnswered(now.mono);
@@ -467,6 +483,7 @@
                                                                  {"version", std::uint64_t{version.version}}});
                                   calls_.applyVersion(version, now);
                               },
+                              [&](const SoftwareVersionRecord &version) { calls_.applySoftwareVersion(version, now); },
                               [&](const CrashReport &report) { calls_.applyCrashReport(report, now); },
                               [&](const ClearanceReport &report) { calls_.applyClearances(report, now); }},
                    record);
@@ -517,6 +534,7 @@
     {
         const auto now = EventLoop::now();
         calls_.tick(now);
+        writeSoftwareVersions(now);
         if (now >= nextSelectionAt_) {
             nextSelectionAt_ = now + selectionInterval;
             selectSharedWatch(now);
@@ -530,6 +548,21 @@
         control_.timers().subscribe(now + directTickInterval, [this](TimePoint) { onTick(); });
     }
 
+    void writeSoftwareVersions(TimePoint now)
+    {
+        auto writes = calls_.takeSoftwareVersionWrites(now);
+        if (writes.empty()) {
+            return;
+        }
+        callServer_->loop().post([this, writes = std::move(writes)] {
+            for (const auto &write : writes) {
+                if (versionWriter_) {
+                    versionWriter_->write(write);
+                }
+            }
+        });
+    }
+
     void performActions()
     {
         const auto now = EventLoop::now();
@@ -713,6 +746,7 @@
     std::unique_ptr<Messenger> messenger_;
     std::unique_ptr<StoreWatcher<Dialect>> watcher_; // traffic thread
     std::unique_ptr<CrashReporter<Dialect>> crashReporter_; // traffic thread
+    std::unique_ptr<SoftwareVersionWriter<Dialect>> versionWriter_; // traffic thread
     std::unique_ptr<HttpServer> callServer_;
     std::unique_ptr<HttpServer> readyServer_;
     std::unique_ptr<HttpServer> metricsServer_;
--- a/src/daemon/store_log.cpp
+++ b/src/daemon/store_log.cpp
@@ -59,6 +59,15 @@
     ++droppedReports_;
 }
 
+void StoreLog::softwareVersionFailed(StoreFailureKind kind, std::uint32_t status, bool isFirst)
+{
+    softwareVersionFailures_.add(kind);
+    if (isFirst) {
+        logEvent(Event::SoftwareVersionFailed,
+                 {{"failure", std::string(toString(kind))}, {"status", std::uint64_t{status}}});
+    }
+}
+
 void StoreLog::appendMetrics(MetricsText &text) const
 {
     text.add(answerInterval_);
@@ -70,6 +79,8 @@
                  droppedReports_);
     text.counters("anvilscale_crash_report_failures_total", "failed calls that write crash reports", "failure",
                   reportFailures_);
+    text.counters("anvilscale_software_version_failures_total", "failed calls that write records of software versions",
+                  "failure", softwareVersionFailures_);
 }
 
 } // namespace anvilscale
--- a/src/daemon/store_log.h
+++ b/src/daemon/store_log.h
@@ -19,6 +19,7 @@
     void crashReportsWritten(std::size_t reports);
     void crashReportFailed(StoreFailureKind kind, std::uint32_t status, bool isFirst);
     void crashReportDropped();
+    void softwareVersionFailed(StoreFailureKind kind, std::uint32_t status, bool isFirst);
     void appendMetrics(MetricsText &text) const;
 
 private:
@@ -29,6 +30,7 @@
     std::uint64_t writtenReports_ = 0;
     std::uint64_t droppedReports_ = 0;
     Counters<StoreFailureKind> reportFailures_;
+    Counters<StoreFailureKind> softwareVersionFailures_;
 };
 
 } // namespace anvilscale
--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -75,6 +75,10 @@
     std::function<void(StoreRecord)> record;
     /// The first full read has completed.
     std::function<void()> complete;
+    /// All records are read from now on. May be empty.
+    std::function<void()> readStarted;
+    /// The first watch after a read was answered: what was read may have been some seconds old. May be empty.
+    std::function<void()> current;
     /// Each answer. `sinceLastAnswer`: time since the previous one. `isRecovery`: calls have failed in between.
     std::function<void(Duration sinceLastAnswer, bool isRecovery)> answered;
     std::function<void(const StoreFailure &)> failed;
@@ -193,7 +197,11 @@
     void startRead()
     {
         isReading_ = true;
+        isCurrent_ = false;
         readIds_.clear();
+        if (handlers_.readStarted) {
+            handlers_.readStarted();
+        }
         readPage("");
     }
 
@@ -219,7 +227,8 @@
             return;
         }
         isReading_ = false;
-        acceptsOldData_ = false;
+        // What is missing in old data is asked for at once.
+        const auto wait = std::exchange(acceptsOldData_, false) ? Duration(0) : init_.times.waitWithoutPause;
         removedEndpoints_.retainOnly(readIds_);
         const auto reported = reported_;
         for (const auto &[id, revision] : reported) {
@@ -230,7 +239,7 @@
         if (!std::exchange(isComplete_, true)) {
             handlers_.complete();
         }
-        watch(init_.times.waitWithoutPause);
+        watch(wait);
     }
 
     void watch(Duration wait)
@@ -285,6 +294,9 @@
         const bool hasChanges = page->revision > revision_ || !page->records.empty();
         revision_ = std::max(revision_, page->revision);
         applyPage(*page);
+        if (!std::exchange(isCurrent_, true) && handlers_.current) {
+            handlers_.current();
+        }
         if (requestSharedWatch()) {
             return;
         }
@@ -589,6 +601,7 @@
     // endpoints of another store: those that an old page lacks would be reported as removed.
     bool acceptsOldData_ = init_.knownEndpoints.empty();
     bool isComplete_ = false;
+    bool isCurrent_ = false; // a watch has been answered since the last full read
     bool isHistoryGone_ = false; // the last watch failed because its history was compacted
     bool isPausing_ = false; // the next watch follows after a pause
     bool isReachable_ = true; // the last call was answered
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -52,6 +52,7 @@
 
 DirectCalls::Impl::Impl(DirectCallsInit settings)
     : init(std::move(settings))
+    , versionHistory(init.entryName)
     , crashingParts(hash64(init.entryName))
 {
 }
@@ -139,10 +140,6 @@
         resumeCall(handle, call, now);
         return;
     }
-    if (call.repeat == RepeatRule::Stream) {
-        auto &longest = longestCallerTimeouts[call.service];
-        longest = std::max(longest, call.info.callerTimeout);
-    }
     beginCall(handle, call, now);
 }
 
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -132,7 +132,6 @@
     SlotClient slots;
     OriginClient origins;
     VersionHistory versionHistory;
-    std::map<std::string, Duration> longestCallerTimeouts; // of new streams, by service
     std::uint32_t knownEntries = 0; // number of entries, as reported by sidecars; 0 if unknown
     std::optional<PoolClient> endpointCredit; // for calls to endpoints that have announced a rate limit
     bool hasLimitedEndpoints = false; // some endpoint had a limit when the groups of endpointCredit were set
@@ -209,7 +208,6 @@
     void flushOrigins(TimePoint now);
     /// No sidecar knows the origin: goes on at the only software version that it can be, or refuses the call.
     void assumeOrigin(CallHandle handle, DirectCall &call, bool mayBeKnownLater, TimePoint now);
-    Duration maxAgeOfStream(const DirectCall &call) const;
     void continueStream(CallHandle handle, DirectCall &call, const StreamOrigin &origin, TimePoint now);
     /// True for a resumed stream that no endpoint can continue.
     bool isVersionGone(const DirectCall &call, TimePoint now) const;
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-// Bound on the age of a resumed stream where no call has shown how long callers wait.
-constexpr Duration maxStreamAge = Seconds(60);
-// Calls of a caller are on their way for different times.
-constexpr Duration streamAgeMargin = Seconds(1);
 // Age of the store's last answer up to which this entry knows the endpoints that serve.
 constexpr Duration maxStoreAge = Seconds(2);
 
@@ -33,10 +29,40 @@
 
 void DirectCalls::onStoreRead(TimePoint now)
 {
-    impl_->versionHistory.onStoreRead(now);
     impl_->crashingParts.onHistoryApplied(now);
 }
 
+void DirectCalls::onStoreReadStarted()
+{
+    impl_->versionHistory.onReadStarted();
+}
+
+void DirectCalls::onStoreCurrent(TimePoint now)
+{
+    impl_->versionHistory.onStoreCurrent(now);
+}
+
+void DirectCalls::applySoftwareVersion(const SoftwareVersionRecord &record, TimePoint now)
+{
+    impl_->versionHistory.applyRecord(record, now);
+}
+
+std::vector<SoftwareVersionWrite> DirectCalls::takeSoftwareVersionWrites(TimePoint now)
+{
+    if (!impl_->config) {
+        return {};
+    }
+    std::set<std::string> services; // whose streams may be resumed
+    for (const auto &route : impl_->config->routes) {
+        for (const auto &share : route.services) {
+            if (route.resumable && route.repeat == RepeatRule::Stream) {
+                services.insert(share.service);
+            }
+        }
+    }
+    return impl_->versionHistory.takeWrites(services, impl_->endpoints, impl_->knownEntries, now);
+}
+
 void DirectCalls::onOriginAnswer(const std::string &address, const wire::OriginAnswer &answer, TimePoint now)
 {
     impl_->origins.onAnswer(address, answer, now);
@@ -102,26 +128,15 @@
     }
 }
 
-// A caller that waits for `longestWait` in all, and still for the call's timeout, began its stream no longer ago than
-// the difference.
-Duration DirectCalls::Impl::maxAgeOfStream(const DirectCall &call) const
-{
-    // Callers name no stream only where a single version serves at a time: what is known now counts.
-    if (call.info.resumed->firstRequestId.empty()) {
-        return Duration(0);
-    }
-    const auto known = longestCallerTimeouts.find(call.service);
-    const auto longestWait = known == longestCallerTimeouts.end() ? maxStreamAge : known->second;
-    return std::min(maxStreamAge, std::max(Duration(0), longestWait - call.info.callerTimeout) + streamAgeMargin);
-}
-
 // A version that this entry has not seen may have begun the stream, unless it knows all that have served since.
 void DirectCalls::Impl::assumeOrigin(CallHandle handle, DirectCall &call, bool mayBeKnownLater, TimePoint now)
 {
     const auto *route = routes.find(call.info.host, call.info.path);
     const bool hasOneService = route != nullptr && route->services.size() == 1;
+    // No caller waits longer than maxStreamAge in all, and this one still waits for its timeout.
+    const auto maxAge = std::max(Duration(0), maxStreamAge - call.info.callerTimeout) + streamAgeMargin;
     const auto version = hasOneService && now - storeAnsweredAt <= maxStoreAge
-                             ? versionHistory.soleVersion(call.service, endpoints, maxAgeOfStream(call), now)
+                             ? versionHistory.soleVersion(call.service, endpoints, maxAge, now)
                              : std::nullopt;
     if (!version) {
         refuse(handle, statusUnavailable, RefusalReason::OriginUnknown,
--- a/src/direct/version_history.h
+++ b/src/direct/version_history.h
@@ -5,23 +5,52 @@
 
 namespace anvilscale {
 
+/// The store has a record of each version from its first endpoint until a while after its last one, so that an entry
+/// that has just started knows versions that ended before.
 class VersionHistory
 {
 public:
-    /// All records of the store have been read; counts once.
-    void onStoreRead(TimePoint now);
+    /// `entryName`: selects the time at which this entry writes a record that all entries miss.
+    explicit VersionHistory(const std::string &entryName);
+    /// All records are read again from the store.
+    void onReadStarted();
+    /// All changes of the store up to now have been applied.
+    void onStoreCurrent(TimePoint now);
+    void applyRecord(const SoftwareVersionRecord &record, TimePoint now);
     /// An endpoint was removed, or runs another version from now on.
     void onVersionEnded(const EndpointRecord &record, TimePoint now);
-    /// Time since the store was read; 0 before that.
+    /// Time since the store has been known; 0 before that.
     Duration knownFor(TimePoint now) const;
-    /// The only version that endpoints of the service have run for `span`; empty if there were several, or if this
-    /// entry has not known the store for so long.
+    /// The only version that endpoints of the service have run for `span`, which is maxStreamAge and streamAgeMargin at
+    /// most. Empty if there were several, or if neither this entry nor the store's records reach back for so long.
     std::optional<std::string> soleVersion(const std::string &service, const EndpointTable &endpoints, Duration span,
                                            TimePoint now) const;
+    /// Records to write or remove now. `entries`: number of entries that may write the same ones.
+    std::vector<SoftwareVersionWrite> takeWrites(const std::set<std::string> &services, const EndpointTable &endpoints,
+                                                 std::uint32_t entries, TimePoint now);
 
 private:
+    using VersionName = std::pair<std::string, std::string>; // service and version
+    struct PendingWrite
+    {
+        TimePoint dueAt;
+    };
+
+    /// True once per attempt: after a delay that differs between entries, and again if the write has had no effect.
+    bool isDue(const VersionName &name, std::uint32_t entries, TimePoint now);
+
+    std::uint64_t seed_;
     std::optional<TimePoint> knownSince_;
-    std::map<std::string, std::map<std::string, TimePoint>> endedAt_; // last end of each version, by service
+    bool isCurrent_ = false; // no read of all records is in progress
+    std::set<std::string> recordedServices_; // with a record when the store was first read
+    std::map<VersionName, SoftwareVersionRecord> records_;
+    std::map<std::string, std::map<std::string, TimePoint>> servedUntil_; // of versions, by service; not before that
+    std::map<VersionName, PendingWrite> pending_;
 };
 
+/// Upper bound on the age of a stream that a caller resumes: no caller waits longer.
+constexpr Duration maxStreamAge = Seconds(60);
+/// Requests of a caller take different times to arrive.
+constexpr Duration streamAgeMargin = Seconds(1);
+
 } // namespace anvilscale
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -75,6 +75,8 @@
     {604, LogLevel::Warn, "crash_report_failed",
      "a crash report of this entry could not be written; the write is retried"},
     {605, LogLevel::Warn, "store_restored", "the store was restored from an older copy; all records are read again"},
+    {606, LogLevel::Warn, "software_version_failed",
+     "a record of a software version could not be written; the write is retried"},
     {610, LogLevel::Warn, "vm_list_down", "the VM list could not be read"},
     {611, LogLevel::Error, "store_record_rejected", "store records could not be read and were skipped"},
     {900, LogLevel::Error, "unexpected_error", "an unhandled error; please report it"},
--- a/tests/support/stream_fleet.h
+++ b/tests/support/stream_fleet.h
@@ -12,8 +12,9 @@
 class StreamFleet
 {
 public:
-    /// `versions`: software versions of the engines.
-    StreamFleet(std::size_t entries, std::vector<std::string> versions)
+    /// `versions`: software versions of the engines. `isStoreWritable`: the store accepts records of them.
+    StreamFleet(std::size_t entries, std::vector<std::string> versions, bool isStoreWritable = true)
+        : isStoreWritable_(isStoreWritable)
     {
         for (auto &version : versions) {
             addEngine(std::move(version));
@@ -87,6 +88,7 @@
             for (std::size_t i = 0; i < entries_.size(); ++i) {
                 sendStates(i);
                 entries_[i]->tick(now_);
+                writeVersions(i);
                 deliver(i);
             }
             if (span == Milliseconds(0)) {
@@ -130,7 +132,11 @@
                 result->applyEndpoint(makeRecord(engine), now_);
             }
         }
+        for (const auto &[key, record] : versionRecords_) {
+            result->applySoftwareVersion(record, now_);
+        }
         result->onStoreRead(now_);
+        result->onStoreCurrent(now_);
         return result;
     }
     EndpointRecord makeRecord(std::size_t engine) const
@@ -145,6 +151,25 @@
             each->applyEndpoint(makeRecord(engine), now_);
         }
     }
+    void writeVersions(std::size_t entry)
+    {
+        for (const auto &write : entries_[entry]->takeSoftwareVersionWrites(now_)) {
+            if (!isStoreWritable_) {
+                continue;
+            }
+            SoftwareVersionRecord record{write.service + "/" + write.softwareVersion, write.service,
+                                         write.softwareVersion, 1};
+            record.isRemoved = write.kind == SoftwareVersionWrite::Kind::Remove;
+            if (record.isRemoved) {
+                versionRecords_.erase(record.key);
+            } else {
+                versionRecords_[record.key] = record;
+            }
+            for (auto &each : entries_) {
+                each->applySoftwareVersion(record, now_);
+            }
+        }
+    }
     void sendStates(std::size_t entry)
     {
         for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
@@ -234,7 +259,9 @@
     }
 
     TimePoint now_{Seconds(100)};
+    bool isStoreWritable_;
     std::vector<Engine> engines_;
+    std::map<std::string, SoftwareVersionRecord> versionRecords_; // in the store, by key
     std::vector<std::unique_ptr<DirectCalls>> entries_;
     std::uint64_t lastHandle_ = 0;
     std::uint64_t lastCall_ = 0;
--- a/tests/unit/resumed_calls_test.cpp
+++ b/tests/unit/resumed_calls_test.cpp
@@ -152,17 +152,69 @@
     EXPECT_EQ(fleet.resumeStream(1, "five"), "v1");
 }
 
-// Guards against refusals by an entry that has started lately, where the remaining time of the caller shows that the
-// stream began after that.
-TEST(ResumedCalls, SoleVersionIsAssumedForYoungStreams)
+// Guards against refusals by an entry that has just started, where the store's records show that a single version has
+// served.
+TEST(ResumedCalls, SoleVersionIsKnownFromTheStore)
 {
     StreamFleet fleet(2, {"v1", "v1"});
-    fleet.beginStream(1, "other", Seconds(20));
+    fleet.advance(Seconds(1));
+    fleet.restartEntry(1);
     fleet.entry(1).onStoreAnswered(fleet.now());
-    EXPECT_EQ(fleet.resumeStream(1, "one"), std::nullopt) << "may have begun 5 s ago, at a version that has ended";
+    EXPECT_EQ(fleet.resumeStream(1, "one"), "v1");
+}
+
+// Guards against taking an old stream for a young one at an entry that has seen callers with short timeouts only, where
+// the store has no record yet.
+TEST(ResumedCalls, ShortCallsOfOthersDoNotBoundTheAgeOfAStream)
+{
+    StreamFleet fleet(2, {"v1", "v1"});
+    fleet.beginStream(1, "other", Seconds(2));
     fleet.advance(Seconds(7));
     fleet.entry(1).onStoreAnswered(fleet.now());
-    EXPECT_EQ(fleet.resumeStream(1, "two"), "v1");
+    EXPECT_EQ(fleet.resumeStream(1, "one"), std::nullopt) << "may have begun 45 s ago, at a version that has ended";
+}
+
+// Guards against a version that ended before this entry started, while no other process remembers its streams.
+TEST(ResumedCalls, VersionThatEndedBeforeTheStartIsKnownFromTheStore)
+{
+    for (const std::string name : {"s", ""}) {
+        StreamFleet fleet(2, {"v1", "v2"});
+        fleet.advance(Seconds(1));
+        fleet.stopEngine(0);
+        fleet.restartEntry(0);
+        fleet.restartEntry(1);
+        fleet.restartSidecar(1);
+        for (const auto known : {Seconds(0), Seconds(20), Seconds(24)}) {
+            fleet.advance(known);
+            fleet.entry(1).onStoreAnswered(fleet.now());
+            EXPECT_EQ(fleet.resumeStream(1, name), std::nullopt);
+        }
+        fleet.advance(Seconds(2));
+        fleet.entry(1).onStoreAnswered(fleet.now());
+        EXPECT_EQ(fleet.resumeStream(1, name), "v2") << "callers have given up the streams of the other version";
+    }
+}
+
+// Guards against records of versions that no longer serve, for which streams would be refused after each restart.
+TEST(ResumedCalls, RecordOfAVersionIsRemovedAfterItsStreams)
+{
+    StreamFleet fleet(2, {"v1", "v2"});
+    fleet.advance(Seconds(1));
+    fleet.stopEngine(0);
+    fleet.advance(Seconds(80));
+    fleet.restartEntry(1);
+    fleet.entry(1).onStoreAnswered(fleet.now());
+    EXPECT_EQ(fleet.resumeStream(1, "s"), "v2");
+}
+
+// Guards against a proof from the store's records where it has none: it accepts no writes.
+TEST(ResumedCalls, StoreWithoutRecordsProvesNothing)
+{
+    StreamFleet fleet(2, {"v1", "v1"}, false);
+    fleet.advance(Seconds(1));
+    fleet.restartEntry(1);
+    fleet.entry(1).onStoreAnswered(fleet.now());
+    EXPECT_EQ(fleet.resumeStream(1, "one"), std::nullopt);
 }
 
 // Guards against a caller that does not name the first call of its stream, where several versions serve.
@@ -179,6 +231,7 @@
 TEST(ResumedCalls, StreamWithoutANameGoesOnAtTheSoleVersion)
 {
     StreamFleet fleet(1, {"v1", "v1"});
+    fleet.advance(Seconds(1));
     fleet.restartEntry(0);
     fleet.entry(0).onStoreAnswered(fleet.now());
     EXPECT_EQ(fleet.resumeStream(0, ""), "v1");
