A resumed stream without a name is found by the content of its request

An origin was known by the request id alone.

What a caller sends again is the same request. Origins are now reported under a second key as well: a hash of method, target, host, model, body, the prompt part of its own and the workspace. Where no single version is proven, a call without a name looks this key up at two sidecars and in the entry's own table. All that is known must agree; streams of the same content at two versions make the key ambiguous everywhere, and the call is refused.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -343,6 +343,12 @@
     std::string service;
     std::string softwareVersion; ///< of the endpoint
     bool operator==(const StreamOrigin &) const = default;
+
+    /// Streams of the same content began at different places. Reported and answered like an origin, without a service.
+    bool isAmbiguous() const
+    {
+        return service.empty();
+    }
 };
 
 /// How an entry found where a resumed stream began.
@@ -350,13 +356,14 @@
     None, ///< not resumed, or unknown
     Own, ///< the stream began at this entry
     Told, ///< by a sidecar
+    Content, ///< by its content, as sidecars and this entry know it: the caller does not name the stream
     SoleVersion, ///< no other version can have begun it
     Count
 };
 template<>
 struct EnumNames<OriginSource>
 {
-    static constexpr std::array<std::string_view, enumCount<OriginSource>> table{"none", "own", "sidecar",
+    static constexpr std::array<std::string_view, enumCount<OriginSource>> table{"none", "own", "sidecar", "content",
                                                                                  "sole_version"};
 };
 
@@ -387,6 +394,10 @@
 
 CallFingerprint computeFingerprint(std::string_view method, std::string_view target, std::string_view body,
                                    const CallInfo &info);
+/// Key under which the origin of a stream is kept besides its request id, for callers that do not name it. Equal for
+/// all calls of a caller for one stream, and different from every request id.
+std::string streamContentKey(const CallInfo &info, std::string_view workspace);
+bool isStreamContentKey(std::string_view key);
 /// Longest list of shared parts that is kept of a call: callers choose the length of theirs.
 constexpr std::size_t maxSharedParts = 16;
 /// The parts that other calls may have too, in prompt order: all but the last, and the first maxSharedParts of them.
@@ -709,6 +720,7 @@
     std::uint64_t resumed = 0; ///< calls that resume a stream
     std::uint64_t own = 0; ///< of these, with an origin that the entry knew itself
     std::uint64_t told = 0; ///< with an origin that a sidecar knew
+    std::uint64_t matched = 0; ///< with an origin found by the content of the request
     std::uint64_t assumed = 0; ///< placed at the only software version that has served lately
     std::uint64_t timeouts = 0; ///< requests for an origin that a sidecar did not answer in time
 };
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -189,8 +189,9 @@
 {
     text.counter("anvilscale_origins_reported_total", "streams whose origin was reported to sidecars", stats.reported);
     text.counter("anvilscale_origins_resumed_total", "calls that resume a stream", stats.resumed);
-    text.counters("anvilscale_origins_found_total", "resumed streams by the source of their origin", "source",
-                  {{"own", stats.own}, {"sidecar", stats.told}, {"sole_version", stats.assumed}});
+    text.counters(
+        "anvilscale_origins_found_total", "resumed streams by the source of their origin", "source",
+        {{"own", stats.own}, {"sidecar", stats.told}, {"content", stats.matched}, {"sole_version", stats.assumed}});
     text.counter("anvilscale_origins_timeouts_total", "requests for origins that sidecars did not answer in time",
                  stats.timeouts);
 }
--- a/src/direct/call_fingerprint.cpp
+++ b/src/direct/call_fingerprint.cpp
@@ -43,6 +43,24 @@
     return CallFingerprint{value};
 }
 
+namespace {
+
+constexpr char contentKeyMark = '\n'; // no header value contains it
+
+} // namespace
+
+std::string streamContentKey(const CallInfo &info, std::string_view workspace)
+{
+    const auto ownPart = info.parts.empty() ? std::string_view() : std::string_view(info.parts.back().id);
+    const auto value = hash64(workspace, hash64(ownPart, info.fingerprint.value));
+    return contentKeyMark + fingerprintText(value);
+}
+
+bool isStreamContentKey(std::string_view key)
+{
+    return key.starts_with(contentKeyMark);
+}
+
 std::vector<PartFingerprint> sharedParts(const std::vector<PromptPart> &parts)
 {
     const auto count = parts.empty() ? 0 : std::min(parts.size() - 1, maxSharedParts);
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -206,8 +206,8 @@
     void checkOriginAnswers(TimePoint now);
     /// Turns reports of origins that are due into actions.
     void flushOrigins(TimePoint now);
-    /// No sidecar knows the origin: goes on at the only software version that it can be, or refuses the call.
-    void assumeOrigin(CallHandle handle, DirectCall &call, bool mayBeKnownLater, TimePoint now);
+    /// Goes on at the only software version that can have begun the stream; returns false if there is none.
+    bool assumeOrigin(CallHandle handle, DirectCall &call, TimePoint now);
     void continueStream(CallHandle handle, DirectCall &call, const StreamOrigin &origin, TimePoint now);
     /// True for a resumed stream that no endpoint can continue.
     bool isVersionGone(const DirectCall &call, TimePoint now) const;
--- a/src/direct/origin_client.cpp
+++ b/src/direct/origin_client.cpp
@@ -26,13 +26,25 @@
 
 } // namespace
 
-void OriginClient::add(const std::string &requestId, const StreamOrigin &origin, TimePoint validUntil)
+void OriginClient::add(const std::string &key, const StreamOrigin &origin, TimePoint validUntil)
 {
-    if (requestId.size() > maxOriginIdBytes) {
+    if (key.size() > maxOriginIdBytes) {
         return;
     }
-    if (streams_.try_emplace(requestId, OwnStream{origin, validUntil, {}}).second) {
-        unreported_.push_back(requestId);
+    const auto [item, isNew] = streams_.try_emplace(key, OwnStream{origin, validUntil, {}});
+    auto &stream = item->second;
+    if (isStreamContentKey(key)) {
+        const bool isExtended = !isNew && validUntil > stream.validUntil;
+        const bool differs = stream.origin != origin && !stream.origin.isAmbiguous();
+        stream.validUntil = std::max(stream.validUntil, validUntil);
+        stream.origin = differs ? StreamOrigin{} : stream.origin;
+        if (isExtended || differs) {
+            stream.reportedTo.clear();
+            unreported_.push_back(key);
+        }
+    }
+    if (isNew) {
+        unreported_.push_back(key);
     }
 }
 
@@ -42,14 +54,17 @@
     return found == streams_.end() || found->second.validUntil <= now ? nullptr : &found->second.origin;
 }
 
-void OriginClient::lookUp(CallHandle call, const std::string &requestId, const EndpointTable &endpoints, TimePoint now)
+void OriginClient::lookUp(CallHandle call, const std::string &key, const EndpointTable &endpoints, TimePoint now)
 {
-    const auto seed = poolSelectionSeed(allowanceGroup(requestId));
+    const auto seed = poolSelectionSeed(allowanceGroup(key));
     const auto candidates = selectSidecars(endpoints, seed, {}, now, maxAsked, keepsOrigins);
     const auto number = ++lastNumber_;
     auto &lookup = lookups_[number];
     lookup.call = call;
-    lookup.requestId = requestId;
+    lookup.key = key;
+    if (const auto *own = find(key, now); own != nullptr && isStreamContentKey(key)) {
+        lookup.known = *own;
+    }
     lookup.candidates.assign(candidates.begin(), candidates.end());
     proceed(number, now);
 }
@@ -57,8 +72,9 @@
 void OriginClient::proceed(std::uint64_t number, TimePoint now)
 {
     auto &lookup = lookups_.at(number);
-    if (lookup.candidates.empty()) {
-        finish(number, std::nullopt);
+    const bool isKnown = lookup.known && lookup.asked != 0;
+    if (isKnown || lookup.candidates.empty()) {
+        finish(number, lookup.known && !lookup.known->isAmbiguous() ? lookup.known : std::nullopt);
         return;
     }
     askNext(number, lookup, now);
@@ -73,7 +89,7 @@
         ++lookup.asked;
         wire::OriginAsk ask;
         ask.set_lookup(number);
-        ask.set_request(lookup.requestId);
+        ask.set_request(lookup.key);
         asks_.push_back({address, std::move(ask)});
     }
     lookup.answerBy = now + answerTime;
@@ -97,13 +113,23 @@
     if (found == lookups_.end() || found->second.unanswered.erase(address) == 0) {
         return;
     }
-    if (answer.known()) {
+    const bool isContent = isStreamContentKey(found->second.key);
+    if (answer.known() && isContent) {
+        addKnown(found->second, {answer.service(), answer.software_version()});
+    }
+    if (answer.known() && !isContent) {
         finish(answer.lookup(), StreamOrigin{answer.service(), answer.software_version()});
     } else if (found->second.unanswered.empty()) {
         proceed(answer.lookup(), now);
     }
 }
 
+void OriginClient::addKnown(Lookup &lookup, const StreamOrigin &origin)
+{
+    const bool differs = lookup.known && *lookup.known != origin;
+    lookup.known = differs ? StreamOrigin{} : origin;
+}
+
 void OriginClient::onSidecarLost(const std::string &address, TimePoint now)
 {
     for (auto &[requestId, stream] : streams_) {
--- a/src/direct/origin_client.h
+++ b/src/direct/origin_client.h
@@ -18,12 +18,12 @@
 class OriginClient
 {
 public:
-    /// Records where a stream began, and reports it until `validUntil`.
-    void add(const std::string &requestId, const StreamOrigin &origin, TimePoint validUntil);
+    /// Records where a stream began, and reports it until `validUntil`. `key`: its request id or content key.
+    void add(const std::string &key, const StreamOrigin &origin, TimePoint validUntil);
     /// Origin of a stream that began at this entry; nullptr if unknown.
     const StreamOrigin *find(const std::string &requestId, TimePoint now) const;
-    /// Starts a lookup. Its result may be available at once.
-    void lookUp(CallHandle call, const std::string &requestId, const EndpointTable &endpoints, TimePoint now);
+    /// Starts a lookup. Its result may be available at once. Of a content key, all that is known must agree.
+    void lookUp(CallHandle call, const std::string &key, const EndpointTable &endpoints, TimePoint now);
     void onAnswer(const std::string &address, const wire::OriginAnswer &answer, TimePoint now);
     /// The connection to the sidecar was lost, or is a new one: the sidecar may have restarted.
     void onSidecarLost(const std::string &address, TimePoint now);
@@ -46,7 +46,8 @@
     struct Lookup
     {
         CallHandle call;
-        std::string requestId;
+        std::string key;
+        std::optional<StreamOrigin> known; // of a content key, ambiguous if answers differ
         std::deque<std::string> candidates; // addresses of sidecars to ask next
         std::set<std::string> unanswered; // addresses of sidecars that were asked
         std::size_t asked = 0;
@@ -55,6 +56,7 @@
         TimePoint answerBy{};
     };
 
+    static void addKnown(Lookup &lookup, const StreamOrigin &origin);
     void askNext(std::uint64_t number, Lookup &lookup, TimePoint now);
     void finish(std::uint64_t number, std::optional<StreamOrigin> origin);
     /// Asks further sidecars, or ends the lookup if there are none.
@@ -62,8 +64,8 @@
     void selectHolders(const EndpointTable &endpoints, TimePoint now);
     void removeExpired(TimePoint now);
 
-    std::unordered_map<std::string, OwnStream> streams_; // by request id
-    std::vector<std::string> unreported_; // request ids of new streams
+    std::unordered_map<std::string, OwnStream> streams_; // by request id and content key
+    std::vector<std::string> unreported_; // keys of new streams
     std::array<std::vector<std::string>, allowanceGroups> holders_; // selected sidecars, by group
     bool hasHoldersChanged_ = false; // since all streams were last compared with them
     TimePoint nextSelectionAt_{};
--- a/src/direct/origin_table.cpp
+++ b/src/direct/origin_table.cpp
@@ -24,10 +24,14 @@
             ++stats_.dropped;
             continue;
         }
-        // The first report counts: a call has one origin only.
+        // The first report counts: a call has one origin only. Several streams may have the same content.
         auto &kept = known != origins_.end()
                          ? known->second
                          : origins_[item.request()] = {{item.service(), item.software_version()}, TimePoint{}};
+        if (isStreamContentKey(item.request())
+            && kept.origin != StreamOrigin{item.service(), item.software_version()}) {
+            kept.origin = StreamOrigin{};
+        }
         kept.validUntil = std::max(kept.validUntil, now + lifetime);
     }
     stats_.streams = origins_.size();
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -21,6 +21,7 @@
     const auto &call = found->second;
     ++impl_->stats.origins.reported;
     impl_->origins.add(call.info.requestId, origin, call.deadline);
+    impl_->origins.add(streamContentKey(call.info, call.workspace), origin, call.deadline);
     if (call.info.resumed && !call.info.resumed->firstRequestId.empty()) {
         impl_->origins.add(call.info.resumed->firstRequestId, origin, call.deadline);
     }
@@ -93,14 +94,12 @@
         continueStream(handle, call, *own, now);
         return;
     }
-    if (requestId.empty()) {
-        const bool mayBeKnownLater = false;
-        assumeOrigin(handle, call, mayBeKnownLater, now);
+    if (requestId.empty() && assumeOrigin(handle, call, now)) {
         return;
     }
     call.step = CallStep::Origin;
     call.stepStartedAt = now;
-    origins.lookUp(handle, requestId, endpoints, now);
+    origins.lookUp(handle, requestId.empty() ? streamContentKey(call.info, call.workspace) : requestId, endpoints, now);
     resolveOrigins(now);
 }
 
@@ -115,11 +114,14 @@
         call.originWait = now - call.stepStartedAt;
         call.step = CallStep::Waiting;
         if (result.origin) {
-            ++stats.origins.told;
-            call.originSource = OriginSource::Told;
+            const bool isNamed = !call.info.resumed->firstRequestId.empty();
+            ++(isNamed ? stats.origins.told : stats.origins.matched);
+            call.originSource = isNamed ? OriginSource::Told : OriginSource::Content;
             continueStream(result.call, call, *result.origin, now);
-        } else {
-            assumeOrigin(result.call, call, !result.isAnswered, now);
+        } else if (!assumeOrigin(result.call, call, now)) {
+            const bool mayBeKnownLater = !result.isAnswered;
+            refuse(result.call, statusUnavailable, RefusalReason::OriginUnknown,
+                   mayBeKnownLater ? defaultRetryAfter : Duration(0), now);
         }
     }
     stats.origins.timeouts = origins.timeouts();
@@ -129,7 +131,7 @@
 }
 
 // A version that this entry has not seen may have begun the stream, unless it knows all that have served since.
-void DirectCalls::Impl::assumeOrigin(CallHandle handle, DirectCall &call, bool mayBeKnownLater, TimePoint now)
+bool DirectCalls::Impl::assumeOrigin(CallHandle handle, DirectCall &call, TimePoint now)
 {
     const auto *route = routes.find(call.info.host, call.info.path);
     const bool hasOneService = route != nullptr && route->services.size() == 1;
@@ -139,13 +141,12 @@
                              ? versionHistory.soleVersion(call.service, endpoints, maxAge, now)
                              : std::nullopt;
     if (!version) {
-        refuse(handle, statusUnavailable, RefusalReason::OriginUnknown,
-               mayBeKnownLater ? defaultRetryAfter : Duration(0), now);
-        return;
+        return false;
     }
     ++stats.origins.assumed;
     call.originSource = OriginSource::SoleVersion;
     continueStream(handle, call, {call.service, *version}, now);
+    return true;
 }
 
 void DirectCalls::Impl::continueStream(CallHandle handle, DirectCall &call, const StreamOrigin &origin, TimePoint now)
--- a/tests/support/stream_fleet.h
+++ b/tests/support/stream_fleet.h
@@ -97,21 +97,32 @@
         }
     }
     /// Begins a stream, which then breaks off; returns the version of its engine, empty if it has not begun.
-    std::string beginStream(std::size_t entry, const std::string &id, Duration callerTimeout = Seconds(15))
+    /// `content`: of its request, the id if empty.
+    std::string beginStream(std::size_t entry, const std::string &id, Duration callerTimeout = Seconds(15),
+                            const std::string &content = {})
     {
-        return run(entry, makeCall(id, callerTimeout)).value_or("");
+        return run(entry, makeCall(id, callerTimeout, content)).value_or("");
     }
     /// Resumes a stream; returns the version at which it goes on, or none if it is refused.
     std::optional<std::string> resumeStream(std::size_t entry, const std::string &firstId)
     {
-        auto info = makeCall("resume-" + std::to_string(++lastCall_), Seconds(15));
-        info.resumed = ResumedStream{"2", firstId};
-        return run(entry, info);
+        return resume(entry, firstId, firstId);
+    }
+    /// The same without naming its first call, with the content of its request.
+    std::optional<std::string> resumeUnnamed(std::size_t entry, const std::string &content)
+    {
+        return resume(entry, {}, content);
     }
 
     RefuseCall lastRefusal;
 
 private:
+    std::optional<std::string> resume(std::size_t entry, const std::string &firstId, const std::string &content)
+    {
+        auto info = makeCall("resume-" + std::to_string(++lastCall_), Seconds(15), content);
+        info.resumed = ResumedStream{"2", firstId};
+        return run(entry, info);
+    }
     struct Engine
     {
         std::string version;
@@ -214,7 +225,7 @@
         }
         return nullptr;
     }
-    static CallInfo makeCall(const std::string &id, Duration callerTimeout)
+    static CallInfo makeCall(const std::string &id, Duration callerTimeout, const std::string &content)
     {
         CallInfo info;
         info.requestId = id;
@@ -223,7 +234,7 @@
         info.model = modelName;
         info.adapter = "a1";
         info.promptTokens = 100;
-        info.parts = {{id, 100}};
+        info.parts = {{content.empty() ? id : content, 100}};
         info.callerTimeout = callerTimeout;
         return info;
     }
--- a/tests/unit/resumed_calls_test.cpp
+++ b/tests/unit/resumed_calls_test.cpp
@@ -217,15 +217,50 @@
     EXPECT_EQ(fleet.resumeStream(1, "one"), std::nullopt);
 }
 
-// Guards against a caller that does not name the first call of its stream, where several versions serve.
+// Guards against a guess for a caller that does not name the first call of its stream, where several versions serve and
+// no stream with the content of its request is known.
 TEST(ResumedCalls, StreamWithoutANameIsNotGuessed)
 {
     StreamFleet fleet(2, twoVersions);
     fleet.beginStream(0, "s");
-    EXPECT_EQ(fleet.resumeStream(1, ""), std::nullopt);
+    EXPECT_EQ(fleet.resumeUnnamed(1, "other"), std::nullopt);
     EXPECT_EQ(fleet.lastRefusal.reason, RefusalReason::OriginUnknown);
 }
 
+// Guards against refusing streams without a name while their version serves, whichever entry or one sidecar has
+// restarted.
+TEST(ResumedCalls, StreamWithoutANameIsFoundByItsContent)
+{
+    for (std::size_t lost = 0; lost < twoVersions.size(); ++lost) {
+        StreamFleet fleet(2, twoVersions);
+        std::map<std::string, std::string> began;
+        for (int i = 0; i < 8; ++i) {
+            began[streamId(i)] = fleet.beginStream(0, streamId(i));
+        }
+        fleet.restartEntry(0);
+        fleet.restartSidecar(lost);
+        for (const auto &[id, version] : began) {
+            EXPECT_EQ(fleet.resumeUnnamed(1, id), version);
+        }
+        EXPECT_EQ(fleet.entry(1).stats().origins.matched, began.size());
+    }
+}
+
+// Guards against the origin of another stream with the same content, at entries that know one or both of them.
+TEST(ResumedCalls, StreamsOfTheSameContentAtTwoVersionsAreNotGuessed)
+{
+    StreamFleet fleet(3, twoVersions);
+    std::set<std::string> versions;
+    for (int i = 0; versions.size() < 2 && i < 50; ++i) {
+        versions.insert(
+            fleet.beginStream(static_cast<std::size_t>(i) % 2, "twin-" + std::to_string(i), Seconds(15), "twin"));
+    }
+    ASSERT_EQ(versions.size(), 2U);
+    for (const std::size_t entry : {0U, 1U, 2U}) {
+        EXPECT_EQ(fleet.resumeUnnamed(entry, "twin"), std::nullopt);
+    }
+}
+
 // Guards against refusing all resumed streams after a loss of all processes where callers name no stream, as in
 // deployments with a single version.
 TEST(ResumedCalls, StreamWithoutANameGoesOnAtTheSoleVersion)
@@ -314,7 +349,7 @@
             default:
                 if (!began.empty()) {
                     const auto &[id, version] = *std::next(began.begin(), static_cast<long>(draw(began.size())));
-                    const auto next = fleet.resumeStream(entry, id);
+                    const auto next = step % 2 == 0 ? fleet.resumeStream(entry, id) : fleet.resumeUnnamed(entry, id);
                     ++resumed;
                     goneOn += next ? 1 : 0;
                     EXPECT_TRUE(!next || *next == version) << "seed " << seed << ", step " << step << ", " << id;
