The software version of an endpoint that has restarted is unknown until its new record is read

The entry learns of the restart from the sidecar's state before the record changes.

The start time of the process that the record describes is kept apart from that of the current process. While they differ the version is unknown: resumed streams are not placed there, new streams run and are not reported, and no version counts as the only one. A process that ends with its version unknown counts as another version for the age of a stream. An origin is dropped if its endpoint has restarted since the attempt was sent.

Open: a resumed stream that was sent before the restart was learned.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -342,6 +342,8 @@
 {
     std::string service;
     std::string softwareVersion; ///< of the endpoint
+    std::string endpointId{}; ///< only at the entry that sent the attempt: where to
+    std::uint64_t generation = 0; ///< of the endpoint's process there; 0 if its software version was not known
     bool operator==(const StreamOrigin &) const = default;
 
     /// Streams of the same content began at different places. Reported and answered like an origin, without a service.
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -285,7 +285,7 @@
     call.tokensAhead = forecast.backlogTokens();
     call.readingTime = fromMilliseconds(forecast.backlogMs() + forecast.speed().idleEngineMs(call.unreadTokens));
     call.wasOnlyCall = entry.inFlight == 0;
-    call.softwareVersion = entry.record.softwareVersion;
+    call.softwareVersion = entry.isVersionKnown() ? entry.record.softwareVersion : std::string();
     ++entry.inFlight;
     if (entry.awaitingFirstByte++ == 0) {
         entry.silentSince = now;
@@ -309,7 +309,8 @@
     action.deadline = call.deadline;
     action.hidesKey = config->workspaces.has_value();
     action.workspace = call.workspace;
-    action.origin = {entry.record.service, entry.record.softwareVersion};
+    action.origin = {entry.record.service, call.softwareVersion, entry.record.id,
+                     entry.isVersionKnown() ? entry.generation : 0};
     action.isLimited = entry.isLimited();
     action.holdAnswer = call.isRepeatable() && call.executionCount + 1 < call.maxEndpoints;
     actions.emplace_back(std::move(action));
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -208,6 +208,9 @@
     void flushOrigins(TimePoint now);
     /// Goes on at the only software version that can have begun the stream; returns false if there is none.
     bool assumeOrigin(CallHandle handle, DirectCall &call, TimePoint now);
+    /// True if the process that wrote the stream is still the one that the attempt was sent to, and its version was
+    /// known then.
+    bool isCertain(const StreamOrigin &origin);
     void continueStream(CallHandle handle, DirectCall &call, const StreamOrigin &origin, TimePoint now);
     /// True for a resumed stream that no endpoint can continue.
     bool isVersionGone(const DirectCall &call, TimePoint now) const;
--- a/src/direct/endpoint_choice.cpp
+++ b/src/direct/endpoint_choice.cpp
@@ -265,7 +265,8 @@
 
 bool runsVersion(const EndpointEntry &entry, const ChoiceQuery &query)
 {
-    return query.softwareVersion == nullptr || entry.record.softwareVersion == *query.softwareVersion;
+    return query.softwareVersion == nullptr
+           || (entry.isVersionKnown() && entry.record.softwareVersion == *query.softwareVersion);
 }
 
 bool isEligible(const EndpointEntry &entry, const ChoiceQuery &query, TimePoint now)
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -120,6 +120,11 @@
     return recentlyHeld.count(name) != 0;
 }
 
+bool EndpointEntry::isVersionKnown() const
+{
+    return recordedStartTimeMs == record.startTimeMs;
+}
+
 bool EndpointEntry::isOlderThan(std::uint64_t startTimeMs) const
 {
     return record.startTimeMs != 0 && startTimeMs > record.startTimeMs;
@@ -302,6 +307,7 @@
         entry.generation = ++lastGeneration_;
         entry.connectingSince = now;
         entry.record = record;
+        entry.recordedStartTimeMs = record.startTimeMs;
         entry.record.leaving = record.leaving || wasRemovedLeaving(record, now);
         entry.hasAnnouncedLeaving = entry.record.leaving;
         inheritSpeed(entry);
@@ -327,6 +333,7 @@
     }
     entry.record = record;
     entry.record.startTimeMs = startTimeMs;
+    entry.recordedStartTimeMs = record.startTimeMs != 0 ? record.startTimeMs : entry.recordedStartTimeMs;
     entry.record.leaving = leaving;
     entry.hasAnnouncedLeaving = entry.hasAnnouncedLeaving || record.leaving;
     if (moved) {
@@ -347,6 +354,7 @@
     newEntry.record.leaving = false;
     newEntry.record.models.clear();
     newEntry.record.adapters.clear();
+    newEntry.recordedStartTimeMs = entry.recordedStartTimeMs;
     newEntry.generation = ++lastGeneration_;
     newEntry.connectingSince = now;
     newEntry.isSuperseded = entry.isSuperseded;
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -43,6 +43,7 @@
 struct EndpointEntry
 {
     EndpointRecord record;
+    std::uint64_t recordedStartTimeMs = 0; // start of the process that its record describes; 0 if unknown
     std::uint64_t generation = 0; // unique for each process; counters of calls belong to one generation
     TimePoint connectingSince{}; // when it was first seen, or the connection to its sidecar was last opened
     // A later incarnation has the same address, and this record has not been removed yet.
@@ -118,6 +119,8 @@
     bool isStateExpected(TimePoint now) const;
     /// True if the engine probably still has a copy in its memory, so that it loads without the weight store.
     bool hasLocalCopy(const AdapterName &name) const;
+    /// False after a restart, until a record of the new process has been applied: its software may be another one.
+    bool isVersionKnown() const;
     /// True if a process with this start time is a later one under the same id.
     bool isOlderThan(std::uint64_t startTimeMs) const;
     /// True if the state describes an earlier process.
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -27,6 +27,9 @@
 // waiting for an adapter there are placed again, since the new process holds none.
 void DirectCalls::Impl::onRestarted(EndpointEntry &entry, std::uint64_t startTimeMs, TimePoint now)
 {
+    if (!entry.isVersionKnown()) {
+        versionHistory.onUnknownVersionEnded(entry.record.service, now);
+    }
     auto waiting = std::exchange(entry.waitingCalls, {});
     waiting.merge(entry.awaitingPermit);
     waiting.merge(entry.awaitingTurn);
@@ -47,6 +50,9 @@
 {
     endpoints.setLeaving(entry);
     rerouteWaiting(entry, now);
+    if (!entry.isVersionKnown()) {
+        versionHistory.onUnknownVersionEnded(entry.record.service, now);
+    }
     versionHistory.onVersionEnded(entry.record, now);
     endpoints.remove(std::string(entry.record.id), now);
 }
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -15,19 +15,31 @@
 void DirectCalls::onStreamStarted(CallHandle handle, const StreamOrigin &origin, TimePoint now)
 {
     const auto found = impl_->calls.find(handle);
-    if (found == impl_->calls.end() || !found->second.isResumable) {
+    if (found == impl_->calls.end() || !found->second.isResumable || !impl_->isCertain(origin)) {
         return;
     }
     const auto &call = found->second;
+    const StreamOrigin reported{origin.service, origin.softwareVersion};
     ++impl_->stats.origins.reported;
-    impl_->origins.add(call.info.requestId, origin, call.deadline);
-    impl_->origins.add(streamContentKey(call.info, call.workspace), origin, call.deadline);
+    impl_->origins.add(call.info.requestId, reported, call.deadline);
+    impl_->origins.add(streamContentKey(call.info, call.workspace), reported, call.deadline);
     if (call.info.resumed && !call.info.resumed->firstRequestId.empty()) {
-        impl_->origins.add(call.info.resumed->firstRequestId, origin, call.deadline);
+        impl_->origins.add(call.info.resumed->firstRequestId, reported, call.deadline);
     }
     impl_->flushOrigins(now);
 }
 
+// An endpoint that has restarted since the attempt was sent may have answered with its new process. One that is gone
+// answered before.
+bool DirectCalls::Impl::isCertain(const StreamOrigin &origin)
+{
+    if (origin.endpointId.empty()) {
+        return true;
+    }
+    const auto *entry = endpoints.find(origin.endpointId);
+    return origin.generation != 0 && (entry == nullptr || entry->generation == origin.generation);
+}
+
 void DirectCalls::onStoreRead(TimePoint now)
 {
     impl_->crashingParts.onHistoryApplied(now);
@@ -170,8 +182,8 @@
     return call.origin && std::none_of(endpoints.entries().begin(), endpoints.entries().end(), [&](const auto &item) {
                const auto &entry = item.second;
                return entry.record.service == call.origin->service
-                      && entry.record.softwareVersion == call.origin->softwareVersion && !entry.isLeaving(now)
-                      && !entry.isSuperseded;
+                      && (!entry.isVersionKnown() || entry.record.softwareVersion == call.origin->softwareVersion)
+                      && !entry.isLeaving(now) && !entry.isSuperseded;
            });
 }
 
--- a/src/direct/version_history.cpp
+++ b/src/direct/version_history.cpp
@@ -53,6 +53,11 @@
     servedUntil_[record.service][record.softwareVersion] = now;
 }
 
+void VersionHistory::onUnknownVersionEnded(const std::string &service, TimePoint now)
+{
+    servedUntil_[service][std::string()] = now; // differs from each known version
+}
+
 Duration VersionHistory::knownFor(TimePoint now) const
 {
     return knownSince_ ? now - *knownSince_ : Duration(0);
@@ -66,6 +71,9 @@
     }
     std::set<std::string> versions;
     for (const auto &[id, entry] : endpoints.entries()) {
+        if (entry.record.service == service && !entry.isVersionKnown()) {
+            return std::nullopt;
+        }
         if (entry.record.service == service) {
             versions.insert(entry.record.softwareVersion);
         }
--- a/src/direct/version_history.h
+++ b/src/direct/version_history.h
@@ -19,6 +19,8 @@
     void applyRecord(const SoftwareVersionRecord &record, TimePoint now);
     /// An endpoint was removed, or runs another version from now on.
     void onVersionEnded(const EndpointRecord &record, TimePoint now);
+    /// A process of the service has ended whose version never became known.
+    void onUnknownVersionEnded(const std::string &service, TimePoint now);
     /// Time since the store has been known; 0 before that.
     Duration knownFor(TimePoint now) const;
     /// The only version that endpoints of the service have run for `span`, which is maxStreamAge and streamAgeMargin at
