Platform: an answer cut in its head, a chunk or its trailers is no answer

The clients of the store and of the VM list took answers for whole that had been cut: a head that ended with its connection, a chunked body without its last chunk or with bytes that are no chunk, and trailers cut off. An interim answer 103 was taken for the answer, and the real one, left in the session's buffer, was read as the answer to the next request on the connection.

Cause: POCO's HTTPClientSession ends a head and a chunked body where its connection ends, and keeps bytes beyond an answer.

The connection now reads heads and bodies with the parsers of our own HTTP client: only the empty line ends a head, only its framing ends a body, and a connection with bytes beyond an answer is closed. A cut answer is NoAnswer: outcome unknown for a write, unavailable for a read.

--- a/src/platform/etcd_watch.cpp
+++ b/src/platform/etcd_watch.cpp
@@ -1,10 +1,7 @@
 // A watch: connects, reads events line by line, and resumes after a lost connection.
 #include "etcd_watch.h"
 
-#include <Poco/Exception.h>
-
 #include <algorithm>
-#include <istream>
 
 namespace anvilscale {
 
@@ -14,24 +11,7 @@
 // A connection without data for this long is reopened, in case its peer vanished without closing it.
 constexpr Duration maxIdleTime = std::chrono::minutes(1);
 constexpr std::size_t maxLineBytes = 8U << 20;
-constexpr std::size_t maxEventBytes = 4 * maxLineBytes; // of one line, with the framing of its chunks
 constexpr int httpOk = 200;
-
-// Like std::getline with a maximum length, so that an endless line cannot exhaust the memory.
-bool readLine(std::istream &in, std::string &line)
-{
-    line.clear();
-    for (int byte = in.get(); byte != std::char_traits<char>::eof(); byte = in.get()) {
-        if (byte == '\n') {
-            return true;
-        }
-        if (line.size() >= maxLineBytes) {
-            return false;
-        }
-        line.push_back(static_cast<char>(byte));
-    }
-    return false;
-}
 } // namespace
 
 EtcdWatch::EtcdWatch(GatewayShared &shared, KvRequest request)
@@ -117,25 +97,20 @@
 EtcdWatch::ReadResult EtcdWatch::readEvents(HttpConnection &connection)
 {
     const auto deadline = HttpConnection::Clock::now() + shared_.init().timeout;
-    const auto in = connection.open(etcdPath(KvOp::Watch), etcdBody(request_, nextRevision_), deadline, maxIdleTime);
-    if (!in || connection.status() != httpOk) {
+    const bool isOpen =
+        connection.open(etcdPath(KvOp::Watch), etcdBody(request_, nextRevision_), deadline, maxIdleTime).has_value();
+    if (!isOpen || connection.status() != httpOk) {
         return ReadResult::Lost;
     }
-    try {
-        std::string line;
-        connection.setReceiveLimit(maxEventBytes);
-        while (!isStopped_ && readLine(**in, line)) {
-            connection.setReceiveLimit(maxEventBytes);
-            const auto message = parseEtcdWatch(line);
-            if (!message.isValid) {
-                break;
-            }
-            if (handleMessage(message) == ReadResult::Finished) {
-                return ReadResult::Finished;
-            }
+    std::string line;
+    while (!isStopped_ && connection.readLine(line, maxLineBytes)) {
+        const auto message = parseEtcdWatch(line);
+        if (!message.isValid) {
+            break;
+        }
+        if (handleMessage(message) == ReadResult::Finished) {
+            return ReadResult::Finished;
         }
-    } catch (const Poco::Exception &) {
-        return ReadResult::Lost;
     }
     return ReadResult::Lost;
 }
--- a/src/platform/http_connection.cpp
+++ b/src/platform/http_connection.cpp
@@ -1,4 +1,4 @@
-// HTTP connection to the platform over POCO's client session.
+// HTTP connection to the platform over a blocking socket.
 #include "http_connection.h"
 
 #include <Poco/Exception.h>
@@ -8,13 +8,12 @@
 #include <Poco/Timespan.h>
 
 #include <algorithm>
-#include <istream>
-#include <vector>
+#include <array>
 
 namespace anvilscale {
 
 namespace {
-constexpr std::size_t readBufferBytes = 16U << 10;
+constexpr std::size_t bufferBytes = 16U << 10; // sent or received by one call of the socket
 constexpr std::size_t maxHeadBytes = 64U << 10; // of a response, with its interim responses
 // Bytes of a chunked body for each byte of its content. The framing of chunks of a few bytes takes as much as they.
 constexpr std::size_t maxFramingFactor = 4;
@@ -96,9 +95,10 @@
 void HttpConnection::close()
 {
     const std::scoped_lock lock(mutex_);
-    session_.reset();
     socket_ = Poco::Net::StreamSocket();
     deadlineSocket_ = nullptr;
+    input_.clear();
+    content_.clear();
 }
 
 void HttpConnection::abort()
@@ -113,10 +113,10 @@
 }
 
 // An idle connection that is readable was closed by the server and is replaced. Sending on it would look like a lost
-// reply, so that a write would needlessly count as Unknown.
+// reply, so that a write would needlessly count as Unknown. Bytes beyond a response would be read as the next one.
 bool HttpConnection::isReusable()
 {
-    if (session_ == nullptr) {
+    if (deadlineSocket_ == nullptr || !input_.empty()) {
         return false;
     }
     try {
@@ -144,60 +144,113 @@
         }
         socket_ = socket;
         deadlineSocket_ = deadlineSocket;
-        session_ = std::make_unique<Poco::Net::HTTPClientSession>(socket);
-        session_->setKeepAlive(true);
         return true;
     } catch (const Poco::Exception &) {
         return false;
     }
 }
 
-std::istream &HttpConnection::send(const std::string &method, const std::string &path, const std::string &body)
+std::string HttpConnection::hostHeader() const
 {
-    Poco::Net::HTTPRequest request(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setHost(uri_.getHost(), uri_.getPort());
-    request.setKeepAlive(true);
-    if (!body.empty()) {
-        request.setContentType("application/json");
-        request.setContentLength(static_cast<std::streamsize>(body.size()));
+    const auto host = uri_.getHost();
+    const bool isIpV6 = host.find(':') != std::string::npos;
+    return (isIpV6 ? "[" + host + "]" : host) + ":" + std::to_string(uri_.getPort());
+}
+
+void HttpConnection::send(const std::string &method, const std::string &path, const std::string &body)
+{
+    const auto headers = body.empty() ? HttpHeaders{} : HttpHeaders{{"Content-Type", "application/json"}};
+    const auto request = formatRequestHead(method, path, hostHeader(), headers, body.size(), true) + body;
+    std::string_view rest(request);
+    while (!rest.empty()) {
+        const auto part = rest.substr(0, bufferBytes);
+        rest.remove_prefix(static_cast<std::size_t>(socket_.sendBytes(part.data(), static_cast<int>(part.size()))));
     }
-    session_->sendRequest(request) << body << std::flush;
-    response_.clear();
+    readHead();
+}
+
+// Only its empty line ends a head: one that ends with its connection may lack the length of the body, or more.
+void HttpConnection::readHead()
+{
+    input_.clear();
+    content_.clear();
     deadlineSocket_->setReceiveLimit(maxHeadBytes);
-    return session_->receiveResponse(response_);
+    while (true) {
+        const auto length = headLength(input_);
+        if (length == 0) {
+            if (!receive()) {
+                throw Poco::DataException("the head of the response is cut off");
+            }
+            continue;
+        }
+        auto head = parseResponseHead(std::string_view(input_).substr(0, length), false);
+        if (!head) {
+            throw Poco::DataException("the head of the response is not valid");
+        }
+        input_.erase(0, length);
+        if (head->status / 100 != 1) { // an interim response precedes another one
+            response_ = std::move(*head);
+            return;
+        }
+    }
 }
 
-tl::expected<HttpAnswer, ExchangeError> HttpConnection::exchange(const std::string &method, const std::string &path,
-                                                                 const std::string &body, Clock::time_point deadline,
-                                                                 std::size_t maxBytes)
+bool HttpConnection::readBody(std::string &out)
+{
+    auto &reader = response_.body;
+    if (reader.isDone()) {
+        return false;
+    }
+    if (input_.empty() && !receive()) {
+        if (reader.framing() == HttpBodyReader::Framing::UntilClose) {
+            return false;
+        }
+        throw Poco::DataException("the body of the response is cut off");
+    }
+    input_.erase(0, reader.read(input_, out));
+    if (reader.isBroken()) {
+        throw Poco::DataException("the body of the response is not framed as its head says");
+    }
+    return true;
+}
+
+bool HttpConnection::receive()
+{
+    std::array<char, bufferBytes> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init): filled by the read
+    const int received = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+    if (received > 0) {
+        input_.append(buffer.data(), static_cast<std::size_t>(received));
+        return true;
+    }
+    const std::scoped_lock lock(mutex_);
+    if (isAborted_) {
+        throw Poco::DataException("aborted"); // not the end of a body without a length
+    }
+    return false;
+}
+
+tl::expected<PlatformAnswer, ExchangeError> HttpConnection::exchange(const std::string &method, const std::string &path,
+                                                                     const std::string &body,
+                                                                     Clock::time_point deadline, std::size_t maxBytes)
 {
     if (!connect(deadline)) {
         return tl::unexpected(ExchangeError::NotSent);
     }
     try {
         deadlineSocket_->setDeadline(deadline);
-        std::istream &in = send(method, path, body);
+        send(method, path, body);
         deadlineSocket_->setReceiveLimit(maxFramingFactor * maxBytes);
-        HttpAnswer answer;
-        answer.status = response_.getStatus();
-        std::vector<char> chunk(readBufferBytes);
-        while (in.read(chunk.data(), static_cast<std::streamsize>(chunk.size())) || in.gcount() > 0) {
-            answer.body.append(chunk.data(), static_cast<std::size_t>(in.gcount()));
+        PlatformAnswer answer;
+        answer.status = status();
+        while (readBody(answer.body)) {
             if (answer.body.size() > maxBytes) {
                 close();
                 return tl::unexpected(ExchangeError::TooLarge);
             }
         }
-        const bool isTruncated = in.bad()
-                                 || (response_.hasContentLength()
-                                     && answer.body.size() != static_cast<std::size_t>(response_.getContentLength64()));
-        const auto error = endError();
-        if (isTruncated || !response_.getKeepAlive() || !isReusable()) {
+        if (!response_.keepAlive || !isReusable()) {
             close();
         }
-        if (isTruncated) {
-            return tl::unexpected(error);
-        }
         return answer;
     } catch (const Poco::Exception &) {
         const auto error = endError();
@@ -212,15 +265,8 @@
     return isTooLarge ? ExchangeError::TooLarge : ExchangeError::NoAnswer;
 }
 
-void HttpConnection::setReceiveLimit(std::size_t bytes)
-{
-    if (deadlineSocket_ != nullptr) {
-        deadlineSocket_->setReceiveLimit(bytes);
-    }
-}
-
-tl::expected<std::istream *, ExchangeError> HttpConnection::open(const std::string &path, const std::string &body,
-                                                                 Clock::time_point deadline, Duration idleTimeout)
+tl::expected<void, ExchangeError> HttpConnection::open(const std::string &path, const std::string &body,
+                                                       Clock::time_point deadline, Duration idleTimeout)
 {
     close();
     if (!connect(deadline)) {
@@ -228,13 +274,37 @@
     }
     try {
         deadlineSocket_->setDeadline(deadline);
-        std::istream &in = send("POST", path, body);
+        send("POST", path, body);
         deadlineSocket_->setIdleTimeout(idleTimeout);
-        return &in;
+        return {};
     } catch (const Poco::Exception &) {
         close();
         return tl::unexpected(ExchangeError::NoAnswer);
     }
 }
 
+bool HttpConnection::readLine(std::string &line, std::size_t maxBytes)
+{
+    if (deadlineSocket_ == nullptr) {
+        return false;
+    }
+    try {
+        deadlineSocket_->setReceiveLimit(maxFramingFactor * maxBytes);
+        std::size_t searchedBytes = 0;
+        auto end = content_.find('\n');
+        while (end == std::string::npos) {
+            searchedBytes = content_.size();
+            if (searchedBytes > maxBytes || !readBody(content_)) {
+                return false;
+            }
+            end = content_.find('\n', searchedBytes);
+        }
+        line = content_.substr(0, end);
+        content_.erase(0, end + 1);
+        return line.size() <= maxBytes;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+}
+
 } // namespace anvilscale
