Log and metrics name event ids that do not follow each other

Nobody looked at the ids of events: a stream that repeats, skips or falls back went unseen. The relay follows the ids while it forwards, in one pass and fixed memory; nothing is cut and no verdict changes. The stand-in begins after Last-Event-Id now, as the protocol says.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -10,6 +10,7 @@
 #include <bitset>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -413,6 +414,59 @@
                                                                                   "until_close"};
 };
 
+/// What the ids of the events of a stream show, in rising order of weight.
+enum class EventIdFinding : std::uint8_t {
+    None,
+    Skipped, ///< an id is more than one above the one before it, or above the last one that the caller has
+    Falling, ///< an id is not above the one before it
+    Repeated, ///< the first id is not above the last one that the caller has
+    Count
+};
+template<>
+struct EnumNames<EventIdFinding>
+{
+    static constexpr std::array<std::string_view, enumCount<EventIdFinding>> table{"none", "skipped", "falling",
+                                                                                   "repeated"};
+};
+
+/// Incremental reader of the ids of events in an event stream. An id that is not an unsigned decimal number ends the
+/// reading: nothing is known of the order of such ids.
+class EventIds
+{
+public:
+    EventIds() = default;
+    /// `lastEventId`: last event that the caller has. Only numbers are compared with the stream.
+    explicit EventIds(std::string_view lastEventId);
+    void read(std::string_view data);
+    /// The one of most weight so far.
+    EventIdFinding finding() const;
+    /// Id of the last event that has ended; empty if there is none, or if the reading has ended.
+    std::optional<std::uint64_t> last() const;
+
+private:
+    enum class Step : std::uint8_t {
+        Name,
+        Space, // after the colon of an id
+        Value,
+        Other // a line of another field
+    };
+    void readLine(char byte);
+    void readDigit(char byte);
+    void endLine();
+    void judge(std::uint64_t id);
+    void stop();
+
+    Step step_ = Step::Name; // in the current line
+    std::uint8_t nameBytes_ = 0; // of the field name "id", read so far
+    bool followsReturn_ = false; // the last byte was a CR, so that a LF belongs to the same line end
+    bool isStopped_ = false;
+    EventIdFinding finding_ = EventIdFinding::None;
+    std::optional<std::uint64_t> number_; // digits of the current line, read so far
+    std::optional<std::uint64_t> eventId_; // of the current event
+    std::optional<std::uint64_t> last_; // of the last event that has ended
+    std::optional<std::uint64_t> callersLast_;
+};
+
 struct AttemptResult
 {
     AttemptEnd end = AttemptEnd::Broken;
@@ -424,6 +478,9 @@
     Duration longestPause{}; ///< longest interval between parts of an event stream, as received from the endpoint
     AnswerFraming framing = AnswerFraming::None;
     bool isTruncated = false; ///< an event stream that ended inside an event, although complete by its framing
+    bool isForwardedStream = false; ///< an event stream, parts of which may have been sent to the caller
+    EventIdFinding eventIds = EventIdFinding::None; ///< of the forwarded stream
+    std::optional<std::uint64_t> lastEvent; ///< id of the last whole event of the forwarded stream
 };
 
 /// Actions for the owner of the sockets.
@@ -560,6 +617,8 @@
     std::uint32_t status = 0; ///< of the endpoint's answer; 0 without an answer
     AnswerFraming framing = AnswerFraming::None; ///< of the endpoint's answer
     bool isTruncated = false; ///< the answer ended inside an event
+    EventIdFinding eventIds = EventIdFinding::None; ///< of the forwarded stream
+    std::optional<std::uint64_t> lastEvent; ///< id of the last whole event of the forwarded stream
     std::string service;
     std::string workspace; ///< empty if unknown
     std::string adapter;
@@ -701,6 +760,7 @@
     OriginStats origins;
     CrashingPartStats crashingParts;
     Counters<AttemptEnd> ends;
+    Counters<EventIdFinding> eventIds; ///< of forwarded streams that have ended
     Counters<StateMessage> stateMessages;
     AllowanceStats allowances;
     std::map<std::string, WorkspaceStats> workspaces; ///< the first maxCountedWorkspaces; the rest under "other"
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -111,6 +111,8 @@
               {"softwareVersion", call.softwareVersion},
               {"resumes", call.resumed ? call.resumed->firstRequestId : std::string()},
               {"afterEvent", call.resumed ? call.resumed->lastEventId : std::string()},
+              {"eventIds", std::string(toString(call.eventIds))},
+              {"lastEvent", call.lastEvent ? std::to_string(*call.lastEvent) : std::string()},
               {"attempts", std::uint64_t{call.attempts}},
               {"config", call.configVersion},
               {"estimateMs", toMilliseconds(call.estimate)},
@@ -208,6 +210,8 @@
     text.counters("anvilscale_direct_state_messages_total", "messages from sidecars on the states of their engines",
                   "kind", stats.stateMessages);
     text.counters("anvilscale_direct_attempt_ends_total", "how attempts ended", "end", stats.ends);
+    text.counters("anvilscale_direct_event_ids_total",
+                  "forwarded streams that have ended, by what their event ids show", "finding", stats.eventIds);
     text.counters("anvilscale_direct_endpoint_refusals_total", "calls refused by endpoints", "refusal",
                   stats.endpointRefusals);
     text.counters("anvilscale_direct_refusals_total", "calls refused by this entry", "reason", stats.refusals);
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -59,6 +59,9 @@
         auto &call = calls_[exchange.value];
         call.request = std::move(request);
         call.requestId = info->requestId;
+        if (info->resumed) {
+            call.lastEventId = info->resumed->lastEventId;
+        }
         handlers_.onCall(exchange, std::move(*info));
     }
 
@@ -230,6 +233,7 @@
     {
         HttpRequestData request;
         std::string requestId;
+        std::string lastEventId; // last event that its caller has, if it resumes a stream
         std::string endpointId;
         std::uint32_t attempt = 0; // of the exchange in progress
         std::uint32_t reportedAttempt = 0; // under which its answer and end are reported; the last one requested
@@ -248,6 +252,7 @@
         TimePoint lastPartAt{}; // arrival of the last part of a forwarded answer
         Duration longestPause{}; // between two parts
         bool isForwarding = false; // answer bytes have been sent to the caller
+        std::optional<EventIds> eventIds; // of the answer, if it is a forwarded event stream
         std::uint64_t unsentBytes = 0; // forwarded bytes that have not been sent to the caller yet
     };
 
@@ -356,6 +361,7 @@
         call.heldReply.headers = head.headers;
         if (call.answer.kind == AnswerKind::Success && call.answer.isEventStream) {
             handlers_.onStreamStarted(exchange, call.origin);
+            call.eventIds.emplace(call.lastEventId);
             startForwarding(exchange, call);
         }
     }
@@ -374,6 +380,9 @@
     {
         const auto now = EventLoop::now();
         call.longestPause = std::max(call.longestPause, now - std::exchange(call.lastPartAt, now));
+        if (call.eventIds) {
+            call.eventIds->read(data);
+        }
         call.unsentBytes += data.size();
         if (call.unsentBytes > maxUnsentBytes) {
             call.client->pause(call.upstreamExchange, true);
@@ -441,30 +450,36 @@
         } else {
             server_->reply(exchange, std::move(call.heldReply));
         }
+        const auto result = resultOf(call, AttemptEnd::Answered, status);
+        const auto reportedAttempt = call.reportedAttempt;
+        calls_.erase(found);
+        handlers_.onAttemptEnded(exchange, reportedAttempt, result);
+    }
+
+    static AttemptResult resultOf(const RelayedCall &call, AttemptEnd end, std::uint32_t status)
+    {
         AttemptResult result;
-        result.end = AttemptEnd::Answered;
+        result.end = end;
         result.status = status;
         result.longestPause = call.longestPause;
         result.framing = call.framing;
         result.isTruncated = call.isTruncated;
-        const auto reportedAttempt = call.reportedAttempt;
-        calls_.erase(found);
-        handlers_.onAttemptEnded(exchange, reportedAttempt, result);
+        if (call.eventIds) {
+            result.isForwardedStream = true;
+            result.eventIds = call.eventIds->finding();
+            result.lastEvent = call.eventIds->last();
+        }
+        return result;
     }
 
     void endAttempt(HttpExchange exchange, RelayedCall &call, AttemptEnd end, std::uint32_t status)
     {
         call.mayHaveRun = call.mayHaveRun || (end != AttemptEnd::Refused && end != AttemptEnd::Unreachable);
-        AttemptResult result;
-        result.end = end;
+        auto result = resultOf(call, end, status);
         result.refusal = call.answer.refusal;
-        result.status = status;
         result.namesRequest = call.answer.namesRequest;
         result.isOnReusedConnection = call.isOnReusedConnection;
         result.callerHasBytes = call.isForwarding;
-        result.longestPause = call.longestPause;
-        result.framing = call.framing;
-        result.isTruncated = call.isTruncated;
         handlers_.onAttemptEnded(exchange, call.reportedAttempt, result);
     }
 
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -39,6 +39,11 @@
     call.longestPause = result.longestPause;
     call.framing = result.framing;
     call.isTruncated = result.isTruncated;
+    call.eventIds = result.eventIds;
+    call.lastEvent = result.lastEvent;
+    if (result.isForwardedStream) {
+        impl.stats.eventIds.add(result.eventIds);
+    }
     if (result.end != AttemptEnd::Answered) {
         const auto answeredFor = call.hasFirstByte ? std::optional(now - call.firstByteAt) : std::nullopt;
         impl.failedAttempts.push_back({call.info.requestId, call.info.fingerprint, call.parts, attempt, call.endpointId,
@@ -208,6 +213,8 @@
     done.status = status;
     done.framing = call.framing;
     done.isTruncated = call.isTruncated;
+    done.eventIds = call.eventIds;
+    done.lastEvent = call.lastEvent;
     done.service = call.service;
     done.workspace = call.workspace;
     done.adapter = call.info.adapter;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -92,6 +92,8 @@
     Duration longestPause{}; // longest interval between parts of its answer
     AnswerFraming framing = AnswerFraming::None; // of its last answer
     bool isTruncated = false; // its last answer ended inside an event
+    EventIdFinding eventIds = EventIdFinding::None; // of its stream
+    std::optional<std::uint64_t> lastEvent; // of its stream
 
     AdapterName adapterName() const
     {
--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -108,4 +108,28 @@
     }
 }
 
+// Guards against a resumed stream that repeats events of its caller unseen. Sight only: the stream is forwarded whole.
+TEST_F(StreamVersion, ResumedStreamThatRepeatsEventsIsLogged)
+{
+    startAll();
+    beginStream("r-1");
+    const auto hasLine = [&](const std::string &id, const std::string &fields) {
+        const std::regex line(R"("request":")" + id + R"(","outcome":"answered"[^\n]*)" + fields);
+        return eventually([&] { return std::regex_search(readLog("entry-2"), line); });
+    };
+    const auto resumed = resumeStream("r-2", "r-1").body;
+    EXPECT_EQ(resumed.find("piece 2"), std::string::npos) << resumed;
+    EXPECT_TRUE(hasLine("r-2", R"("afterEvent":"2","eventIds":"none","lastEvent":"5")")) << readLog("entry-2");
+    controlStandin(enginePort_, R"({"fault":"repeat","times":1})", sidecarAddress);
+    controlStandin(otherPort_, R"({"fault":"repeat","times":1})", otherAddress);
+    const auto repeated = resumeStream("r-3", "r-1").body;
+    EXPECT_NE(repeated.find("piece 1"), std::string::npos) << repeated;
+    EXPECT_NE(repeated.find("piece 5"), std::string::npos) << repeated;
+    EXPECT_TRUE(hasLine("r-3", R"("afterEvent":"2","eventIds":"repeated","lastEvent":"5")")) << readLog("entry-2");
+    EXPECT_TRUE(eventually([&] {
+        return request(secondEntry_.metrics, "GET", "/metrics").body.find(R"(event_ids_total{finding="repeated"} 1)")
+               != std::string::npos;
+    }));
+}
+
 } // namespace
--- a/tests/standins/site_replica.cpp
+++ b/tests/standins/site_replica.cpp
@@ -1,7 +1,9 @@
 // Stand-in for a replica of the users' platform: a model engine with adapter slots, or a plain service without slots.
+// A stream goes on after the event that Last-Event-Id names.
 // GET /standin returns executed calls with their workspaces and received orders. POST /standin sets:
-//   {"fault": "break" | "unframed" | "unframed_break" | "refuse" | "foreign" | "mute", "times": N}  fault of the next N
-//                         calls; "unframed": a stream that ends with its connection, "_break": inside an event
+//   {"fault": "break" | "unframed" | "unframed_break" | "repeat" | "refuse" | "foreign" | "mute", "times": N}  fault of
+//                         the next N calls; "unframed": a stream that ends with its connection, "_break": inside an
+//                         event; "repeat": a stream that begins at its first event in any case
 //   {"lostOrders": N}     the next N orders are executed, but not answered
 //   {"checksFencing": false}  executes orders with any fencing number
 //   {"id": "i-2"}         restarts the replica under another id
@@ -16,6 +18,7 @@
 #include "subcommands.h"
 
 #include <Poco/JSON/Array.h>
+#include <Poco/NumberParser.h>
 #include <cxxopts.hpp>
 
 #include <algorithm>
@@ -296,19 +299,24 @@
         response.setContentType("text/event-stream");
         response.setChunkedTransferEncoding(!fault.starts_with("unframed"));
         auto &out = response.send();
-        for (int i = 1; i <= eventsPerStream; ++i) {
-            if (fault == "unframed_break" && i == 3) {
+        int last = 0; // event that the caller has
+        if (fault != "repeat") {
+            Poco::NumberParser::tryParse(request.get("Last-Event-Id", ""), last);
+        }
+        for (int i = last + 1; i <= eventsPerStream; ++i) {
+            const int sentEvents = i - last; // with this one
+            if (fault == "unframed_break" && sentEvents == 3) {
                 out << "id: " << i << "\ndata: pie" << std::flush;
                 closeConnection(request);
                 return;
             }
             out << "id: " << i << "\ndata: piece " << i << "\n\n" << std::flush;
-            if (fault == "break" && i == 2) {
+            if (fault == "break" && sentEvents == 2) {
                 closeConnection(request);
                 return;
             }
             std::this_thread::sleep_for(eventInterval);
-            if (fault == "crash" && i == 2) {
+            if (fault == "crash" && sentEvents == 2) {
                 crash();
             }
             if (hasCrashedSince(crashes)) {
