Log lines are queued for a writer thread and dropped when the queue is full

Lines were written to standard output by the thread that logged them.

Lines go into a queue of 4,096 lines and 1 MiB, which a thread of its own writes: it polls before each write of at most PIPE_BUF bytes, so that shutdown does not wait for a stuck reader for more than 300 ms. When the queue is full, lines are dropped and counted by event and level (metrics, event 112); severe lines and those of the life cycle have a reserve. log4cxx still makes each line. Its AsyncAppender has no bound by bytes, no reserve and no bound on its end.

--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -38,6 +38,7 @@
     RestartNeeded,
     DrainStarted,
     DrainFinished,
+    LogLinesDropped,
     ConfigMoved,
     ConfigRejected,
     ConfigStale,
@@ -115,14 +116,21 @@
 
 /// Configures log4cxx to write one JSON object per line. Must be called once, before other threads start.
 void initLog(const LogInit &init);
+/// Writes what is queued, within a bound. No line is written after it.
 void shutdownLog();
 /// Sets the minimum level. Thread-safe.
 void setLogLevel(LogLevel level);
-/// Logs one event. Thread-safe.
+/// Logs one event. Does not wait for the line to be written: lines beyond the bounds of a queue are counted instead.
+/// Thread-safe.
 void logEvent(Event event, std::initializer_list<LogField> fields = {});
 /// Returns the line that logEvent() writes, without the time stamp; for tests.
 std::string formatEvent(Event event, std::initializer_list<LogField> fields);
 
+/// Appends what was not written. Thread-safe.
+void appendLogMetrics(class MetricsText &text);
+/// Writes a line for the operator to standard error. Waits a short time at most.
+void printError(const std::string &line);
+
 /// Histogram with fixed bucket bounds, in the unit of the metric's name suffix. Thread-safe.
 class HistogramMetric
 {
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -678,6 +678,7 @@
                      "attempts that were not sent because their callers had left", relay_.attemptsForAbsentCallers());
         callLog_.appendMetrics(text);
         storeLog_.appendMetrics(text);
+        appendLogMetrics(text);
         appendMessengerMetrics(text, messenger_->stats());
         appendHttpMetrics(text, callServer_->stats());
         const std::lock_guard lock(metricsMutex_);
--- a/src/daemon/entry_status.cpp
+++ b/src/daemon/entry_status.cpp
@@ -116,6 +116,7 @@
     appendHttpMetrics(text, http_->stats());
     appendKvMetrics(text, gateway_->stats());
     text.counter("anvilscale_control_events_total", "events handled by the control thread", control_.handledEvents());
+    appendLogMetrics(text);
     return text.text();
 }
 
--- a/src/daemon/run_daemon.cpp
+++ b/src/daemon/run_daemon.cpp
@@ -7,7 +7,6 @@
 
 #include <csignal>
 #include <fstream>
-#include <iostream>
 #include <thread>
 
 namespace anvilscale {
@@ -113,7 +112,7 @@
         const auto &error = daemon.error();
         logEvent(Event::ListenFailed,
                  {{"kind", std::string(toString(error.kind))}, {"path", error.path}, {"detail", error.detail}});
-        std::cerr << "anvilscaled: " << toString(error.kind) << ": " << error.path << ": " << error.detail << "\n";
+        printError("anvilscaled: " + std::string(toString(error.kind)) + ": " + error.path + ": " + error.detail);
         shutdownLog();
         return exitRejected;
     }
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -14,6 +14,7 @@
     {106, LogLevel::Warn, "restart_needed", "the settings changed in a way that requires a restart"},
     {110, LogLevel::Info, "drain_started", "no new work is accepted; calls in progress continue"},
     {111, LogLevel::Info, "drain_finished", "the calls in progress have ended, or the grace period"},
+    {112, LogLevel::Warn, "log_lines_dropped", "log lines were not written; includes how many by event and level"},
     {200, LogLevel::Info, "config_moved", "a higher configuration revision is active"},
     {201, LogLevel::Error, "config_rejected", "a delta or snapshot could not be applied"},
     {202, LogLevel::Warn, "config_stale", "the configuration has not been confirmed within the allowed time"},
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,11 +1,13 @@
 // Structured logging through log4cxx: one JSON object per line with time, event, name, level and fields.
-#include "anvilscale/telemetry.h"
+#include "log_writer.h"
 
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/fileappender.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <log4cxx/helpers/pool.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <log4cxx/spi/loggingevent.h>
 
 #include <cinttypes>
 #include <cstdio>
@@ -14,6 +16,11 @@
 
 namespace {
 
+// For what is queued when the process ends: a reader that reads takes it in milliseconds, and the platform's stop time
+// must not pass.
+constexpr Duration endLimit = Milliseconds(300);
+constexpr auto loggerName = "anvilscale";
+
 std::string processName; // set by initLog before other threads start
 
 log4cxx::LevelPtr levelOf(LogLevel level)
@@ -58,7 +65,103 @@
 
 log4cxx::LoggerPtr logger()
 {
-    return log4cxx::Logger::getLogger("anvilscale");
+    return log4cxx::Logger::getLogger(loggerName);
+}
+
+/// Makes lines and hands them to the writer.
+class LogOutput
+{
+public:
+    explicit LogOutput(const std::string &file)
+        : layout_(std::make_shared<log4cxx::PatternLayout>(
+            LOG4CXX_STR("{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z\",%m}%n")))
+        , writer_(writerInit(file))
+    {
+    }
+
+    void log(Event event, const log4cxx::LevelPtr &level, const std::string &message)
+    {
+        writer_.queue().push(event, makeLine(level, message));
+    }
+    bool stop()
+    {
+        return writer_.stop(endLimit);
+    }
+    const LogQueue &queue() const
+    {
+        return writer_.queue();
+    }
+
+private:
+    LogWriterInit writerInit(const std::string &file)
+    {
+        LogWriterInit init;
+        init.reportOf = [this](const LogDrops &drops) { return reportOf(drops); };
+        if (!file.empty() && file != "-") {
+            // Only this process has the new description, so that it may be non-blocking: a FIFO without a reader is an
+            // error.
+            init.descriptor =
+                ::open(file.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC | O_NONBLOCK, logFileMode);
+            init.ownsDescriptor = init.descriptor >= 0;
+        }
+        if (!init.ownsDescriptor) {
+            init.descriptor = file == "-" ? STDOUT_FILENO : STDERR_FILENO;
+        }
+        return init;
+    }
+
+    std::string makeLine(const log4cxx::LevelPtr &level, const std::string &message)
+    {
+        LOG4CXX_DECODE_CHAR(text, message);
+        const auto record = std::make_shared<log4cxx::spi::LoggingEvent>(
+            LOG4CXX_STR("anvilscale"), level, text, log4cxx::spi::LocationInfo::getLocationUnavailable());
+        log4cxx::LogString line;
+        log4cxx::helpers::Pool pool;
+        {
+            const std::scoped_lock lock(layoutMutex_);
+            layout_->format(line, record, pool);
+        }
+        LOG4CXX_ENCODE_CHAR(bytes, line);
+        return bytes;
+    }
+
+    std::string reportOf(const LogDrops &drops)
+    {
+        std::string byEvent;
+        Counters<LogLevel> byLevel;
+        for (std::size_t i = 0; i < enumCount<Event>; ++i) {
+            const auto &info = eventTable[i];
+            if (const auto count = drops.of(static_cast<Event>(i)); count != 0) {
+                byEvent += (byEvent.empty() ? "" : ",") + std::to_string(info.number) + ":" + std::to_string(count);
+                byLevel.add(info.level, count);
+            }
+        }
+        return makeLine(levelOf(LogLevel::Warn), formatEvent(Event::LogLinesDropped,
+                                                             {{"lines", drops.total()},
+                                                              {"byEvent", byEvent},
+                                                              {"debug", byLevel.of(LogLevel::Debug)},
+                                                              {"info", byLevel.of(LogLevel::Info)},
+                                                              {"warn", byLevel.of(LogLevel::Warn)},
+                                                              {"error", byLevel.of(LogLevel::Error)}}));
+    }
+
+    static constexpr mode_t logFileMode = 0666; // less the umask
+
+    const log4cxx::LayoutPtr layout_;
+    std::mutex layoutMutex_; // the layout caches dates
+    LogWriter writer_;
+};
+
+std::unique_ptr<LogOutput> output; // set by initLog before other threads start
+
+/// Prevents that a connection gets the number of a closed standard descriptor and receives log lines.
+void occupyStandardDescriptors()
+{
+    int descriptor = 0;
+    do {
+        descriptor = ::open("/dev/null", O_RDWR | O_CLOEXEC);
+    } while (descriptor >= 0 && descriptor <= STDERR_FILENO);
+    ::close(descriptor);
 }
 
 } // namespace
@@ -84,20 +187,10 @@
 void initLog(const LogInit &init)
 {
     processName = init.process;
-    const log4cxx::LayoutPtr layout =
-        std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z\",%m}%n"));
+    occupyStandardDescriptors();
+    output = std::make_unique<LogOutput>(init.file);
     const auto root = logger();
-    root->removeAllAppenders();
     root->setAdditivity(false);
-    const bool standardOutput = init.file == "-";
-    if (init.file.empty() || standardOutput) {
-        const auto target =
-            standardOutput ? log4cxx::ConsoleAppender::getSystemOut() : log4cxx::ConsoleAppender::getSystemErr();
-        root->addAppender(std::make_shared<log4cxx::ConsoleAppender>(layout, target));
-    } else {
-        LOG4CXX_DECODE_CHAR(fileName, init.file);
-        root->addAppender(std::make_shared<log4cxx::FileAppender>(layout, fileName, true));
-    }
     root->setLevel(levelOf(init.level));
 }
 
@@ -108,16 +201,48 @@
 
 void shutdownLog()
 {
-    log4cxx::LogManager::shutdown();
+    if (output) {
+        output->stop();
+    }
 }
 
 void logEvent(Event event, std::initializer_list<LogField> fields)
 {
     const auto level = levelOf(eventTable[static_cast<std::size_t>(event)].level);
-    const auto target = logger();
-    if (target->isEnabledFor(level)) {
-        target->forcedLog(level, formatEvent(event, fields));
+    if (output && logger()->isEnabledFor(level)) {
+        output->log(event, level, formatEvent(event, fields));
     }
 }
 
+void appendLogMetrics(MetricsText &text)
+{
+    if (!output) {
+        return;
+    }
+    const auto drops = output->queue().drops();
+    std::vector<std::pair<std::string, std::uint64_t>> byEvent;
+    Counters<LogLevel> byLevel;
+    for (std::size_t i = 0; i < enumCount<Event>; ++i) {
+        const auto count = drops.of(static_cast<Event>(i));
+        if (count != 0) {
+            byEvent.emplace_back(eventTable[i].name, count);
+        }
+        byLevel.add(eventTable[i].level, count);
+    }
+    text.counters("anvilscale_log_lines_dropped_total", "log lines that the reader of the log did not take, by event",
+                  "event", byEvent);
+    text.counters("anvilscale_log_lines_dropped_by_level_total", "the same by level", "level", byLevel);
+    text.gauge("anvilscale_log_queue_bytes", "log lines that wait for the reader of the log",
+               static_cast<double>(output->queue().bytes()));
+}
+
+void printError(const std::string &line)
+{
+    LogWriterInit init;
+    init.descriptor = STDERR_FILENO;
+    LogWriter writer(std::move(init));
+    writer.queue().push(Event::UnexpectedError, line + "\n");
+    writer.stop(endLimit);
+}
+
 } // namespace anvilscale
