--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -2,12 +2,11 @@
 #include "log_writer.h"
 
 #include <fcntl.h>
-#include <unistd.h>
-
 #include <log4cxx/helpers/pool.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 #include <log4cxx/spi/loggingevent.h>
+#include <unistd.h>
 
 #include <cinttypes>
 #include <cstdio>
@@ -100,8 +99,7 @@
         if (!file.empty() && file != "-") {
             // Only this process has the new description, so that it may be non-blocking: a FIFO without a reader is an
             // error.
-            init.descriptor =
-                ::open(file.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC | O_NONBLOCK, logFileMode);
+            init.descriptor = ::open(file.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC | O_NONBLOCK, logFileMode);
             init.ownsDescriptor = init.descriptor >= 0;
         }
         if (!init.ownsDescriptor) {
@@ -136,13 +134,13 @@
                 byLevel.add(info.level, count);
             }
         }
-        return makeLine(levelOf(LogLevel::Warn), formatEvent(Event::LogLinesDropped,
-                                                             {{"lines", drops.total()},
-                                                              {"byEvent", byEvent},
-                                                              {"debug", byLevel.of(LogLevel::Debug)},
-                                                              {"info", byLevel.of(LogLevel::Info)},
-                                                              {"warn", byLevel.of(LogLevel::Warn)},
-                                                              {"error", byLevel.of(LogLevel::Error)}}));
+        return makeLine(levelOf(LogLevel::Warn),
+                        formatEvent(Event::LogLinesDropped, {{"lines", drops.total()},
+                                                             {"byEvent", byEvent},
+                                                             {"debug", byLevel.of(LogLevel::Debug)},
+                                                             {"info", byLevel.of(LogLevel::Info)},
+                                                             {"warn", byLevel.of(LogLevel::Warn)},
+                                                             {"error", byLevel.of(LogLevel::Error)}}));
     }
 
     static constexpr mode_t logFileMode = 0666; // less the umask
--- a/src/telemetry/log_queue.h
+++ b/src/telemetry/log_queue.h
@@ -50,8 +50,8 @@
 
     /// Counts a line that could not be written.
     void countDrop(Event event);
-    /// Called after a line has been written. Returns the drops since the last report once the queue is empty, or after a
-    /// while if it does not get empty.
+    /// Called after a line has been written. Returns the drops since the last report once the queue is empty, or after
+    /// a while if it does not get empty.
     std::optional<LogDrops> takeReport(TimePoint now);
     /// Counts the drops of a report that could not be written for the next one.
     void returnReport(const LogDrops &drops);
--- a/tests/process/stuck_log_test.cpp
+++ b/tests/process/stuck_log_test.cpp
@@ -116,7 +116,8 @@
     startEntry();
     expectReady();
     expectAnswers("full-");
-    EXPECT_TRUE(eventually([&] { return call("/s/", "adapter-" + std::to_string(++probeCount_), "a1").status == 200; }));
+    EXPECT_TRUE(
+        eventually([&] { return call("/s/", "adapter-" + std::to_string(++probeCount_), "a1").status == 200; }));
     expectEnd("entry-1");
     expectEnd("side-1");
 }
--- a/tests/unit/log_queue_test.cpp
+++ b/tests/unit/log_queue_test.cpp
@@ -1,9 +1,8 @@
 // Tests of the log queue and of its writer with sinks that are stuck, slow, closed or full.
 #include "telemetry/log_writer.h"
 
-#include <gtest/gtest.h>
-
 #include <fcntl.h>
+#include <gtest/gtest.h>
 #include <poll.h>
 #include <pthread.h>
 #include <unistd.h>
