Proofs of a stream's version: what was reviewed still joined streams in three ways

Found by a review of the fix, by reading; the two new tests failed before. - The age of a stream was bounded by the time that its caller still waits. The adapter fills that in as 60 s where the caller does not say, and callers may send the same value with each call, so that the bound shrank to a second. It is the full bound now, with 4 s for entries that see the end of a version later than others (TimeoutOfTheCallerDoesNotBoundTheAgeOfItsStream). The tests of a sole version wait for the longer time. - A call without a name was placed at the only version that the entry knew before sidecars were asked, who may know its stream at a version that the entry has not read yet (SidecarsAreAskedBeforeASoleVersionIsAssumed). They are asked first, and nothing is assumed while all records are read again. - A stream found by its content counted although a sidecar had not answered, or the next two had not been asked, and streams of uncertain origin left no trace. All four must answer, and an uncertain origin makes its content ambiguous.

--- a/src/direct/origin_client.cpp
+++ b/src/direct/origin_client.cpp
@@ -72,9 +72,10 @@
 void OriginClient::proceed(std::uint64_t number, TimePoint now)
 {
     auto &lookup = lookups_.at(number);
-    const bool isKnown = lookup.known && lookup.asked != 0;
-    if (isKnown || lookup.candidates.empty()) {
-        finish(number, lookup.known && !lookup.known->isAmbiguous() ? lookup.known : std::nullopt);
+    if (lookup.candidates.empty()) {
+        // A sidecar that did not answer may know another stream of the same content.
+        const bool isProven = lookup.known && !lookup.known->isAmbiguous() && lookup.asked != 0 && !lookup.hasTimedOut;
+        finish(number, isProven ? lookup.known : std::nullopt);
         return;
     }
     askNext(number, lookup, now);
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -9,20 +9,28 @@
 
 // Age of the store's last answer up to which this entry knows the endpoints that serve.
 constexpr Duration maxStoreAge = Seconds(2);
+// Another entry may begin a stream at a version whose end this entry has already seen.
+constexpr Duration maxEntryLag = Seconds(4);
 
 } // namespace
 
 void DirectCalls::onStreamStarted(CallHandle handle, const StreamOrigin &origin, TimePoint now)
 {
     const auto found = impl_->calls.find(handle);
-    if (found == impl_->calls.end() || !found->second.isResumable || !impl_->isCertain(origin)) {
+    if (found == impl_->calls.end() || !found->second.isResumable) {
         return;
     }
     const auto &call = found->second;
+    const auto contentKey = streamContentKey(call.info, call.workspace);
+    if (!impl_->isCertain(origin)) {
+        impl_->origins.add(contentKey, StreamOrigin{}, call.deadline); // others of this content cannot be told from it
+        impl_->flushOrigins(now);
+        return;
+    }
     const StreamOrigin reported{origin.service, origin.softwareVersion};
     ++impl_->stats.origins.reported;
     impl_->origins.add(call.info.requestId, reported, call.deadline);
-    impl_->origins.add(streamContentKey(call.info, call.workspace), reported, call.deadline);
+    impl_->origins.add(contentKey, reported, call.deadline);
     if (call.info.resumed && !call.info.resumed->firstRequestId.empty()) {
         impl_->origins.add(call.info.resumed->firstRequestId, reported, call.deadline);
     }
@@ -106,9 +114,6 @@
         continueStream(handle, call, *own, now);
         return;
     }
-    if (requestId.empty() && assumeOrigin(handle, call, now)) {
-        return;
-    }
     call.step = CallStep::Origin;
     call.stepStartedAt = now;
     origins.lookUp(handle, requestId.empty() ? streamContentKey(call.info, call.workspace) : requestId, endpoints, now);
@@ -147,8 +152,9 @@
 {
     const auto *route = routes.find(call.info.host, call.info.path);
     const bool hasOneService = route != nullptr && route->services.size() == 1;
-    // No caller waits longer than maxStreamAge in all, and this one still waits for its timeout.
-    const auto maxAge = std::max(Duration(0), maxStreamAge - call.info.callerTimeout) + streamAgeMargin;
+    // What the caller says of its remaining time does not bound the age: it may be a default, or the same for each
+    // call.
+    const auto maxAge = maxStreamAge + streamAgeMargin + maxEntryLag;
     const auto version = hasOneService && now - storeAnsweredAt <= maxStoreAge
                              ? versionHistory.soleVersion(call.service, endpoints, maxAge, now)
                              : std::nullopt;
--- a/src/direct/version_history.cpp
+++ b/src/direct/version_history.cpp
@@ -66,7 +66,7 @@
 std::optional<std::string> VersionHistory::soleVersion(const std::string &service, const EndpointTable &endpoints,
                                                        Duration span, TimePoint now) const
 {
-    if (!knownSince_ || (recordedServices_.count(service) == 0 && now - *knownSince_ < span)) {
+    if (!knownSince_ || !isCurrent_ || (recordedServices_.count(service) == 0 && now - *knownSince_ < span)) {
         return std::nullopt;
     }
     std::set<std::string> versions;
--- a/tests/support/stream_fleet.h
+++ b/tests/support/stream_fleet.h
@@ -104,22 +104,34 @@
         return run(entry, makeCall(id, callerTimeout, content)).value_or("");
     }
     /// Resumes a stream; returns the version at which it goes on, or none if it is refused.
-    std::optional<std::string> resumeStream(std::size_t entry, const std::string &firstId)
+    std::optional<std::string> resumeStream(std::size_t entry, const std::string &firstId,
+                                            Duration callerTimeout = Seconds(15))
     {
-        return resume(entry, firstId, firstId);
+        return resume(entry, firstId, firstId, callerTimeout);
     }
     /// The same without naming its first call, with the content of its request.
-    std::optional<std::string> resumeUnnamed(std::size_t entry, const std::string &content)
+    std::optional<std::string> resumeUnnamed(std::size_t entry, const std::string &content,
+                                             Duration callerTimeout = Seconds(15))
     {
-        return resume(entry, {}, content);
+        return resume(entry, {}, content, callerTimeout);
+    }
+    static std::string contentKey(const std::string &content)
+    {
+        return streamContentKey(makeCall(content, Seconds(15), content), {});
+    }
+    /// A report of another entry to the sidecar of the engine.
+    void report(std::size_t engine, const wire::OriginReport &report)
+    {
+        engines_.at(engine).origins.onReport(report, now_);
     }
 
     RefuseCall lastRefusal;
 
 private:
-    std::optional<std::string> resume(std::size_t entry, const std::string &firstId, const std::string &content)
+    std::optional<std::string> resume(std::size_t entry, const std::string &firstId, const std::string &content,
+                                      Duration callerTimeout)
     {
-        auto info = makeCall("resume-" + std::to_string(++lastCall_), Seconds(15), content);
+        auto info = makeCall("resume-" + std::to_string(++lastCall_), callerTimeout, content);
         info.resumed = ResumedStream{"2", firstId};
         return run(entry, info);
     }
--- a/tests/unit/resumed_calls_test.cpp
+++ b/tests/unit/resumed_calls_test.cpp
@@ -140,15 +140,15 @@
     };
     keepStore(Seconds(30));
     EXPECT_EQ(fleet.resumeStream(1, "one"), std::nullopt) << "not known for long enough";
-    keepStore(Seconds(31));
+    keepStore(Seconds(36));
     EXPECT_EQ(fleet.resumeStream(1, "two"), "v1");
     fleet.advance(Seconds(3));
     EXPECT_EQ(fleet.resumeStream(1, "three"), std::nullopt) << "the store is not heard";
     fleet.addEngine("v2");
     fleet.stopEngine(2);
-    keepStore(Seconds(44));
+    keepStore(Seconds(60));
     EXPECT_EQ(fleet.resumeStream(1, "four"), std::nullopt) << "the other version has just ended";
-    keepStore(Seconds(4));
+    keepStore(Seconds(6));
     EXPECT_EQ(fleet.resumeStream(1, "five"), "v1");
 }
 
@@ -184,17 +184,50 @@
         fleet.restartEntry(0);
         fleet.restartEntry(1);
         fleet.restartSidecar(1);
-        for (const auto known : {Seconds(0), Seconds(20), Seconds(24)}) {
+        for (const auto known : {Seconds(0), Seconds(30), Seconds(33)}) {
             fleet.advance(known);
             fleet.entry(1).onStoreAnswered(fleet.now());
             EXPECT_EQ(fleet.resumeStream(1, name), std::nullopt);
         }
-        fleet.advance(Seconds(2));
+        fleet.advance(Seconds(3));
         fleet.entry(1).onStoreAnswered(fleet.now());
         EXPECT_EQ(fleet.resumeStream(1, name), "v2") << "callers have given up the streams of the other version";
     }
 }
 
+// Guards against a bound on the age of a stream by what its caller says of its remaining time, which may be a default
+// or the same for each call.
+TEST(ResumedCalls, TimeoutOfTheCallerDoesNotBoundTheAgeOfItsStream)
+{
+    StreamFleet fleet(2, {"v1", "v2"});
+    fleet.advance(Seconds(1));
+    fleet.stopEngine(0);
+    fleet.advance(Seconds(3));
+    fleet.entry(1).onStoreAnswered(fleet.now());
+    EXPECT_EQ(fleet.resumeStream(1, "s", Seconds(60)), std::nullopt);
+    EXPECT_EQ(fleet.resumeUnnamed(1, "s", Seconds(60)), std::nullopt);
+}
+
+// Guards against taking a version for the only one while sidecars know a stream of a newer one, which this entry has
+// not read yet.
+TEST(ResumedCalls, SidecarsAreAskedBeforeASoleVersionIsAssumed)
+{
+    StreamFleet fleet(2, {"v1"});
+    fleet.advance(Seconds(1));
+    fleet.restartEntry(1);
+    fleet.advance(Milliseconds(100));
+    wire::OriginReport report;
+    auto &item = *report.add_origins();
+    item.set_request(fleet.contentKey("s"));
+    item.set_service(engineService);
+    item.set_software_version("v2");
+    item.set_valid_us(60'000'000);
+    fleet.report(0, report);
+    fleet.entry(1).onStoreAnswered(fleet.now());
+    EXPECT_EQ(fleet.resumeUnnamed(1, "s"), std::nullopt);
+    EXPECT_EQ(fleet.lastRefusal.reason, RefusalReason::SoftwareVersionGone);
+}
+
 // Guards against records of versions that no longer serve, for which streams would be refused after each restart.
 TEST(ResumedCalls, RecordOfAVersionIsRemovedAfterItsStreams)
 {
