One constant bounds the age of a resumed stream

The bound was put together from three constants in two files, and the doc comment of soleVersion named another one. No change of behaviour: 65 s, and records outlast it by 6 s.

--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -9,8 +9,6 @@
 
 // Age of the store's last answer up to which this entry knows the endpoints that serve.
 constexpr Duration maxStoreAge = Seconds(2);
-// Another entry may begin a stream at a version whose end this entry has already seen.
-constexpr Duration maxEntryLag = Seconds(4);
 
 } // namespace
 
@@ -154,9 +152,8 @@
     const bool hasOneService = route != nullptr && route->services.size() == 1;
     // What the caller says of its remaining time does not bound the age: it may be a default, or the same for each
     // call.
-    const auto maxAge = maxStreamAge + streamAgeMargin + maxEntryLag;
     const auto version = hasOneService && now - storeAnsweredAt <= maxStoreAge
-                             ? versionHistory.soleVersion(call.service, endpoints, maxAge, now)
+                             ? versionHistory.soleVersion(call.service, endpoints, now)
                              : std::nullopt;
     if (!version) {
         return false;
--- a/src/direct/version_history.cpp
+++ b/src/direct/version_history.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Records outlast the proofs that depend on them: entries see the end of a version at different times.
-constexpr Duration recordRetention = maxStreamAge + streamAgeMargin + Seconds(10);
+constexpr Duration recordRetention = maxStreamAge + Seconds(6);
 // The first of many entries writes a missing record early; the others see it before their own turn.
 constexpr Duration writeStagger = Milliseconds(10);
 constexpr Duration rewriteInterval = Seconds(5);
@@ -64,9 +64,9 @@
 }
 
 std::optional<std::string> VersionHistory::soleVersion(const std::string &service, const EndpointTable &endpoints,
-                                                       Duration span, TimePoint now) const
+                                                       TimePoint now) const
 {
-    if (!knownSince_ || !isCurrent_ || (recordedServices_.count(service) == 0 && now - *knownSince_ < span)) {
+    if (!knownSince_ || !isCurrent_ || (recordedServices_.count(service) == 0 && now - *knownSince_ < maxStreamAge)) {
         return std::nullopt;
     }
     std::set<std::string> versions;
@@ -80,7 +80,7 @@
     }
     if (const auto served = servedUntil_.find(service); served != servedUntil_.end()) {
         for (const auto &[version, until] : served->second) {
-            if (now - until < span) {
+            if (now - until < maxStreamAge) {
                 versions.insert(version);
             }
         }
@@ -119,18 +119,18 @@
             }
         }
     }
-    std::erase_if(pending_, [&](const auto &item) { return wanted.count(item.first) == 0; });
+    std::erase_if(pendingWrites_, [&](const auto &item) { return wanted.count(item.first) == 0; });
     return writes;
 }
 
 bool VersionHistory::isDue(const VersionName &name, std::uint32_t entries, TimePoint now)
 {
     const auto turn = hash64(name.second, hash64(name.first, seed_)) % std::max<std::uint32_t>(1, entries);
-    auto &pending = pending_.try_emplace(name, PendingWrite{now + static_cast<int>(turn) * writeStagger}).first->second;
-    if (now < pending.dueAt) {
+    auto &dueAt = pendingWrites_.try_emplace(name, now + static_cast<int>(turn) * writeStagger).first->second;
+    if (now < dueAt) {
         return false;
     }
-    pending.dueAt = now + rewriteInterval;
+    dueAt = now + rewriteInterval;
     return true;
 }
 
--- a/src/direct/version_history.h
+++ b/src/direct/version_history.h
@@ -23,9 +23,9 @@
     void onUnknownVersionEnded(const std::string &service, TimePoint now);
     /// Time since the store has been known; 0 before that.
     Duration knownFor(TimePoint now) const;
-    /// The only version that endpoints of the service have run for `span`, which is maxStreamAge and streamAgeMargin at
-    /// most. Empty if there were several, or if neither this entry nor the store's records reach back for so long.
-    std::optional<std::string> soleVersion(const std::string &service, const EndpointTable &endpoints, Duration span,
+    /// The only version that endpoints of the service have run for maxStreamAge. Empty if there were several, or if
+    /// neither this entry nor the store's records reach back for so long.
+    std::optional<std::string> soleVersion(const std::string &service, const EndpointTable &endpoints,
                                            TimePoint now) const;
     /// Records to write or remove now. `entries`: number of entries that may write the same ones.
     std::vector<SoftwareVersionWrite> takeWrites(const std::set<std::string> &services, const EndpointTable &endpoints,
@@ -33,11 +33,6 @@
 
 private:
     using VersionName = std::pair<std::string, std::string>; // service and version
-    struct PendingWrite
-    {
-        TimePoint dueAt;
-    };
-
     /// True once per attempt: after a delay that differs between entries, and again if the write has had no effect.
     bool isDue(const VersionName &name, std::uint32_t entries, TimePoint now);
 
@@ -47,12 +42,11 @@
     std::set<std::string> recordedServices_; // with a record when the store was first read
     std::map<VersionName, SoftwareVersionRecord> records_;
     std::map<std::string, std::map<std::string, TimePoint>> servedUntil_; // of versions, by service; not before that
-    std::map<VersionName, PendingWrite> pending_;
+    std::map<VersionName, TimePoint> pendingWrites_; // and when each is due
 };
 
-/// Upper bound on the age of a stream that a caller resumes: no caller waits longer.
-constexpr Duration maxStreamAge = Seconds(60);
-/// Requests of a caller take different times to arrive.
-constexpr Duration streamAgeMargin = Seconds(1);
+/// Upper bound on the time from the last record of a version to a call that resumes one of its streams: no caller waits
+/// longer than 60 s, and other entries see the end of a version some seconds later.
+constexpr Duration maxStreamAge = Seconds(65);
 
 } // namespace anvilscale
