--- a/src/telemetry/log_queue.h
+++ b/src/telemetry/log_queue.h
@@ -22,7 +22,7 @@
 struct LogQueueInit
 {
     std::size_t maxLines = 4096;
-    std::size_t maxBytes = 1024 * 1024; ///< with the memory of the lines' objects
+    std::size_t maxBytes = 1U << 20; ///< with the memory of the lines' objects
 };
 
 struct LogLine
--- a/tests/unit/log_queue_test.cpp
+++ b/tests/unit/log_queue_test.cpp
@@ -18,7 +18,7 @@
 
 LogQueueInit smallQueue()
 {
-    return {.maxLines = 80, .maxBytes = 80 * 1024};
+    return {.maxLines = 80, .maxBytes = 80U << 10};
 }
 
 int pushUntilFull(LogQueue &queue, Event event)
@@ -121,7 +121,7 @@
     for (int i = 0; i < 100; ++i) {
         queue.push(Event::CallEnded, std::string(5000, 'x'));
         queue.push(Event::CallEndedBadly, std::string(5000, 'x'));
-        queue.push(Event::ProcessStarted, std::string(100 * 1024, 'x'));
+        queue.push(Event::ProcessStarted, std::string(100U << 10, 'x'));
     }
     EXPECT_LE(queue.bytes(), smallQueue().maxBytes);
     EXPECT_EQ(queue.drops().of(Event::CallEnded), 94U); // 6 and 2 of the others fill half of the bytes
