--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -79,6 +79,7 @@
     impl_->config = config;
     impl_->routes = RouteTable(config.routes);
     impl_->streamLimits = findStreamLimits(config);
+    impl_->updateResumableServices();
     std::set<std::string> services;
     for (const auto &service : config.services) {
         services.insert(service.name);
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -134,6 +134,7 @@
     SlotClient slots;
     OriginClient origins;
     VersionHistory versionHistory;
+    std::set<std::string> resumableServices; // with streams that may be resumed, by the configuration
     std::uint32_t knownEntries = 0; // number of entries, as reported by sidecars; 0 if unknown
     std::optional<PoolClient> endpointCredit; // for calls to endpoints that have announced a rate limit
     bool hasLimitedEndpoints = false; // some endpoint had a limit when the groups of endpointCredit were set
@@ -208,6 +209,7 @@
     void checkOriginAnswers(TimePoint now);
     /// Turns reports of origins that are due into actions.
     void flushOrigins(TimePoint now);
+    void updateResumableServices();
     /// Goes on at the only software version that can have begun the stream; returns false if there is none.
     bool assumeOrigin(CallHandle handle, DirectCall &call, TimePoint now);
     /// True if the process that wrote the stream is still the one that the attempt was sent to, and its version was
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -68,18 +68,19 @@
 
 std::vector<SoftwareVersionWrite> DirectCalls::takeSoftwareVersionWrites(TimePoint now)
 {
-    if (!impl_->config) {
-        return {};
-    }
-    std::set<std::string> services; // whose streams may be resumed
-    for (const auto &route : impl_->config->routes) {
+    return impl_->versionHistory.takeWrites(impl_->resumableServices, impl_->endpoints, impl_->knownEntries, now);
+}
+
+void DirectCalls::Impl::updateResumableServices()
+{
+    resumableServices.clear();
+    for (const auto &route : config->routes) {
         for (const auto &share : route.services) {
             if (route.resumable && route.repeat == RepeatRule::Stream) {
-                services.insert(share.service);
+                resumableServices.insert(share.service);
             }
         }
     }
-    return impl_->versionHistory.takeWrites(services, impl_->endpoints, impl_->knownEntries, now);
 }
 
 void DirectCalls::onOriginAnswer(const std::string &address, const wire::OriginAnswer &answer, TimePoint now)
