Tests: streams resumed at an entry that has not read the version that began them

Six cases with real processes. An entry has read v1 only, v2 joins, and a stream that began at v2, or may have, is resumed at that entry: its answers from the store are 300 ms or 1 s late, it stood still for 100 ms (also with the first entry and both sidecars killed), it pauses between its watches, or it stood still for 3 s while sidecars know the streams.

--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -1,5 +1,8 @@
 // Resumed streams in a service with two software versions, with real processes: two entries, two engines, two sidecars.
 #include "direct_fleet.h"
+#include "support/delaying_proxy.h"
+
+#include <future>
 
 namespace {
 
@@ -97,6 +100,62 @@
                         {"X-Anvilscale-Token-Usage", "100,20"}});
         return request(secondEntry_.http, "POST", "/s/x", body, headers);
     }
+    /// Starts all with the first engine only, which runs the only version that the store knows. The other engine has
+    /// no record yet. `secondEntryStore` and `secondEntryTimes`: store port and further settings of the second entry.
+    void startSoleVersion(unsigned secondEntryStore, const std::string &secondEntryTimes = R"("storePauseMs":50)")
+    {
+        const std::regex streamPrefix(R"("prefix":"/s/")");
+        putKey("op/config", std::regex_replace(config(2, "/n/"), streamPrefix, R"("prefix":"/s/","resumable":true)"));
+        putKey("anvilscale/software/engines/v1", R"({"service":"engines","version":"v1"})");
+        otherVersion_ = "v2";
+        otherPort_ =
+            fleet_.startStandin("site-replica", {"--id", "e-2", "--slots", "2", "--address", otherAddress}, "engine-2");
+        startSidecars();
+        startEntry();
+        startDaemon("entry-2", R"({"role":"direct-entry","name":"entry-2","dataCentre":"dc","control":{"address":)"
+                               R"("127.0.0.3","port":)"
+                                   + std::to_string(controlPort_) + R"(},"http":{"at":"127.0.0.1:)"
+                                   + std::to_string(secondEntry_.http) + R"("},"direct":{"store":"http://127.0.0.1:)"
+                                   + std::to_string(secondEntryStore) + R"(","ready":{"at":"127.0.0.1:)"
+                                   + std::to_string(secondEntry_.ready) + R"("},)" + secondEntryTimes
+                                   + R"(,"graceMs":8000,"metricsPort":)" + std::to_string(secondEntry_.metrics)
+                                   + R"(},"log":{"file":"-"}})");
+        engines_ = 1;
+        awaitEntries();
+        EXPECT_EQ(resumeStream("sole", "unknown").status, 200) << "the sole version is known";
+    }
+    /// Resumes a stream of unknown origin once the store has acknowledged the record of the other version. It may have
+    /// begun there through any entry that has read the record.
+    void expectNoJoinAfterOtherVersionJoined()
+    {
+        putKey("servers/e-2", otherRecord("ready"));
+        expectRefused(resumeStream("r-2", "lost"), true, "r-2");
+    }
+    void expectNoJoinWithLateAnswers(std::chrono::milliseconds delay)
+    {
+        anvilscale::test::DelayingProxy proxy(storePort_);
+        startSoleVersion(proxy.port(), R"("storePauseMs":50,"leaveMs":5000,"configMs":5000)");
+        proxy.setDelay(delay);
+        putKey("other", "1"); // ends the watch under way, so that a later one waits in the store
+        std::this_thread::sleep_for(2 * delay + std::chrono::milliseconds(200));
+        expectNoJoinAfterOtherVersionJoined();
+        daemons_.erase("entry-2");
+    }
+    /// The other version joins, and the first entry begins a stream there. Returns its request id.
+    std::string beginStreamAtJoinedVersion()
+    {
+        putKey("servers/e-2", otherRecord("ready"));
+        engines_ = 2;
+        EXPECT_TRUE(eventually([&] { return hasEngines("entry-1"); }));
+        for (int i = 0; i < 50; ++i) {
+            const auto id = "r-" + std::to_string(i);
+            if (beginStream(id)) {
+                return id;
+            }
+        }
+        ADD_FAILURE() << "no stream began at the other version";
+        return {};
+    }
     /// The engine stops and its record is removed. Its sidecar goes on.
     void removeEngine(bool isOther)
     {
@@ -276,4 +335,79 @@
     }));
 }
 
+// Guards against a stream joined from two versions at an entry whose answers from the store are late.
+TEST_F(StreamVersion, StreamIsNotJoinedWhereAnswersOfTheStoreAreLate)
+{
+    expectNoJoinWithLateAnswers(std::chrono::milliseconds(300));
+}
+
+// Guards against the same with answers that are later than a retried call may take by the settings' defaults.
+TEST_F(StreamVersion, StreamIsNotJoinedWhereAnswersOfTheStoreAreVeryLate)
+{
+    expectNoJoinWithLateAnswers(std::chrono::milliseconds(1000));
+}
+
+// Guards against a stream joined from two versions at an entry that has stood still, by an answer of the store from
+// before the other version joined.
+TEST_F(StreamVersion, StreamIsNotJoinedAfterItsEntryStoodStill)
+{
+    startSoleVersion(storePort_);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // a watch waits in the store
+    daemons_["entry-2"]->signal(SIGSTOP);
+    putKey("other", "1");
+    putKey("servers/e-2", otherRecord("ready"));
+    auto resumed = std::async(std::launch::async, [&] { return resumeStream("r-2", "lost"); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    daemons_["entry-2"]->signal(SIGCONT);
+    expectRefused(resumed.get(), true, "r-2");
+}
+
+// Guards against the same where all processes that knew the stream have ended meanwhile.
+TEST_F(StreamVersion, StreamIsNotJoinedAfterItsEntryStoodStillAndItsSidecarsEnded)
+{
+    startSoleVersion(storePort_, R"("storePauseMs":50,"leaveMs":10000,"configMs":10000)");
+    std::this_thread::sleep_for(std::chrono::milliseconds(200)); // a watch waits in the store
+    daemons_["entry-2"]->signal(SIGSTOP);
+    putKey("other", "1");
+    const auto began = beginStreamAtJoinedVersion();
+    daemons_.erase("entry-1");
+    restartSidecars();
+    auto resumed = std::async(std::launch::async, [&] { return resumeStream("again", began); });
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    daemons_["entry-2"]->signal(SIGCONT);
+    expectRefused(resumed.get(), true, "again");
+}
+
+// Guards against a stream joined from two versions at an entry that pauses between its watches.
+TEST_F(StreamVersion, StreamIsNotJoinedInAPauseBetweenWatches)
+{
+    startSoleVersion(storePort_, R"("leaveMs":3000,"configMs":3000)");
+    std::this_thread::sleep_for(std::chrono::milliseconds(2000)); // a watch waits in the store
+    putKey("other", "1");
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    expectNoJoinAfterOtherVersionJoined();
+}
+
+// Guards against refusing for good a stream whose version is known to sidecars and has not been read from the store yet
+// by the entry that resumes it.
+TEST_F(StreamVersion, StreamOfAVersionThatItsEntryHasNotReadYetGoesOn)
+{
+    startSoleVersion(storePort_);
+    daemons_["entry-2"]->signal(SIGSTOP);
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    const auto began = beginStreamAtJoinedVersion();
+    std::vector<std::future<Answer>> resumed;
+    std::this_thread::sleep_until(stoppedAt + std::chrono::milliseconds(2900));
+    for (int i = 0; i < 6; ++i) {
+        resumed.push_back(std::async(std::launch::async,
+                                     [this, i, began] { return resumeStream("again-" + std::to_string(i), began); }));
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    daemons_["entry-2"]->signal(SIGCONT);
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(resumed[static_cast<std::size_t>(i)].get().status, 200);
+        EXPECT_EQ(runCount(true, "again-" + std::to_string(i)), 1);
+    }
+}
+
 } // namespace
