--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -3,6 +3,7 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -14,6 +15,7 @@
 #include <fstream>
 #include <map>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -47,9 +49,10 @@
 class Process
 {
 public:
-    /// `environment`: further variables of the process.
+    /// `environment`: further variables of the process. `maxDescriptors`: its limit of open descriptors, 0 for that of
+    /// the test.
     Process(const std::vector<std::string> &command, const std::string &errorFile,
-            const std::map<std::string, std::string> &environment = {})
+            const std::map<std::string, std::string> &environment = {}, rlim_t maxDescriptors = 0)
     {
         std::vector<char *> arguments;
         arguments.reserve(command.size() + 1);
@@ -70,6 +73,10 @@
             sigset_t emptySet;
             sigemptyset(&emptySet);
             ::sigprocmask(SIG_SETMASK, &emptySet, nullptr);
+            if (maxDescriptors != 0) {
+                const rlimit limit{maxDescriptors, maxDescriptors};
+                ::setrlimit(RLIMIT_NOFILE, &limit);
+            }
             for (const auto &[name, value] : environment) {
                 ::setenv(name.c_str(), value.c_str(), 1); // NOLINT(concurrency-mt-unsafe): the child has one thread
             }
@@ -137,6 +144,26 @@
         }
         return 0;
     }
+    /// Processor time used by all threads, 0 if the process has exited.
+    std::chrono::milliseconds processorTime() const
+    {
+        std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+        std::string text{std::istreambuf_iterator<char>(file), {}};
+        const auto nameEnd = text.rfind(')');
+        if (nameEnd == std::string::npos) {
+            return std::chrono::milliseconds(0);
+        }
+        constexpr int fieldsBeforeTimes = 11; // between the name and utime
+        std::istringstream fields(text.substr(nameEnd + 1));
+        std::string skipped;
+        for (int i = 0; i < fieldsBeforeTimes; ++i) {
+            fields >> skipped;
+        }
+        std::int64_t user = 0;
+        std::int64_t system = 0;
+        fields >> user >> system;
+        return std::chrono::milliseconds((user + system) * 1000 / ::sysconf(_SC_CLK_TCK));
+    }
 
 private:
     pid_t pid_ = -1;
--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -81,7 +81,7 @@
         daemons_.erase(name);
         daemons_[name] = std::make_unique<Process>(
             std::vector<std::string>{buildFolder() + "/bin/anvilscaled", "--settings", fleet_.settingsFile(name)},
-            fleet_.logFile(name), environment);
+            fleet_.logFile(name), environment, maxDescriptors_);
     }
     std::string readLog(const std::string &name) const
     {
@@ -200,6 +200,7 @@
     std::map<std::string, std::unique_ptr<Process>> daemons_;
     int probeCount_ = 0;
     int graceMs_ = 8000; // of entries that are started from now on
+    rlim_t maxDescriptors_ = 0; // of daemons that are started from now on; 0: as of the test
 };
 
 } // namespace fleet
