Addresses are parsed once, where they are read, and carried as a type

Callers lost every call in progress at an entry, and its restart ended the same way: a record under servers/ with the address ::1:80, ::ffff:127.0.0.1:80 or fe80::1%lo:80 passed the check of records, which took all before the last colon for an IP address, and ended the process in HttpClient, which gave the whole text to a constructor of POCO that throws, on the traffic thread. The same class: direct.store and direct.endpoint with a path ended a process at its start with status 134, although the settings' check had accepted them.

NetAddress is an IPv4 address and a port, and its parse() the only reader of such text. HttpClientInit, EndpointInit, connectTo() and the inits of the store's clients carry it, so that the code that connects has nothing left that can fail. The record keeps the canonical text, which names the endpoint between processes. IPv6 is not spoken: such a record is unreadable, and settings that name such a store or engine are refused with their path (http://[::1]:80 was accepted for the store before). Unspecified, multicast and broadcast addresses are refused as well.

Going on is safe where a text is no address after all: the relay ends the attempt as unreachable before anything is sent, and a member without an address has no connection, so that messages to it fail as not sent (new event 302, member_address_rejected).

Tests: those that gave a text as address give a NetAddress; EndpointInit lost its port, which is part of the address.

--- a/include/anvilscale/daemon.h
+++ b/include/anvilscale/daemon.h
@@ -17,6 +17,7 @@
     LockHeld, ///< another sidecar is running on this VM
     Endpoint,
     PortFile,
+    StoreAddress, ///< the store's URL has no IPv4 address and port
     Mechanism, ///< the settings disable a mechanism that does not exist
     Count
 };
@@ -24,7 +25,7 @@
 struct EnumNames<StartErrorKind>
 {
     static constexpr std::array<std::string_view, enumCount<StartErrorKind>> table{
-        "control_address", "http_address", "lock_held", "endpoint", "port_file", "mechanism"};
+        "control_address", "http_address", "lock_held", "endpoint", "port_file", "store_address", "mechanism"};
 };
 
 struct StartError
--- a/include/anvilscale/endpoint.h
+++ b/include/anvilscale/endpoint.h
@@ -45,8 +45,7 @@
 
 struct EndpointInit
 {
-    std::string address; ///< loopback IP address
-    std::uint16_t port = 0;
+    NetAddress address; ///< on the loopback interface
     EndpointKind kind = EndpointKind::Engine;
     std::uint32_t batchLimit = 16;
     Duration reportInterval = Milliseconds(500);
@@ -95,7 +94,7 @@
 };
 
 /// Parses "http://IP:PORT" into address and port.
-tl::expected<std::pair<std::string, std::uint16_t>, EndpointErrorKind> parseEndpointUrl(std::string_view url);
+tl::expected<NetAddress, EndpointErrorKind> parseEndpointUrl(std::string_view url);
 
 /// Client of one endpoint with its own threads. Calls are distributed over them; orders and reports use the first.
 class Endpoint
--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -18,6 +18,57 @@
 
 namespace anvilscale {
 
+// ---- addresses
+
+/// Why a text is not an address.
+enum class AddressErrorKind : std::uint8_t {
+    NotIpv4, ///< no dotted IPv4 address before the first colon
+    BadPort, ///< no decimal number from 1 to 65535 after it
+    Unspecified, ///< in 0.0.0.0/8
+    NotUnicast, ///< a multicast, reserved or broadcast address
+    BadScheme, ///< a URL that does not begin with "http://"
+    Count
+};
+template<>
+struct EnumNames<AddressErrorKind>
+{
+    static constexpr std::array<std::string_view, enumCount<AddressErrorKind>> table{
+        "not_ipv4", "bad_port", "unspecified", "not_unicast", "bad_scheme"};
+};
+
+/// IPv4 address and port of another process. Text of other programs is parsed once, where it is read, so that code that
+/// makes connections has no text that it could fail on.
+class NetAddress
+{
+public:
+    /// The null address, to which no connection can be made.
+    NetAddress() = default;
+    /// Parses "IP:PORT".
+    static tl::expected<NetAddress, AddressErrorKind> parse(std::string_view text);
+    /// Parses "http://IP:PORT", with or without a final slash.
+    static tl::expected<NetAddress, AddressErrorKind> parseUrl(std::string_view url);
+    NetAddress withPort(std::uint16_t port) const;
+    /// In host byte order.
+    std::uint32_t ip() const
+    {
+        return ip_;
+    }
+    std::uint16_t port() const
+    {
+        return port_;
+    }
+    bool isLoopback() const;
+    /// Returns "IP:PORT"; equal addresses have equal texts.
+    std::string text() const;
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter takes the 0 in a rewritten comparison for a pointer
+    auto operator<=>(const NetAddress &) const = default;
+
+private:
+    // Invariant: both are 0, or neither is and the address is unicast.
+    std::uint32_t ip_ = 0;
+    std::uint16_t port_ = 0;
+};
+
 // ---- event loop
 
 /// A thread that waits for sockets, timers and posted tasks. All callbacks run on this thread.
@@ -358,7 +409,7 @@
 
 struct HttpClientInit
 {
-    std::string address; ///< "IP:PORT"
+    NetAddress address;
     Duration connectTimeout{};
     Duration cancelGrace{};
     Duration maxIdleTime = Milliseconds(900); ///< an idle connection is reused up to this age
@@ -521,8 +572,8 @@
     void shutdown();
 
     // Callable from any thread.
-    /// Connects to `address` ("IP:PORT") under this name. A different address replaces the connection.
-    void connectTo(const std::string &name, const std::string &address);
+    /// Connects to `address` under this name. A different address replaces the connection.
+    void connectTo(const std::string &name, NetAddress address);
     void disconnectFrom(const std::string &name);
     void sendTo(PeerHandle peer, const wire::Envelope &message);
     void sendTo(const std::string &name, const wire::Envelope &message);
@@ -537,3 +588,13 @@
 };
 
 } // namespace anvilscale
+
+template<>
+struct std::hash<anvilscale::NetAddress>
+{
+    std::size_t operator()(const anvilscale::NetAddress &address) const noexcept
+    {
+        constexpr int portBits = 16;
+        return std::hash<std::uint64_t>{}((std::uint64_t{address.ip()} << portBits) | address.port());
+    }
+};
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -45,6 +45,7 @@
     ConfigFresh,
     MemberChanged,
     PeerLost,
+    MemberAddressRejected,
     SchedulerTaken,
     SchedulerLost,
     SlotsChanged,
--- a/src/daemon/crash_reporter.h
+++ b/src/daemon/crash_reporter.h
@@ -9,7 +9,7 @@
 
 struct CrashReporterInit
 {
-    std::string address; ///< address of the store, "IP:PORT"
+    NetAddress address; ///< of the store
     std::string name; ///< unique name of this process, different from all earlier processes
     StoreTimes times;
     std::uint64_t seed = 1;
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -27,7 +27,11 @@
         if (!policy) {
             return tl::unexpected(policy.error());
         }
-        auto entry = std::unique_ptr<DirectEntry>(new DirectEntry(settings, *policy));
+        const auto store = storeAddress(settings);
+        if (!store) {
+            return tl::unexpected(store.error());
+        }
+        auto entry = std::unique_ptr<DirectEntry>(new DirectEntry(settings, *policy, *store));
         if (auto listening = entry->listen(); !listening) {
             return tl::unexpected(listening.error());
         }
@@ -88,6 +92,15 @@
     {
         callServer_->loop().post([this, settings] {
             if (settings.direct().store() != settings_.direct().store()) {
+                const auto store = storeAddress(settings);
+                if (!store) {
+                    const auto &error = store.error();
+                    logEvent(
+                        Event::ReloadRejected,
+                        {{"kind", std::string(toString(error.kind))}, {"path", error.path}, {"detail", error.detail}});
+                    return;
+                }
+                store_ = *store;
                 settings_.mutable_direct()->set_store(settings.direct().store());
                 startStoreWriters();
                 startWatcher(watcher_->reportedEndpoints());
@@ -139,8 +152,9 @@
     static constexpr Duration shutdownTime = Milliseconds(600);
     static constexpr std::uint32_t statusUnavailable = 503;
 
-    DirectEntry(const settings::Settings &settings, const DirectPolicy &policy)
+    DirectEntry(const settings::Settings &settings, const DirectPolicy &policy, NetAddress store)
         : settings_(settings)
+        , store_(store)
         , incarnation_(newIncarnation())
         , calls_(directCallsInit(settings, policy))
         , relay_(relayHandlers())
@@ -355,7 +369,7 @@
     /// `knownEndpoints`: endpoints reported by the previous store.
     void startWatcher(std::set<std::string> knownEndpoints)
     {
-        auto init = storeWatcherInit(settings_, incarnation_);
+        auto init = storeWatcherInit(settings_, store_, incarnation_);
         init.knownEndpoints = std::move(knownEndpoints);
         watcher_ = std::make_unique<StoreWatcher<Dialect>>(callServer_->loop(), init, watcherHandlers());
         watcher_->start();
@@ -364,7 +378,7 @@
     void startStoreWriters()
     {
         startCrashReporter();
-        const auto init = crashReporterInit(settings_, incarnation_);
+        const auto init = crashReporterInit(settings_, store_, incarnation_);
         versionWriter_ = std::make_unique<SoftwareVersionWriter<Dialect>>(
             callServer_->loop(), StoreCallerInit{init.address, init.times, init.seed},
             [this](StoreFailureKind kind, std::uint32_t status, bool isFirst) {
@@ -383,7 +397,7 @@
             control_.post([this, kind, status, isFirst](Now) { storeLog_.crashReportFailed(kind, status, isFirst); });
         };
         handlers.dropped = [this] { control_.post([this](Now) { storeLog_.crashReportDropped(); }); };
-        const auto init = crashReporterInit(settings_, incarnation_);
+        const auto init = crashReporterInit(settings_, store_, incarnation_);
         crashReporter_ = std::make_unique<CrashReporter<Dialect>>(callServer_->loop(), init, std::move(handlers));
     }
 
@@ -516,8 +530,7 @@
         const std::set<std::string> names(addresses.begin(), addresses.end());
         for (const auto &name : names) {
             if (sidecars_.insert(name).second) {
-                const auto ip = name.substr(0, name.rfind(':'));
-                messenger_->connectTo(name, ip + ":" + std::to_string(settings_.control().port()));
+                connectSidecar(name);
             }
         }
         for (auto it = sidecars_.begin(); it != sidecars_.end();) {
@@ -530,6 +543,18 @@
         }
     }
 
+    /// `name`: address of the engine, on whose VM the sidecar listens at the control port of this process.
+    void connectSidecar(const std::string &name)
+    {
+        const auto engine = NetAddress::parse(name);
+        if (!engine) {
+            logEvent(Event::MemberAddressRejected,
+                     {{"member", name}, {"detail", std::string(toString(engine.error()))}});
+            return;
+        }
+        messenger_->connectTo(name, engine->withPort(static_cast<std::uint16_t>(settings_.control().port())));
+    }
+
     void onTick()
     {
         const auto now = EventLoop::now();
@@ -724,6 +749,7 @@
     static constexpr Duration selectionInterval = Milliseconds(200);
 
     settings::Settings settings_;
+    NetAddress store_; // traffic thread
     std::uint64_t incarnation_;
     DirectCalls calls_; // control thread
     DirectRelay<Dialect> relay_; // traffic thread
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "anvilscale/direct_path.h"
+#include "anvilscale/telemetry.h"
 
 #include <atomic>
 #include <unordered_map>
@@ -127,7 +128,13 @@
         if (endIfCallerLeft(exchange)) {
             return;
         }
-        call.client = &clientFor(action.address);
+        call.client = clientFor(action.address);
+        if (call.client == nullptr) {
+            AttemptResult result;
+            result.end = AttemptEnd::Unreachable;
+            handlers_.onAttemptEnded(exchange, action.attempt, result);
+            return;
+        }
         auto request = Dialect::callRequest(call.request, action, remaining);
         // A second answer to an earlier attempt carries the same id. It cannot arrive on a new connection.
         request.needsNewConnection = action.attempt > 1;
@@ -296,18 +303,26 @@
         return AnswerFraming::None;
     }
 
-    HttpClient &clientFor(const std::string &address)
+    /// Returns nullptr if the text is no address, which readers of endpoint records prevent.
+    HttpClient *clientFor(const std::string &address)
     {
         auto &client = clients_[address];
         if (!client) {
+            const auto parsed = NetAddress::parse(address);
+            if (!parsed) {
+                clients_.erase(address);
+                logEvent(Event::UnexpectedError,
+                         {{"where", "endpoint address"}, {"what", std::string(toString(parsed.error()))}});
+                return nullptr;
+            }
             HttpClientInit init;
-            init.address = address;
+            init.address = *parsed;
             init.connectTimeout = connectTimeout;
             init.maxIdleTime = defaultKeepIdle;
             init.idleMargin = keepMargin;
             client = std::make_unique<HttpClient>(server_->loop(), init);
         }
-        return *client;
+        return client.get();
     }
 
     ExchangeHandlers handlersFor(HttpExchange exchange, const SendCall &action)
--- a/src/daemon/direct_settings.cpp
+++ b/src/daemon/direct_settings.cpp
@@ -15,6 +15,26 @@
     return policy;
 }
 
+tl::expected<NetAddress, StartError> storeAddress(const settings::Settings &settings)
+{
+    const auto address = NetAddress::parseUrl(settings.direct().store());
+    if (!address) {
+        return tl::unexpected(
+            StartError{StartErrorKind::StoreAddress, "direct.store", std::string(toString(address.error()))});
+    }
+    return *address;
+}
+
+tl::expected<NetAddress, StartError> engineAddress(const settings::Settings &settings)
+{
+    const auto address = NetAddress::parseUrl(settings.direct().endpoint());
+    if (!address) {
+        return tl::unexpected(
+            StartError{StartErrorKind::Endpoint, "direct.endpoint", std::string(toString(address.error()))});
+    }
+    return *address;
+}
+
 AllowanceTimes directAllowanceTimes(const settings::Settings &settings)
 {
     const auto window = fromMilliseconds(1000 * settings.direct().allowance_window_seconds());
@@ -34,11 +54,11 @@
     return init;
 }
 
-StoreWatcherInit storeWatcherInit(const settings::Settings &settings, std::uint64_t incarnation)
+StoreWatcherInit storeWatcherInit(const settings::Settings &settings, NetAddress store, std::uint64_t incarnation)
 {
     const auto &direct = settings.direct();
     StoreWatcherInit init;
-    init.address = direct.store().substr(std::string_view("http://").size());
+    init.address = store;
     init.times = storeTimes(Milliseconds(std::min(direct.leave_ms(), direct.config_ms())));
     if (direct.store_pause_ms() != 0) {
         init.times.pause = Milliseconds(direct.store_pause_ms());
@@ -47,9 +67,9 @@
     return init;
 }
 
-CrashReporterInit crashReporterInit(const settings::Settings &settings, std::uint64_t incarnation)
+CrashReporterInit crashReporterInit(const settings::Settings &settings, NetAddress store, std::uint64_t incarnation)
 {
-    const auto watcher = storeWatcherInit(settings, incarnation);
+    const auto watcher = storeWatcherInit(settings, store, incarnation);
     CrashReporterInit init;
     init.address = watcher.address;
     init.name = settings.name() + "-" + std::to_string(incarnation);
--- a/src/daemon/direct_settings.h
+++ b/src/daemon/direct_settings.h
@@ -12,7 +12,11 @@
 tl::expected<DirectPolicy, StartError> directPolicy(const settings::Settings &settings);
 AllowanceTimes directAllowanceTimes(const settings::Settings &settings);
 DirectCallsInit directCallsInit(const settings::Settings &settings, const DirectPolicy &policy);
-StoreWatcherInit storeWatcherInit(const settings::Settings &settings, std::uint64_t incarnation);
-CrashReporterInit crashReporterInit(const settings::Settings &settings, std::uint64_t incarnation);
+/// Returns the address in `direct.store`.
+tl::expected<NetAddress, StartError> storeAddress(const settings::Settings &settings);
+/// Returns the address in `direct.endpoint`.
+tl::expected<NetAddress, StartError> engineAddress(const settings::Settings &settings);
+StoreWatcherInit storeWatcherInit(const settings::Settings &settings, NetAddress store, std::uint64_t incarnation);
+CrashReporterInit crashReporterInit(const settings::Settings &settings, NetAddress store, std::uint64_t incarnation);
 
 } // namespace anvilscale
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -26,7 +26,15 @@
         if (!policy) {
             return tl::unexpected(policy.error());
         }
-        auto sidecar = std::unique_ptr<DirectSidecar>(new DirectSidecar(settings, *policy));
+        const auto store = storeAddress(settings);
+        if (!store) {
+            return tl::unexpected(store.error());
+        }
+        const auto engine = engineAddress(settings);
+        if (!engine) {
+            return tl::unexpected(engine.error());
+        }
+        auto sidecar = std::unique_ptr<DirectSidecar>(new DirectSidecar(settings, *policy, *store, *engine));
         auto init = messengerInit(settings, sidecar->incarnation_);
         init.livenessCheck = LivenessCheck::KeepAlive;
         auto messenger = Messenger::create(init, sidecar->messengerHandlers());
@@ -49,7 +57,7 @@
         messenger_->start();
         loop_.post([this] {
             HttpClientInit init;
-            init.address = settings_.direct().endpoint().substr(std::string_view("http://").size());
+            init.address = engine_;
             init.connectTimeout = answerTimeout;
             init.maxIdleTime = Milliseconds(700);
             init.idleMargin = Milliseconds(300);
@@ -124,8 +132,10 @@
     // number of entries.
     static constexpr Duration updateIntervalPerEntry = Milliseconds(8);
 
-    DirectSidecar(const settings::Settings &settings, const DirectPolicy &policy)
+    DirectSidecar(const settings::Settings &settings, const DirectPolicy &policy, NetAddress store, NetAddress engine)
         : settings_(settings)
+        , store_(store)
+        , engine_(engine)
         , incarnation_(newIncarnation())
         , controller_(policy)
         , reading_(policy,
@@ -306,7 +316,7 @@
         handlers.failed = [this](StoreFailureKind kind, std::uint32_t status, bool isFirst) {
             control_.post([this, kind, status, isFirst](Now) { onFencingFailed(kind, status, isFirst); });
         };
-        const auto store = storeWatcherInit(settings_, incarnation_);
+        const auto store = storeWatcherInit(settings_, store_, incarnation_);
         const FencingClientInit init{store.address, settings_.name(), store.times, store.seed};
         fencing_ = std::make_unique<FencingClient<Dialect>>(loop_, init, std::move(handlers));
         fencing_->request();
@@ -343,7 +353,7 @@
     /// Starts watching the store for entries that send their requests here.
     void startSharedWatch()
     {
-        const auto watcher = storeWatcherInit(settings_, incarnation_);
+        const auto watcher = storeWatcherInit(settings_, store_, incarnation_);
         const SharedStoreWatchInit init{settings_.direct().store(), watcher.address, watcher.times};
         const auto sendUpdate = [this](PeerHandle entry, const wire::StoreNews &update) {
             wire::Envelope message;
@@ -564,6 +574,8 @@
     }
 
     settings::Settings settings_;
+    const NetAddress store_;
+    const NetAddress engine_;
     std::uint64_t incarnation_;
     AdapterController controller_; // control thread, as are the members below up to nextStateAt_
     bool isRequestingFence_ = true; // control thread; start() requests the first number
--- a/src/daemon/entry_peers.cpp
+++ b/src/daemon/entry_peers.cpp
@@ -175,7 +175,7 @@
     auto &address = connectedAddresses_[name];
     if (address != member->address) {
         address = member->address;
-        messenger_->connectTo(name, address);
+        connectMember(*messenger_, name, address);
     }
     return true;
 }
--- a/src/daemon/fencing_client.h
+++ b/src/daemon/fencing_client.h
@@ -22,7 +22,7 @@
 
 struct FencingClientInit
 {
-    std::string address; ///< address of the store, "IP:PORT"
+    NetAddress address; ///< of the store
     std::string holder; ///< name of this process, for operators
     StoreTimes times;
     std::uint64_t seed = 1;
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -92,6 +92,17 @@
                       std::string(toString(error.kind)) + ": " + error.address + ": " + error.detail};
 }
 
+void connectMember(Messenger &messenger, const std::string &name, const std::string &address)
+{
+    const auto parsed = NetAddress::parse(address);
+    if (!parsed) {
+        logEvent(Event::MemberAddressRejected, {{"member", name}, {"detail", std::string(toString(parsed.error()))}});
+        messenger.disconnectFrom(name);
+        return;
+    }
+    messenger.connectTo(name, *parsed);
+}
+
 std::string toJsonText(const Poco::JSON::Object &object)
 {
     std::ostringstream text;
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -22,6 +22,9 @@
 tl::expected<void, StartError> writePortFile(const settings::Listen &listen, std::uint16_t port,
                                              std::string_view settingPath);
 StartError makeStartError(StartErrorKind kind, std::string_view path, const NetError &error);
+/// Connects to the control address of a member under its name. An address of another form is logged, and messages to
+/// the member fail as not sent.
+void connectMember(Messenger &messenger, const std::string &name, const std::string &address);
 std::string toJsonText(const Poco::JSON::Object &object);
 std::string hexText(std::uint64_t number);
 /// Returns a Hello with the name, incarnation and configuration of this process.
--- a/src/daemon/shared_store_watch.h
+++ b/src/daemon/shared_store_watch.h
@@ -11,7 +11,7 @@
 struct SharedStoreWatchInit
 {
     std::string store; ///< URL from the settings
-    std::string address; ///< address of the store, "IP:PORT"
+    NetAddress address; ///< of the store
     StoreTimes times;
 };
 
--- a/src/daemon/sidecar_daemon.cpp
+++ b/src/daemon/sidecar_daemon.cpp
@@ -104,8 +104,7 @@
             StartError{StartErrorKind::Endpoint, "sidecar.endpoint", std::string(toString(address.error()))});
     }
     EndpointInit init;
-    init.address = address->first;
-    init.port = address->second;
+    init.address = *address;
     init.kind = fromString<EndpointKind>(sidecar.endpoint_kind()).value_or(EndpointKind::Engine);
     init.batchLimit = sidecar.batch_limit();
     init.reportInterval = timing_.heartbeat;
@@ -355,7 +354,7 @@
         return; // the caller retries or aborts the slot transfer
     }
     if (connectedSidecars_.insert(name).second) {
-        messenger_->connectTo(name, found->second);
+        connectMember(*messenger_, name, found->second);
     }
     messenger_->sendTo(name, message);
 }
--- a/src/daemon/store_caller.h
+++ b/src/daemon/store_caller.h
@@ -7,7 +7,7 @@
 
 struct StoreCallerInit
 {
-    std::string address; ///< address of the store, "IP:PORT"
+    NetAddress address; ///< of the store
     StoreTimes times;
     std::uint64_t seed = 1;
 };
--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -14,7 +14,7 @@
 
 struct StoreWatcherInit
 {
-    std::string address; ///< address of the store, "IP:PORT"
+    NetAddress address; ///< of the store
     StoreTimes times;
     std::uint64_t seed = 1;
     /// Endpoints reported by the previous store. Those missing in this store are reported as removed, so that no calls
@@ -101,7 +101,7 @@
 };
 
 /// Returns settings of a client that keeps one connection open for pauses of this length between calls.
-inline HttpClientInit storeClientInit(const std::string &address, const StoreTimes &times, Duration pause)
+inline HttpClientInit storeClientInit(NetAddress address, const StoreTimes &times, Duration pause)
 {
     HttpClientInit init;
     init.address = address;
--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -3,31 +3,22 @@
 #include "model_engine.h"
 #include "plain_service.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/IPAddress.h>
-#include <Poco/URI.h>
-
 #include <atomic>
 #include <future>
 #include <mutex>
 
 namespace anvilscale {
 
-tl::expected<std::pair<std::string, std::uint16_t>, EndpointErrorKind> parseEndpointUrl(std::string_view url)
+tl::expected<NetAddress, EndpointErrorKind> parseEndpointUrl(std::string_view url)
 {
-    try {
-        const Poco::URI uri{std::string(url)};
-        const Poco::Net::IPAddress address(uri.getHost());
-        if (uri.getScheme() != "http" || uri.getPort() == 0) {
-            return tl::unexpected(EndpointErrorKind::BadUrl);
-        }
-        if (!address.isLoopback()) {
-            return tl::unexpected(EndpointErrorKind::NotLoopback);
-        }
-        return std::pair(address.toString(), uri.getPort());
-    } catch (const Poco::Exception &) {
+    const auto address = NetAddress::parseUrl(url);
+    if (!address) {
         return tl::unexpected(EndpointErrorKind::BadUrl);
     }
+    if (!address->isLoopback()) {
+        return tl::unexpected(EndpointErrorKind::NotLoopback);
+    }
+    return *address;
 }
 
 // One thread and the calls assigned to it.
--- a/src/endpoint/endpoint_runner.h
+++ b/src/endpoint/endpoint_runner.h
@@ -208,7 +208,7 @@
     static HttpClientInit clientInit(const EndpointInit &init)
     {
         HttpClientInit result;
-        result.address = init.address + ":" + std::to_string(init.port);
+        result.address = init.address;
         result.connectTimeout = init.connectTimeout;
         result.cancelGrace = init.cancelGrace;
         return result;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -55,6 +55,12 @@
     ExchangeHandlers handlers;
 };
 
+Poco::Net::SocketAddress socketAddress(const NetAddress &address)
+{
+    const in_addr ip{htonl(address.ip())};
+    return {Poco::Net::IPAddress(&ip, sizeof ip), address.port()};
+}
+
 } // namespace
 
 struct HttpClient::Impl
@@ -62,7 +68,7 @@
     Impl(EventLoop &eventLoop, HttpClientInit parameters)
         : loop(eventLoop)
         , init(std::move(parameters))
-        , address(init.address)
+        , address(socketAddress(init.address))
     {
     }
 
--- a/src/net/messenger.cpp
+++ b/src/net/messenger.cpp
@@ -68,7 +68,7 @@
     impl_->thread.join();
 }
 
-void Messenger::connectTo(const std::string &name, const std::string &address)
+void Messenger::connectTo(const std::string &name, NetAddress address)
 {
     Command command;
     command.kind = Command::Kind::Connect;
--- a/src/net/messenger_impl.h
+++ b/src/net/messenger_impl.h
@@ -48,14 +48,14 @@
     Kind kind = Kind::Send;
     Outgoing message;
     std::string name;
-    std::string address;
+    NetAddress address;
     PeerHandle peer;
 };
 
 struct Target
 {
     std::string name;
-    std::string address;
+    NetAddress address;
     std::uint64_t epoch = 0;
     zmq::socket_t dealer;
     zmq::socket_t monitor;
@@ -124,7 +124,7 @@
     void poll();
     void runCommands();
     void runCommand(Command &command);
-    void connectTarget(const std::string &name, const std::string &address, std::uint64_t epoch);
+    void connectTarget(const std::string &name, NetAddress address, std::uint64_t epoch);
     void openDealer(Target &target);
     void reopenConnection(Target &target);
     void removeTarget(const std::string &name);
--- a/src/net/messenger_thread.cpp
+++ b/src/net/messenger_thread.cpp
@@ -170,7 +170,7 @@
     target.dealer.close();
 }
 
-void Messenger::Impl::connectTarget(const std::string &name, const std::string &address, std::uint64_t epoch)
+void Messenger::Impl::connectTarget(const std::string &name, NetAddress address, std::uint64_t epoch)
 {
     auto &target = targets[name];
     if (target && target->address == address) {
@@ -210,7 +210,7 @@
     target.monitor = zmq::socket_t(context, zmq::socket_type::pair);
     target.monitor.set(zmq::sockopt::linger, 0);
     target.monitor.connect(events);
-    dealer.connect("tcp://" + target.address);
+    dealer.connect("tcp://" + target.address.text());
     socketWatch.add(dealer, target.name);
     socketWatch.add(target.monitor, target.name);
 }
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -21,6 +21,8 @@
     {203, LogLevel::Info, "config_fresh", "the configuration is confirmed again"},
     {300, LogLevel::Info, "member_changed", "a process joined or changed its state"},
     {301, LogLevel::Warn, "peer_lost", "a process is no longer reachable"},
+    {302, LogLevel::Error, "member_address_rejected",
+     "the control address of a process is no IPv4 address and port; no connection is made to it"},
     {310, LogLevel::Info, "scheduler_taken", "this entry is now the load scheduler"},
     {311, LogLevel::Warn, "scheduler_lost", "this entry is no longer the load scheduler"},
     {320, LogLevel::Info, "slots_changed", "the at-most-once slots of this sidecar changed"},
--- a/tests/process/late_listener_test.cpp
+++ b/tests/process/late_listener_test.cpp
@@ -100,8 +100,7 @@
     StandinProcess service("service");
     EndpointReports reports;
     EndpointInit init;
-    init.address = "127.0.0.1";
-    init.port = static_cast<std::uint16_t>(service.port());
+    init.address = NetAddress::parse("127.0.0.1:" + std::to_string(service.port())).value();
     init.kind = EndpointKind::Service;
     Endpoint endpoint(init, reports.handlers());
 
@@ -128,8 +127,7 @@
     StandinProcess service("service");
     EndpointReports reports;
     EndpointInit init;
-    init.address = "127.0.0.1";
-    init.port = static_cast<std::uint16_t>(service.port());
+    init.address = NetAddress::parse("127.0.0.1:" + std::to_string(service.port())).value();
     init.kind = EndpointKind::Service;
     Endpoint endpoint(init, reports.handlers());
 
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -56,6 +56,23 @@
     EXPECT_NE(output().find("missing"), std::string::npos) << output();
 }
 
+// Guards against an address in the settings that ends the process when it is first connected to.
+TEST_F(Start, AddressesThatAreNotSpokenAreReportedWithTheirPath)
+{
+    const auto settings = [](const std::string &role, const std::string &direct) {
+        return R"({"role":"direct-)" + role + R"(","name":"d-1","dataCentre":"dc","control":{"port":)"
+               + std::to_string(freePort()) + R"(},"direct":{)" + direct + R"(},"log":{"file":"-"}})";
+    };
+    const std::string ready = R"(,"ready":{"at":"127.0.0.1:)" + std::to_string(freePort()) + R"("})";
+    const std::string store = R"("store":"http://127.0.0.1:9")";
+    for (const std::string url : {"http://[::1]:9", "http://127.0.0.1:9/path", "http://0.0.0.0:9"}) {
+        EXPECT_EQ(runDaemon(settings("entry", R"("store":")" + url + '"' + ready)), 2) << output();
+        EXPECT_NE(output().find("direct.store"), std::string::npos) << output();
+        EXPECT_EQ(runDaemon(settings("sidecar", store + R"(,"endpoint":")" + url + '"')), 2) << output();
+        EXPECT_NE(output().find("direct.endpoint"), std::string::npos) << output();
+    }
+}
+
 TEST_F(Start, DefaultsArePrintedForBothRoles)
 {
     for (const std::string role : {"entry", "sidecar"}) {
--- a/tests/support/watched_store.h
+++ b/tests/support/watched_store.h
@@ -81,7 +81,7 @@
 private:
     static StoreWatcherInit makeInit(std::uint32_t leaveMs, std::uint64_t incarnation, std::set<std::string> known)
     {
-        auto init = storeWatcherInit(entrySettings(leaveMs), incarnation);
+        auto init = storeWatcherInit(entrySettings(leaveMs), NetAddress(), incarnation);
         init.knownEndpoints = std::move(known);
         return init;
     }
--- a/tests/unit/direct_relay_test.cpp
+++ b/tests/unit/direct_relay_test.cpp
@@ -261,6 +261,17 @@
     }
 }
 
+// Guards against a process that ends because a record's text is no address, which costs the attempt only.
+TEST(DirectRelay, AttemptAtATextThatIsNoAddressEndsAsUnreachable)
+{
+    for (const auto *address : {"::1:80", "fe80::1%lo:80", "host:80", "", "127.0.0.1:65536"}) {
+        RelayToOne relay(address);
+        EXPECT_EQ(relay.call("r-1"), 502);
+        EXPECT_EQ(relay.call("r-2"), 502);
+        EXPECT_EQ(relay.ends(), (std::vector{AttemptEnd::Unreachable, AttemptEnd::Unreachable}));
+    }
+}
+
 // Guards against connections that are closed without an answer when the process ends while calls wait: callers could
 // not tell whether they have run.
 TEST(DirectRelay, CallsThatWaitWhenTheProcessEndsAreAnsweredByWhatIsKnownOfThem)
--- a/tests/unit/endless_answers_test.cpp
+++ b/tests/unit/endless_answers_test.cpp
@@ -61,6 +61,10 @@
     {
         return storeTimes(Seconds(20)); // the bound on bytes ends the call, not the timeout
     }
+    NetAddress address() const
+    {
+        return NetAddress::parse(server_.address()).value();
+    }
 
     EndlessServer server_{GetParam()};
 };
@@ -78,7 +82,7 @@
     handlers.failed = [](const StoreFailure &) {};
     const OnLoop<Watcher> watcher(
         [&](EventLoop &loop) {
-            return std::make_unique<Watcher>(loop, StoreWatcherInit{server_.address(), times(), 1, {}}, handlers);
+            return std::make_unique<Watcher>(loop, StoreWatcherInit{address(), times(), 1, {}}, handlers);
         },
         [](Watcher &client) { client.start(); });
     EXPECT_TRUE(server_.hasBeenClosed());
@@ -90,7 +94,7 @@
     using Watch = SharedStoreWatch<SiteDialect>;
     const OnLoop<Watch> watch(
         [&](EventLoop &loop) {
-            return std::make_unique<Watch>(loop, SharedStoreWatchInit{"store", server_.address(), times()},
+            return std::make_unique<Watch>(loop, SharedStoreWatchInit{"store", address(), times()},
                                            [](PeerHandle, const wire::StoreNews &) {});
         },
         [](Watch &client) {
@@ -109,7 +113,7 @@
     handlers.dropped = [] {};
     const OnLoop<Reporter> reporter(
         [&](EventLoop &loop) {
-            return std::make_unique<Reporter>(loop, CrashReporterInit{server_.address(), "n", times(), 1}, handlers);
+            return std::make_unique<Reporter>(loop, CrashReporterInit{address(), "n", times(), 1}, handlers);
         },
         [](Reporter &client) {
             client.report(CrashReport{"e-1", 0, {CallFingerprint{1}}, {}});
@@ -126,7 +130,7 @@
     handlers.failed = [](StoreFailureKind, std::uint32_t, bool) {};
     const OnLoop<Fencing> fencing(
         [&](EventLoop &loop) {
-            return std::make_unique<Fencing>(loop, FencingClientInit{server_.address(), "vm", times(), 1}, handlers);
+            return std::make_unique<Fencing>(loop, FencingClientInit{address(), "vm", times(), 1}, handlers);
         },
         [](Fencing &client) { client.request(); });
     EXPECT_TRUE(server_.hasBeenClosed());
--- a/tests/unit/endless_relayed_answers_test.cpp
+++ b/tests/unit/endless_relayed_answers_test.cpp
@@ -24,8 +24,7 @@
 TEST_P(EndlessRelayedAnswers, EndpointReportsClose)
 {
     EndpointInit init;
-    init.address = "127.0.0.1";
-    init.port = Poco::Net::SocketAddress(server_.address()).port();
+    init.address = NetAddress::parse(server_.address()).value();
     init.reportInterval = Seconds(20);
     Endpoint::Handlers handlers;
     handlers.send = [](PeerHandle, const wire::Envelope &) {};
--- a/tests/unit/endpoint_stream_test.cpp
+++ b/tests/unit/endpoint_stream_test.cpp
@@ -25,8 +25,7 @@
         outcome.set_value(answer.outcome);
     };
     EndpointInit init;
-    init.address = "127.0.0.1";
-    init.port = server.address().port();
+    init.address = NetAddress::parse(server.address().toString()).value();
     Endpoint endpoint(init, handlers);
     StartExecution start;
     start.execution = ExecutionHandle{1};
--- a/tests/unit/endpoint_test.cpp
+++ b/tests/unit/endpoint_test.cpp
@@ -206,6 +206,8 @@
 TEST(EndpointUrl, AcceptsLoopbackOnly)
 {
     EXPECT_TRUE(parseEndpointUrl("http://127.0.0.1:8000"));
+    EXPECT_EQ(parseEndpointUrl("http://[::1]:8000").error(), EndpointErrorKind::BadUrl);
+    EXPECT_EQ(parseEndpointUrl("http://127.0.0.1:8000/path").error(), EndpointErrorKind::BadUrl);
     EXPECT_EQ(parseEndpointUrl("http://10.0.0.1:8000").error(), EndpointErrorKind::NotLoopback);
     EXPECT_EQ(parseEndpointUrl("http://example.org:8000").error(), EndpointErrorKind::BadUrl);
     EXPECT_EQ(parseEndpointUrl("ftp://127.0.0.1:8000").error(), EndpointErrorKind::BadUrl);
--- a/tests/unit/fencing_client_test.cpp
+++ b/tests/unit/fencing_client_test.cpp
@@ -111,7 +111,7 @@
 struct Start
 {
     explicit Start(VirtualLoop &loop)
-        : client(loop, {"", "vm", storeTimes(Seconds(2)), 1}, handlers())
+        : client(loop, {NetAddress(), "vm", storeTimes(Seconds(2)), 1}, handlers())
     {
         client.request();
     }
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -26,7 +26,7 @@
     {
         runOnLoop([this] {
             HttpClientInit init;
-            init.address = server_.address().toString();
+            init.address = NetAddress::parse(server_.address().toString()).value();
             init.connectTimeout = Seconds(5);
             init.maxIdleTime = Seconds(30);
             init.idleMargin = Milliseconds(400);
--- a/tests/unit/net_test.cpp
+++ b/tests/unit/net_test.cpp
@@ -86,9 +86,9 @@
     return std::move(*messenger);
 }
 
-std::string addressOf(const Messenger &messenger)
+NetAddress addressOf(const Messenger &messenger)
 {
-    return "127.0.0.1:" + std::to_string(messenger.port());
+    return NetAddress::parse("127.0.0.1:" + std::to_string(messenger.port())).value();
 }
 
 wire::Envelope makeCallRequest(std::uint64_t call)
@@ -216,7 +216,7 @@
 {
     EventRecorder events;
     const auto entry = makeMessenger(events, "entry");
-    entry->connectTo("sidecar", "127.0.0.1:1");
+    entry->connectTo("sidecar", NetAddress::parse("127.0.0.1:1").value());
     entry->sendTo("sidecar", makeCallRequest(3));
     entry->sendTo("nobody", makeCallRequest(4));
     ASSERT_TRUE(events.wait([&] { return events.failedCalls.size() == 2; }));
@@ -246,7 +246,7 @@
     const auto sidecar = makeMessenger(events, "sidecar");
     zmq::context_t context;
     zmq::socket_t dealer(context, zmq::socket_type::dealer);
-    dealer.connect("tcp://" + addressOf(*sidecar));
+    dealer.connect("tcp://" + addressOf(*sidecar).text());
     const auto send = [&](const std::string &bytes) { dealer.send(zmq::buffer(bytes)); };
     wire::Envelope wrongProtocol = makeCallRequest(1);
     wrongProtocol.set_protocol(wireProtocol + 1);
--- a/tests/unit/shared_store_watch_test.cpp
+++ b/tests/unit/shared_store_watch_test.cpp
@@ -13,6 +13,7 @@
 using test::VirtualDialect;
 using test::VirtualLoop;
 
+const NetAddress storeAddress = NetAddress::parse("10.0.0.1:80").value();
 constexpr Duration bound = Milliseconds(2000);
 constexpr Duration messageLatency = Milliseconds(2); // between an entry and the sidecar
 constexpr std::size_t fleetSize = 12;
@@ -22,7 +23,7 @@
 public:
     explicit SharedWatchFleet(std::string store = sidecarsStore, std::size_t entries = fleetSize, int endpoints = 0)
         : entriesStore(std::move(store))
-        , sharedWatch_(loop, SharedStoreWatchInit{sidecarsStore, "10.0.0.1:80", storeTimes(bound)},
+        , sharedWatch_(loop, SharedStoreWatchInit{sidecarsStore, storeAddress, storeTimes(bound)},
                        [this](PeerHandle entry, const wire::StoreNews &update) { onUpdate(entry, update); })
     {
         loop.change("a", false);
@@ -34,7 +35,7 @@
             entries_.push_back(std::make_unique<Entry>());
             auto &entry = *entries_.back();
             StoreWatcherInit init;
-            init.address = "10.0.0.1:80";
+            init.address = storeAddress;
             init.times = storeTimes(bound);
             init.seed = i + 1;
             entry.watcher = std::make_unique<Watcher>(loop, init, handlersOf(i));
--- a/tests/unit/software_versions_test.cpp
+++ b/tests/unit/software_versions_test.cpp
@@ -83,7 +83,7 @@
     AnsweringClient::answers = std::move(answers);
     VirtualLoop loop;
     SoftwareVersionWriter<WriteDialect, VirtualLoop, AnsweringClient> writer(
-        loop, {"store", storeTimes(Seconds(2)), 1}, [](StoreFailureKind, std::uint32_t, bool) {});
+        loop, {NetAddress(), storeTimes(Seconds(2)), 1}, [](StoreFailureKind, std::uint32_t, bool) {});
     for (const auto &write : writes) {
         writer.write(write);
     }
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -303,7 +303,7 @@
 TEST(StoreWatcher, CallsNoMoreOftenThanThePauseAllows)
 {
     for (const std::uint32_t leaveMs : {2000U, 3000U}) {
-        const auto pause = storeWatcherInit(entrySettings(leaveMs), 1).times.pause;
+        const auto pause = storeWatcherInit(entrySettings(leaveMs), NetAddress(), 1).times.pause;
         WatchedStore quietEntry(leaveMs);
         const auto before = quietEntry.loop.calls;
         quietEntry.loop.run(Seconds(60));
