A resumed stream's sole version is proved by a read of the store sent after its call

What callers saw: during a release, a stream that had begun at v2 through one entry was resumed at another one and went on at v1.

Cause: an entry assumed the only version that it knew if the store had answered in the last two seconds, counted from the arrival of the answer. An answer that is late, that lay in the socket of an entry that stood still, or that came before a pause between watches tells of a time before the stream began.

Now such a call waits for a confirmation: a watch request without wait that the entry sends to the store itself after the call has arrived. The store's answers are linearizable, so that its answer shows each version that can have begun the stream. Its changes are applied before the confirmation reaches the control thread. A confirmation that fails refuses the calls that wait with Retry-After. Where the entry knows two versions, nothing is asked.

The watch and a confirmation can return the same changes, so that changes of endpoints up to the applied revision are dropped. A full read goes before a confirmation that was asked for meanwhile; lost history and another era fail it and end a pause of the watch; records withheld after a restore fail it, since one may be the only one of its version. A watcher of another store takes over the confirmation of the one before.

ResumedCalls.SoleVersionIsAssumedIfItHasServedForLongEnough checked that nothing is assumed 3 s after the last answer. The rule is gone: the test now has a store that does not answer the confirmation, which must be refused likewise.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -616,6 +616,11 @@
 struct RefreshRecords
 {
 };
+/// Reads the changes up to now from the store itself, and applies them before it reports the end of this confirmation.
+struct ConfirmStore
+{
+    std::uint64_t number = 0; ///< of the confirmation
+};
 /// Reports prompts to the sidecar of their engine at this address, and requests turns there.
 struct SendReadings
 {
@@ -629,7 +634,7 @@
 };
 using DirectAction =
     std::variant<SendCall, RefuseCall, ForwardAnswer, AbandonCall, SendDemand, AskAllowance, ReportLimit, AskSlot,
-                 ReturnSlot, RefreshRecords, DropConnections, SendReadings, ReportOrigins, AskOrigin>;
+                 ReturnSlot, RefreshRecords, DropConnections, SendReadings, ReportOrigins, AskOrigin, ConfirmStore>;
 
 /// Finds routes by host and longest matching path prefix.
 class RouteTable
@@ -691,6 +696,9 @@
     Duration turnWait{}; ///< for reading turns
     Duration slotWait{}; ///< for slots of plain endpoints, until sidecars answered
     Duration originWait{}; ///< for the origin of the stream that it resumes
+    Duration confirmationWait{}; ///< for a confirmation of the store
+    /// Time from the request of the last confirmation to its use for this call; negative without one.
+    Duration confirmationAge = Milliseconds(-1);
     std::optional<Duration> firstByte;
     Duration longestPause{}; ///< longest interval between two parts of an event stream
     Duration total{};
@@ -786,6 +794,14 @@
     std::uint64_t timeouts = 0; ///< requests for an origin that a sidecar did not answer in time
 };
 
+/// Reads of the store on which resumed calls depend.
+struct StoreConfirmationStats
+{
+    std::uint64_t started = 0;
+    std::uint64_t shared = 0; ///< calls that used a confirmation started for another one
+    std::uint64_t failed = 0;
+};
+
 /// Prompt parts on which endpoints crashed, as one entry knows them.
 struct CrashingPartStats
 {
@@ -814,6 +830,7 @@
     std::uint64_t quarantined = 0; // requests put under quarantine
     SlotStats slots;
     OriginStats origins;
+    StoreConfirmationStats storeConfirmations;
     CrashingPartStats crashingParts;
     Counters<AttemptEnd> ends;
     Counters<EventIdFinding> eventIds; ///< of forwarded streams that have ended
@@ -870,8 +887,8 @@
     void onSlotAnswer(const std::string &address, const wire::SlotAnswer &answer, TimePoint now);
     /// Answer of the sidecar beside the endpoint at this address to a request for the origin of a stream.
     void onOriginAnswer(const std::string &address, const wire::OriginAnswer &answer, TimePoint now);
-    /// Ends the wait of requests for slots and origins that were not answered in time. Called at nextAnswerCheckAt()
-    /// and by tick().
+    /// Ends the wait of requests for slots and origins that were not answered in time, and starts a confirmation of the
+    /// store that is due. Called at nextAnswerCheckAt() and by tick().
     void checkAnswers(TimePoint now);
     std::optional<TimePoint> nextAnswerCheckAt() const;
     /// Another entry, or the sidecar of an engine, reports the rate limit of an endpoint. Returns false if it was
@@ -885,6 +902,9 @@
     void onStoreCurrent(TimePoint now);
     /// The store has answered: all its earlier changes have been applied.
     void onStoreAnswered(TimePoint now);
+    /// The confirmation of a ConfirmStore has ended. `isConfirmed`: all changes of the store up to its start have been
+    /// applied.
+    void onStoreConfirmed(std::uint64_t number, bool isConfirmed, TimePoint now);
     /// Addresses of the engines whose sidecars this entry has to be connected to; empty if they are the same as at the
     /// last call.
     std::optional<std::vector<std::string>> takeListenedEngines(TimePoint now);
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -359,6 +359,9 @@
         init.knownEndpoints = std::move(knownEndpoints);
         watcher_ = std::make_unique<StoreWatcher<Dialect>>(callServer_->loop(), init, watcherHandlers());
         watcher_->start();
+        if (confirmation_) {
+            watcher_->confirm(*confirmation_);
+        }
     }
 
     void startStoreWriters()
@@ -414,6 +417,15 @@
             crashReporter_->rewriteReports();
             control_.post([this, era](Now) { storeLog_.restored(era); });
         };
+        handlers.confirmed = [this](std::uint64_t number, std::optional<StoreFailureKind> failure) {
+            confirmation_.reset();
+            control_.post([this, number, failure](Now now) {
+                calls_.onStoreConfirmed(number, !failure, now.mono);
+                if (failure) {
+                    storeLog_.confirmationFailed(*failure);
+                }
+            });
+        };
         handlers.requestSharedWatch = [this](std::uint64_t call, StorePosition after, Duration wait) {
             return requestSharedWatch(call, after, wait);
         };
@@ -654,6 +666,7 @@
     void performTraffic(const DirectAction &action)
     {
         std::visit(Overloaded{[this](const RefreshRecords &) { refreshRecords(); },
+                              [this](const ConfirmStore &confirmation) { confirmStore(confirmation.number); },
                               [this](const auto &item) {
                                   if constexpr (requires { relay_.perform(item); }) {
                                       relay_.perform(item);
@@ -676,6 +689,14 @@
         });
     }
 
+    void confirmStore(std::uint64_t number)
+    {
+        confirmation_ = number;
+        if (watcher_) {
+            watcher_->confirm(number);
+        }
+    }
+
     void refreshRecords()
     {
         if (watcher_) {
@@ -746,6 +767,7 @@
     ControlLoop control_;
     std::unique_ptr<Messenger> messenger_;
     std::unique_ptr<StoreWatcher<Dialect>> watcher_; // traffic thread
+    std::optional<std::uint64_t> confirmation_; // traffic thread; in progress, passed on to a watcher of another store
     std::unique_ptr<CrashReporter<Dialect>> crashReporter_; // traffic thread
     std::unique_ptr<SoftwareVersionWriter<Dialect>> versionWriter_; // traffic thread
     std::unique_ptr<HttpServer> callServer_;
--- a/src/daemon/direct_log.cpp
+++ b/src/daemon/direct_log.cpp
@@ -32,6 +32,8 @@
     , total_("anvilscale_call_seconds", "time from a call's arrival to its end", latencyBucketBounds)
     , adapterWait_("anvilscale_call_adapter_wait_seconds", "time that a call waited for its adapter",
                    latencyBucketBounds)
+    , confirmationWait_("anvilscale_call_store_confirmation_wait_seconds",
+                        "time that a resumed call waited for a read of the store", latencyBucketBounds)
 {
 }
 
@@ -91,6 +93,9 @@
     if (call.adapterWait != Duration(0)) {
         adapterWait_.record(seconds(call.adapterWait));
     }
+    if (call.confirmationWait != Duration(0)) {
+        confirmationWait_.record(seconds(call.confirmationWait));
+    }
     if (!reserveLine(now)) {
         return;
     }
@@ -126,6 +131,8 @@
               {"turnWaitMs", toMilliseconds(call.turnWait)},
               {"slotWaitMs", toMilliseconds(call.slotWait)},
               {"originWaitMs", toMilliseconds(call.originWait)},
+              {"confirmationWaitMs", toMilliseconds(call.confirmationWait)},
+              {"confirmationAgeMs", toMilliseconds(call.confirmationAge)},
               {"firstByteMs", call.firstByte ? toMilliseconds(*call.firstByte) : -1},
               {"pauseMs", toMilliseconds(call.longestPause)},
               {"promptTokens", std::uint64_t{call.promptTokens}},
@@ -138,6 +145,7 @@
     text.add(firstByte_);
     text.add(total_);
     text.add(adapterWait_);
+    text.add(confirmationWait_);
     text.counter("anvilscale_log_lines_suppressed_total", "lines of calls that were not written, beyond the rate",
                  suppressedLines_);
 }
@@ -187,6 +195,13 @@
                  stats.clearances);
 }
 
+void appendConfirmationMetrics(MetricsText &text, const StoreConfirmationStats &stats)
+{
+    text.counter("anvilscale_store_confirmations_total", "reads of the store for resumed calls", stats.started);
+    text.counter("anvilscale_store_confirmations_shared_total",
+                 "resumed calls that used a read of the store that another one had caused", stats.shared);
+}
+
 void appendOriginMetrics(MetricsText &text, const OriginStats &stats)
 {
     text.counter("anvilscale_origins_reported_total", "streams whose origin was reported to sidecars", stats.reported);
@@ -245,6 +260,7 @@
                  stats.allowances.ownPart);
     appendSlotMetrics(text, stats.slots);
     appendOriginMetrics(text, stats.origins);
+    appendConfirmationMetrics(text, stats.storeConfirmations);
     appendCrashMetrics(text, stats.crashingParts);
     appendWorkspaceMetrics(text, stats);
     text.counters("anvilscale_direct_retries_total", "further attempts", "reason", stats.retries);
--- a/src/daemon/direct_log.h
+++ b/src/daemon/direct_log.h
@@ -23,6 +23,7 @@
     HistogramMetric firstByte_;
     HistogramMetric total_;
     HistogramMetric adapterWait_;
+    HistogramMetric confirmationWait_;
     TimePoint windowStart_{};
     std::uint32_t linesInWindow_ = 0; // written in the current window
     std::uint64_t suppressedLines_ = 0;
--- a/src/daemon/store_log.cpp
+++ b/src/daemon/store_log.cpp
@@ -40,6 +40,12 @@
     logEvent(Event::StoreRestored, {{"era", era}});
 }
 
+void StoreLog::confirmationFailed(StoreFailureKind kind)
+{
+    confirmationFailures_.add(kind);
+    logEvent(Event::StoreCallFailed, {{"call", "confirmation"}, {"failure", std::string(toString(kind))}});
+}
+
 void StoreLog::crashReportsWritten(std::size_t reports)
 {
     writtenReports_ += reports;
@@ -74,6 +80,8 @@
     text.counter("anvilscale_store_answers_total", "answered calls to the store", answers_);
     text.counters("anvilscale_store_failures_total", "failed calls to the store", "failure", failures_);
     text.counter("anvilscale_store_restores_total", "times that the store came back from an older copy", restores_);
+    text.counters("anvilscale_store_confirmation_failures_total", "failed reads of the store for resumed calls",
+                  "failure", confirmationFailures_);
     text.counter("anvilscale_crash_reports_total", "crash reports that the store has taken", writtenReports_);
     text.counter("anvilscale_crash_reports_dropped_total", "crash reports given up while the store was away",
                  droppedReports_);
--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -1,10 +1,9 @@
 // StoreWatcher: reads and watches the platform's store.
 #pragma once
 
+#include "confirming_call.h"
 #include "removed_endpoints.h"
-#include "store_times.h"
 
-#include "anvilscale/direct_path.h"
 #include "anvilscale/telemetry.h"
 
 #include <map>
@@ -22,42 +21,6 @@
     std::set<std::string> knownEndpoints;
 };
 
-/// Reason of a failed call to the store.
-enum class StoreFailureKind : std::uint8_t {
-    Unreachable, ///< the connection could not be established
-    Broken, ///< the connection closed before the end of the answer
-    Silent, ///< no byte received within the silence timeout of StoreTimes
-    Refused, ///< the status says that the store has not performed the call
-    Unreadable, ///< the body cannot be parsed
-    Outdated, ///< the answer is from an earlier era than a previous answer
-    TooLarge, ///< the answer is longer than maxStoreAnswerBytes
-    OutOfRange, ///< the position in the answer cannot be used as a fencing number
-    Count
-};
-template<>
-struct EnumNames<StoreFailureKind>
-{
-    static constexpr std::array<std::string_view, enumCount<StoreFailureKind>> table{
-        "unreachable", "broken", "silent", "refused", "unreadable", "outdated", "too_large", "out_of_range"};
-};
-
-/// Returns the reason of a call that did not end with a whole answer.
-constexpr StoreFailureKind storeFailureOf(ExchangeEnd end)
-{
-    switch (end) {
-    case ExchangeEnd::Unreachable:
-        return StoreFailureKind::Unreachable;
-    case ExchangeEnd::TooLarge:
-        return StoreFailureKind::TooLarge;
-    default:
-        return StoreFailureKind::Broken;
-    }
-}
-
-// Maximum size of a page or of the changes since a position. The store limits pages to about a megabyte. Changes may
-// be more after a long pause; if they do not fit, everything is read again page by page.
-constexpr std::uint64_t maxStoreAnswerBytes = 8U << 20;
-
 /// A failed call to the store, for the log.
 struct StoreFailure
 {
@@ -89,32 +52,16 @@
     std::function<bool(std::uint64_t call, StorePosition after, Duration wait)> requestSharedWatch;
     /// The sidecar did not answer the last request or could not serve it.
     std::function<void()> sharedWatchFailed;
+    /// A confirmation has ended, and all records of its answer have been reported. `failure`: why it confirms nothing;
+    /// empty if it does.
+    std::function<void(std::uint64_t number, std::optional<StoreFailureKind> failure)> confirmed;
 };
 
-template<class T>
-concept StoreClient = requires(T client, const EndpointRequest &request, Duration span, ExchangeHandlers handlers)
-{
-    {
-        client.start(request, span, handlers)
-        } -> std::same_as<ExchangeId>;
-    client.abort(ExchangeId{});
-};
-
-/// Returns settings of a client that keeps one connection open for pauses of this length between calls.
-inline HttpClientInit storeClientInit(const std::string &address, const StoreTimes &times, Duration pause)
-{
-    HttpClientInit init;
-    init.address = address;
-    init.connectTimeout = times.silenceTimeout;
-    init.maxIdleTime = pause + Milliseconds(500);
-    init.maxIdleConnections = 1;
-    return init;
-}
-
 /// Reports each change of a record to its handlers, with as few calls as possible because each call is billed: one
 /// watch covers all records, changes close together share an answer, and failures are followed by backoff. The
 /// timeouts of StoreTimes bound the delay of a change. Where a sidecar watches the store for several entries, requests
-/// to it replace the watches; the store itself is called when it fails. Use from the loop's thread only.
+/// to it replace the watches; the store itself is called when it fails, and for confirmations. Use from the loop's
+/// thread only.
 template<StoreDialect Dialect, class Loop = EventLoop, StoreClient Client = HttpClient>
 class StoreWatcher
 {
@@ -125,6 +72,8 @@
         , handlers_(std::move(handlers))
         , random_(init_.seed)
         , client_(loop, storeClientInit(init_.address, init_.times, init_.times.pause))
+        , confirmingCall_(loop, init_.address, init_.times,
+                          [this](const ConfirmingResult &result) { onConfirmingCallEnded(result); })
     {
         for (const auto &id : init_.knownEndpoints) {
             reported_.emplace(id, 0);
@@ -153,6 +102,15 @@
         const auto earliest = lastAnswerAt_ + minRefreshInterval;
         schedule(std::max(Duration(0), earliest - loop_.now()), [this] { watchStore(Duration(0)); });
     }
+    /// Reads the changes up to now from the store itself, whose answer is not older than this call, unlike that of a
+    /// watch or a sidecar. A read of all records that is in progress goes first. Ends with the handler `confirmed`.
+    void confirm(std::uint64_t number)
+    {
+        confirmation_ = number;
+        if (!isReading_) {
+            confirmingCall_.start(revision_);
+        }
+    }
     /// Applies a sidecar's answer to a request: the body of a watch answer of this era, or none.
     void onSharedWatchAnswer(std::uint64_t call, std::uint64_t era, const std::optional<std::string> &body)
     {
@@ -178,6 +136,8 @@
     }
 
 private:
+    using ConfirmingResult = typename ConfirmingCall<Dialect, Loop, Client>::Result;
+
     // Limits an answer that keeps growing slowly. A page of 1 MB takes 1.1 s over an idle 10 Mbit/s link.
     static constexpr Duration maxTransferTime = Seconds(10);
     // Running endpoints rewrite records that expired during an outage within two seconds of its end; records still
@@ -198,6 +158,7 @@
     {
         isReading_ = true;
         isCurrent_ = false;
+        confirmingCall_.abort(); // starts again after the read
         readIds_.clear();
         if (handlers_.readStarted) {
             handlers_.readStarted();
@@ -240,6 +201,9 @@
             handlers_.complete();
         }
         watch(wait);
+        if (confirmation_) {
+            confirmingCall_.start(revision_);
+        }
     }
 
     void watch(Duration wait)
@@ -290,13 +254,7 @@
         }
         isHistoryGone_ = false;
         onAnswered();
-        // Changes of records that entries do not use count as well: each would cause a call at once.
-        const bool hasChanges = page->revision > revision_ || !page->records.empty();
-        revision_ = std::max(revision_, page->revision);
-        applyPage(*page);
-        if (!std::exchange(isCurrent_, true) && handlers_.current) {
-            handlers_.current();
-        }
+        const bool hasChanges = applyChanges(*page);
         if (requestSharedWatch()) {
             return;
         }
@@ -308,6 +266,75 @@
         schedule(init_.times.pause, [this] { watch(init_.times.waitAfterPause); });
     }
 
+    /// Applies an answer to a watch. Returns whether the store has changed. Changes of records that entries do not use
+    /// count as well: each would cause a call at once.
+    bool applyChanges(StorePage &page)
+    {
+        // The watch and a confirming call may return the same changes: an endpoint that came and went would come again.
+        std::erase_if(page.records, [this](const StoreRecord &record) {
+            const auto revision = endpointRevision(record);
+            return revision != 0 && revision <= revision_;
+        });
+        const bool hasChanges = page.revision > revision_ || !page.records.empty();
+        revision_ = std::max(revision_, page.revision);
+        applyPage(page);
+        if (!std::exchange(isCurrent_, true) && handlers_.current) {
+            handlers_.current();
+        }
+        return hasChanges;
+    }
+
+    /// Revision of a change of an endpoint; 0 for any other record.
+    static std::uint64_t endpointRevision(const StoreRecord &record)
+    {
+        if (const auto *endpoint = std::get_if<EndpointRecord>(&record)) {
+            return endpoint->revision;
+        }
+        const auto *removed = std::get_if<EndpointRemoved>(&record);
+        return removed == nullptr ? 0 : removed->revision;
+    }
+
+    void onConfirmingCallEnded(const ConfirmingResult &result)
+    {
+        if (!result) {
+            endConfirmation(result.error());
+            return;
+        }
+        const auto status = Dialect::storeStatus(result->status);
+        if (status == StoreStatus::Unavailable || status == StoreStatus::Missing) {
+            endConfirmation(StoreFailureKind::Refused);
+            return;
+        }
+        if (result->era != era_ || status == StoreStatus::HistoryGone) {
+            endConfirmation(StoreFailureKind::Outdated);
+            endPause(); // the watch finds out the same, and reads everything again
+            return;
+        }
+        auto page = Dialect::readWatch(result->body);
+        if (!page) {
+            endConfirmation(StoreFailureKind::Unreadable);
+            return;
+        }
+        applyChanges(*page);
+        // A withheld record may be the only one of its software version.
+        endConfirmation(removedEndpoints_.nextDue() ? std::optional(StoreFailureKind::Withheld) : std::nullopt);
+    }
+
+    void endConfirmation(std::optional<StoreFailureKind> failure)
+    {
+        if (const auto number = std::exchange(confirmation_, std::nullopt)) {
+            confirmingCall_.abort();
+            handlers_.confirmed(*number, failure);
+        }
+    }
+
+    void endPause()
+    {
+        if (isPausing_) {
+            schedule(Duration(0), [this] { watchStore(Duration(0)); });
+        }
+    }
+
     void applyPage(StorePage &page)
     {
         if (page.rejectedRecords != 0) {
@@ -553,6 +580,9 @@
     {
         const auto now = loop_.now();
         acceptsOldData_ = false;
+        if (isReading_) {
+            endConfirmation(kind);
+        }
         StoreFailure failure;
         failure.kind = kind;
         failure.isWatch = !isReading_;
@@ -591,6 +621,8 @@
     StoreWatcherHandlers handlers_;
     Random random_;
     Client client_;
+    ConfirmingCall<Dialect, Loop, Client> confirmingCall_;
+    std::optional<std::uint64_t> confirmation_; // number of the confirmation in progress, or waiting for a read
     TimerHandle nextCallTimer_;
     TimerHandle timeoutTimer_; // of the current call
     TimerHandle missingTimer_;
@@ -623,7 +655,8 @@
     std::set<std::string> readIds_; // endpoints found by the current full read
     std::map<std::string, MissingEndpoint> missing_; // missing in the store and not yet reported as removed
     RemovedEndpoints removedEndpoints_;
-    bool hasSharedRequest_ = false; // a request to a sidecar is open; invariant: no call to the store is in progress
+    bool hasSharedRequest_ =
+        false; // a request to a sidecar is open; invariant: no watch or read of the store is in progress
     // Number of the last request to a sidecar. Starts at the clock, so that a late answer to an earlier watcher does
     // not match.
     std::uint64_t lastSharedCall_ = static_cast<std::uint64_t>(loop_.now().time_since_epoch().count());
--- a/src/direct/call_ends.cpp
+++ b/src/direct/call_ends.cpp
@@ -234,6 +234,8 @@
     done.turnWait = call.turnWait;
     done.slotWait = call.slotWait;
     done.originWait = call.originWait;
+    done.confirmationWait = call.confirmationWait;
+    done.confirmationAge = call.confirmationAge;
     done.firstByte = call.firstByte;
     done.longestPause = call.longestPause;
     done.promptTokens = call.info.promptTokens;
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -323,6 +323,10 @@
         call.originWait = now - call.stepStartedAt;
         return;
     }
+    if (call.step == CallStep::Confirmation) {
+        call.confirmationWait += now - call.stepStartedAt;
+        return;
+    }
     if (call.step == CallStep::Slot) {
         stopAwaitingSlot(call, now);
         return;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -10,6 +10,7 @@
 #include "request_quarantine.h"
 #include "retry_allowance.h"
 #include "slot_client.h"
+#include "store_confirmations.h"
 #include "version_history.h"
 #include "wait_forecast.h"
 
@@ -24,6 +25,7 @@
 enum class CallStep : std::uint8_t {
     Admission, ///< waits for credit of its workspace
     Origin, ///< waits for sidecars to tell where the stream began that it resumes
+    Confirmation, ///< waits for a read of the store that was sent after its arrival
     Slot, ///< waits for a sidecar to select a plain endpoint with a free slot
     Permit, ///< waits for credit of its endpoint, which limits the calls of all entries
     Turn, ///< waits for the permission of its engine's sidecar, with its adapter resident
@@ -48,6 +50,9 @@
     std::optional<StreamOrigin> origin; // of the stream that it resumes; empty for a new call
     OriginSource originSource = OriginSource::None;
     Duration originWait{};
+    bool hasAllOriginAnswers = false; // all sidecars that were asked for the origin have answered
+    Duration confirmationWait{};
+    Duration confirmationAge = Milliseconds(-1); // when it was used; negative without a confirmation
     std::uint32_t priority = 0;
     std::uint32_t maxEndpoints = 1;
     Duration objective{};
@@ -133,6 +138,7 @@
     bool hasLimitedWorkspaces = false;
     SlotClient slots;
     OriginClient origins;
+    StoreConfirmations confirmations;
     VersionHistory versionHistory;
     std::set<std::string> resumableServices; // with streams that may be resumed, by the configuration
     std::uint32_t knownEntries = 0; // number of entries, as reported by sidecars; 0 if unknown
@@ -210,8 +216,14 @@
     /// Turns reports of origins that are due into actions.
     void flushOrigins(TimePoint now);
     void updateResumableServices();
-    /// Goes on at the only software version that can have begun the stream; returns false if there is none.
-    bool assumeOrigin(CallHandle handle, DirectCall &call, TimePoint now);
+    /// The only software version that can have begun the stream, as far as the store has been read.
+    std::optional<std::string> soleVersion(const DirectCall &call, TimePoint now) const;
+    /// Makes the call wait for a confirmation of the store.
+    void confirmStore(CallHandle handle, DirectCall &call, TimePoint now);
+    void startConfirmation(TimePoint now);
+    void resumeConfirmed(CallHandle handle, DirectCall &call, bool isConfirmed, TimePoint now);
+    /// `mayBeKnownLater`: tells the caller to try again.
+    void refuseUnknownOrigin(CallHandle handle, bool mayBeKnownLater, TimePoint now);
     /// True if the process that wrote the stream is still the one that the attempt was sent to, and its version was
     /// known then.
     bool isCertain(const StreamOrigin &origin);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -43,13 +43,17 @@
 {
     impl_->checkSlotAnswers(now);
     impl_->checkOriginAnswers(now);
+    impl_->startConfirmation(now);
 }
 
 std::optional<TimePoint> DirectCalls::nextAnswerCheckAt() const
 {
-    const auto slots = impl_->slots.nextCheckAt();
-    const auto origins = impl_->origins.nextCheckAt();
-    return slots && origins ? std::min(*slots, *origins) : slots ? slots : origins;
+    std::optional<TimePoint> soonest;
+    for (const auto &next :
+         {impl_->slots.nextCheckAt(), impl_->origins.nextCheckAt(), impl_->confirmations.nextStartAt()}) {
+        soonest = next && (!soonest || *next < *soonest) ? next : soonest;
+    }
+    return soonest;
 }
 
 void DirectCalls::Impl::checkDeadlines(TimePoint now)
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -5,13 +5,6 @@
 
 namespace anvilscale {
 
-namespace {
-
-// Age of the store's last answer up to which this entry knows the endpoints that serve.
-constexpr Duration maxStoreAge = Seconds(2);
-
-} // namespace
-
 void DirectCalls::onStreamStarted(CallHandle handle, const StreamOrigin &origin, TimePoint now)
 {
     const auto found = impl_->calls.find(handle);
@@ -134,10 +127,13 @@
             ++(isNamed ? stats.origins.told : stats.origins.matched);
             call.originSource = isNamed ? OriginSource::Told : OriginSource::Content;
             continueStream(result.call, call, *result.origin, now);
-        } else if (!assumeOrigin(result.call, call, now)) {
-            const bool mayBeKnownLater = !result.isAnswered;
-            refuse(result.call, statusUnavailable, RefusalReason::OriginUnknown,
-                   mayBeKnownLater ? defaultRetryAfter : Duration(0), now);
+            continue;
+        }
+        call.hasAllOriginAnswers = result.isAnswered;
+        if (soleVersion(call, now)) {
+            confirmStore(result.call, call, now);
+        } else {
+            refuseUnknownOrigin(result.call, !call.hasAllOriginAnswers, now);
         }
     }
     stats.origins.timeouts = origins.timeouts();
@@ -146,23 +142,65 @@
     }
 }
 
-// A version that this entry has not seen may have begun the stream, unless it knows all that have served since.
-bool DirectCalls::Impl::assumeOrigin(CallHandle handle, DirectCall &call, TimePoint now)
+// What the caller says of its remaining time does not bound the age of its stream: it may be a default, or the same for
+// each call.
+std::optional<std::string> DirectCalls::Impl::soleVersion(const DirectCall &call, TimePoint now) const
 {
     const auto *route = routes.find(call.info.host, call.info.path);
     const bool hasOneService = route != nullptr && route->services.size() == 1;
-    // What the caller says of its remaining time does not bound the age: it may be a default, or the same for each
-    // call.
-    const auto version = hasOneService && now - storeAnsweredAt <= maxStoreAge
-                             ? versionHistory.soleVersion(call.service, endpoints, now)
-                             : std::nullopt;
+    return hasOneService ? versionHistory.soleVersion(call.service, endpoints, now) : std::nullopt;
+}
+
+void DirectCalls::Impl::confirmStore(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    call.step = CallStep::Confirmation;
+    call.stepStartedAt = now;
+    confirmations.add(handle);
+    startConfirmation(now);
+}
+
+void DirectCalls::Impl::startConfirmation(TimePoint now)
+{
+    if (const auto confirmation = confirmations.start(now)) {
+        actions.emplace_back(*confirmation);
+    }
+    stats.storeConfirmations = confirmations.stats();
+}
+
+void DirectCalls::onStoreConfirmed(std::uint64_t number, bool isConfirmed, TimePoint now)
+{
+    for (const auto handle : impl_->confirmations.finish(number, isConfirmed)) {
+        const auto found = impl_->calls.find(handle);
+        if (found == impl_->calls.end() || found->second.step != CallStep::Confirmation) {
+            continue; // the caller has left, or the call is past its deadline
+        }
+        auto &call = found->second;
+        call.confirmationWait += now - call.stepStartedAt;
+        call.confirmationAge = isConfirmed ? now - impl_->confirmations.startedAt() : call.confirmationAge;
+        call.step = CallStep::Waiting;
+        impl_->resumeConfirmed(handle, call, isConfirmed, now);
+    }
+    impl_->startConfirmation(now);
+}
+
+// Goes on at the only software version that can have begun the stream. Without a confirmation, a version that this
+// entry has not read yet may have begun it.
+void DirectCalls::Impl::resumeConfirmed(CallHandle handle, DirectCall &call, bool isConfirmed, TimePoint now)
+{
+    const auto version = isConfirmed ? soleVersion(call, now) : std::nullopt;
     if (!version) {
-        return false;
+        refuseUnknownOrigin(handle, !isConfirmed || !call.hasAllOriginAnswers, now);
+        return;
     }
     ++stats.origins.assumed;
     call.originSource = OriginSource::SoleVersion;
     continueStream(handle, call, {call.service, *version}, now);
-    return true;
+}
+
+void DirectCalls::Impl::refuseUnknownOrigin(CallHandle handle, bool mayBeKnownLater, TimePoint now)
+{
+    refuse(handle, statusUnavailable, RefusalReason::OriginUnknown, mayBeKnownLater ? defaultRetryAfter : Duration(0),
+           now);
 }
 
 void DirectCalls::Impl::continueStream(CallHandle handle, DirectCall &call, const StreamOrigin &origin, TimePoint now)
--- a/tests/support/stream_fleet.h
+++ b/tests/support/stream_fleet.h
@@ -78,6 +78,8 @@
     }
     /// Which messages between an entry and a sidecar are lost; none by default.
     std::function<bool(std::size_t entry, std::size_t engine)> isLost;
+    /// The store does not answer; all entries have read it before.
+    bool isStoreAway = false;
     /// Sidecars of an older release, which do not keep origins.
     std::set<std::size_t> olderSidecars;
 
@@ -218,6 +220,8 @@
                     if (auto *origins = reach(entry, ask->address)) {
                         entries_[entry]->onOriginAnswer(ask->address, origins->answer(ask->ask, now_), now_);
                     }
+                } else if (const auto *confirmation = std::get_if<ConfirmStore>(&action)) {
+                    entries_[entry]->onStoreConfirmed(confirmation->number, !isStoreAway, now_);
                 } else if (const auto *send = std::get_if<SendCall>(&action)) {
                     sent.push_back(*send);
                 } else if (const auto *refusal = std::get_if<RefuseCall>(&action)) {
--- a/tests/unit/resumed_calls_test.cpp
+++ b/tests/unit/resumed_calls_test.cpp
@@ -143,7 +143,9 @@
     keepStore(Seconds(36));
     EXPECT_EQ(fleet.resumeStream(1, "two"), "v1");
     fleet.advance(Seconds(3));
+    fleet.isStoreAway = true;
     EXPECT_EQ(fleet.resumeStream(1, "three"), std::nullopt) << "the store is not heard";
+    fleet.isStoreAway = false;
     fleet.addEngine("v2");
     fleet.stopEngine(2);
     keepStore(Seconds(60));
