Tests: streams whose version sidecars know and the resuming entry has not read yet

Two cases with real processes: the entry's answers from the store are 2 s late, or it stood still for 4 s while v2 joined. The case of 3 s is replaced by the one of 4 s, in which sidecars' states are surely out of date, and by the one with late answers, which does not depend on what is handled first after the stand-still; both expect the same as it.

--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -389,15 +389,28 @@
 }
 
 // Guards against refusing for good a stream whose version is known to sidecars and has not been read from the store yet
-// by the entry that resumes it.
+// by the entry that resumes it, as the store's answers are late.
 TEST_F(StreamVersion, StreamOfAVersionThatItsEntryHasNotReadYetGoesOn)
+{
+    anvilscale::test::DelayingProxy proxy(storePort_);
+    startSoleVersion(proxy.port(), R"("storePauseMs":50,"leaveMs":10000,"configMs":10000)");
+    proxy.setDelay(std::chrono::milliseconds(2000));
+    const auto began = beginStreamAtJoinedVersion();
+    EXPECT_EQ(resumeStream("again", began).status, 200);
+    EXPECT_EQ(runCount(true, "again"), 1);
+    daemons_.erase("entry-2");
+}
+
+// Guards against refusing streams that sidecars know at an entry that has stood still for so long that it takes no
+// sidecar for reachable, while their version has not been read from the store either.
+TEST_F(StreamVersion, StreamsGoOnAfterTheirEntryStoodStillForLong)
 {
     startSoleVersion(storePort_);
     daemons_["entry-2"]->signal(SIGSTOP);
     const auto stoppedAt = std::chrono::steady_clock::now();
     const auto began = beginStreamAtJoinedVersion();
     std::vector<std::future<Answer>> resumed;
-    std::this_thread::sleep_until(stoppedAt + std::chrono::milliseconds(2900));
+    std::this_thread::sleep_until(stoppedAt + std::chrono::milliseconds(3900));
     for (int i = 0; i < 6; ++i) {
         resumed.push_back(std::async(std::launch::async,
                                      [this, i, began] { return resumeStream("again-" + std::to_string(i), began); }));
