A resumed stream of a version without a known endpoint waits for the store

What callers saw: a stream that had begun at a version which had just joined was refused at another entry as software_version_gone, without Retry-After, although the version served and sidecars told the entry where the stream had begun.

Cause: the entry had not read the version's endpoint yet, and took what it had read for all that there is.

Such a call, and one whose origin is a service that the known routes do not name, now waits for a confirmation of the store and is then placed again. Only after it, the version counts as gone. If the store cannot be confirmed, the call is refused as one for which no endpoint is known, with Retry-After. A call waits for one such confirmation at most.

The fixture of RestartedVersions answers confirmations; what its tests expect is the same.

--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -200,6 +200,10 @@
     visitHome(call, now);
     const auto choice = chooseEndpoint(endpoints, buildQuery(call, now), now);
     if (!choice && isVersionGone(call, now)) {
+        if (!call.isConfirmed()) {
+            confirmStore(handle, call, ConfirmedStep::Route, now); // an endpoint of it may not have been read yet
+            return;
+        }
         refuseOrAbandon(handle, call, RefusalReason::SoftwareVersionGone, Duration(0), now);
         return;
     }
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -34,6 +34,14 @@
     Count
 };
 
+/// What a call does after a confirmation of the store.
+enum class ConfirmedStep : std::uint8_t {
+    Assume, ///< goes on at the only version that can have begun its stream
+    Continue, ///< looks the service of its known origin up in the routes again
+    Route, ///< looks for an endpoint of its version again
+    Count
+};
+
 struct DirectCall
 {
     CallInfo info;
@@ -51,6 +59,8 @@
     OriginSource originSource = OriginSource::None;
     Duration originWait{};
     bool hasAllOriginAnswers = false; // all sidecars that were asked for the origin have answered
+    std::optional<StreamOrigin> unroutedOrigin; // of a service that its route does not name, as far as is known
+    ConfirmedStep confirmedStep = ConfirmedStep::Assume;
     Duration confirmationWait{};
     Duration confirmationAge = Milliseconds(-1); // when it was used; negative without a confirmation
     std::uint32_t priority = 0;
@@ -101,6 +111,11 @@
     EventIdFinding eventIds = EventIdFinding::None; // of its stream
     std::optional<std::uint64_t> lastEvent; // of its stream
 
+    /// The store has been read since its arrival.
+    bool isConfirmed() const
+    {
+        return confirmationAge >= Duration(0);
+    }
     AdapterName adapterName() const
     {
         return {info.model, info.adapter};
@@ -218,10 +233,14 @@
     void updateResumableServices();
     /// The only software version that can have begun the stream, as far as the store has been read.
     std::optional<std::string> soleVersion(const DirectCall &call, TimePoint now) const;
-    /// Makes the call wait for a confirmation of the store.
-    void confirmStore(CallHandle handle, DirectCall &call, TimePoint now);
+    /// Makes the call wait for a confirmation of the store before its next step.
+    void confirmStore(CallHandle handle, DirectCall &call, ConfirmedStep next, TimePoint now);
     void startConfirmation(TimePoint now);
-    void resumeConfirmed(CallHandle handle, DirectCall &call, bool isConfirmed, TimePoint now);
+    void resumeConfirmed(CallHandle handle, DirectCall &call, TimePoint now);
+    /// The store could not be confirmed: refuses the call as one that may be tried again.
+    void refuseUnconfirmed(CallHandle handle, DirectCall &call, TimePoint now);
+    /// Goes on at the only software version that can have begun the stream, or refuses the call.
+    void assumeOrigin(CallHandle handle, DirectCall &call, TimePoint now);
     /// `mayBeKnownLater`: tells the caller to try again.
     void refuseUnknownOrigin(CallHandle handle, bool mayBeKnownLater, TimePoint now);
     /// True if the process that wrote the stream is still the one that the attempt was sent to, and its version was
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -131,7 +131,7 @@
         }
         call.hasAllOriginAnswers = result.isAnswered;
         if (soleVersion(call, now)) {
-            confirmStore(result.call, call, now);
+            confirmStore(result.call, call, ConfirmedStep::Assume, now);
         } else {
             refuseUnknownOrigin(result.call, !call.hasAllOriginAnswers, now);
         }
@@ -151,9 +151,10 @@
     return hasOneService ? versionHistory.soleVersion(call.service, endpoints, now) : std::nullopt;
 }
 
-void DirectCalls::Impl::confirmStore(CallHandle handle, DirectCall &call, TimePoint now)
+void DirectCalls::Impl::confirmStore(CallHandle handle, DirectCall &call, ConfirmedStep next, TimePoint now)
 {
     call.step = CallStep::Confirmation;
+    call.confirmedStep = next;
     call.stepStartedAt = now;
     confirmations.add(handle);
     startConfirmation(now);
@@ -176,20 +177,46 @@
         }
         auto &call = found->second;
         call.confirmationWait += now - call.stepStartedAt;
-        call.confirmationAge = isConfirmed ? now - impl_->confirmations.startedAt() : call.confirmationAge;
         call.step = CallStep::Waiting;
-        impl_->resumeConfirmed(handle, call, isConfirmed, now);
+        if (isConfirmed) {
+            call.confirmationAge = now - impl_->confirmations.startedAt();
+            impl_->resumeConfirmed(handle, call, now);
+        } else {
+            impl_->refuseUnconfirmed(handle, call, now);
+        }
     }
     impl_->startConfirmation(now);
 }
 
-// Goes on at the only software version that can have begun the stream. Without a confirmation, a version that this
-// entry has not read yet may have begun it.
-void DirectCalls::Impl::resumeConfirmed(CallHandle handle, DirectCall &call, bool isConfirmed, TimePoint now)
+void DirectCalls::Impl::resumeConfirmed(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    switch (call.confirmedStep) {
+    case ConfirmedStep::Continue:
+        continueStream(handle, call, *call.unroutedOrigin, now);
+        return;
+    case ConfirmedStep::Route:
+        routeCall(handle, call, now);
+        return;
+    case ConfirmedStep::Assume:
+    case ConfirmedStep::Count:
+        assumeOrigin(handle, call, now);
+    }
+}
+
+void DirectCalls::Impl::refuseUnconfirmed(CallHandle handle, DirectCall &call, TimePoint now)
 {
-    const auto version = isConfirmed ? soleVersion(call, now) : std::nullopt;
+    if (call.confirmedStep == ConfirmedStep::Assume) {
+        refuseUnknownOrigin(handle, true, now);
+        return;
+    }
+    refuseOrAbandon(handle, call, RefusalReason::NoEndpoint, defaultRetryAfter, now);
+}
+
+void DirectCalls::Impl::assumeOrigin(CallHandle handle, DirectCall &call, TimePoint now)
+{
+    const auto version = soleVersion(call, now);
     if (!version) {
-        refuseUnknownOrigin(handle, !isConfirmed || !call.hasAllOriginAnswers, now);
+        refuseUnknownOrigin(handle, !call.hasAllOriginAnswers, now);
         return;
     }
     ++stats.origins.assumed;
@@ -209,6 +236,11 @@
     const bool isRouted = route != nullptr
                           && std::any_of(route->services.begin(), route->services.end(),
                                          [&](const ServiceShare &share) { return share.service == origin.service; });
+    if (!isRouted && !call.isConfirmed()) {
+        call.unroutedOrigin = origin;
+        confirmStore(handle, call, ConfirmedStep::Continue, now);
+        return;
+    }
     if (!isRouted) {
         refuse(handle, statusUnavailable, RefusalReason::SoftwareVersionGone, Duration(0), now);
         return;
--- a/tests/unit/restarted_versions_test.cpp
+++ b/tests/unit/restarted_versions_test.cpp
@@ -72,11 +72,15 @@
         info.resumed = ResumedStream{"2", firstId};
         calls_.onCall(CallHandle{lastCall_}, info, now_);
         std::string outcome;
-        for (const auto &action : calls_.takeActions()) {
-            if (const auto *send = std::get_if<SendCall>(&action)) {
-                outcome = send->endpointId;
-            } else if (const auto *refusal = std::get_if<RefuseCall>(&action)) {
-                outcome = toString(refusal->reason);
+        for (auto actions = calls_.takeActions(); !actions.empty(); actions = calls_.takeActions()) {
+            for (const auto &action : actions) {
+                if (const auto *send = std::get_if<SendCall>(&action)) {
+                    outcome = send->endpointId;
+                } else if (const auto *refusal = std::get_if<RefuseCall>(&action)) {
+                    outcome = toString(refusal->reason);
+                } else if (const auto *confirmation = std::get_if<ConfirmStore>(&action)) {
+                    calls_.onStoreConfirmed(confirmation->number, true, now_);
+                }
             }
         }
         return outcome;
