--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -200,6 +200,10 @@
     visitHome(call, now);
     const auto choice = chooseEndpoint(endpoints, buildQuery(call, now), now);
     if (!choice && isVersionGone(call, now)) {
+        if (!call.isConfirmed()) {
+            confirmStore(handle, call, ConfirmedStep::Route, now); // an endpoint of it may not have been read yet
+            return;
+        }
         refuseOrAbandon(handle, call, RefusalReason::SoftwareVersionGone, Duration(0), now);
         return;
     }
@@ -323,6 +327,10 @@
         call.originWait = now - call.stepStartedAt;
         return;
     }
+    if (call.step == CallStep::Confirmation) {
+        call.confirmationWait += now - call.stepStartedAt;
+        return;
+    }
     if (call.step == CallStep::Slot) {
         stopAwaitingSlot(call, now);
         return;
