Callers' bodies are held once, and only while there is room for them

Callers of an entry that exceeded its memory saw their connections closed without an answer. Bodies were copied for the exchange with the endpoint and kept until the call ended, buffers of idle connections kept their size, and nothing bounded the bytes of all calls together.

Room is now reserved from a declared length before the body is read, and by pieces for chunks. Without room the connection is not read; after 500 ms the call is refused with 503, Retry-After and without having run, and with 413 if the body can never fit. Call and exchange share one body. It is given back once no attempt can need it and it has been written. While little memory is left, endpoints are read less far ahead of their callers, and answers are not held for another attempt. Large buffers have pages of their own, which go back to the system when they are freed.

--- a/include/anvilscale/daemon.h
+++ b/include/anvilscale/daemon.h
@@ -66,8 +66,16 @@
 constexpr int exitUsage = 1;
 constexpr int exitRejected = 2; ///< invalid settings, or an address or lock that is in use
 
+/// Options of the command line that go before the settings file.
+struct SettingsOverrides
+{
+    std::uint32_t memoryMb = 0; ///< 0: as in the file
+};
+
 /// Runs a daemon until it has drained after SIGTERM or SIGINT. Reloads the settings on SIGHUP and when the settings
 /// file changes; an invalid file is logged and has no effect. No other code may handle these signals.
-int runDaemon(const settings::Settings &settings, const std::string &settingsFile);
+///
+/// `overrides`: applied to the settings, also when they are read again.
+int runDaemon(settings::Settings settings, const std::string &settingsFile, const SettingsOverrides &overrides = {});
 
 } // namespace anvilscale
--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -4,6 +4,7 @@
 #include "wire.pb.h"
 
 #include "anvilscale/base.h"
+#include "anvilscale/memory_account.h"
 
 #include <functional>
 #include <memory>
@@ -87,6 +88,8 @@
     HeadTimeout,
     BodyTimeout,
     ConnectionLimit,
+    MemoryShort, ///< no room for the body came free in time
+    BodyOverMemory, ///< the body can never get room
     Count
 };
 template<>
@@ -101,7 +104,9 @@
                                                                               "expectation_failed",
                                                                               "head_timeout",
                                                                               "body_timeout",
-                                                                              "connection_limit"};
+                                                                              "connection_limit",
+                                                                              "memory_short",
+                                                                              "body_over_memory"};
 };
 
 /// Status code of the response to a message rejected for this reason.
@@ -124,6 +129,8 @@
     bool isDone() const;
     bool isBroken() const;
     Framing framing() const;
+    /// Bytes that are still to come of a body with a length, or of the current chunk.
+    std::uint64_t remainingBytes() const;
 
 private:
     enum class Step : std::uint8_t {
@@ -176,6 +183,20 @@
     std::string body;
     bool keepAlive = true;
     bool acceptsChunked = true; ///< true for HTTP/1.1 requests
+    MemoryHold bodyRoom; ///< covers `body`
+};
+
+/// A body with its room, shared by all that may still send it.
+class SharedBody
+{
+public:
+    SharedBody() = default;
+    SharedBody(std::string text, MemoryHold room);
+    std::string_view text() const;
+
+private:
+    struct Body;
+    std::shared_ptr<const Body> body_;
 };
 
 struct HttpResponseHead
@@ -242,6 +263,8 @@
     Duration bodyTimeout = Seconds(30);
     Duration idleTimeout = Seconds(60); ///< of a keep-alive connection without a request
     Duration writeTimeout = Seconds(10); ///< a connection that accepts no bytes for this long is closed
+    Duration roomTimeout = Milliseconds(500); ///< a body that has got no room for this long is refused
+    std::shared_ptr<MemoryAccount> memory; ///< of all that is held for callers; an unlimited one if null
     std::size_t maxHeldBytes = 32U << 10; ///< of a non-streamed response, buffered until it is known to be complete
 };
 
@@ -270,6 +293,8 @@
         std::function<void(HttpExchange, std::uint64_t bytes)> bytesSent;
         /// Returns the response to a rejected message.
         std::function<HttpReply(HttpError)> errorReply;
+        /// Returns who shares the room of the request's body. May be empty: the bodies then have no groups.
+        std::function<MemoryAccount::Group(const HttpRequestData &)> bodyGroup;
     };
 
     static tl::expected<std::unique_ptr<HttpServer>, NetError> create(HttpServerInit init, Handlers handlers);
@@ -306,6 +331,7 @@
     /// Sets the limits for everything read from now on.
     void updateLimits(std::uint32_t maxHeadBytes, std::uint64_t maxBodyBytes, Duration headTimeout,
                       Duration idleTimeout);
+    MemoryAccount &memory();
     /// Event loop of the first traffic thread, for HTTP clients that serve the same calls.
     EventLoop &loop();
 
@@ -327,6 +353,7 @@
     std::string host; ///< the address it is sent to if empty
     HttpHeaders headers;
     std::string body;
+    SharedBody sharedBody; ///< sent after `body`
     bool needsNewConnection = false; ///< never reuses an idle connection, which the endpoint may be closing
     /// Maximum size of the response body; a longer one ends the exchange as TooLarge. 0: the handlers bound what they
     /// keep.
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -78,6 +78,7 @@
     RequestQuarantined,
     PromptPartQuarantined,
     PromptPartReleased,
+    MemoryShort,
     KeyValueDown,
     KeyValueBack,
     StoreCallFailed,
--- a/src/daemon/caller_reply.cpp
+++ b/src/daemon/caller_reply.cpp
@@ -76,6 +76,8 @@
     "the head of the request did not arrive in time",
     "the body of the request did not arrive in time",
     "too many connections",
+    "no memory for the body of the request came free in time",
+    "the body of the request exceeds the memory of this process",
 };
 
 constexpr std::array<std::string_view, enumCount<BodyError>> bodyErrorMessages{
@@ -136,11 +138,11 @@
 
 HttpReply httpErrorReply(HttpError httpError)
 {
-    const bool isConnectionLimit = httpError == HttpError::ConnectionLimit;
+    const bool isOverloaded = httpError == HttpError::ConnectionLimit || httpError == HttpError::MemoryShort;
     CallError error;
     error.verdict = Verdict::NotRun;
-    error.refusal = isConnectionLimit ? RefusalReason::ConnectionLimit : RefusalReason::BadRequest;
-    error.retryAfter = isConnectionLimit ? Duration(Seconds(1)) : Duration(0);
+    error.refusal = isOverloaded ? RefusalReason::ConnectionLimit : RefusalReason::BadRequest;
+    error.retryAfter = isOverloaded ? Duration(Seconds(1)) : Duration(0);
     auto reply = errorReply(error, httpErrorMessages[static_cast<std::size_t>(httpError)]);
     reply.status = statusOf(httpError);
     return reply;
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -138,12 +138,15 @@
     // Part of the grace period reserved for shutdown.
     static constexpr Duration shutdownTime = Milliseconds(600);
     static constexpr std::uint32_t statusUnavailable = 503;
+    // Seconds: bodies of other calls are read meanwhile.
+    static constexpr auto roomRetryAfter = "0.5";
 
     DirectEntry(const settings::Settings &settings, const DirectPolicy &policy)
         : settings_(settings)
         , incarnation_(newIncarnation())
         , calls_(directCallsInit(settings, policy))
         , relay_(relayHandlers())
+        , memory_(std::uint64_t{settings.direct().memory_mb()} << 20U)
         , control_([this](Now) { performActions(); })
     {
     }
@@ -160,6 +163,7 @@
         HttpServerInit http;
         http.address = settings_.http().address();
         http.port = static_cast<std::uint16_t>(settings_.http().port());
+        http.memory = memory_.account();
         auto server = HttpServer::create(http, serverHandlers());
         if (!server) {
             return tl::unexpected(makeStartError(StartErrorKind::HttpAddress, "http", server.error()));
@@ -206,6 +210,11 @@
             relay_.onBytesSent(exchange, bytes);
         };
         handlers.errorReply = [](HttpError reason) { return httpErrorReply(reason); };
+        handlers.bodyGroup = [](const HttpRequestData &request) {
+            // Callers with the same key belong to the same workspace.
+            const auto *key = findHeader(request.headers, "Authorization");
+            return key == nullptr ? MemoryAccount::Group{0} : hash64(*key);
+        };
         return handlers;
     }
 
@@ -227,6 +236,9 @@
         HttpReply reply;
         reply.status = statusOf(reason);
         reply.body = std::string(toString(reason));
+        if (reason == HttpError::MemoryShort) {
+            reply.headers.emplace_back("Retry-After", roomRetryAfter);
+        }
         reply.closesConnection = true;
         return reply;
     }
@@ -543,6 +555,7 @@
         isReady_ = isReady_ || (isStoreRead_ && calls_.isReady(now));
         if (now >= nextMetricsAt_) {
             nextMetricsAt_ = now + metricsInterval;
+            updateMemory();
             renderMetrics();
         }
         control_.timers().subscribe(now + directTickInterval, [this](TimePoint) { onTick(); });
@@ -703,6 +716,28 @@
         });
     }
 
+    /// Measures what the process needs itself, and logs if a decision has depended on the memory since the last line.
+    void updateMemory()
+    {
+        if (const auto used = readAnonymousBytes()) {
+            memory_.update(*used);
+        }
+        const auto stats = callServer_->memory().stats();
+        const auto decisions = stats.waits + stats.rejected + relay_.forwardedWhenShort();
+        if (decisions == std::exchange(loggedMemoryDecisions_, decisions)) {
+            return;
+        }
+        const auto errors = callServer_->stats().errors;
+        logEvent(Event::MemoryShort, {{"limitBytes", stats.limitBytes},
+                                      {"heldBytes", stats.totalBytes()},
+                                      {"peakBytes", stats.peakBytes},
+                                      {"ownBytes", memory_.ownBytes()},
+                                      {"waits", stats.waits},
+                                      {"granted", stats.granted},
+                                      {"refused", errors.of(HttpError::MemoryShort)},
+                                      {"forwardedEarly", relay_.forwardedWhenShort()}});
+    }
+
     void renderMetrics()
     {
         MetricsText text;
@@ -714,6 +749,12 @@
         appendLogMetrics(text);
         appendMessengerMetrics(text, messenger_->stats());
         appendHttpMetrics(text, callServer_->stats());
+        appendMemoryMetrics(text, callServer_->memory().stats());
+        text.gauge("anvilscale_memory_own_bytes", "memory that is left to the process itself",
+                   static_cast<double>(memory_.ownBytes()));
+        text.counter("anvilscale_memory_answers_forwarded_early_total",
+                     "answers forwarded while another attempt was possible, as little memory was left",
+                     relay_.forwardedWhenShort());
         const std::lock_guard lock(metricsMutex_);
         metricsText_ = text.text();
     }
@@ -727,11 +768,13 @@
     std::uint64_t incarnation_;
     DirectCalls calls_; // control thread
     DirectRelay<Dialect> relay_; // traffic thread
+    ProcessMemory memory_; // control thread, but for its account
     DirectLog callLog_; // control thread
     StoreLog storeLog_; // control thread
     std::set<std::string> sidecars_; // control thread; names of the messenger's targets
     bool isStoreRead_ = false; // control thread
     TimePoint nextMetricsAt_{}; // control thread
+    std::uint64_t loggedMemoryDecisions_ = 0; // control thread
     TimePoint nextSelectionAt_{}; // control thread
     TimePoint answerCheckAt_ = TimePoint::max(); // control thread; of the next check for answers of sidecars
     std::mutex sharedWatchMutex_; // guards sharedWatchAddress_
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -57,7 +57,9 @@
         }
         info->fingerprint = computeFingerprint(request.method, request.target, request.body, *info);
         auto &call = calls_[exchange.value];
+        call.body = SharedBody(std::exchange(request.body, {}), std::move(request.bodyRoom));
         call.request = std::move(request);
+        call.heldRoom = server_->memory().makeHold(HeldKind::HeldAnswers);
         call.requestId = info->requestId;
         if (info->resumed) {
             call.lastEventId = info->resumed->lastEventId;
@@ -85,7 +87,7 @@
         }
         auto &call = found->second;
         call.unsentBytes -= std::min<std::uint64_t>(call.unsentBytes, bytes);
-        if (call.unsentBytes <= maxUnsentBytes / 2 && call.client != nullptr) {
+        if (call.unsentBytes <= unsentLimit() / 2 && call.client != nullptr) {
             call.client->pause(call.upstreamExchange, false);
         }
     }
@@ -111,6 +113,7 @@
         call.isLimited = action.isLimited;
         call.holdAnswer = action.holdAnswer;
         call.heldReply = HttpReply{};
+        call.heldRoom.resize(0);
         call.heldReply.status = 0; // no answer yet
         call.refusalBytes = 0;
         call.answer = EndpointAnswer{};
@@ -129,6 +132,7 @@
         }
         call.client = &clientFor(action.address);
         auto request = Dialect::callRequest(call.request, action, remaining);
+        request.sharedBody = call.body;
         // A second answer to an earlier attempt carries the same id. It cannot arrive on a new connection.
         request.needsNewConnection = action.attempt > 1;
         call.upstreamExchange = call.client->start(request, remaining, handlersFor(exchange, action));
@@ -204,6 +208,11 @@
     {
         return attemptsForAbsentCallers_;
     }
+    /// Answers that were forwarded while another attempt was still possible, for want of memory. Any thread.
+    std::uint64_t forwardedWhenShort() const
+    {
+        return forwardedWhenShort_;
+    }
 
 private:
     static constexpr std::uint32_t statusBadRequest = 400;
@@ -215,6 +224,8 @@
     static constexpr Duration leavingRetryAfter = Milliseconds(50);
     // Maximum of answer bytes read from an endpoint and not yet sent to the caller.
     static constexpr std::size_t maxUnsentBytes = 256U << 10;
+    // The same while little memory is left, and the size beyond which a successful answer is then forwarded.
+    static constexpr std::size_t maxUnsentWhenShort = 32U << 10;
     // Size beyond which a successful answer is forwarded before it is complete.
     static constexpr std::size_t maxHeldBytes = 256U << 10;
     // The same where another attempt may follow, and the maximum size of an endpoint's own failure: a longer one is not
@@ -231,7 +242,8 @@
 
     struct RelayedCall
     {
-        HttpRequestData request;
+        HttpRequestData request; // without its body
+        SharedBody body; // empty once no attempt can follow
         std::string requestId;
         std::string lastEventId; // last event that its caller has, if it resumes a stream
         std::string endpointId;
@@ -249,6 +261,7 @@
         bool isOnReusedConnection = false; // the answer came on one
         std::size_t refusalBytes = 0; // received of the body of a refusal
         HttpReply heldReply; // the answer received so far, while none of it has been forwarded
+        MemoryHold heldRoom; // covers the body of heldReply
         TimePoint lastPartAt{}; // arrival of the last part of a forwarded answer
         Duration longestPause{}; // between two parts
         bool isForwarding = false; // answer bytes have been sent to the caller
@@ -256,6 +269,11 @@
         std::uint64_t unsentBytes = 0; // forwarded bytes that have not been sent to the caller yet
     };
 
+    std::size_t unsentLimit() const
+    {
+        return server_->memory().isShort() ? maxUnsentWhenShort : maxUnsentBytes;
+    }
+
     static HttpReply errorReply(std::uint32_t status, std::string_view reason, Duration retryAfter)
     {
         HttpReply reply;
@@ -369,6 +387,8 @@
     void startForwarding(HttpExchange exchange, RelayedCall &call)
     {
         call.isForwarding = true;
+        call.body = SharedBody(); // the caller has a part of the answer: no further attempt
+        call.heldRoom.resize(0);
         call.lastPartAt = EventLoop::now();
         server_->begin(exchange, call.heldReply.status, std::move(call.heldReply.headers));
         if (!call.heldReply.body.empty()) {
@@ -384,7 +404,7 @@
             call.eventIds->read(data);
         }
         call.unsentBytes += data.size();
-        if (call.unsentBytes > maxUnsentBytes) {
+        if (call.unsentBytes > unsentLimit()) {
             call.client->pause(call.upstreamExchange, true);
         }
         server_->send(exchange, std::move(data));
@@ -406,12 +426,16 @@
             return;
         }
         call.heldReply.body += data;
+        call.heldRoom.resize(call.heldReply.body.size());
         const bool isSuccess = call.answer.kind == AnswerKind::Success;
         const auto maxBytes = isSuccess && !call.holdAnswer ? maxHeldBytes : maxHeldForRetryBytes;
-        if (call.heldReply.body.size() <= maxBytes) {
+        const bool isShort =
+            isSuccess && call.heldReply.body.size() > maxUnsentWhenShort && server_->memory().isShort();
+        if (call.heldReply.body.size() <= maxBytes && !isShort) {
             return;
         }
         if (isSuccess) {
+            forwardedWhenShort_ += isShort ? 1 : 0;
             startForwarding(exchange, call);
             return;
         }
@@ -508,6 +532,7 @@
     std::unordered_map<std::string, std::unique_ptr<HttpClient>> clients_; // by address
     bool isEnding_ = false; // all calls are refused
     std::atomic<std::uint64_t> attemptsForAbsentCallers_ = 0;
+    std::atomic<std::uint64_t> forwardedWhenShort_ = 0;
 };
 
 } // namespace anvilscale
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -140,6 +140,23 @@
     text.gauge("anvilscale_http_connections_open", "open connections", stats.openConnections);
 }
 
+void appendMemoryMetrics(MetricsText &text, const MemoryAccountStats &stats)
+{
+    for (std::size_t i = 0; i < enumCount<HeldKind>; ++i) {
+        const auto kind = std::string(toString(static_cast<HeldKind>(i)));
+        text.gauge("anvilscale_memory_" + kind + "_bytes", "bytes held for callers: " + kind,
+                   static_cast<double>(stats.heldBytes[i]));
+    }
+    text.gauge("anvilscale_memory_limit_bytes", "most that is held for callers before bodies wait",
+               static_cast<double>(stats.limitBytes));
+    text.gauge("anvilscale_memory_peak_bytes", "most that was held for callers at once",
+               static_cast<double>(stats.peakBytes));
+    text.gauge("anvilscale_memory_waiting", "bodies that wait for memory", static_cast<double>(stats.waiting));
+    text.counter("anvilscale_memory_waits_total", "bodies that waited for memory", stats.waits);
+    text.counter("anvilscale_memory_granted_total", "bodies that got memory after a wait", stats.granted);
+    text.counter("anvilscale_memory_rejected_total", "bodies refused as too many others waited", stats.rejected);
+}
+
 void appendKvMetrics(MetricsText &text, const KvStats &stats)
 {
     Counters<KvStatus> byStatus;
--- a/src/daemon/process.h
+++ b/src/daemon/process.h
@@ -29,6 +29,7 @@
                          const ConfigStore &config);
 void appendMessengerMetrics(class MetricsText &text, const MessengerStats &stats);
 void appendHttpMetrics(class MetricsText &text, const HttpServerStats &stats);
+void appendMemoryMetrics(class MetricsText &text, const MemoryAccountStats &stats);
 void appendKvMetrics(class MetricsText &text, const KvStats &stats);
 void appendConfigMetrics(class MetricsText &text, const ConfigStore &config, const ConfigDistributor &distributor,
                          bool isKvDown);
--- a/src/daemon/run_daemon.cpp
+++ b/src/daemon/run_daemon.cpp
@@ -3,6 +3,7 @@
 #include "anvilscale/settings.h"
 #include "anvilscale/telemetry.h"
 
+#include <malloc.h>
 #include <pthread.h>
 
 #include <csignal>
@@ -17,6 +18,8 @@
 constexpr int stopSignal = SIGUSR2;
 // Interval of checks for a changed settings file.
 constexpr timespec fileCheckInterval{5, 0};
+// Buffers from this size on have pages of their own.
+constexpr int mappedBufferBytes = 128 << 10;
 
 sigset_t handledSignals()
 {
@@ -35,12 +38,20 @@
     return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
 }
 
+void apply(const SettingsOverrides &overrides, settings::Settings &settings)
+{
+    if (overrides.memoryMb != 0) {
+        settings.mutable_direct()->set_memory_mb(overrides.memoryMb);
+    }
+}
+
 /// Reloads the settings file when it has changed.
 class SettingsFile
 {
 public:
-    explicit SettingsFile(std::string file)
+    SettingsFile(std::string file, const SettingsOverrides &overrides)
         : file_(std::move(file))
+        , overrides_(overrides)
         , lastText_(readFile(file_))
     {
     }
@@ -52,13 +63,14 @@
             return;
         }
         lastText_ = std::move(text);
-        const auto settings = parseSettings(lastText_);
+        auto settings = parseSettings(lastText_);
         if (!settings) {
             const auto &error = settings.error();
             logEvent(Event::ReloadRejected,
                      {{"kind", std::string(toString(error.kind))}, {"path", error.path}, {"detail", error.detail}});
             return;
         }
+        apply(overrides_, *settings);
         logEvent(Event::SettingsReloaded, {{"signal", isForced}});
         setLogLevel(fromString<LogLevel>(settings->log().level()).value_or(LogLevel::Info));
         daemon.reload(*settings);
@@ -66,6 +78,7 @@
 
 private:
     std::string file_;
+    SettingsOverrides overrides_;
     std::string lastText_; // content at the last read
 };
 
@@ -98,8 +111,12 @@
 
 } // namespace
 
-int runDaemon(const settings::Settings &settings, const std::string &settingsFile)
+int runDaemon(settings::Settings settings, const std::string &settingsFile, const SettingsOverrides &overrides)
 {
+    apply(overrides, settings);
+    // A fixed threshold returns each large buffer to the system when it is freed; otherwise it grows to the largest
+    // one.
+    mallopt(M_MMAP_THRESHOLD, mappedBufferBytes);
     // All threads inherit the mask, so only the signal thread receives the signals. A write to a closed connection
     // returns an error instead of terminating the process.
     const auto set = handledSignals();
@@ -116,7 +133,7 @@
         shutdownLog();
         return exitRejected;
     }
-    SettingsFile file(settingsFile);
+    SettingsFile file(settingsFile, overrides);
     std::thread signals([&] { waitForSignals(**daemon, file); });
     (*daemon)->start();
     (*daemon)->wait();
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -13,12 +13,25 @@
 namespace {
 
 constexpr std::size_t maxReadBytes = 16U << 10;
+// Room of a body without a length grows by this much. Not less than can be read at once.
+constexpr std::uint64_t bodyPieceBytes = 64U << 10;
+// A written buffer of up to this size is kept for the next message.
+constexpr std::size_t maxKeptBytes = 4U << 10;
 constexpr std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr Duration lingerTimeout = Seconds(1);
 constexpr int readMode = Poco::Net::PollSet::POLL_READ;
 constexpr int writeMode = Poco::Net::PollSet::POLL_WRITE;
 constexpr int errorMode = Poco::Net::PollSet::POLL_ERROR;
 
+void releaseBuffer(std::string &buffer)
+{
+    if (buffer.capacity() > maxKeptBytes) {
+        buffer = std::string();
+    } else {
+        buffer.clear();
+    }
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(std::uint64_t id, const Poco::Net::StreamSocket &socket,
@@ -26,6 +39,8 @@
     : id_(id)
     , socket_(socket)
     , context_(context)
+    , inputRoom_(context.init->memory->makeHold(HeldKind::CallerInput))
+    , outputRoom_(context.init->memory->makeHold(HeldKind::CallerOutput))
 {
     socket_.setBlocking(false);
     socket_.setNoDelay(true);
@@ -92,9 +107,24 @@
     }
     input_.append(buffer.data(), static_cast<std::size_t>(received));
     processInput();
+    countHeldBytes();
     updatePollModes();
 }
 
+void CallerConnection::countHeldBytes()
+{
+    if (state_ == State::Closed) {
+        inputRoom_.resize(0);
+        outputRoom_.resize(0);
+        return;
+    }
+    if (input_.empty()) {
+        releaseBuffer(input_);
+    }
+    inputRoom_.resize(input_.size());
+    outputRoom_.resize(output_.size() + (answer_ ? answer_->heldBytes() : 0));
+}
+
 void CallerConnection::processInput()
 {
     bool hasMore = true;
@@ -128,13 +158,77 @@
     }
     request_ = std::move(parsed->first);
     bodyReader_ = parsed->second;
+    return startBody();
+}
+
+bool CallerConnection::startBody()
+{
+    bodyDeadline_ = EventLoop::now() + context_.init->bodyTimeout;
+    awaitsContinue_ = !bodyReader_.isDone() && input_.empty() && findHeader(request_->headers, "Expect") != nullptr;
+    if (bodyReader_.isDone()) {
+        beginReading();
+        return true;
+    }
+    const auto group = context_.handlers->bodyGroup ? context_.handlers->bodyGroup(*request_) : 0;
+    request_->bodyRoom = context_.init->memory->makeHold(HeldKind::RequestBodies, group);
+    const bool hasLength = bodyReader_.framing() == HttpBodyReader::Framing::Length;
+    return reserveBody(hasLength ? bodyReader_.remainingBytes() : bodyPieceBytes);
+}
+
+// Returns true if there is room for further bytes of the body. Without it the connection is not read until there is.
+bool CallerConnection::reserveBody(std::uint64_t bytes)
+{
+    auto &memory = *context_.init->memory;
+    auto &room = request_->bodyRoom;
+    if (room.bytes() + bytes > memory.largestHold()) {
+        rejectMessage(HttpError::BodyOverMemory);
+        return false;
+    }
+    if (memory.tryGrow(room, bytes)) {
+        beginReading();
+        return true;
+    }
+    roomWait_ = memory.waitToGrow(room, bytes, [context = &context_, id = id_] {
+        context->loop->post([context, id] {
+            if (auto *connection = context->findConnection(id)) {
+                connection->onRoom();
+            }
+        });
+    });
+    if (!roomWait_) {
+        rejectMessage(HttpError::MemoryShort);
+        return false;
+    }
+    state_ = State::Room;
+    setDeadline(context_.init->roomTimeout, HttpError::MemoryShort);
+    return false;
+}
+
+void CallerConnection::onRoom()
+{
+    // The wait may have ended meanwhile, and another one begun.
+    if (state_ != State::Room || !context_.init->memory->takeGrant(request_->bodyRoom, roomWait_)) {
+        return;
+    }
+    beginReading();
+    processInput();
+    countHeldBytes();
+    updatePollModes();
+    if (state_ == State::Closed) {
+        context_.onClosed(id_); // destroys this
+    }
+}
+
+void CallerConnection::beginReading()
+{
     state_ = State::Body;
-    setDeadline(context_.init->bodyTimeout, HttpError::BodyTimeout);
-    if (!bodyReader_.isDone() && input_.empty() && findHeader(request_->headers, "Expect") != nullptr) {
+    setDeadline(bodyDeadline_ - EventLoop::now(), HttpError::BodyTimeout);
+    // Growth by doubling would touch twice the size.
+    request_->body.reserve(request_->bodyRoom.bytes());
+    if (std::exchange(awaitsContinue_, false)) {
         output_.append(continueResponse);
         writeOutput();
     }
-    return true;
 }
 
 bool CallerConnection::processBody()
@@ -150,8 +244,12 @@
         return false;
     }
     if (!bodyReader_.isDone()) {
-        return false;
+        const bool hasLength = bodyReader_.framing() == HttpBodyReader::Framing::Length;
+        const bool hasRoom =
+            hasLength || request_->body.size() + input_.size() + maxReadBytes <= request_->bodyRoom.bytes();
+        return !hasRoom && reserveBody(bodyPieceBytes);
     }
+    request_->bodyRoom.resize(request_->body.size());
     dispatchRequest();
     return false;
 }
@@ -222,10 +320,7 @@
     const auto remainingBodyBytes = std::min<std::uint64_t>(unsentBodyBytes_, pendingBytes);
     const auto sentBodyBytes = unsentBodyBytes_ - remainingBodyBytes;
     unsentBodyBytes_ = remainingBodyBytes;
-    if (pendingBytes == 0) {
-        output_.clear();
-        writtenBytes_ = 0;
-    }
+    discardWritten();
     if (sentBodyBytes != 0 && exchange_) {
         context_.handlers->bytesSent(exchange_, sentBodyBytes);
     }
@@ -238,6 +333,19 @@
     }
 }
 
+// Output that follows while the reader is behind must not pile up after what has been written.
+void CallerConnection::discardWritten()
+{
+    if (writtenBytes_ == output_.size()) {
+        releaseBuffer(output_);
+        writtenBytes_ = 0;
+    } else if (writtenBytes_ >= output_.size() / 2 && writtenBytes_ > maxKeptBytes) {
+        output_ = output_.substr(writtenBytes_);
+        writtenBytes_ = 0;
+    }
+    outputRoom_.resize(output_.size() + (answer_ ? answer_->heldBytes() : 0));
+}
+
 void CallerConnection::onOutputWritten()
 {
     if (state_ != State::Closing) {
@@ -282,7 +390,9 @@
     answerEnd_ = AnswerEnd::Close;
     state_ = State::Closing;
     request_.reset();
-    input_.clear();
+    roomWait_ = MemoryAccount::Wait();
+    input_ = std::string();
+    inputRoom_.resize(0);
     writeOutput();
 }
 
@@ -309,6 +419,7 @@
     context_.loop->unwatch(socket_);
     socket_.close();
     state_ = State::Closed;
+    roomWait_ = MemoryAccount::Wait();
 }
 
 void CallerConnection::closeIfIdle()
@@ -328,7 +439,7 @@
     // Pipelined input stays in the socket buffer once input_ exceeds the head limit.
     const bool isInputFull = state_ == State::Answering && input_.size() > context_.init->maxHeadBytes;
     int modes = errorMode;
-    modes |= isInputFull ? 0 : readMode;
+    modes |= isInputFull || state_ == State::Room ? 0 : readMode;
     modes |= writtenBytes_ < output_.size() ? writeMode : 0;
     if (modes != pollModes_) {
         pollModes_ = modes;
@@ -353,7 +464,7 @@
 void CallerConnection::onDeadline()
 {
     deadline_ = TimerHandle{};
-    const bool hasPartialRequest = state_ == State::Body || !input_.empty();
+    const bool hasPartialRequest = state_ == State::Room || state_ == State::Body || !input_.empty();
     if (deadlineError_ != HttpError::None && hasPartialRequest) {
         rejectMessage(deadlineError_);
     } else {
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -17,6 +17,7 @@
     std::function<HttpExchange(std::uint64_t connection)> newExchange;
     std::function<void(HttpExchange)> endExchange;
     std::function<void(HttpError)> countError;
+    std::function<class CallerConnection *(std::uint64_t connection)> findConnection; ///< null if it is closed
     std::function<void()> countSlowReader;
     std::function<void(std::uint64_t connection)> onClosed;
     const HttpServer::Handlers *handlers = nullptr;
@@ -52,6 +53,7 @@
 private:
     enum class State : std::uint8_t {
         Head, ///< waiting for a complete head
+        Room, ///< waiting for room for the body, without reading
         Body,
         Answering,
         Closing, ///< the response is complete and being written
@@ -63,6 +65,12 @@
     void processInput();
     bool processHead();
     bool processBody();
+    bool startBody();
+    bool reserveBody(std::uint64_t bytes);
+    void onRoom();
+    void beginReading();
+    void countHeldBytes();
+    void discardWritten();
     void dispatchRequest();
     void onAnswerChanged();
     void collectOutput();
@@ -86,6 +94,11 @@
     std::size_t writtenBytes_ = 0; // of output_ that are written to the socket
     std::uint64_t unsentBodyBytes_ = 0; // body bytes of the response that are not yet written to the socket
     std::optional<HttpRequestData> request_;
+    MemoryAccount::Wait roomWait_; // set if and only if state_ is Room
+    TimePoint bodyDeadline_{}; // of the whole body
+    bool awaitsContinue_ = false; // the caller sends its body once it is told to
+    MemoryHold inputRoom_; // covers input_
+    MemoryHold outputRoom_; // covers output_
     HttpBodyReader bodyReader_;
     std::optional<HttpAnswer> answer_;
     HttpExchange exchange_; // invariant: set if and only if state_ is Answering
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -142,6 +142,11 @@
     return end_;
 }
 
+std::size_t HttpAnswer::heldBytes() const
+{
+    return heldBody_.size();
+}
+
 std::uint64_t HttpAnswer::takeForwardedBytes()
 {
     return std::exchange(forwardedBytes_, 0);
--- a/src/net/http_answer.h
+++ b/src/net/http_answer.h
@@ -36,6 +36,8 @@
     /// Bytes to write; the caller clears what it has consumed.
     std::string &output();
     AnswerEnd end() const;
+    /// Bytes kept that are not in output().
+    std::size_t heldBytes() const;
     /// Returns the number of body bytes added to output() since the last call.
     std::uint64_t takeForwardedBytes();
     bool hasFailedOpen() const;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -35,8 +35,9 @@
     std::uint64_t key = 0;
     Poco::Net::StreamSocket socket;
     Step step = Step::Connecting;
-    std::string output;
-    std::size_t writtenBytes = 0;
+    std::string output; // the head, and a body that is not shared
+    SharedBody body; // sent after `output`
+    std::size_t writtenBytes = 0; // of both
     std::string input;
     HttpResponseHead response;
     std::optional<EventBounds> events; // of the response, if it is an event stream
@@ -55,6 +56,22 @@
     ExchangeHandlers handlers;
 };
 
+// Returns the bytes to send next; empty if the request has been sent.
+std::string_view unsentPart(const Connection &connection)
+{
+    const auto headBytes = connection.output.size();
+    return connection.writtenBytes < headBytes ? std::string_view(connection.output).substr(connection.writtenBytes)
+                                               : connection.body.text().substr(connection.writtenBytes - headBytes);
+}
+
+// Gives back the memory of a request that has been sent or is given up.
+void releaseRequest(Connection &connection)
+{
+    connection.output = std::string();
+    connection.body = SharedBody();
+    connection.writtenBytes = 0;
+}
+
 } // namespace
 
 struct HttpClient::Impl
@@ -199,8 +216,9 @@
     connection->handlers = std::move(handlers);
     connection->output =
         formatRequestHead(request.method, request.target, request.host.empty() ? address.toString() : request.host,
-                          request.headers, request.body.size(), true)
+                          request.headers, request.body.size() + request.sharedBody.text().size(), true)
         + request.body;
+    connection->body = request.sharedBody;
     connection->writtenBytes = 0;
     connection->input.clear();
     connection->isPaused = false;
@@ -240,7 +258,7 @@
     connection.isPaused = false;
     connection.handlers.head = nullptr;
     connection.handlers.data = nullptr;
-    connection.writtenBytes = connection.output.size();
+    releaseRequest(connection);
     try {
         connection.socket.shutdownSend();
     } catch (const Poco::Exception &) {
@@ -320,9 +338,8 @@
 
 void HttpClient::Impl::send(Connection &connection)
 {
-    while (connection.writtenBytes < connection.output.size()) {
-        const auto sentBytes =
-            trySend(connection.socket, std::string_view(connection.output).substr(connection.writtenBytes));
+    for (auto unsent = unsentPart(connection); !unsent.empty(); unsent = unsentPart(connection)) {
+        const auto sentBytes = trySend(connection.socket, unsent);
         if (!sentBytes) {
             // The endpoint may have responded before it closed the connection, so the response is still read.
             connection.step = Step::Head;
@@ -336,8 +353,7 @@
         connection.writtenBytes += *sentBytes;
     }
     connection.step = Step::Head;
-    connection.output.clear();
-    connection.writtenBytes = 0;
+    releaseRequest(connection);
     updatePollModes(connection);
 }
 
@@ -425,6 +441,9 @@
     auto &body = connection.response.body;
     const auto consumed = body.read(connection.input, data);
     connection.input.erase(0, consumed);
+    if (connection.input.empty()) {
+        connection.input = std::string(); // many slow answers must not keep a buffer each
+    }
     if (connection.events) {
         connection.events->read(data);
     }
@@ -476,7 +495,7 @@
     const auto handler = std::move(connection.handlers.end);
     connection.handlers = ExchangeHandlers{};
     const bool isReusable = end == ExchangeEnd::Complete && connection.response.keepAlive && connection.input.empty()
-                            && connection.output.empty() && idleKeys.size() < init.maxIdleConnections;
+                            && unsentPart(connection).empty() && idleKeys.size() < init.maxIdleConnections;
     if (isReusable) {
         makeIdle(connection);
     } else {
@@ -498,6 +517,8 @@
     connection.isPaused = false;
     connection.idleSince = EventLoop::now();
     connection.maxIdleTime = readMaxIdleTime(connection.response);
+    connection.input = std::string();
+    connection.response = HttpResponseHead{};
     idleKeys.push_back(connection.key);
     updatePollModes(connection);
     scheduleExpiry();
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -136,10 +136,26 @@
     return std::find(names.begin(), names.end(), lower) != names.end() || lower == "expect";
 }
 
+struct SharedBody::Body
+{
+    std::string text;
+    MemoryHold room;
+};
+
+SharedBody::SharedBody(std::string text, MemoryHold room)
+    : body_(std::make_shared<const Body>(Body{std::move(text), std::move(room)}))
+{
+}
+
+std::string_view SharedBody::text() const
+{
+    return body_ ? std::string_view(body_->text) : std::string_view();
+}
+
 std::uint32_t statusOf(HttpError reason)
 {
-    static constexpr std::array<std::uint32_t, enumCount<HttpError>> table{200, 400, 431, 400, 413,
-                                                                           501, 417, 408, 408, 503};
+    static constexpr std::array<std::uint32_t, enumCount<HttpError>> table{200, 400, 431, 400, 413, 501,
+                                                                           417, 408, 408, 503, 503, 413};
     return table[static_cast<std::size_t>(reason)];
 }
 
@@ -153,6 +169,11 @@
     }
 }
 
+std::uint64_t HttpBodyReader::remainingBytes() const
+{
+    return remainingBytes_;
+}
+
 std::size_t HttpBodyReader::read(std::string_view in, std::string &out)
 {
     std::size_t consumed = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -109,6 +109,9 @@
     auto impl = std::make_unique<Impl>();
     impl->init = std::move(init);
     impl->handlers = std::move(handlers);
+    if (!impl->init.memory) {
+        impl->init.memory = std::make_shared<MemoryAccount>(MemoryAccountInit{});
+    }
     const auto addressText = impl->init.address + ":" + std::to_string(impl->init.port);
     try {
         // Reuses the address of a process that has exited, but never shares it with a running one.
@@ -143,6 +146,10 @@
     };
     context.endExchange = [worker](HttpExchange exchange) { worker->connectionByExchange.erase(exchange.value); };
     context.countError = [this](HttpError error) { stats.problems[static_cast<std::size_t>(error)] += 1; };
+    context.findConnection = [worker](std::uint64_t connection) {
+        const auto found = worker->connections.find(connection);
+        return found == worker->connections.end() ? nullptr : found->second.get();
+    };
     context.countSlowReader = [this] { stats.slowReadersCut += 1; };
     context.onClosed = [this, worker](std::uint64_t connection) {
         if (worker->connections.erase(connection) != 0) {
@@ -330,6 +337,11 @@
     }
 }
 
+MemoryAccount &HttpServer::memory()
+{
+    return *impl_->init.memory;
+}
+
 EventLoop &HttpServer::loop()
 {
     return *impl_->workers.front()->loop;
--- a/src/settings/rules.cpp
+++ b/src/settings/rules.cpp
@@ -66,6 +66,8 @@
                "engines of a service that an entry is connected to, besides a few that all entries share"},
     NumberRule{"direct.farEngines", Scope::DirectEntry, 32, 0, 10000,
                "part of these connections that is kept for engines of other data centres"},
+    NumberRule{"direct.memoryMb", Scope::DirectEntry, 160, 1, 1048576,
+               "memory limit of the process; --memory-mb goes first"},
     NumberRule{"direct.metricsPort", Scope::DirectEntry, 0, 0, 65535, "port of the metrics; 0: none"},
     NumberRule{"timing.heartbeatMs", Scope::All, 500, 20, 60000, "interval of heartbeats between processes"},
     NumberRule{"timing.suspectMs", Scope::All, 2500, 60, 600000, "silence after which a process gets no new work"},
--- a/src/telemetry/events.cpp
+++ b/src/telemetry/events.cpp
@@ -67,6 +67,8 @@
      "requests with a prompt part are no longer sent to any endpoint; too many endpoints crashed on it"},
     {510, LogLevel::Info, "prompt_part_released",
      "requests with a quarantined prompt part are sent again; it has been answered on, or its crashes are long ago"},
+    {511, LogLevel::Warn, "memory_short",
+     "bodies waited for memory or were refused, or answers were forwarded early, since the last such line"},
     {600, LogLevel::Error, "key_value_down", "the key-value service does not respond"},
     {601, LogLevel::Info, "key_value_back", "the key-value service responds again"},
     {602, LogLevel::Warn, "store_call_failed",
--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -57,7 +57,7 @@
             << R"("},"direct":{"store":)"
             << R"("http://127.0.0.1:)" << storePort_ << R"(","ready":{"at":"127.0.0.1:)" << ports.ready
             << R"("},"storePauseMs":50,"graceMs":)" << graceMs_ << R"(,"metricsPort":)" << ports.metrics
-            << R"(},"log":{"file":"-"}})";
+            << R"(,"memoryMb":)" << memoryMb_ << R"(},"log":{"file":"-"}})";
         startDaemon(name, out.str());
     }
     void startSidecar()
@@ -199,6 +199,7 @@
     unsigned metricsPort_ = freePort();
     std::map<std::string, std::unique_ptr<Process>> daemons_;
     int probeCount_ = 0;
+    int memoryMb_ = 160; // of entries that are started from now on
     int graceMs_ = 8000; // of entries that are started from now on
 };
 
--- a/tests/process/held_bytes_test.cpp
+++ b/tests/process/held_bytes_test.cpp
@@ -36,11 +36,50 @@
         putKey("servers/p-3", record("plain", slow_.address()));
         start();
     }
+    /// Sends the head of a call and the first bytes of its body on a connection of its own.
+    Poco::Net::StreamSocket open(const std::string &id, const std::string &framing, const std::string &body) const
+    {
+        Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(httpPort_)));
+        socket.setReceiveTimeout(Poco::Timespan(60, 0));
+        const auto text = "POST /n/x HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
+                          + "\r\nX-Anvilscale-Deadline-Ms: 60000\r\n" + framing + "\r\n\r\n" + body;
+        socket.sendBytes(text.data(), static_cast<int>(text.size()));
+        return socket;
+    }
+    /// Sends chunks until the entry closes or resets the connection, or all are sent.
+    static void sendChunks(Poco::Net::StreamSocket &socket, std::size_t count)
+    {
+        const auto chunk = "10000\r\n" + std::string(64U << 10, 'c') + "\r\n";
+        try {
+            for (std::size_t i = 0; i < count; ++i) {
+                socket.sendBytes(chunk.data(), static_cast<int>(chunk.size()));
+            }
+        } catch (const Poco::Exception &) { // NOLINT(bugprone-empty-catch): the answer is read by the caller
+        }
+    }
+    static std::string statusLine(Poco::Net::StreamSocket &socket)
+    {
+        std::string text;
+        std::array<char, 256> buffer{};
+        while (text.find("\r\n") == std::string::npos) {
+            const int received = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+            if (received <= 0) {
+                break;
+            }
+            text.append(buffer.data(), static_cast<std::size_t>(received));
+        }
+        return text.substr(0, text.find("\r\n"));
+    }
+    double metric(const std::string &name) const
+    {
+        const auto text = request(metricsPort_, "GET", "/metrics").body;
+        const auto at = text.find("\n" + name + " ");
+        return at == std::string::npos ? -1 : std::stod(text.substr(at + name.size() + 2));
+    }
     Answer upload(const std::string &id, std::size_t bytes) const
     {
-        return request(
-            httpPort_, "POST", "/n/x", std::string(bytes, 'b'),
-            {{"Host", "h.example"}, {"X-Anvilscale-Request-Id", id}, {"X-Anvilscale-Deadline-Ms", "60000"}});
+        return request(httpPort_, "POST", "/n/x", std::string(bytes, 'b'),
+                       {{"Host", "h.example"}, {"X-Anvilscale-Request-Id", id}, {"X-Anvilscale-Deadline-Ms", "60000"}});
     }
     static std::string uploadId(std::size_t number)
     {
@@ -92,3 +131,75 @@
         EXPECT_EQ(answers[i].headers.contains("Retry-After"), answers[i].status == 503) << id;
     }
 }
+
+// Guards against small calls that are refused, or wait for large ones, while large bodies fill the memory.
+TEST_F(HeldBytes, SmallCallsAreServedBesideLargeBodies)
+{
+    startWithSlowEndpoint();
+    std::vector<std::thread> callers;
+    std::atomic<std::size_t> answered = 0;
+    for (std::size_t i = 0; i < callerCount; ++i) {
+        callers.emplace_back([&, i] {
+            upload(uploadId(i), bodyBytes);
+            ++answered;
+        });
+    }
+    EXPECT_TRUE(eventually([&] { return metric("anvilscale_memory_waits_total") > 0; }));
+    std::vector<std::thread> smallCallers;
+    std::array<Answer, 20> answers;
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        smallCallers.emplace_back([&, i] { answers[i] = upload("small-" + std::to_string(i), 1000); });
+    }
+    for (std::size_t i = 0; i < answers.size(); ++i) {
+        EXPECT_TRUE(eventually([&] { return slow_.hasHead("small-" + std::to_string(i)); })) << i;
+    }
+    slow_.release();
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    for (auto &caller : smallCallers) {
+        caller.join();
+    }
+    for (const auto &answer : answers) {
+        EXPECT_EQ(answer.status, 200);
+    }
+    EXPECT_NE(readLog("entry-1").find("memory_short"), std::string::npos);
+}
+
+// Guards against room that is lost with callers that announce a body and leave, or send chunks without end.
+TEST_F(HeldBytes, BadBodiesGiveTheirRoomBack)
+{
+    startWithSlowEndpoint();
+    slow_.release();
+    {
+        std::vector<Poco::Net::StreamSocket> silent;
+        for (std::size_t i = 0; i < callerCount; ++i) {
+            silent.push_back(open("silent-" + std::to_string(i), "Content-Length: " + std::to_string(bodyBytes), "b"));
+        }
+        EXPECT_TRUE(eventually([&] { return metric("anvilscale_memory_request_bodies_bytes") > 0; }));
+        auto chunked = open("endless", "Transfer-Encoding: chunked", "");
+        sendChunks(chunked, (bodyBytes >> 16U) + 2);
+        const auto endless = statusLine(chunked);
+        EXPECT_TRUE(endless.starts_with("HTTP/1.1 413") || endless.starts_with("HTTP/1.1 503")) << endless;
+        auto tooLong = open("too-long", "Content-Length: " + std::to_string(bodyBytes + 1), "");
+        EXPECT_TRUE(statusLine(tooLong).starts_with("HTTP/1.1 413"));
+        EXPECT_EQ(upload("small", 1000).status, 200);
+    }
+    EXPECT_TRUE(eventually([&] { return metric("anvilscale_memory_request_bodies_bytes") == 0; }));
+    EXPECT_EQ(upload("large", bodyBytes).status, 200);
+    auto chunked = open("chunks", "Transfer-Encoding: chunked", "");
+    sendChunks(chunked, (bodyBytes >> 16U) - 1);
+    chunked.sendBytes("0\r\n\r\n", 5);
+    EXPECT_TRUE(statusLine(chunked).starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(slow_.executionCount("chunks"), 1);
+}
+
+// Guards against a body that can never fit and is refused as if it might be sent again.
+TEST_F(HeldBytes, BodyBeyondTheMemoryIsTooLarge)
+{
+    memoryMb_ = 16;
+    startWithSlowEndpoint();
+    slow_.release();
+    EXPECT_EQ(upload("large", bodyBytes).status, 413);
+    EXPECT_EQ(upload("small", 1000).status, 200);
+}
--- a/tests/support/stalled_reader.h
+++ b/tests/support/stalled_reader.h
@@ -144,8 +144,7 @@
     static std::string headerOf(const std::string &head, const std::string &name)
     {
         const auto at = head.find(name);
-        return at == std::string::npos ? "0"
-                                       : head.substr(at + name.size(), head.find('\r', at) - at - name.size());
+        return at == std::string::npos ? "0" : head.substr(at + name.size(), head.find('\r', at) - at - name.size());
     }
 
     Poco::Net::ServerSocket listener_ = listen();
--- a/tools/anvilscaled.cpp
+++ b/tools/anvilscaled.cpp
@@ -4,11 +4,16 @@
 
 #include <cxxopts.hpp>
 
+#include <charconv>
 #include <iostream>
+#include <optional>
 
 namespace {
 
 constexpr std::string_view version = "0.1.0";
+// As for direct.memoryMb.
+constexpr std::uint32_t minMemoryMb = 1;
+constexpr std::uint32_t maxMemoryMb = 1048576;
 
 int printSettingsError(const anvilscale::SettingsError &error)
 {
@@ -16,6 +21,22 @@
     return anvilscale::exitRejected;
 }
 
+/// Returns nullopt if an option has a wrong value. An empty memory limit counts as none: a deploy file may have none.
+std::optional<anvilscale::SettingsOverrides> readOverrides(const cxxopts::ParseResult &options)
+{
+    anvilscale::SettingsOverrides overrides;
+    const auto text = options.count("memory-mb") == 0 ? std::string() : options["memory-mb"].as<std::string>();
+    if (text.empty()) {
+        return overrides;
+    }
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), overrides.memoryMb);
+    const bool isInRange = overrides.memoryMb >= minMemoryMb && overrides.memoryMb <= maxMemoryMb;
+    if (error != std::errc() || end != text.data() + text.size() || !isInRange) {
+        return std::nullopt;
+    }
+    return overrides;
+}
+
 int runWithOptions(const cxxopts::ParseResult &options)
 {
     if (options.count("version") != 0) {
@@ -44,7 +65,12 @@
         std::cout << "the settings are valid\n";
         return anvilscale::exitDone;
     }
-    return anvilscale::runDaemon(*settings, settingsPath);
+    const auto overrides = readOverrides(options);
+    if (!overrides) {
+        std::cerr << "anvilscaled: --memory-mb is no number from " << minMemoryMb << " to " << maxMemoryMb << "\n";
+        return anvilscale::exitUsage;
+    }
+    return anvilscale::runDaemon(*settings, settingsPath, *overrides);
 }
 
 } // namespace
@@ -53,9 +79,10 @@
 {
     cxxopts::Options options("anvilscaled", "Serves very many LoRA adapters: an entry, or the sidecar of an endpoint.");
     options.add_options()("settings", "JSON file with the settings", cxxopts::value<std::string>(), "FILE")(
-        "check", "check the settings and exit")("print-defaults", "print a role's settings with all defaults",
-                                                cxxopts::value<std::string>(),
-                                                "ROLE")("version", "print the version")("help", "print this");
+        "memory-mb", "memory limit of the process, before direct.memoryMb", cxxopts::value<std::string>(),
+        "MB")("check", "check the settings and exit")("print-defaults", "print a role's settings with all defaults",
+                                                      cxxopts::value<std::string>(),
+                                                      "ROLE")("version", "print the version")("help", "print this");
     try {
         const auto parsedOptions = options.parse(argc, argv);
         if (parsedOptions.count("help") != 0) {
