Listeners rest while no descriptor is free, and unfinished handshakes are bounded

What callers saw: while others held connections without a handshake to an entry's control port, no call was answered and the process used whole processors; with its HTTP port held, callers got neither an answer nor a refusal; a sidecar in that state could not be reached by entries.

Cause: a failed accept left the listener ready, so that the HTTP thread and ZeroMQ's thread called it again without a rest, ZeroMQ kept connections without a handshake for 30 s in any number, and nothing kept a descriptor free to refuse a caller.

Fix: the last descriptors of the process's limit (getrlimit) are reserved. An HTTP listener refuses connections in that range with 503, by a spare descriptor if none is free, and rests for 50 ms if that fails too. The messenger owns its listening socket and gives it to ZeroMQ (ZMQ_USE_FD); it pauses it by a socket filter while few descriptors are left or too many handshakes are unfinished, and empties its queue. A handshake may take 2 s. New: events 113 and 114, two counters.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -251,6 +251,7 @@
     std::uint64_t connections = 0;
     std::uint64_t requests = 0;
     std::uint64_t slowReadersCut = 0;
+    std::uint64_t acceptsWithoutDescriptor = 0; ///< connections that came when no descriptor was free for them
     std::uint32_t openConnections = 0;
 };
 
@@ -478,6 +479,7 @@
     std::size_t maxMessageBytes = 16U << 20;
     std::size_t maxQueuedBytes = 64U << 20; ///< of all messages waiting to be sent
     std::size_t maxConnectQueue = 64; ///< messages that may wait for a connection to be established
+    Duration handshakeTimeout = Seconds(2); ///< a connection without a complete handshake is closed
 };
 
 struct MessengerStats
@@ -488,6 +490,7 @@
     std::uint64_t received = 0;
     std::uint64_t receivedBytes = 0;
     std::uint64_t visitedTargets = 0; ///< targets that the messenger's thread has looked at without an event of theirs
+    std::uint64_t listenerPauses = 0; ///< by few free descriptors or many unfinished handshakes
 };
 
 /// Exchanges envelopes over ZeroMQ: one bound ROUTER, and a DEALER for each process that this one connects to. One
--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -39,6 +39,8 @@
     DrainStarted,
     DrainFinished,
     LogLinesDropped,
+    DescriptorsShort,
+    DescriptorsBack,
     ConfigMoved,
     ConfigRejected,
     ConfigStale,
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -127,6 +127,9 @@
     text.counter("anvilscale_messages_sent_bytes_total", "bytes of messages sent", stats.sentBytes);
     text.counter("anvilscale_messages_received_total", "messages received from other processes", stats.received);
     text.counter("anvilscale_messages_received_bytes_total", "bytes of messages received", stats.receivedBytes);
+    text.counter("anvilscale_messages_listener_pauses_total",
+                 "pauses of the control port, by few free descriptors or many unfinished handshakes",
+                 stats.listenerPauses);
 }
 
 void appendHttpMetrics(MetricsText &text, const HttpServerStats &stats)
@@ -137,6 +140,8 @@
     text.counter("anvilscale_http_requests_total", "requests read", stats.requests);
     text.counter("anvilscale_http_slow_readers_cut_total", "callers cut because they took nothing",
                  stats.slowReadersCut);
+    text.counter("anvilscale_http_accepts_without_descriptor_total",
+                 "connections that came when no descriptor was free for them", stats.acceptsWithoutDescriptor);
     text.gauge("anvilscale_http_connections_open", "open connections", stats.openConnections);
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,10 +1,13 @@
 // HTTP server: the listener, the traffic threads with their connections, and the lookup of connections by exchange.
 #include "caller_connection.h"
+#include "descriptor_shortage.h"
+#include "net_errors.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketImpl.h>
 
 #include <atomic>
 #include <future>
@@ -19,6 +22,8 @@
 constexpr std::uint64_t workerBits = 8;
 constexpr std::uint64_t workerMask = (1U << workerBits) - 1;
 constexpr Duration drainCheckInterval = Milliseconds(50);
+constexpr std::size_t maxDiscardedBytes = 16U << 10; // of the input of a connection that is refused at once
+constexpr Duration acceptRest = Milliseconds(50); // of a listener that cannot accept
 
 struct AtomicStats
 {
@@ -26,6 +31,7 @@
     std::atomic<std::uint64_t> connections = 0;
     std::atomic<std::uint64_t> requests = 0;
     std::atomic<std::uint64_t> slowReadersCut = 0;
+    std::atomic<std::uint64_t> acceptsWithoutDescriptor = 0;
     std::atomic<std::uint32_t> open = 0;
 };
 
@@ -48,15 +54,15 @@
     }
 };
 
-NetErrorKind toErrorKind(const Poco::Exception &error)
+std::string formatRefusal(HttpReply reply)
 {
-    if (error.code() == EADDRINUSE) {
-        return NetErrorKind::AddressInUse;
-    }
-    if (error.code() == EACCES) {
-        return NetErrorKind::NotPermitted;
-    }
-    return error.code() == EADDRNOTAVAIL ? NetErrorKind::BadAddress : NetErrorKind::Failed;
+    reply.closesConnection = true;
+    const bool keepsAlive = false;
+    const bool acceptsChunked = true;
+    const bool isHeadRequest = false;
+    HttpAnswer answer(keepsAlive, acceptsChunked, isHeadRequest, 0);
+    answer.reply(reply);
+    return answer.output();
 }
 
 } // namespace
@@ -70,11 +76,26 @@
     AtomicStats stats;
     std::size_t nextWorker = 0; // first worker's thread only
     bool isListening = false; // first worker's thread only
+    SpareDescriptor spare; // first worker's thread only
+    std::optional<DescriptorShortage> shortage; // first worker's thread only; set while listening
     std::function<void()> onDrained;
 
     void addWorker(std::uint64_t index);
+    /// Result of an attempt to accept a connection.
+    enum class Accept : std::uint8_t {
+        Done,
+        Refused, ///< few descriptors are left
+        NonePending,
+        Failed ///< no descriptor is free
+    };
+
     void acceptPending();
-    bool acceptOne();
+    Accept acceptOne();
+    Accept refuseBySpare();
+    void onShortage();
+    void checkShortage();
+    void restListener();
+    void refuseAtOnce(Poco::Net::StreamSocket &socket);
     void addConnection(Worker &worker, const Poco::Net::StreamSocket &socket, bool isOverLimit);
     void closeListener();
     void checkDrained();
@@ -161,6 +182,7 @@
 {
     impl_->workers[0]->loop->post([impl = impl_.get()] {
         impl->isListening = true;
+        impl->shortage.emplace(impl->listener.address().toString());
         impl->workers[0]->loop->watch(impl->listener, Poco::Net::PollSet::POLL_READ,
                                       [impl](int) { impl->acceptPending(); });
     });
@@ -168,26 +190,117 @@
 
 void HttpServer::Impl::acceptPending()
 {
-    for (int i = 0; i < maxAcceptsPerPoll && acceptOne(); ++i) {
+    auto accepted = Accept::Done;
+    // Refused connections are answered before more are accepted, so that they do not use the reserve up.
+    for (int i = 0; i < maxAcceptsPerPoll && accepted == Accept::Done; ++i) {
+        accepted = acceptOne();
+    }
+    if (accepted == Accept::Failed) {
+        restListener();
     }
 }
 
-bool HttpServer::Impl::acceptOne()
+HttpServer::Impl::Accept HttpServer::Impl::acceptOne()
 {
     Poco::Net::StreamSocket socket;
     try {
         if (!listener.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-            return false;
+            return Accept::NonePending;
         }
         socket = listener.acceptConnection();
-    } catch (const Poco::Exception &) {
-        return false; // closed by the caller, or out of descriptors: retried when the listener is ready again
+    } catch (const Poco::Exception &error) {
+        return isShortageError(error.code()) ? refuseBySpare() : Accept::NonePending; // else closed by the caller
     }
     stats.connections += 1;
-    const bool isOverLimit = stats.open.fetch_add(1) >= init.maxConnections;
+    const int firstReserved = descriptorLimit() - reservedDescriptors();
+    const bool isReserved = socket.impl()->sockfd() >= firstReserved;
+    if (isReserved) {
+        onShortage();
+    }
+    if (socket.impl()->sockfd() >= firstReserved + reservedDescriptors() / 2) {
+        refuseAtOnce(socket);
+        return Accept::Refused;
+    }
+    const bool isOverLimit = stats.open.fetch_add(1) >= init.maxConnections || isReserved;
     auto &worker = *workers[nextWorker++ % workers.size()];
     worker.loop->post([this, &worker, socket, isOverLimit] { addConnection(worker, socket, isOverLimit); });
-    return true;
+    return isReserved ? Accept::Refused : Accept::Done;
+}
+
+HttpServer::Impl::Accept HttpServer::Impl::refuseBySpare()
+{
+    onShortage();
+    spare.release();
+    auto result = Accept::Failed;
+    try {
+        auto socket = listener.acceptConnection();
+        stats.connections += 1;
+        refuseAtOnce(socket);
+        result = Accept::Refused;
+    } catch (const Poco::Exception &error) {
+        result = isShortageError(error.code()) ? Accept::Failed : Accept::NonePending;
+    }
+    spare.refill();
+    return result;
+}
+
+void HttpServer::Impl::onShortage()
+{
+    if (!shortage) {
+        return;
+    }
+    stats.acceptsWithoutDescriptor += 1;
+    const bool wasActive = shortage->isActive();
+    shortage->onShort(EventLoop::now());
+    if (!wasActive) {
+        checkShortage();
+    }
+}
+
+void HttpServer::Impl::checkShortage()
+{
+    auto &timers = workers[0]->loop->timers();
+    timers.subscribe(EventLoop::now() + DescriptorShortage::quietTime, [this](TimePoint now) {
+        spare.refill();
+        if (!shortage) {
+            return;
+        }
+        shortage->onTick(now);
+        if (shortage->isActive()) {
+            checkShortage();
+        }
+    });
+}
+
+// A listener that cannot accept stays ready: without a rest its thread would do nothing else.
+void HttpServer::Impl::restListener()
+{
+    if (!isListening) {
+        return;
+    }
+    workers[0]->loop->update(listener, 0);
+    workers[0]->loop->timers().subscribe(EventLoop::now() + acceptRest, [this](TimePoint) {
+        if (isListening) {
+            workers[0]->loop->update(listener, Poco::Net::PollSet::POLL_READ);
+        }
+    });
+}
+
+// Without the time for which other refused connections discard input: that needs a descriptor for each.
+void HttpServer::Impl::refuseAtOnce(Poco::Net::StreamSocket &socket)
+{
+    stats.problems[static_cast<std::size_t>(HttpError::ConnectionLimit)] += 1;
+    try {
+        socket.setBlocking(false);
+        // Closing a socket with unread input would reset the connection and may discard the response.
+        std::array<char, maxDiscardedBytes> input; // NOLINT(cppcoreguidelines-pro-type-member-init): not read
+        socket.receiveBytes(input.data(), static_cast<int>(input.size()));
+        trySend(socket, formatRefusal(handlers.errorReply(HttpError::ConnectionLimit)));
+        socket.shutdownSend();
+        socket.close();
+    } catch (const Poco::Exception &) {
+        socket.close(); // reset by the caller
+    }
 }
 
 void HttpServer::Impl::addConnection(Worker &worker, const Poco::Net::StreamSocket &socket, bool isOverLimit)
@@ -210,8 +323,11 @@
     if (isListening) {
         isListening = false;
         // Closing the listener would reset the connections in its backlog, which may already carry requests.
-        while (acceptOne()) {
+        auto accepted = Accept::Done;
+        while (accepted == Accept::Done || accepted == Accept::Refused) {
+            accepted = acceptOne();
         }
+        shortage.reset();
         workers[0]->loop->unwatch(listener);
         listener.close();
     }
@@ -344,6 +460,7 @@
     result.connections = impl_->stats.connections;
     result.requests = impl_->stats.requests;
     result.slowReadersCut = impl_->stats.slowReadersCut;
+    result.acceptsWithoutDescriptor = impl_->stats.acceptsWithoutDescriptor;
     result.openConnections = impl_->stats.open;
     return result;
 }
--- a/src/net/messenger.cpp
+++ b/src/net/messenger.cpp
@@ -21,7 +21,13 @@
     auto impl = std::make_unique<Impl>();
     impl->init = std::move(init);
     impl->handlers = std::move(handlers);
-    const auto endpoint = impl->init.address + ":" + (impl->init.port == 0 ? "*" : std::to_string(impl->init.port));
+    auto listener = PeerListener::open(impl->init.address, impl->init.port, impl->init.handshakeTimeout);
+    if (!listener) {
+        return tl::unexpected(listener.error());
+    }
+    impl->listener = std::move(*listener);
+    impl->port = impl->listener->port();
+    const auto endpoint = impl->init.address + ":" + std::to_string(impl->port);
     try {
         impl->router = zmq::socket_t(impl->context, zmq::socket_type::router);
         auto &router = impl->router;
@@ -31,9 +37,10 @@
         router.set(zmq::sockopt::rcvhwm, maxSocketQueue);
         router.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(impl->init.maxMessageBytes));
         impl->configureLiveness(router);
+        impl->openRouterMonitor();
+        // Once bound, the router closes this descriptor.
+        router.set(zmq::sockopt::use_fd, impl->listener->duplicate());
         router.bind("tcp://" + endpoint);
-        const auto boundEndpoint = router.get(zmq::sockopt::last_endpoint);
-        impl->port = static_cast<std::uint16_t>(std::stoul(boundEndpoint.substr(boundEndpoint.rfind(':') + 1)));
     } catch (const zmq::error_t &error) {
         const auto kind = error.num() == EADDRINUSE ? NetErrorKind::AddressInUse
                           : error.num() == EACCES   ? NetErrorKind::NotPermitted
@@ -43,6 +50,7 @@
     impl->wakeFd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
     impl->socketWatch.add(impl->wakeFd, std::string(wakeName));
     impl->socketWatch.add(impl->router, std::string(routerName));
+    impl->socketWatch.add(impl->routerMonitor, std::string(routerMonitorName));
     return std::unique_ptr<Messenger>(new Messenger(std::move(impl)));
 }
 
@@ -114,6 +122,7 @@
     result.received = impl_->received;
     result.receivedBytes = impl_->receivedBytes;
     result.visitedTargets = impl_->visitedTargets;
+    result.listenerPauses = impl_->listener->pauses();
     return result;
 }
 
--- a/src/net/messenger_impl.h
+++ b/src/net/messenger_impl.h
@@ -1,6 +1,7 @@
 // State of the messenger: queued messages, sockets, peers and targets.
 #pragma once
 
+#include "peer_listener.h"
 #include "socket_watch.h"
 
 #include "anvilscale/net.h"
@@ -25,6 +26,7 @@
 // Names under which the descriptors of other than targets are watched. Target names never have this form.
 constexpr std::string_view wakeName = "\nwake";
 constexpr std::string_view routerName = "\nrouter";
+constexpr std::string_view routerMonitorName = "\nrouter-monitor";
 
 /// A message waiting to be sent.
 struct Outgoing
@@ -77,7 +79,9 @@
     MessengerInit init;
     Handlers handlers;
     zmq::context_t context{1};
+    std::unique_ptr<PeerListener> listener; // of the router; messenger's thread once started
     zmq::socket_t router;
+    zmq::socket_t routerMonitor; // events of connections to the router
     std::uint16_t port = 0;
     int wakeFd = -1;
     std::thread thread;
@@ -136,6 +140,8 @@
     void onSendFailed(const Outgoing &message, MessageDrop reason);
     void onPeerUnreachable(PeerHandle peer);
     void receivePeers();
+    void openRouterMonitor();
+    void handleRouterEvents();
     void receiveTarget(Target &target);
     void handleMonitorEvents(Target &target);
     void reopenSilentTargets();
--- a/src/net/messenger_thread.cpp
+++ b/src/net/messenger_thread.cpp
@@ -22,6 +22,11 @@
 constexpr int millisecondsPerSecond = 1000;
 constexpr std::uint16_t connectedEvent = ZMQ_EVENT_HANDSHAKE_SUCCEEDED;
 constexpr std::uint16_t disconnectedEvent = ZMQ_EVENT_DISCONNECTED;
+constexpr std::uint16_t handshakeFailedEvents =
+    ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL | ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL | ZMQ_EVENT_HANDSHAKE_FAILED_AUTH;
+constexpr std::uint16_t acceptedEvent = ZMQ_EVENT_ACCEPTED;
+constexpr std::uint16_t acceptFailedEvent = ZMQ_EVENT_ACCEPT_FAILED;
+constexpr auto routerMonitorAddress = "inproc://monitor-of-router";
 
 std::string toHex(std::uint64_t number)
 {
@@ -57,7 +62,10 @@
         closeSockets(*target);
     }
     targets.clear();
+    zmq_socket_monitor(router.handle(), nullptr, 0);
+    routerMonitor.close();
     router.close();
+    listener->close();
 }
 
 void Messenger::Impl::poll()
@@ -72,6 +80,10 @@
     if (readyNames.count(std::string(routerName)) != 0) {
         receivePeers();
     }
+    if (readyNames.count(std::string(routerMonitorName)) != 0) {
+        handleRouterEvents();
+    }
+    listener->onTick();
     for (const auto &name : readyNames) {
         if (const auto found = targets.find(name); found != targets.end()) {
             receiveTarget(*found->second);
@@ -429,6 +441,36 @@
     socketWatch.markUsed(std::string(routerName)); // more messages may be queued
 }
 
+void Messenger::Impl::openRouterMonitor()
+{
+    router.set(zmq::sockopt::handshake_ivl, static_cast<int>(toMilliseconds(init.handshakeTimeout)));
+    zmq_socket_monitor(router.handle(), routerMonitorAddress,
+                       acceptedEvent | acceptFailedEvent | connectedEvent | handshakeFailedEvents);
+    routerMonitor = zmq::socket_t(context, zmq::socket_type::pair);
+    routerMonitor.set(zmq::sockopt::linger, 0);
+    routerMonitor.connect(routerMonitorAddress);
+}
+
+void Messenger::Impl::handleRouterEvents()
+{
+    zmq::message_t event;
+    zmq::message_t address;
+    while (routerMonitor.recv(event, zmq::recv_flags::dontwait)) {
+        [[maybe_unused]] const auto got = routerMonitor.recv(address, zmq::recv_flags::none);
+        std::uint16_t kind = 0;
+        std::int32_t value = 0;
+        std::memcpy(&kind, event.data(), sizeof kind);
+        std::memcpy(&value, static_cast<const char *>(event.data()) + sizeof kind, sizeof value);
+        if (kind == acceptedEvent) {
+            listener->onAccepted(value);
+        } else if (kind == acceptFailedEvent && isShortageError(value)) {
+            listener->onAcceptFailed();
+        } else if (kind == connectedEvent || (kind & handshakeFailedEvents) != 0) {
+            listener->onHandshakeEnded();
+        }
+    }
+}
+
 void Messenger::Impl::receiveTarget(Target &target)
 {
     for (int i = 0; i < maxReceivesPerTurn; ++i) {
