A new slot owner refuses every key that the owner before may have admitted

What callers saw: a call under an idempotency key ran a second time after its slot had been taken over by a sidecar whose clock was behind by more than skewMs.

Cause: the new owner refused keys stamped before its take-over time plus the margin, and took that time from its own clock alone.

Each owner now keeps a limit beside its lease key, without a lease: it admits no key stamped later, and owns nothing while no limit is acknowledged under its present lease. A take-over reads the limit together with the absence of the lease key, names its revision in the compares of the write, and takes a take-over time after it. The table carries the latest stamp that owners before may have admitted over further take-overs, hand-overs and releases (accepted_until_ms). The limit ends with the lease, so that it refuses nothing more while clocks agree.

--- a/include/anvilscale/state.h
+++ b/include/anvilscale/state.h
@@ -44,6 +44,7 @@
     bool leaseFromSend = true; ///< a lease is counted from before its request is sent, not from the reply
     bool takeOverAfterLease = true; ///< slots of another owner are claimed only after its lease key has been deleted
     bool takenAtRefusal = true; ///< keys stamped before the takeover time plus margin are refused
+    bool keyTimeLimit = true; ///< an owner admits keys up to its stored limit, and its successor only later ones
     bool refuseWhileGiving = true; ///< slots being transferred are refused by the sender
     bool keysBeforeTable = true; ///< the table names the receiver only after all seen keys are acknowledged
     bool forgetOnlyOld = true; ///< a full key table refuses new keys; if off, it evicts the oldest key
@@ -432,6 +433,8 @@
     void expire(const ServiceView &service, Now now);
     std::size_t size() const;
     std::size_t answerBytes() const;
+    /// Latest stamp of all keys that were registered or imported, also of those removed since.
+    WallTime latestStamp() const;
 
     /// Exports all keys of a slot for a handover; running ones with an unknown outcome.
     void exportSlot(std::uint32_t slot, std::uint32_t slots, Now now, wire::SlotHandover &into) const;
--- a/src/state/seen_keys.cpp
+++ b/src/state/seen_keys.cpp
@@ -93,6 +93,7 @@
     std::size_t answerBytes = 0;
     // Largest wall time seen. Prevents a clock that is set back from making a removed key valid again.
     WallTime latestWallTime;
+    WallTime latestStamp; // of all keys registered or imported
     // All removed keys are stamped before this time.
     WallTime removedBefore;
 
@@ -207,6 +208,7 @@
         }
         impl_->keys.erase(impl_->keys.begin());
     }
+    impl_->latestStamp = std::max(impl_->latestStamp, *timestamp);
     impl_->keys[bits] = Impl::KeyEntry{fingerprint, execution, nullptr, now.mono};
     KeyDecision decision;
     decision.kind = KeyDecisionKind::Run;
@@ -252,6 +254,11 @@
     return impl_->answerBytes;
 }
 
+WallTime SeenKeys::latestStamp() const
+{
+    return impl_->latestStamp;
+}
+
 void SeenKeys::exportSlot(std::uint32_t slot, std::uint32_t slots, Now now, wire::SlotHandover &into) const
 {
     into.set_forgotten_before_ms(static_cast<std::uint64_t>(impl_->removedBefore.ms));
@@ -293,6 +300,7 @@
             continue;
         }
         const KeyBits bits = parseKeyBits(from.key());
+        impl_->latestStamp = std::max(impl_->latestStamp, bits.timestamp());
         const auto [entry, isNew] = impl_->keys.try_emplace(bits);
         Impl::KeyEntry &keyEntry = entry->second;
         if (!isNew && (keyEntry.execution || keyEntry.answer)) {
--- a/src/state/slot_owner.cpp
+++ b/src/state/slot_owner.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration initialBackoff = Milliseconds(100);
+constexpr std::string_view limitSuffix = "/key-limit";
 
 std::uint64_t parseHex(std::string_view text)
 {
@@ -40,6 +41,7 @@
     , random(init.seed)
     , backoff(initialBackoff, init.timing.lease)
     , lease(leaseInit(), submit)
+    , keyTimeLimit(keyTimeLimitInit(), submit)
     , tableWatch(KeyWatcher::Init{tableKey, {}, init.timers, init.timing.lease, init.seed + 1}, submit,
                  [this](const std::vector<KvEntry> &entries, bool, Now now) {
                      updateTable(entries);
@@ -57,7 +59,7 @@
 LeaseHolder::Init SlotOwner::Impl::leaseInit() const
 {
     LeaseHolder::Init result;
-    result.key = leasePrefix + init.self + "/" + formatIncarnation(init.incarnation);
+    result.key = leaseKeyOf({init.self, init.incarnation});
     result.holder = init.self;
     result.incarnation = init.incarnation;
     result.timing = init.timing;
@@ -67,6 +69,44 @@
     return result;
 }
 
+KeyTimeLimit::Init SlotOwner::Impl::keyTimeLimitInit() const
+{
+    KeyTimeLimit::Init result;
+    result.key = limitKeyOf({init.self, init.incarnation});
+    result.timers = init.timers;
+    result.maxBackoff = init.timing.lease / 4;
+    result.seed = init.seed + 3;
+    return result;
+}
+
+std::string SlotOwner::Impl::leaseKeyOf(const OwnerId &owner) const
+{
+    return leasePrefix + owner.name + "/" + formatIncarnation(owner.incarnation);
+}
+
+std::string SlotOwner::Impl::limitKeyOf(const OwnerId &owner) const
+{
+    return leaseKeyOf(owner) + std::string(limitSuffix);
+}
+
+/// The limit reaches to the end of the lease and not further: after a take-over, keys up to it are refused.
+void SlotOwner::Impl::renewKeyTimeLimit(Now now)
+{
+    const auto view = init.config->service(init.service);
+    if (!view || !lease.mayAct(now.mono)) {
+        return;
+    }
+    const Duration ahead = init.timing.lease - init.timing.leaseMargin + view->skew;
+    const WallTime atLeaseEnd{now.wall.ms + std::chrono::duration_cast<Milliseconds>(ahead).count()};
+    keyTimeLimit.renew(lease.fence(), std::max(atLeaseEnd, largestAdmitted()));
+}
+
+/// No key with a later stamp has been admitted, whatever the wall clock was set to meanwhile.
+WallTime SlotOwner::Impl::largestAdmitted() const
+{
+    return init.seen != nullptr ? init.seen->latestStamp() : keyTimeLimit.largestWritten();
+}
+
 std::uint32_t SlotOwner::Impl::slotCount() const
 {
     const auto view = init.config->service(init.service);
@@ -116,6 +156,9 @@
         schedulePlan(random.jitter(init.timing.heartbeat), now);
         return;
     }
+    if (keyTimeLimit.value(lease.fence()) == WallTime{}) {
+        renewKeyTimeLimit(now);
+    }
     std::string end = leasePrefix;
     ++end.back();
     read(Step::ReadingLeases, leasePrefix, std::move(end));
@@ -156,18 +199,31 @@
         return;
     }
     holders.clear();
+    limits.clear();
     holdersRevision = reply.storeRevision;
     for (const auto &entry : reply.entries) {
-        const std::string_view id = std::string_view(entry.key).substr(leasePrefix.size());
-        const auto slash = id.rfind('/');
-        if (slash != std::string_view::npos) {
-            const OwnerId owner{std::string(id.substr(0, slash)), parseHex(id.substr(slash + 1))};
-            holders[owner] = entry.modRevision;
-        }
+        applyOwnerEntry(entry);
     }
     read(Step::ReadingTable, tableKey, {});
 }
 
+void SlotOwner::Impl::applyOwnerEntry(const KvEntry &entry)
+{
+    std::string_view id = std::string_view(entry.key).substr(leasePrefix.size());
+    const bool isLimit = id.ends_with(limitSuffix);
+    id.remove_suffix(isLimit ? limitSuffix.size() : 0);
+    const auto slash = id.rfind('/');
+    if (slash == std::string_view::npos) {
+        return;
+    }
+    const OwnerId owner{std::string(id.substr(0, slash)), parseHex(id.substr(slash + 1))};
+    if (isLimit) {
+        limits[owner] = {entry.modRevision, KeyTimeLimit::parse(entry.value)};
+    } else {
+        holders[owner] = entry.modRevision;
+    }
+}
+
 void SlotOwner::Impl::onTableReply(const KvReply &reply, Now now)
 {
     step = Step::Idle;
@@ -236,12 +292,13 @@
 {
     const auto before = impl_->lease.state();
     if (impl_->lease.onReply(reply, now)) {
+        impl_->renewKeyTimeLimit(now);
         if (impl_->lease.state() != before) {
             impl_->schedulePlan(replanDelay, now);
         }
         return true;
     }
-    if (impl_->tableWatch.onReply(reply, now)) {
+    if (impl_->tableWatch.onReply(reply, now) || impl_->keyTimeLimit.onReply(reply, now)) {
         return true;
     }
     if (impl_->step == Impl::Step::Idle || reply.id != impl_->pending) {
@@ -275,6 +332,10 @@
     if (impl_->transfer && impl_->transfer->contains(slot) && impl_->init.safeguards.refuseWhileGiving) {
         return ownership;
     }
+    const auto latestAccepted = now.wall.ms + std::chrono::duration_cast<Milliseconds>(view->skew).count();
+    if (impl_->init.safeguards.keyTimeLimit && impl_->keyTimeLimit.value(impl_->lease.fence()).ms < latestAccepted) {
+        return ownership;
+    }
     ownership.isOwned = true;
     const Duration margin = std::max(view->margin, 2 * view->skew);
     if (!impl_->init.safeguards.takenAtRefusal) {
@@ -335,6 +396,10 @@
     impl_->init.timers->cancel(std::exchange(impl_->planTimer, {}));
     impl_->init.timers->cancel(std::exchange(impl_->resendTimer, {}));
     impl_->tableWatch.stop();
+    if (slots().empty()) {
+        impl_->keyTimeLimit.remove();
+    }
+    impl_->keyTimeLimit.stop();
     impl_->lease.stop(now);
 }
 
--- a/src/state/slot_owner_impl.h
+++ b/src/state/slot_owner_impl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "advance_now.h"
+#include "key_time_limit.h"
 #include "kv_requests.h"
 #include "slot_transfer.h"
 
@@ -14,6 +15,13 @@
 
 struct SlotOwner::Impl
 {
+    /// Limit of the stamps that an owner admitted, as stored.
+    struct StoredLimit
+    {
+        std::int64_t modRevision = 0;
+        std::optional<WallTime> limit; // empty if the value cannot be read
+    };
+
     enum class Step : std::uint8_t {
         Idle,
         ReadingLeases,
@@ -29,12 +37,14 @@
     Random random;
     Backoff backoff;
     LeaseHolder lease;
+    KeyTimeLimit keyTimeLimit;
     KeyWatcher tableWatch; // watches the table
 
     config::SlotTable table;
     std::int64_t tableModRevision = 0; // modification revision of `table`; never decreases
     std::vector<std::string> members;
     LeaseHolders holders; // from the last read
+    std::map<OwnerId, StoredLimit> limits; // from the same read, also of owners without a lease
     std::int64_t holdersRevision = 0; // store revision of that read
     Step step = Step::Idle;
     KvHandle pending;
@@ -51,6 +61,14 @@
     Impl(Init initValue, std::function<void(KvRequest)> submitRequest);
     ~Impl();
     LeaseHolder::Init leaseInit() const;
+    KeyTimeLimit::Init keyTimeLimitInit() const;
+    std::string leaseKeyOf(const OwnerId &owner) const;
+    std::string limitKeyOf(const OwnerId &owner) const;
+    void applyOwnerEntry(const KvEntry &entry);
+    void renewKeyTimeLimit(Now now);
+    WallTime largestAdmitted() const;
+    bool isFree(const SlotState &slot) const;
+    SlotState claimedFrom(const SlotState &slot, std::uint64_t fence, Now now) const;
     std::uint32_t slotCount() const;
     bool isOwnedBySelf(const SlotState &slot) const;
     bool isOwnedUnderLease(const config::SlotRange &range) const;
@@ -65,8 +83,11 @@
     bool completeTransfer(std::vector<SlotState> &slots, std::vector<KvCompare> &compares);
     bool reclaim(std::vector<SlotState> &slots);
     bool claim(std::vector<SlotState> &slots, std::vector<KvCompare> &compares, Now now);
+    std::vector<std::string> takeUnusedLimits(const std::vector<SlotState> &slots,
+                                              std::vector<KvCompare> &compares) const;
     bool release(std::vector<SlotState> &slots, Now now);
-    void write(const std::vector<SlotState> &slots, std::vector<KvCompare> compares);
+    void write(const std::vector<SlotState> &slots, std::vector<KvCompare> compares,
+               std::vector<std::string> deletes = {});
     void beginTransfer(const std::vector<SlotState> &slots, Now now);
     std::string chooseReceiver(const std::vector<SlotState> &slots) const;
     std::size_t excessSlots(const std::vector<SlotState> &slots) const;
--- a/src/state/slot_plan.cpp
+++ b/src/state/slot_plan.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t maxSlotsPerTransfer = 64;
+// Former owners whose slots one write claims: the service bounds the compares of a transaction.
+constexpr std::size_t maxGoneOwnersPerClaim = 30;
 constexpr Duration resendInterval = Milliseconds(300);
 // Slots are moved between live owners only if one exceeds its share by this fraction: calls are refused during a move.
 constexpr std::uint32_t toleratedExcessDivisor = 32; // 1/32 of all slots
@@ -31,12 +33,13 @@
         if (isOwnedBySelf(slots[slot])) {
             // `takenOverAt` is unchanged: the receiver has exactly the keys of the sender.
             slots[slot].owner = receiver;
+            slots[slot].acceptedUntil = std::max(slots[slot].acceptedUntil, largestAdmitted());
             slots[slot].fence = fence;
             slots[slot].lease = static_cast<std::uint64_t>(holder->second);
             slots[slot].wasHandedOver = true;
         }
     }
-    compares.push_back({leasePrefix + receiver.name + "/" + formatIncarnation(receiver.incarnation), holder->second});
+    compares.push_back({leaseKeyOf(receiver), holder->second});
     return true;
 }
 
@@ -58,18 +61,39 @@
     return hasChanged;
 }
 
+/// Slots of an owner whose limit cannot be read stay refused: nothing tells which keys it admitted.
+bool SlotOwner::Impl::isFree(const SlotState &slot) const
+{
+    const bool isMember = std::binary_search(members.begin(), members.end(), slot.owner.name);
+    const bool isOwnerGone = init.safeguards.takeOverAfterLease ? !holders.contains(slot.owner) : !isMember;
+    const auto stored = limits.find(slot.owner);
+    const bool isLimitReadable = stored == limits.end() || stored->second.limit;
+    return slot.owner.name.empty() || (isOwnerGone && isLimitReadable);
+}
+
+/// The take-over time is later than all stamps that owners before may have admitted, by this clock and by theirs.
+SlotState SlotOwner::Impl::claimedFrom(const SlotState &slot, std::uint64_t fence, Now now) const
+{
+    SlotState claimed{{init.self, init.incarnation}, fence, lease.fence(), now.wall, slot.acceptedUntil, false};
+    if (!init.safeguards.keyTimeLimit) {
+        return claimed;
+    }
+    const auto stored = limits.find(slot.owner);
+    if (stored != limits.end()) {
+        claimed.acceptedUntil = std::max(claimed.acceptedUntil, stored->second.limit.value_or(WallTime{}));
+    }
+    claimed.takenOverAt = std::max(claimed.takenOverAt, WallTime{claimed.acceptedUntil.ms + 1});
+    return claimed;
+}
+
 bool SlotOwner::Impl::claim(std::vector<SlotState> &slots, std::vector<KvCompare> &compares, Now now)
 {
     const auto self = std::lower_bound(members.begin(), members.end(), init.self);
     if (isDraining || self == members.end() || *self != init.self) {
         return false;
     }
-    const auto isFree = [this](const SlotState &slot) {
-        const bool isMember = std::binary_search(members.begin(), members.end(), slot.owner.name);
-        const bool isOwnerGone = init.safeguards.takeOverAfterLease ? !holders.contains(slot.owner) : !isMember;
-        return slot.owner.name.empty() || isOwnerGone;
-    };
-    const auto freeSlots = static_cast<std::uint32_t>(std::count_if(slots.begin(), slots.end(), isFree));
+    const auto freeSlots = static_cast<std::uint32_t>(
+        std::count_if(slots.begin(), slots.end(), [this](const SlotState &slot) { return isFree(slot); }));
     if (freeSlots == 0) {
         unclaimedSince.reset();
         return false;
@@ -86,24 +110,51 @@
     std::set<OwnerId> goneOwners;
     for (std::size_t offset = 0; offset < slots.size() && remaining > 0; ++offset) {
         auto &slot = slots[(offset + rank * share) % slots.size()];
-        if (!isFree(slot)) {
+        const bool isOverLimit = goneOwners.size() >= maxGoneOwnersPerClaim && !goneOwners.contains(slot.owner);
+        if (!isFree(slot) || (isOverLimit && !slot.owner.name.empty())) {
             continue;
         }
         if (!slot.owner.name.empty()) {
             goneOwners.insert(slot.owner);
         }
-        slot = SlotState{{init.self, init.incarnation}, fence, lease.fence(), now.wall, false};
+        slot = claimedFrom(slot, fence, now);
         --remaining;
     }
     for (const auto &owner : goneOwners) {
         if (!init.safeguards.takeOverAfterLease) {
             break;
         }
-        compares.push_back({leasePrefix + owner.name + "/" + formatIncarnation(owner.incarnation), 0});
+        const auto stored = limits.find(owner);
+        compares.push_back({leaseKeyOf(owner), 0});
+        compares.push_back({limitKeyOf(owner), stored == limits.end() ? 0 : stored->second.modRevision});
     }
     return std::any_of(slots.begin(), slots.end(), [&](const SlotState &slot) { return slot.fence == fence; });
 }
 
+/// Returns the limits to delete with a claim, and adds what the deletion relies on: their owners are gone and own no
+/// slot any more. Without it each restart would leave a key.
+std::vector<std::string> SlotOwner::Impl::takeUnusedLimits(const std::vector<SlotState> &slots,
+                                                           std::vector<KvCompare> &compares) const
+{
+    std::set<OwnerId> owners;
+    for (const auto &slot : slots) {
+        owners.insert(slot.owner);
+    }
+    std::vector<std::string> unused;
+    for (const auto &[owner, stored] : limits) {
+        if (holders.contains(owner) || owners.contains(owner) || unused.size() >= maxGoneOwnersPerClaim) {
+            continue;
+        }
+        unused.push_back(limitKeyOf(owner));
+        const auto isCompared = [&](const KvCompare &compare) { return compare.key == unused.back(); };
+        if (std::none_of(compares.begin(), compares.end(), isCompared)) {
+            compares.push_back({leaseKeyOf(owner), 0});
+            compares.push_back({unused.back(), stored.modRevision});
+        }
+    }
+    return unused;
+}
+
 /// Leaves the slots unowned if a drain finds no receiver, so that others need not wait until the lease expires.
 bool SlotOwner::Impl::release(std::vector<SlotState> &slots, Now now)
 {
@@ -111,7 +162,8 @@
     bool hasChanged = false;
     for (auto &slot : slots) {
         if (isOwnedBySelf(slot)) {
-            slot = SlotState{{}, fence, 0, now.wall, false};
+            const WallTime acceptedUntil = std::max(slot.acceptedUntil, largestAdmitted());
+            slot = SlotState{{}, fence, 0, now.wall, acceptedUntil, false};
             hasChanged = true;
         }
     }
@@ -213,8 +265,13 @@
         }
         abortTransfer(now); // the receiver failed after it had acknowledged the keys
     }
-    if (reclaim(slots) || (!transfer && claim(slots, compares, now))) {
-        write(slots, std::move(compares));
+    if (reclaim(slots)) {
+        write(slots, {});
+        return;
+    }
+    if (!transfer && claim(slots, compares, now)) {
+        auto unusedLimits = takeUnusedLimits(slots, compares);
+        write(slots, std::move(compares), std::move(unusedLimits));
         return;
     }
     if (!transfer) {
@@ -229,7 +286,8 @@
     }
 }
 
-void SlotOwner::Impl::write(const std::vector<SlotState> &slots, std::vector<KvCompare> compares)
+void SlotOwner::Impl::write(const std::vector<SlotState> &slots, std::vector<KvCompare> compares,
+                            std::vector<std::string> deletes)
 {
     pendingTable = compressSlots(init.service, table.table_revision() + 1, slots);
     step = Step::Writing;
@@ -239,6 +297,7 @@
     request.compares = std::move(compares);
     request.compares.push_back({tableKey, tableModRevision});
     request.puts.push_back({tableKey, pendingTable.SerializeAsString()});
+    request.deletes = std::move(deletes);
     pending = request.id;
     submit(std::move(request));
 }
--- a/src/state/slot_table.cpp
+++ b/src/state/slot_table.cpp
@@ -13,6 +13,7 @@
     state.fence = range.fence();
     state.lease = range.lease();
     state.takenOverAt = WallTime{static_cast<std::int64_t>(range.taken_wall_ms())};
+    state.acceptedUntil = WallTime{static_cast<std::int64_t>(range.accepted_until_ms())};
     state.wasHandedOver = range.handed_over();
     return state;
 }
@@ -51,6 +52,7 @@
         range.set_fence(slots[i].fence);
         range.set_lease(slots[i].lease);
         range.set_taken_wall_ms(static_cast<std::uint64_t>(slots[i].takenOverAt.ms));
+        range.set_accepted_until_ms(static_cast<std::uint64_t>(slots[i].acceptedUntil.ms));
         range.set_handed_over(slots[i].wasHandedOver);
     }
     return table;
--- a/src/state/slot_table.h
+++ b/src/state/slot_table.h
@@ -27,7 +27,8 @@
     OwnerId owner; ///< empty name if unowned
     std::uint64_t fence = 0;
     std::uint64_t lease = 0; ///< modification revision of the owner's lease key
-    WallTime takenOverAt;
+    WallTime takenOverAt; ///< later than the stamp of each key that an owner before may have admitted
+    WallTime acceptedUntil; ///< no owner before the present one has admitted a key stamped later
     bool wasHandedOver = false;
     bool operator==(const SlotState &) const = default;
 };
--- a/tests/faults/cells.cpp
+++ b/tests/faults/cells.cpp
@@ -178,6 +178,7 @@
         SAFEGUARD(state, leaseFromSend),
         SAFEGUARD(state, takeOverAfterLease),
         SAFEGUARD(state, takenAtRefusal),
+        SAFEGUARD(state, keyTimeLimit),
         SAFEGUARD(state, refuseWhileGiving),
         SAFEGUARD(state, keysBeforeTable),
         SAFEGUARD(state, forgetOnlyOld),
--- a/tests/unit/state_slots_test.cpp
+++ b/tests/unit/state_slots_test.cpp
@@ -50,6 +50,8 @@
     Now now() const;
     /// Returns a new key of a slot that this sidecar owns.
     std::string newOwnedKey() const;
+    /// Decides on the key as the owner of its slot.
+    KeyDecisionKind admit(const std::string &key, const ServiceView &service);
     void onReply(KvReply reply);
     void submit(const std::function<void(KvRequest)> &to, KvRequest request);
     void reconnect();
@@ -107,6 +109,14 @@
         }
         return owners;
     }
+    /// Number of key limits stored for these incarnations of the sidecar "a".
+    std::size_t storedLimits(const std::vector<std::uint64_t> &incarnations) const
+    {
+        constexpr std::string_view prefix = "/t/slot-owners/admission/a/000000000000000";
+        return static_cast<std::size_t>(std::count_if(incarnations.begin(), incarnations.end(), [&](auto incarnation) {
+            return cluster.kv.find(std::string(prefix) + std::to_string(incarnation) + "/key-limit") != nullptr;
+        }));
+    }
     bool allOwnedOnce()
     {
         for (std::uint32_t slot = 0; slot < slotCount; ++slot) {
@@ -158,6 +168,15 @@
     return key;
 }
 
+KeyDecisionKind Sidecar::admit(const std::string &key, const ServiceView &service)
+{
+    const auto owned = owner->owns(slotOf(key, slotCount), now());
+    if (!owned.isOwned) {
+        return KeyDecisionKind::Refuse;
+    }
+    return seen.admit(key, 1, service, owned.minKeyTime, ExecutionHandle{1}, now()).kind;
+}
+
 void Sidecar::onReply(KvReply reply)
 {
     if (isDisconnected && reply.isEvent) {
@@ -267,6 +286,180 @@
     }
 }
 
+// Guards against a second run after two take-overs: the limit of the first owner must outlast that of the second, whose
+// clock is behind.
+TEST(SlotOwner, KeyIsNotRunAfterTwoTakeOversByClocksThatAreBehind)
+{
+    Group group;
+    auto &a = group.add("a");
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(5), [&] { return group.allOwnedOnce(); }));
+    const auto service = *group.config->service("admission");
+    group.cluster.run(Seconds(20));
+    const auto key = a.newOwnedKey();
+    const auto slot = slotOf(key, slotCount);
+    ASSERT_EQ(a.admit(key, service), KeyDecisionKind::Run);
+    a.isCrashed = true;
+    for (const char *name : {"b", "c"}) {
+        auto &next = group.add(name);
+        next.clockLag = Seconds(40);
+        group.announceMembers();
+        ASSERT_TRUE(group.cluster.runUntil(Seconds(60), [&] { return next.owner->owns(slot, next.now()).isOwned; }));
+        for (int i = 0; i < 50; ++i) {
+            ASSERT_NE(next.admit(key, service), KeyDecisionKind::Run) << name << " after " << i << " s";
+            group.cluster.run(Seconds(1));
+        }
+        next.isCrashed = true;
+    }
+}
+
+// Guards against a second run after a hand-over whose receiver fails: the limit of the giver, whose clock is ahead,
+// must reach the owner after the receiver.
+TEST(SlotOwner, KeyOfTheGiverIsNotRunByTheOwnerAfterTheReceiver)
+{
+    Group group;
+    auto &a = group.add("a");
+    a.clockLag = -Seconds(40);
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(5), [&] { return group.allOwnedOnce(); }));
+    const auto service = *group.config->service("admission");
+    group.cluster.run(Seconds(20));
+    const auto key = a.newOwnedKey();
+    const auto slot = slotOf(key, slotCount);
+    ASSERT_EQ(a.admit(key, service), KeyDecisionKind::Run);
+    auto &b = group.add("b");
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(5), [&] { return b.owner->slots().empty(); }));
+    a.owner->drain(a.now());
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(20), [&] { return b.owner->owns(slot, b.now()).isOwned; }));
+    a.isCrashed = true;
+    b.isCrashed = true;
+    auto &c = group.add("c");
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(60), [&] { return c.owner->owns(slot, c.now()).isOwned; }));
+    for (int i = 0; i < 60; ++i) {
+        ASSERT_NE(c.admit(key, service), KeyDecisionKind::Run) << "after " << i << " s";
+        group.cluster.run(Seconds(1));
+    }
+}
+
+// Guards against an owner that admits keys which its successor cannot know of: its limit is not stored.
+TEST(SlotOwner, OwnerWithoutAStoredLimitAdmitsNothing)
+{
+    Group group;
+    bool isFailing = true;
+    group.cluster.faultRule = [&](const KvRequest &request) {
+        const bool writesLimit = !request.puts.empty() && request.puts.front().key.ends_with("/key-limit");
+        return isFailing && writesLimit ? KvFault::LostRequest : KvFault::None;
+    };
+    auto &a = group.add("a");
+    group.announceMembers();
+    group.cluster.run(Seconds(5));
+    ASSERT_EQ(a.owner->slots().size(), slotCount);
+    EXPECT_TRUE(group.ownersOf(0).empty());
+    isFailing = false;
+    EXPECT_TRUE(group.cluster.runUntil(Seconds(10), [&] { return group.allOwnedOnce(); }));
+}
+
+// Guards against a slot that refuses all keys for an hour after a take-over: its owner's clock was an hour ahead and
+// was set right before the owner failed.
+TEST(SlotOwner, LimitFollowsAClockThatIsSetRight)
+{
+    Group group;
+    auto &a = group.add("a");
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(5), [&] { return group.allOwnedOnce(); }));
+    a.clockLag = -Seconds(3600);
+    EXPECT_TRUE(group.ownersOf(0).empty()) << "the stored limit does not reach this far";
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(10), [&] { return group.allOwnedOnce(); }));
+    a.clockLag = {};
+    group.cluster.run(Seconds(10));
+    a.isCrashed = true;
+    auto &b = group.add("b");
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(60), [&] { return group.allOwnedOnce(); }));
+    EXPECT_LT(b.owner->owns(0, b.now()).minKeyTime.ms, b.now().wall.ms + 2 * marginMs);
+}
+
+// Guards against limits that pile up in the key-value service, one for each restart.
+TEST(SlotOwner, LimitsOfOwnersThatAreGoneAreDeleted)
+{
+    Group group;
+    for (std::uint64_t incarnation = 1; incarnation <= 5; ++incarnation) {
+        auto &a = group.add("a", incarnation);
+        group.announceMembers();
+        ASSERT_TRUE(group.cluster.runUntil(Seconds(60), [&] { return group.allOwnedOnce(); }));
+        a.isCrashed = true;
+    }
+    EXPECT_EQ(group.storedLimits({1, 2, 3, 4, 5}), 1U);
+    auto &a = group.add("a", 6);
+    group.announceMembers();
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(60), [&] { return group.allOwnedOnce(); }));
+    a.owner->drain(a.now());
+    ASSERT_TRUE(group.cluster.runUntil(Seconds(20), [&] { return a.owner->isDrained(); }));
+    a.owner->stop(a.now());
+    group.cluster.run(Milliseconds(100));
+    EXPECT_EQ(group.storedLimits({1, 2, 3, 4, 5, 6}), 0U);
+}
+
+// Guards against a second run of a key by sidecars whose clocks are minutes apart and are set to and fro, under lost
+// requests, lost replies, crashes and drains.
+TEST(SlotOwner, NoKeyIsAdmittedTwiceWithClocksApart)
+{
+    std::size_t runs = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        Group group;
+        Random random(seed);
+        std::uint64_t faultRate = 0;
+        group.cluster.faultRule = [&](const KvRequest &) {
+            const bool isFaulty = random.uniformBelow(100) < faultRate;
+            return isFaulty
+                       ? std::array{KvFault::Down, KvFault::LostRequest, KvFault::LostReply}[random.uniformBelow(3)]
+                       : KvFault::None;
+        };
+        const std::vector<std::string> names{"a", "b", "c"};
+        for (const auto &name : names) {
+            group.add(name);
+        }
+        group.announceMembers();
+        group.cluster.run(Seconds(15));
+        const auto service = *group.config->service("admission");
+        std::vector<std::string> keys;
+        std::map<std::string, int> admitted;
+        std::uint64_t incarnation = 1;
+        for (int step = 0; step < 60; ++step) {
+            const auto &name = names[random.uniformBelow(names.size())];
+            auto *sidecar = group.sidecars[name].get();
+            const auto action = random.uniformBelow(10);
+            if (action == 0) {
+                sidecar->isCrashed = true;
+            } else if (action <= 2 && sidecar->isCrashed) {
+                sidecar = &group.add(name, ++incarnation);
+            } else if (action == 3) {
+                sidecar->owner->drain(sidecar->now());
+            } else if (action == 4) {
+                faultRate = 10 * random.uniformBelow(4);
+            }
+            if (action <= 2 || action == 5) {
+                sidecar->clockLag = Seconds(static_cast<int>(random.uniformBelow(240)) - 120);
+            }
+            group.announceMembers();
+            group.cluster.run(Milliseconds(random.uniformBelow(6000) + 1));
+            const auto ahead = static_cast<std::int64_t>(random.uniformBelow(240'000)) - 120'000;
+            keys.push_back(makeKey(WallTime{group.cluster.now().wall.ms + ahead}, random));
+            keys.push_back(makeKey(group.cluster.now().wall, random));
+            for (const auto &key : keys) {
+                for (auto *owner : group.ownersOf(slotOf(key, slotCount))) {
+                    const bool runsNow = !owner->isCrashed && owner->admit(key, service) == KeyDecisionKind::Run;
+                    runs += runsNow ? 1 : 0;
+                    ASSERT_LE(admitted[key] += runsNow ? 1 : 0, 1) << "seed " << seed << ", step " << step;
+                }
+            }
+        }
+    }
+    EXPECT_GT(runs, 100U);
+}
+
 // A drain must transfer the keys before the table names the new owner, so that a repeat gets the first answer.
 TEST(SlotOwner, DrainTransfersKeysWithoutRefusedWindow)
 {
