An engine that restarts under its id with an earlier start time is used again

What callers saw: calls on adapters that such an engine holds were not sent to it until its clock had passed the start time of the process before, or its record was removed.

Cause: endpoints of one id were told apart by their start times, and the greater one was taken for the later process. Start times are of the endpoint's wall clock. Each state and record of the later process was dropped as outdated.

The order in which the engine's sidecar reports processes now counts: a lower start time in a state is of a later process if the last state on this connection was of the known one, or if the latest record agrees. A record with a lower start time alone changes nothing, as it may be a late write; it is kept and applied once the sidecar reports this process. A process that was replaced by one with an earlier start is brought back neither by a record nor by a state with a lower sequence.

Five further tests cover late records and duplicated states, a record alone, clock steps in a row and a lost connection; they were not run on the former code.

--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -225,7 +225,9 @@
     void rerouteWaiting(EndpointEntry &entry, TimePoint now);
     void dropEndpoint(EndpointEntry &entry, TimePoint now);
     void rerouteCalls(const std::set<CallHandle> &waiting, TimePoint now);
+    RecordEffect applyRecord(const EndpointRecord &record, TimePoint now);
     void onRestarted(EndpointEntry &entry, std::uint64_t startTimeMs, TimePoint now);
+    void onReportedRestart(EndpointEntry &entry, std::uint64_t startTimeMs, TimePoint now);
     /// The entry of the process that the call was placed at; nullptr if that process has terminated.
     EndpointEntry *findEndpoint(const DirectCall &call);
     /// True if the request or a part of its prompt is under quarantine.
--- a/src/direct/endpoint_table.cpp
+++ b/src/direct/endpoint_table.cpp
@@ -37,6 +37,8 @@
 // Time for which a reappearing record of an endpoint removed while leaving still counts as leaving. Limited because a
 // later process may reuse the id without reporting a start time.
 constexpr Duration removalLifetime = Seconds(60);
+// Late writes are of the last processes only.
+constexpr std::size_t maxReplacedStarts = 4;
 
 /// Finds an adapter in a sidecar's state, loaded or loading; nullptr if absent.
 const wire::DirectAdapter *findAdapter(const wire::DirectState &state, const AdapterName &name, bool loading)
@@ -125,14 +127,42 @@
     return recordedStartTimeMs == record.startTimeMs;
 }
 
-bool EndpointEntry::isOlderThan(std::uint64_t startTimeMs) const
+bool EndpointEntry::isReplacedBy(const EndpointRecord &later) const
 {
-    return record.startTimeMs != 0 && startTimeMs > record.startTimeMs;
+    const bool isReplaced =
+        std::find(replacedStartsMs.begin(), replacedStartsMs.end(), later.startTimeMs) != replacedStartsMs.end();
+    return record.startTimeMs != 0 && later.startTimeMs > record.startTimeMs && !isReplaced;
 }
 
-bool EndpointEntry::isOutdated(const wire::DirectState &reported) const
+bool EndpointEntry::isReplacedBy(const wire::DirectState &reported) const
 {
-    return reported.endpoint_id() == record.id && reported.born() != 0 && reported.born() < record.startTimeMs;
+    if (!isOfOtherProcess(reported)) {
+        return false;
+    }
+    if (reported.born() > record.startTimeMs) {
+        return true;
+    }
+    const bool hasSidecarMovedOn = reportedProcess && reportedProcess->startTimeMs == record.startTimeMs;
+    return hasSidecarMovedOn || (undecidedRecord && undecidedRecord->startTimeMs == reported.born());
+}
+
+bool EndpointEntry::isOfOtherProcess(const wire::DirectState &reported) const
+{
+    return reported.endpoint_id() == record.id && reported.born() != 0 && record.startTimeMs != 0
+           && reported.born() != record.startTimeMs;
+}
+
+bool EndpointEntry::recordReportedProcess(const wire::DirectState &reported)
+{
+    if (reported.endpoint_id() != record.id || reported.born() == 0) {
+        return true;
+    }
+    const bool isSentBefore = reportedProcess && reported.born() != reportedProcess->startTimeMs
+                              && reported.sequence() != 0 && reported.sequence() <= reportedProcess->sequence;
+    if (!isSentBefore) {
+        reportedProcess = {reported.born(), reported.sequence()};
+    }
+    return !isSentBefore;
 }
 
 void EndpointEntry::applyState(const wire::DirectState &reported, TimePoint now)
@@ -197,6 +227,7 @@
         }
     }
     state.reset();
+    reportedProcess.reset();
     hasMissedState = false;
 }
 
@@ -317,8 +348,13 @@
     }
     auto &entry = known->second;
     if (record.startTimeMs != 0 && record.startTimeMs < entry.record.startTimeMs) {
+        entry.undecidedRecord = record;
         return RecordEffect::Stale;
     }
+    if (entry.record.startTimeMs != 0 && record.startTimeMs > entry.record.startTimeMs) {
+        return RecordEffect::Stale; // of a process that one with an earlier start time has replaced
+    }
+    entry.undecidedRecord.reset();
     const auto startTimeMs = std::max(record.startTimeMs, entry.record.startTimeMs); // a record may lack it
     // Leaving is final. A delayed write from before must not attract calls to the endpoint again; only a new process,
     // which starts with resetProcess, is ready once more.
@@ -361,6 +397,14 @@
     newEntry.listening = entry.listening;
     newEntry.visitedUntil = entry.visitedUntil;
     newEntry.speed = entry.speed;
+    newEntry.reportedProcess = entry.reportedProcess;
+    newEntry.replacedStartsMs = entry.replacedStartsMs;
+    if (startTimeMs < entry.record.startTimeMs) {
+        newEntry.replacedStartsMs.push_back(entry.record.startTimeMs);
+    }
+    if (newEntry.replacedStartsMs.size() > maxReplacedStarts) {
+        newEntry.replacedStartsMs.pop_front();
+    }
     entry = std::move(newEntry);
     ++membershipRevision_;
 }
--- a/src/direct/endpoint_table.h
+++ b/src/direct/endpoint_table.h
@@ -3,6 +3,8 @@
 
 #include "anvilscale/direct.h"
 
+#include <deque>
+
 namespace anvilscale {
 
 /// Model and adapter of a call; the adapter is empty for the model alone.
@@ -39,6 +41,13 @@
     std::uint32_t baseUs = 0;
 };
 
+/// A process as reported by a sidecar.
+struct ReportedProcess
+{
+    std::uint64_t startTimeMs = 0;
+    std::uint64_t sequence = 0; // of the state; 0 if not told
+};
+
 /// State of one process of an endpoint; reset when another process starts under the same id.
 struct EndpointEntry
 {
@@ -84,6 +93,12 @@
     std::map<AdapterName, std::uint32_t> startedByAdapter; // since the last demand
     std::set<CallHandle> waitingCalls; // own calls that wait for an adapter here
     std::map<AdapterName, std::uint32_t> waitingByAdapter; // the same by adapter
+    // The process that its sidecar last reported over the present connection, on which no message overtakes another.
+    std::optional<ReportedProcess> reportedProcess;
+    // Latest record, if it names an earlier start: a late write of an earlier process, or a later one whose clock was
+    // set back. The sidecar's next states tell.
+    std::optional<EndpointRecord> undecidedRecord;
+    std::deque<std::uint64_t> replacedStartsMs; // later start times of earlier processes, latest last
     // Adapters that the engine recently held, with the last time, and loads from its own memory.
     std::map<AdapterName, TimePoint> recentlyHeld;
 
@@ -121,10 +136,15 @@
     bool hasLocalCopy(const AdapterName &name) const;
     /// False after a restart, until a record of the new process has been applied: its software may be another one.
     bool isVersionKnown() const;
-    /// True if a process with this start time is a later one under the same id.
-    bool isOlderThan(std::uint64_t startTimeMs) const;
-    /// True if the state describes an earlier process.
-    bool isOutdated(const wire::DirectState &reported) const;
+    /// True if the record describes a later process under the same id.
+    bool isReplacedBy(const EndpointRecord &later) const;
+    /// The same for a state. Start times are wall times: a later process may report an earlier one. Then it counts if
+    /// its sidecar has reported the known process before, or if the latest record agrees.
+    bool isReplacedBy(const wire::DirectState &reported) const;
+    /// True if the state describes another process than the known one.
+    bool isOfOtherProcess(const wire::DirectState &reported) const;
+    /// Records which process the sidecar reports. Returns false for a state that was sent before the last one.
+    bool recordReportedProcess(const wire::DirectState &reported);
     void applyState(const wire::DirectState &reported, TimePoint now);
     /// The state that the delta results in; empty if it is based on one that this entry does not have.
     std::optional<wire::DirectState> stateAfter(const wire::DirectDelta &delta);
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -8,19 +8,26 @@
 bool DirectCalls::applyEndpoint(const EndpointRecord &record, TimePoint now)
 {
     auto *known = impl_->endpoints.find(record.id);
-    const bool restarted = known != nullptr && known->isOlderThan(record.startTimeMs);
+    const bool restarted = known != nullptr && known->isReplacedBy(record);
     if (restarted) {
         impl_->onRestarted(*known, record.startTimeMs, now);
     }
+    const auto effect = impl_->applyRecord(record, now);
+    return restarted || effect == RecordEffect::Changed;
+}
+
+RecordEffect DirectCalls::Impl::applyRecord(const EndpointRecord &record, TimePoint now)
+{
+    auto *known = endpoints.find(record.id);
     const bool hasNewVersion = known != nullptr && known->record.softwareVersion != record.softwareVersion;
     if (hasNewVersion) {
-        impl_->versionHistory.onVersionEnded(known->record, now);
+        versionHistory.onVersionEnded(known->record, now);
     }
-    const auto effect = impl_->endpoints.applyRecord(record, now);
+    const auto effect = endpoints.applyRecord(record, now);
     if (effect != RecordEffect::Stale && (record.leaving || hasNewVersion)) {
-        impl_->rerouteWaiting(*impl_->endpoints.find(record.id), now);
+        rerouteWaiting(*endpoints.find(record.id), now);
     }
-    return restarted || effect == RecordEffect::Changed;
+    return effect;
 }
 
 // A new process runs under the endpoint's id. Counters of calls sent to the old one are reset with it, and calls
@@ -38,6 +45,16 @@
     rerouteCalls(waiting, now);
 }
 
+// The record of the new process may have arrived before and been taken for one of an earlier process.
+void DirectCalls::Impl::onReportedRestart(EndpointEntry &entry, std::uint64_t startTimeMs, TimePoint now)
+{
+    const auto record = std::exchange(entry.undecidedRecord, std::nullopt);
+    onRestarted(entry, startTimeMs, now);
+    if (record && record->startTimeMs == startTimeMs) {
+        applyRecord(*record, now);
+    }
+}
+
 void DirectCalls::removeEndpoint(const std::string &id, TimePoint now)
 {
     if (auto *entry = impl_->endpoints.find(id)) {
@@ -140,13 +157,18 @@
 {
     auto *entry = endpoints.findByAddress(address);
     endpoints.recordMessage(now);
-    if (entry == nullptr || entry->isOutdated(state)) {
+    if (entry == nullptr) {
         return;
     }
     // A sidecar may see a restart before the store does.
-    const bool sameId = state.endpoint_id() == entry->record.id;
-    if (sameId && entry->isOlderThan(state.born())) {
-        onRestarted(*entry, state.born(), now);
+    const bool isReplaced = entry->isReplacedBy(state);
+    if (!entry->recordReportedProcess(state)) {
+        return;
+    }
+    if (isReplaced) {
+        onReportedRestart(*entry, state.born(), now);
+    } else if (entry->isOfOtherProcess(state)) {
+        return;
     }
     const bool isFirst = !entry->state;
     entry->applyState(state, now);
--- a/tests/unit/direct_restart_test.cpp
+++ b/tests/unit/direct_restart_test.cpp
@@ -16,11 +16,13 @@
         record.startTimeMs = startTimeMs;
         return record;
     }
-    static wire::DirectState stateOf(std::uint64_t startTimeMs, const std::vector<std::string> &adapters)
+    static wire::DirectState stateOf(std::uint64_t startTimeMs, const std::vector<std::string> &adapters,
+                                     std::uint64_t sequence = 0)
     {
         auto state = makeState(adapters);
         state.set_endpoint_id("e-1");
         state.set_born(startTimeMs);
+        state.set_sequence(sequence);
         return state;
     }
     void applyState(const wire::DirectState &state)
@@ -151,4 +153,88 @@
     EXPECT_FALSE(takeActions<SendCall>().empty());
 }
 
+// Guards against a former process that comes back by what arrives late, after one with an earlier start has replaced
+// it: a record read late, and a state that was sent before.
+TEST_F(Restarts, ReplacedProcessDoesNotComeBackByLateMessages)
+{
+    calls_.applyEndpoint(recordOf(secondStartMs), now_);
+    applyState(stateOf(secondStartMs, {"a1"}, 7));
+    applyState(stateOf(firstStartMs, {"a2"}, 8));
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_FALSE(calls_.applyEndpoint(recordOf(secondStartMs), now_));
+        applyState(stateOf(secondStartMs, {"a1"}, 7));
+    }
+    startCall("/s/x", "a1");
+    EXPECT_TRUE(takeActions<SendCall>().empty());
+    startCall("/s/x", "a2");
+    EXPECT_EQ(takeSentCall().endpointId, "e-1");
+}
+
+// Guards against a late write of an earlier process that takes effect because its start time differs: the sidecar has
+// not reported this process.
+TEST_F(Restarts, RecordOfAnEarlierStartAloneReplacesNothing)
+{
+    calls_.applyEndpoint(recordOf(secondStartMs), now_);
+    applyState(stateOf(secondStartMs, {"a1"}, 7));
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_FALSE(calls_.applyEndpoint(recordOf(firstStartMs), now_));
+        applyState(stateOf(secondStartMs, {"a1"}, 8));
+    }
+    startCall("/s/x", "a1");
+    EXPECT_EQ(takeSentCall().endpointId, "e-1");
+}
+
+// Guards against an endpoint without calls whose clock was set back, set right and set back again between its starts.
+TEST_F(Restarts, SeveralClockStepsInARowAreFollowed)
+{
+    const std::uint64_t starts[] = {secondStartMs, firstStartMs, secondStartMs + 5, firstStartMs - 5, firstStartMs - 9};
+    std::uint64_t sequence = 0;
+    for (const auto start : starts) {
+        const auto adapter = "a" + std::to_string(sequence + 1);
+        applyState(stateOf(start, {adapter}, ++sequence));
+        calls_.applyEndpoint(recordOf(start), now_);
+        applyState(stateOf(start, {adapter}, sequence));
+        startCall("/s/x", adapter);
+        EXPECT_EQ(takeSentCall().endpointId, "e-1") << adapter;
+    }
+}
+
+// Guards against an engine that gets no calls because its VM restarted with its clock set back: the connection to the
+// sidecar was lost in between, so that no message shows the order of the two processes.
+TEST_F(Restarts, EarlierStartIsFollowedOverALostConnection)
+{
+    for (const bool isRecordFirst : {true, false}) {
+        const auto before = isRecordFirst ? secondStartMs : secondStartMs + 9000;
+        const auto after = before - 5;
+        calls_.applyEndpoint(recordOf(before), now_);
+        applyState(stateOf(before, {"a1"}, 9));
+        calls_.onSidecarLost("10.0.1.1:80", now_);
+        if (isRecordFirst) {
+            calls_.applyEndpoint(recordOf(after), now_);
+        }
+        applyState(stateOf(after, {"a2"}, 3));
+        if (!isRecordFirst) {
+            calls_.applyEndpoint(recordOf(after), now_);
+        }
+        applyState(stateOf(after, {"a2"}, 4));
+        startCall("/s/x", "a2");
+        EXPECT_EQ(takeSentCall().endpointId, "e-1");
+    }
+}
+
+// Guards against an engine of an unknown version after its clock was set back: its record arrived before the state that
+// shows that the record is not a late one.
+TEST_F(Restarts, RecordOfAnEarlierStartAppliesOnceTheSidecarAgrees)
+{
+    calls_.applyEndpoint(recordOf(secondStartMs), now_);
+    applyState(stateOf(secondStartMs, {"a1"}, 7));
+    auto later = recordOf(firstStartMs);
+    later.address = "10.0.1.7:80";
+    EXPECT_FALSE(calls_.applyEndpoint(later, now_));
+    applyState(stateOf(firstStartMs, {}, 8));
+    calls_.applyState("10.0.1.7:80", stateOf(firstStartMs, {"a2"}, 9), now_);
+    startCall("/s/x", "a2");
+    EXPECT_EQ(takeSentCall().endpointId, "e-1");
+}
+
 } // namespace anvilscale::test
