--- a/include/anvilscale/direct_path.h
+++ b/include/anvilscale/direct_path.h
@@ -63,6 +63,13 @@
     std::uint64_t revision = 0;
 };
 
+/// A record that was skipped, for the log.
+struct RecordRejection
+{
+    std::string key; ///< the beginning of it, if it is long
+    std::string reason;
+};
+
 /// One page of the store's records.
 struct StorePage
 {
@@ -71,6 +78,7 @@
     bool hasMore = false; ///< further pages follow `lastKey`
     std::string lastKey;
     std::size_t rejectedRecords = 0; ///< unreadable records, which were skipped
+    std::vector<RecordRejection> rejections; ///< the first of them
 };
 
 /// One change in the store, parsed and in its encoded form.
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -424,6 +424,9 @@
         handlers.failed = [this](const StoreFailure &failure) {
             control_.post([this, failure](Now) { storeLog_.failed(failure); });
         };
+        handlers.rejected = [this](std::size_t records) {
+            control_.post([this, records](Now) { storeLog_.recordsRejected(records); });
+        };
         handlers.restored = [this](std::uint64_t era) {
             crashReporter_->rewriteReports();
             control_.post([this, era](Now) { storeLog_.restored(era); });
--- a/src/daemon/store_log.cpp
+++ b/src/daemon/store_log.cpp
@@ -40,6 +40,11 @@
     logEvent(Event::StoreRestored, {{"era", era}});
 }
 
+void StoreLog::recordsRejected(std::size_t records)
+{
+    rejectedRecords_ += records;
+}
+
 void StoreLog::crashReportsWritten(std::size_t reports)
 {
     writtenReports_ += reports;
@@ -74,6 +79,8 @@
     text.counter("anvilscale_store_answers_total", "answered calls to the store", answers_);
     text.counters("anvilscale_store_failures_total", "failed calls to the store", "failure", failures_);
     text.counter("anvilscale_store_restores_total", "times that the store came back from an older copy", restores_);
+    text.counter("anvilscale_store_records_rejected_total", "records of the store that could not be read, by reading",
+                 rejectedRecords_);
     text.counter("anvilscale_crash_reports_total", "crash reports that the store has taken", writtenReports_);
     text.counter("anvilscale_crash_reports_dropped_total", "crash reports given up while the store was away",
                  droppedReports_);
--- a/src/daemon/store_log.h
+++ b/src/daemon/store_log.h
@@ -16,6 +16,7 @@
     void answered(Duration sinceLastAnswer, bool isRecovery);
     void failed(const StoreFailure &failure);
     void restored(std::uint64_t era);
+    void recordsRejected(std::size_t records);
     void crashReportsWritten(std::size_t reports);
     void crashReportFailed(StoreFailureKind kind, std::uint32_t status, bool isFirst);
     void crashReportDropped();
@@ -27,6 +28,7 @@
     std::uint64_t answers_ = 0;
     Counters<StoreFailureKind> failures_;
     std::uint64_t restores_ = 0;
+    std::uint64_t rejectedRecords_ = 0;
     std::uint64_t writtenReports_ = 0;
     std::uint64_t droppedReports_ = 0;
     Counters<StoreFailureKind> reportFailures_;
--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -82,6 +82,8 @@
     /// Each answer. `sinceLastAnswer`: time since the previous one. `isRecovery`: calls have failed in between.
     std::function<void(Duration sinceLastAnswer, bool isRecovery)> answered;
     std::function<void(const StoreFailure &)> failed;
+    /// So many records of an answer were not readable and skipped. May be empty.
+    std::function<void(std::size_t records)> rejected;
     /// The store was restored from a backup, and everything is read again. May be empty.
     std::function<void(std::uint64_t era)> restored;
     /// Requests the changes after a position from a sidecar, whose answer is passed to onSharedWatchAnswer with this
@@ -311,7 +313,7 @@
     void applyPage(StorePage &page)
     {
         if (page.rejectedRecords != 0) {
-            logEvent(Event::StoreRecordRejected, {{"records", static_cast<std::uint64_t>(page.rejectedRecords)}});
+            onRejected(page);
         }
         for (auto &record : page.records) {
             if (const auto *endpoint = std::get_if<EndpointRecord>(&record)) {
@@ -324,6 +326,18 @@
         }
     }
 
+    void onRejected(const StorePage &page)
+    {
+        for (const auto &rejection : page.rejections) {
+            logEvent(Event::StoreRecordRejected, {{"records", std::uint64_t{page.rejectedRecords}},
+                                                  {"key", rejection.key},
+                                                  {"reason", rejection.reason}});
+        }
+        if (handlers_.rejected) {
+            handlers_.rejected(page.rejectedRecords);
+        }
+    }
+
     void onEndpoint(const EndpointRecord &endpoint)
     {
         readIds_.insert(endpoint.id);
