An exception ends one event, task or timer of a thread, not the process

Nothing caught an exception on the threads of event loops and on the control thread, so that one in the handling of one call or record ended the process and all its calls.

Each event, task and socket handler is run on its own; an error is counted by place (anvilscale_unexpected_errors_total) and logged as event 900, at counts that are powers of two, so that one that comes back does not fill the log. This is the last resort: readers of outsiders' bytes are to return errors.

Why going on is safe: a task or event is one step of one call, connection or record. What it leaves undone is ended by the deadline of its call, the timer of its connection, or the next record or full read. A timer is no longer pending while it runs, so that the next turn goes on with the one after it; the actions of a batch are performed after it in any case.

--- a/include/anvilscale/telemetry.h
+++ b/include/anvilscale/telemetry.h
@@ -4,11 +4,13 @@
 
 #include "anvilscale/base.h"
 
+#include <exception>
 #include <initializer_list>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -128,7 +130,48 @@
 /// Returns the line that logEvent() writes, without the time stamp; for tests.
 std::string formatEvent(Event event, std::initializer_list<LogField> fields);
 
-/// Appends what was not written. Thread-safe.
+/// Where an exception was caught that no code expects.
+enum class ErrorPlace : std::uint8_t {
+    ControlEvent,
+    ControlTimer,
+    ControlActions,
+    LoopSocket,
+    LoopTask,
+    LoopTimer,
+    MessengerCommand,
+    MessengerMessage,
+    MessengerTurn,
+    SettingsReload,
+    Count
+};
+template<>
+struct EnumNames<ErrorPlace>
+{
+    static constexpr std::array<std::string_view, enumCount<ErrorPlace>> table{
+        "control_event", "control_timer",     "control_actions",   "loop_socket",    "loop_task",
+        "loop_timer",    "messenger_command", "messenger_message", "messenger_turn", "settings_reload"};
+};
+
+/// Counts an error and logs it, with the count, if the count of its place is a power of two: one that comes back with
+/// each event does not fill the log. Thread-safe.
+void reportUnexpectedError(ErrorPlace place, std::string_view what);
+
+/// Runs `task`. An exception ends the task only and is reported. Returns whether the task has returned.
+template<class Task>
+bool runGuarded(ErrorPlace place, Task &&task)
+{
+    try {
+        std::forward<Task>(task)();
+        return true;
+    } catch (const std::exception &error) {
+        reportUnexpectedError(place, error.what());
+    } catch (...) {
+        reportUnexpectedError(place, "not a std::exception");
+    }
+    return false;
+}
+
+/// Appends what was not written, and the unexpected errors. Thread-safe.
 void appendLogMetrics(class MetricsText &text);
 /// Writes a line for the operator to standard error. Waits a short time at most.
 void printError(const std::string &line);
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -94,12 +94,13 @@
         }
         auto now = readClocks();
         for (const auto &event : batch) {
-            event(now);
+            runGuarded(ErrorPlace::ControlEvent, [&] { event(now); });
         }
         handledEvents_ += batch.size();
         now = readClocks();
-        timers_.advance(now.mono);
-        afterBatch_(now);
+        // A timer is no longer pending while it runs, so that the next turn continues with the one after it.
+        runGuarded(ErrorPlace::ControlTimer, [&] { timers_.advance(now.mono); });
+        runGuarded(ErrorPlace::ControlActions, [&] { afterBatch_(now); });
     }
 }
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,6 +1,7 @@
 // Event loop over epoll, with timers and a task queue. Replaces Poco::Net::PollSet, which cannot be woken up and
 // builds a map of all sockets on each poll.
 #include "anvilscale/net.h"
+#include "anvilscale/telemetry.h"
 
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/Socket.h>
@@ -218,7 +219,7 @@
         hasTasks = false;
     }
     for (auto &task : batch) {
-        task();
+        runGuarded(ErrorPlace::LoopTask, task);
     }
 }
 
@@ -255,10 +256,11 @@
         const int eventCount =
             ::epoll_wait(epollFd, events.data(), static_cast<int>(events.size()), static_cast<int>(wait));
         for (int i = 0; i < eventCount; ++i) {
-            dispatch(events.at(static_cast<std::size_t>(i)));
+            runGuarded(ErrorPlace::LoopSocket, [&] { dispatch(events.at(static_cast<std::size_t>(i))); });
         }
         runTasks();
-        timers.advance(EventLoop::now());
+        // A timer is no longer pending while it runs, so that the next turn continues with the one after it.
+        runGuarded(ErrorPlace::LoopTimer, [this] { timers.advance(EventLoop::now()); });
     }
 }
 
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -8,6 +8,9 @@
 #include <log4cxx/spi/loggingevent.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
+#include <bit>
 #include <cinttypes>
 #include <cstdio>
 
@@ -15,6 +18,8 @@
 
 namespace {
 
+std::array<std::atomic<std::uint64_t>, enumCount<ErrorPlace>> unexpectedErrors{};
+
 // For what is queued when the process ends: a reader that reads takes it in milliseconds, and the platform's stop time
 // must not pass.
 constexpr Duration endLimit = Milliseconds(300);
@@ -212,8 +217,23 @@
     }
 }
 
+void reportUnexpectedError(ErrorPlace place, std::string_view what)
+{
+    const std::uint64_t count = ++unexpectedErrors.at(static_cast<std::size_t>(place));
+    if (std::has_single_bit(count)) {
+        logEvent(Event::UnexpectedError,
+                 {{"place", std::string(toString(place))}, {"what", std::string(what)}, {"count", count}});
+    }
+}
+
 void appendLogMetrics(MetricsText &text)
 {
+    Counters<ErrorPlace> errors;
+    for (std::size_t i = 0; i < enumCount<ErrorPlace>; ++i) {
+        errors.add(static_cast<ErrorPlace>(i), unexpectedErrors[i]);
+    }
+    text.counters("anvilscale_unexpected_errors_total", "errors that ended one event, task or message", "place",
+                  errors);
     if (!output) {
         return;
     }
