A failed command of the messenger costs no other, and its target is opened later

When a command of the messenger threw, the rest of its batch was dropped without a line: messages to other processes, connections and their ends. When a process had no free descriptor, a connection that could not be made left a target without sockets, on which the next turn or the end of the thread threw.

Commands, and the handlers of received messages, are run one by one; an error is counted and logged. A target whose sockets could not be made is tried again each second. Going on is safe: the target stays under its name, so that messages wait for it and fail as not sent after their time, and its removal finds it; a turn that fails leaves the sockets as they are, and the next one reads them again.

--- a/src/net/messenger_impl.h
+++ b/src/net/messenger_impl.h
@@ -21,6 +21,7 @@
 namespace anvilscale {
 
 constexpr int maxSocketQueue = 20'000; // messages that ZeroMQ queues for one connection
+constexpr auto openRetryInterval = std::chrono::seconds(1); // of a target whose sockets could not be made
 constexpr int lingerMs = 200; // for messages queued when a socket is closed
 // Names under which the descriptors of other than targets are watched. Target names never have this form.
 constexpr std::string_view wakeName = "\nwake";
@@ -103,6 +104,8 @@
     // Names of the targets with waiting messages. A turn visits these and the targets with events, and not all others:
     // with hundreds of targets such walks were most of the thread's work.
     std::set<std::string> waitingTargets;
+    std::set<std::string> closedTargets; // names of the targets without sockets, which are opened again at nextOpenAt
+    std::chrono::steady_clock::time_point nextOpenAt;
     SocketWatch socketWatch; // under wakeName, routerName and the names of the targets
     std::chrono::steady_clock::time_point silenceCheckedAt; // when reopenSilentTargets() last checked
     bool isStopping = false;
@@ -126,6 +129,8 @@
     void runCommand(Command &command);
     void connectTarget(const std::string &name, NetAddress address, std::uint64_t epoch);
     void openDealer(Target &target);
+    void openTarget(Target &target);
+    void openClosedTargets();
     void reopenConnection(Target &target);
     void removeTarget(const std::string &name);
     void closeSockets(Target &target);
--- a/src/net/messenger_thread.cpp
+++ b/src/net/messenger_thread.cpp
@@ -2,6 +2,8 @@
 // wake the thread by an eventfd.
 #include "messenger_impl.h"
 
+#include "anvilscale/telemetry.h"
+
 #include <sys/eventfd.h>
 #include <unistd.h>
 
@@ -44,14 +46,8 @@
 void Messenger::Impl::run()
 {
     while (!isStopping) {
-        try {
-            poll();
-            runCommands();
-        } catch (const zmq::error_t &error) {
-            if (error.num() == ETERM) {
-                return;
-            }
-        }
+        runGuarded(ErrorPlace::MessengerTurn, [this] { poll(); });
+        runCommands();
     }
     for (auto &[name, target] : targets) {
         closeSockets(*target);
@@ -73,12 +69,14 @@
         receivePeers();
     }
     for (const auto &name : readyNames) {
-        if (const auto found = targets.find(name); found != targets.end()) {
+        const auto found = targets.find(name);
+        if (found != targets.end() && closedTargets.count(name) == 0) {
             receiveTarget(*found->second);
             handleMonitorEvents(*found->second);
         }
     }
     handleWaitingTargets();
+    openClosedTargets();
     if (init.livenessCheck == LivenessCheck::KeepAlive) {
         reopenSilentTargets();
     }
@@ -119,7 +117,7 @@
         isWakePending = false;
     }
     for (auto &command : batch) {
-        runCommand(command);
+        runGuarded(ErrorPlace::MessengerCommand, [&] { runCommand(command); });
     }
 }
 
@@ -157,15 +155,20 @@
     closeSockets(*found->second);
     targets.erase(found);
     waitingTargets.erase(name);
+    closedTargets.erase(name);
 }
 
 // Ends the monitor before its receiving socket is closed. Without a receiver, the next event of the connection would
 // block the I/O thread of ZeroMQ for ever, and with it all connections of this process.
 void Messenger::Impl::closeSockets(Target &target)
 {
-    socketWatch.remove(target.dealer);
-    socketWatch.remove(target.monitor);
-    zmq_socket_monitor(target.dealer.handle(), nullptr, 0);
+    if (target.monitor.handle() != nullptr) {
+        socketWatch.remove(target.monitor);
+    }
+    if (target.dealer.handle() != nullptr) {
+        socketWatch.remove(target.dealer);
+        zmq_socket_monitor(target.dealer.handle(), nullptr, 0);
+    }
     target.monitor.close();
     target.dealer.close();
 }
@@ -180,11 +183,37 @@
         closeSockets(*target);
     }
     waitingTargets.erase(name);
+    closedTargets.erase(name);
     target = std::make_unique<Target>();
     target->name = name;
     target->address = address;
     target->epoch = epoch;
-    openDealer(*target);
+    openTarget(*target);
+}
+
+// Without descriptors no socket can be made. The target stays, as its messages and its removal refer to it, and is
+// opened again later.
+void Messenger::Impl::openTarget(Target &target)
+{
+    if (!runGuarded(ErrorPlace::MessengerCommand, [&] { openDealer(target); })) {
+        closeSockets(target);
+        closedTargets.insert(target.name);
+    }
+}
+
+void Messenger::Impl::openClosedTargets()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (closedTargets.empty() || now < nextOpenAt) {
+        return;
+    }
+    nextOpenAt = now + openRetryInterval;
+    for (const auto &name : std::exchange(closedTargets, {})) {
+        if (const auto found = targets.find(name); found != targets.end()) {
+            found->second->epoch = nextEpoch();
+            openTarget(*found->second);
+        }
+    }
 }
 
 void Messenger::Impl::openDealer(Target &target)
@@ -236,7 +265,7 @@
     target.wasUpBefore = true;
     target.dealer.set(zmq::sockopt::linger, 0);
     closeSockets(target);
-    openDealer(target);
+    openTarget(target);
 }
 
 void Messenger::Impl::onSendFailed(const Outgoing &message, MessageDrop reason)
@@ -424,7 +453,7 @@
             handle = PeerHandle{++lastPeer};
             identityByPeer[handle] = identity.to_string();
         }
-        handlers.fromPeer(handle, std::move(message));
+        runGuarded(ErrorPlace::MessengerMessage, [&] { handlers.fromPeer(handle, std::move(message)); });
     }
     socketWatch.markUsed(std::string(routerName)); // more messages may be queued
 }
@@ -439,7 +468,7 @@
         target.lastReceivedAt = std::chrono::steady_clock::now();
         wire::Envelope message;
         if (parse(data, message)) {
-            handlers.fromTarget(target.name, std::move(message));
+            runGuarded(ErrorPlace::MessengerMessage, [&] { handlers.fromTarget(target.name, std::move(message)); });
         }
     }
     socketWatch.markUsed(target.name); // more messages may be queued
