A settings file that cannot be read does not end the running process

A folder in place of the settings file made the signal thread end the process at the next check (basic_filebuf::underflow "Is a directory", status 134), and "at": "127.0.0.1:80/a:b" as well: the check took what stands before the slash for the address, and the conversion what stands behind the last colon (std::invalid_argument of stoul).

The file is read into an optional text; one that cannot be read is rejected as unreadable and logged, and the settings stay. An address to listen on has no path. Anything else that is thrown by a reload is caught there: settings are applied by events of the other threads, so that a reload that failed has applied nothing or is repeated with the next change.

--- a/src/daemon/run_daemon.cpp
+++ b/src/daemon/run_daemon.cpp
@@ -7,6 +7,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 namespace anvilscale {
@@ -29,10 +30,15 @@
     return set;
 }
 
-std::string readFile(const std::string &file)
+/// Returns nullopt if the file cannot be read, as where a folder has its name for a moment.
+std::optional<std::string> readFile(const std::string &file)
 {
     std::ifstream in(file);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    std::ostringstream text;
+    if (!in || !(text << in.rdbuf())) {
+        return std::nullopt;
+    }
+    return text.str();
 }
 
 /// Reloads the settings file when it has changed.
@@ -52,7 +58,7 @@
             return;
         }
         lastText_ = std::move(text);
-        const auto settings = parseSettings(lastText_);
+        const auto settings = parseLastText();
         if (!settings) {
             const auto &error = settings.error();
             logEvent(Event::ReloadRejected,
@@ -65,8 +71,16 @@
     }
 
 private:
+    tl::expected<settings::Settings, SettingsError> parseLastText() const
+    {
+        if (!lastText_) {
+            return tl::unexpected(SettingsError{SettingsErrorKind::Unreadable, "", file_});
+        }
+        return parseSettings(*lastText_);
+    }
+
     std::string file_;
-    std::string lastText_; // content at the last read
+    std::optional<std::string> lastText_; // content at the last read; nullopt if it could not be read
 };
 
 void waitForSignals(Daemon &daemon, SettingsFile &file)
@@ -82,7 +96,7 @@
             daemon.drain(); // further signals have no effect; calls in progress still finish
             break;
         default: // SIGHUP or the interval for checking the file
-            file.reload(daemon, signal == SIGHUP);
+            runGuarded(ErrorPlace::SettingsReload, [&] { file.reload(daemon, signal == SIGHUP); });
         }
     }
 }
--- a/src/settings/rules.cpp
+++ b/src/settings/rules.cpp
@@ -196,7 +196,7 @@
     case TextFormat::Url:
         return !ipAddressOf(text).empty();
     case TextFormat::AddressPort:
-        return !ipAddressOf("http://" + std::string(text)).empty();
+        return text.find('/') == std::string_view::npos && !ipAddressOf("http://" + std::string(text)).empty();
     case TextFormat::LoopbackUrl:
         return isLoopbackAddress(ipAddressOf(text));
     case TextFormat::NameList:
--- a/tests/process/odd_records_test.cpp
+++ b/tests/process/odd_records_test.cpp
@@ -128,4 +128,50 @@
     EXPECT_TRUE(daemons_.at("side-1")->isRunning()) << readLog("side-1");
 }
 
+class OddSettings : public Direct
+{
+protected:
+    std::size_t countLogged(const std::string &event) const
+    {
+        const auto log = readLog("entry-1");
+        std::size_t count = 0;
+        for (auto at = log.find(event); at != std::string::npos; at = log.find(event, at + 1)) {
+            ++count;
+        }
+        return count;
+    }
+    /// Has the entry read its settings again; returns whether it logs the event once more.
+    bool reloads(const std::string &event)
+    {
+        const auto before = countLogged(event);
+        daemons_.at("entry-1")->signal(SIGHUP);
+        return eventually([&] { return !daemons_.at("entry-1")->isRunning() || countLogged(event) > before; });
+    }
+};
+
+// Guards against a settings file that ends the running process when it is read again: one that is a folder for a
+// moment, or whose address passes one check and fails in another.
+TEST_F(OddSettings, RunningEntryKeepsItsSettings)
+{
+    start();
+    const auto file = fleet_.settingsFile("entry-1");
+    std::ifstream in(file);
+    const std::string sound{std::istreambuf_iterator<char>(in), {}};
+    std::filesystem::rename(file, file + ".away");
+    std::filesystem::create_directory(file);
+    EXPECT_TRUE(reloads("reload_rejected"));
+    std::filesystem::remove(file);
+    const auto at = sound.find(R"("at":"127.0.0.1:)") + 6;
+    auto odd = sound;
+    odd.replace(at, odd.find('"', at) - at, "127.0.0.1:80/a:b");
+    for (const auto &text : {odd, std::string(), std::string(200'000, '['), std::string("\xff\x00{", 3)}) {
+        std::ofstream(file) << text;
+        EXPECT_TRUE(reloads("reload_rejected"));
+    }
+    std::ofstream(file) << sound;
+    EXPECT_TRUE(reloads("settings_reloaded"));
+    ASSERT_TRUE(daemons_.at("entry-1")->isRunning()) << readLog("entry-1");
+    EXPECT_EQ(call("/i/x", "after").status, 200);
+}
+
 } // namespace
