--- a/src/daemon/store_log.cpp
+++ b/src/daemon/store_log.cpp
@@ -46,6 +46,11 @@
     logEvent(Event::StoreCallFailed, {{"call", "confirmation"}, {"failure", std::string(toString(kind))}});
 }
 
+void StoreLog::recordsRejected(std::size_t records)
+{
+    rejectedRecords_ += records;
+}
+
 void StoreLog::crashReportsWritten(std::size_t reports)
 {
     writtenReports_ += reports;
@@ -82,6 +87,8 @@
     text.counter("anvilscale_store_restores_total", "times that the store came back from an older copy", restores_);
     text.counters("anvilscale_store_confirmation_failures_total", "failed reads of the store for resumed calls",
                   "failure", confirmationFailures_);
+    text.counter("anvilscale_store_records_rejected_total", "records of the store that could not be read, by reading",
+                 rejectedRecords_);
     text.counter("anvilscale_crash_reports_total", "crash reports that the store has taken", writtenReports_);
     text.counter("anvilscale_crash_reports_dropped_total", "crash reports given up while the store was away",
                  droppedReports_);
--- a/src/daemon/store_log.h
+++ b/src/daemon/store_log.h
@@ -17,6 +17,7 @@
     void failed(const StoreFailure &failure);
     void restored(std::uint64_t era);
     void confirmationFailed(StoreFailureKind kind);
+    void recordsRejected(std::size_t records);
     void crashReportsWritten(std::size_t reports);
     void crashReportFailed(StoreFailureKind kind, std::uint32_t status, bool isFirst);
     void crashReportDropped();
@@ -29,6 +30,7 @@
     Counters<StoreFailureKind> failures_;
     std::uint64_t restores_ = 0;
     Counters<StoreFailureKind> confirmationFailures_;
+    std::uint64_t rejectedRecords_ = 0;
     std::uint64_t writtenReports_ = 0;
     std::uint64_t droppedReports_ = 0;
     Counters<StoreFailureKind> reportFailures_;
