An origin is looked up again where no sidecar was reachable

What callers saw: streams resumed at an entry that had stood still for longer than the states of sidecars are valid were refused as origin_unknown, although sidecars knew them.

Cause: the lookup found no sidecar to ask and ended at once. The next states of the sidecars lie in the entry's sockets at that moment.

--- a/src/direct/origin_client.cpp
+++ b/src/direct/origin_client.cpp
@@ -56,8 +56,6 @@
 
 void OriginClient::lookUp(CallHandle call, const std::string &key, const EndpointTable &endpoints, TimePoint now)
 {
-    const auto seed = poolSelectionSeed(allowanceGroup(key));
-    const auto candidates = selectSidecars(endpoints, seed, {}, now, maxAsked, keepsOrigins);
     const auto number = ++lastNumber_;
     auto &lookup = lookups_[number];
     lookup.call = call;
@@ -65,10 +63,22 @@
     if (const auto *own = find(key, now); own != nullptr && isStreamContentKey(key)) {
         lookup.known = *own;
     }
-    lookup.candidates.assign(candidates.begin(), candidates.end());
+    selectCandidates(lookup, endpoints, now);
+    if (lookup.candidates.empty()) {
+        // After a pause of this process the states of all sidecars are out of date, and their next ones arrive soon.
+        lookup.answerBy = now + answerTime;
+        return;
+    }
     proceed(number, now);
 }
 
+void OriginClient::selectCandidates(Lookup &lookup, const EndpointTable &endpoints, TimePoint now)
+{
+    const auto seed = poolSelectionSeed(allowanceGroup(lookup.key));
+    const auto candidates = selectSidecars(endpoints, seed, {}, now, maxAsked, keepsOrigins);
+    lookup.candidates.assign(candidates.begin(), candidates.end());
+}
+
 void OriginClient::proceed(std::uint64_t number, TimePoint now)
 {
     auto &lookup = lookups_.at(number);
@@ -151,7 +161,7 @@
     }
 }
 
-void OriginClient::checkAnswers(TimePoint now)
+void OriginClient::checkAnswers(const EndpointTable &endpoints, TimePoint now)
 {
     std::vector<std::uint64_t> overdue;
     for (auto &[number, lookup] : lookups_) {
@@ -166,6 +176,11 @@
     }
     for (const auto number : overdue) {
         auto &lookup = lookups_.at(number);
+        if (lookup.asked == 0) {
+            selectCandidates(lookup, endpoints, now);
+            proceed(number, now);
+            continue;
+        }
         lookup.hasTimedOut = true;
         timeouts_ += lookup.unanswered.size();
         proceed(number, now);
--- a/src/direct/origin_client.h
+++ b/src/direct/origin_client.h
@@ -28,7 +28,7 @@
     /// The connection to the sidecar was lost, or is a new one: the sidecar may have restarted.
     void onSidecarLost(const std::string &address, TimePoint now);
     /// Ends the wait for answers that are overdue. Called at nextCheckAt().
-    void checkAnswers(TimePoint now);
+    void checkAnswers(const EndpointTable &endpoints, TimePoint now);
     std::optional<TimePoint> nextCheckAt() const;
     /// Reports that are due: of new streams, and of all to a sidecar that does not have them.
     std::vector<ReportOrigins> takeReports(const EndpointTable &endpoints, TimePoint now);
@@ -53,9 +53,10 @@
         std::size_t asked = 0;
         bool hasTimedOut = false;
         bool isExtended = false; // answerBy was set again after a pause of this process
-        TimePoint answerBy{};
+        TimePoint answerBy{}; // while no sidecar has been asked: when they are selected again
     };
 
+    static void selectCandidates(Lookup &lookup, const EndpointTable &endpoints, TimePoint now);
     static void addKnown(Lookup &lookup, const StreamOrigin &origin);
     void askNext(std::uint64_t number, Lookup &lookup, TimePoint now);
     void finish(std::uint64_t number, std::optional<StreamOrigin> origin);
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -84,7 +84,7 @@
 
 void DirectCalls::Impl::checkOriginAnswers(TimePoint now)
 {
-    origins.checkAnswers(now);
+    origins.checkAnswers(endpoints, now);
     resolveOrigins(now);
     flushOrigins(now);
 }
