Tests: what a confirmation of the store shows, and how often it is started

A confirmation shows changes of a pause, reports none twice beside the watch, is never the answer of a read of old data (400 offsets around a read), ends as failed where the store does not answer, and shares its start.

--- a/tests/support/watched_store.h
+++ b/tests/support/watched_store.h
@@ -44,6 +44,24 @@
     {
         watcher_.onRecordContradicted();
     }
+    void confirm(std::uint64_t number)
+    {
+        watcher_.confirm(number);
+    }
+    /// How a confirmation ended.
+    struct Confirmed
+    {
+        std::uint64_t number = 0;
+        std::optional<StoreFailureKind> failure;
+        std::set<std::string> presentIds; // when it was reported
+    };
+    std::vector<Confirmed> confirmed;
+    /// How often the endpoint was reported as removed.
+    std::size_t removals(const std::string &id) const
+    {
+        const auto found = removals_.find(id);
+        return found == removals_.end() ? 0 : found->second;
+    }
     /// Time at which the endpoint was first reported as removed or leaving.
     std::optional<TimePoint> removalTime(const std::string &id) const
     {
@@ -101,17 +119,22 @@
             if (const auto *removed = std::get_if<EndpointRemoved>(&record)) {
                 hasRegressed_ = hasRegressed_ || removed->revision < lastRevisions_[removed->id];
                 removedAt_.emplace(removed->id, loop.now());
+                ++removals_[removed->id];
                 presentIds_.erase(removed->id);
             }
         };
         result.complete = [] {};
         result.answered = [](Duration, bool) {};
         result.failed = [](const StoreFailure &) {};
+        result.confirmed = [this](std::uint64_t number, std::optional<StoreFailureKind> failure) {
+            confirmed.push_back({number, failure, presentIds_});
+        };
         return result;
     }
 
     Duration maxDelay_;
     std::map<std::string, TimePoint> removedAt_;
+    std::map<std::string, std::size_t> removals_;
     std::map<std::string, std::uint64_t> lastRevisions_; // last reported revisions, by endpoint
     std::set<std::string> presentIds_;
     bool hasRegressed_ = false;
