--- a/tests/support/stream_fleet.h
+++ b/tests/support/stream_fleet.h
@@ -76,6 +76,12 @@
         entries_.at(index) = makeEntry();
         advance(Milliseconds(0));
     }
+    /// The entry reads all records again, as its history of changes has been lost.
+    void readStoreAgain(std::size_t index)
+    {
+        entries_.at(index)->onStoreReadStarted();
+        readStore(*entries_.at(index));
+    }
     /// Which messages between an entry and a sidecar are lost; none by default.
     std::function<bool(std::size_t entry, std::size_t engine)> isLost;
     /// The store does not answer; all entries have read it before.
@@ -152,17 +158,21 @@
         auto config = makeConfig(1);
         config.routes.front().resumable = true;
         result->applyConfig(config, now_);
+        readStore(*result);
+        return result;
+    }
+    void readStore(DirectCalls &entry) const
+    {
         for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
             if (engines_[engine].serves) {
-                result->applyEndpoint(makeRecord(engine), now_);
+                entry.applyEndpoint(makeRecord(engine), now_);
             }
         }
         for (const auto &[key, record] : versionRecords_) {
-            result->applySoftwareVersion(record, now_);
+            entry.applySoftwareVersion(record, now_);
         }
-        result->onStoreRead(now_);
-        result->onStoreCurrent(now_);
-        return result;
+        entry.onStoreRead(now_);
+        entry.onStoreCurrent(now_);
     }
     EndpointRecord makeRecord(std::size_t engine) const
     {
--- a/tests/unit/resumed_calls_test.cpp
+++ b/tests/unit/resumed_calls_test.cpp
@@ -252,6 +252,27 @@
     EXPECT_EQ(fleet.resumeStream(1, "one"), std::nullopt);
 }
 
+// Guards against a version that came and went while the entry read no changes, and of which the store has no record.
+TEST(ResumedCalls, LostHistoryEndsTheKnowledgeOfASoleVersion)
+{
+    StreamFleet fleet(2, {"v1", "v1"}, false);
+    fleet.advance(Seconds(66));
+    EXPECT_EQ(fleet.resumeStream(1, "one"), "v1");
+    fleet.readStoreAgain(1);
+    EXPECT_EQ(fleet.resumeStream(1, "two"), std::nullopt);
+    fleet.advance(Seconds(66));
+    EXPECT_EQ(fleet.resumeStream(1, "three"), "v1");
+}
+
+// Guards against refusals after lost history where the store's records show that a single version has served.
+TEST(ResumedCalls, SoleVersionIsKnownFromTheStoreAfterLostHistory)
+{
+    StreamFleet fleet(2, {"v1", "v1"});
+    fleet.advance(Seconds(1));
+    fleet.readStoreAgain(1);
+    EXPECT_EQ(fleet.resumeStream(1, "one"), "v1");
+}
+
 // Guards against a guess for a caller that does not name the first call of its stream, where several versions serve and
 // no stream with the content of its request is known.
 TEST(ResumedCalls, StreamWithoutANameIsNotGuessed)
