A full read of the store starts the knowledge of versions anew

What callers could see: a stream resumed at an entry that had lost the store's history went on at another version.

Cause: an entry that reads all records again, because the history was lost, the store was restored or replaced, or the changes were too many for one answer, kept counting from its first read. A version that came and went meanwhile is in neither read. Records of versions that the later read finds were not counted as the store's proof either.

Now the time from which all changes are known starts with the read, and the records that this read finds show what ended before.

--- a/src/direct/version_history.cpp
+++ b/src/direct/version_history.cpp
@@ -22,13 +22,13 @@
 
 void VersionHistory::onReadStarted()
 {
-    isCurrent_ = false;
+    knownSince_.reset();
+    recordedServices_.clear();
     records_.clear();
 }
 
 void VersionHistory::onStoreCurrent(TimePoint now)
 {
-    isCurrent_ = true;
     if (knownSince_) {
         return;
     }
@@ -66,7 +66,7 @@
 std::optional<std::string> VersionHistory::soleVersion(const std::string &service, const EndpointTable &endpoints,
                                                        TimePoint now) const
 {
-    if (!knownSince_ || !isCurrent_ || (recordedServices_.count(service) == 0 && now - *knownSince_ < maxStreamAge)) {
+    if (!knownSince_ || (recordedServices_.count(service) == 0 && now - *knownSince_ < maxStreamAge)) {
         return std::nullopt;
     }
     std::set<std::string> versions;
@@ -92,7 +92,7 @@
                                                              const EndpointTable &endpoints, std::uint32_t entries,
                                                              TimePoint now)
 {
-    if (!isCurrent_) {
+    if (!knownSince_) {
         return {};
     }
     std::set<VersionName> serving;
--- a/src/direct/version_history.h
+++ b/src/direct/version_history.h
@@ -12,7 +12,7 @@
 public:
     /// `entryName`: selects the time at which this entry writes a record that all entries miss.
     explicit VersionHistory(const std::string &entryName);
-    /// All records are read again from the store.
+    /// All records are read again from the store. Versions may have come and gone since its last answer.
     void onReadStarted();
     /// All changes of the store up to now have been applied.
     void onStoreCurrent(TimePoint now);
@@ -21,7 +21,7 @@
     void onVersionEnded(const EndpointRecord &record, TimePoint now);
     /// A process of the service has ended whose version never became known.
     void onUnknownVersionEnded(const std::string &service, TimePoint now);
-    /// Time since the store has been known; 0 before that.
+    /// Time since which all changes of the store have been known; 0 before that.
     Duration knownFor(TimePoint now) const;
     /// The only version that endpoints of the service have run for maxStreamAge. Empty if there were several, or if
     /// neither this entry nor the store's records reach back for so long.
@@ -37,9 +37,8 @@
     bool isDue(const VersionName &name, std::uint32_t entries, TimePoint now);
 
     std::uint64_t seed_;
-    std::optional<TimePoint> knownSince_;
-    bool isCurrent_ = false; // no read of all records is in progress
-    std::set<std::string> recordedServices_; // with a record when the store was first read
+    std::optional<TimePoint> knownSince_; // empty during a read of all records
+    std::set<std::string> recordedServices_; // with a record when all records were last read
     std::map<VersionName, SoftwareVersionRecord> records_;
     std::map<std::string, std::map<std::string, TimePoint>> servedUntil_; // of versions, by service; not before that
     std::map<VersionName, TimePoint> pendingWrites_; // and when each is due
