--- a/tests/process/held_bytes_test.cpp
+++ b/tests/process/held_bytes_test.cpp
@@ -29,19 +29,24 @@
 protected:
     /// Makes the slow endpoint the only one of the plain service, whose calls have much time.
     void startWithSlowEndpoint()
+    {
+        startWith(slow_);
+    }
+    void startWith(const StalledReader &slow)
     {
         const auto text = config(2, "/n/");
         putKey("op/config", std::regex_replace(text, std::regex(R"("timeout_ms":6000)"), R"("timeout_ms":60000)"));
         controlStandin(storePort_, R"({"deletes":["servers/p-1","servers/p-2"]})");
-        putKey("servers/p-3", record("plain", slow_.address()));
+        putKey("servers/p-3", record("plain", slow.address()));
         start();
     }
     /// Sends the head of a call and the first bytes of its body on a connection of its own.
-    Poco::Net::StreamSocket open(const std::string &id, const std::string &framing, const std::string &body) const
+    Poco::Net::StreamSocket open(const std::string &id, const std::string &framing, const std::string &body,
+                                 const std::string &path = "/n/x") const
     {
         Poco::Net::StreamSocket socket(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(httpPort_)));
         socket.setReceiveTimeout(Poco::Timespan(60, 0));
-        const auto text = "POST /n/x HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
+        const auto text = "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
                           + "\r\nX-Anvilscale-Deadline-Ms: 60000\r\n" + framing + "\r\n\r\n" + body;
         socket.sendBytes(text.data(), static_cast<int>(text.size()));
         return socket;
@@ -70,6 +75,24 @@
         }
         return text.substr(0, text.find("\r\n"));
     }
+    /// Reads an answer whose body has at least this many bytes. Returns whether it has come.
+    static bool readsAnswer(Poco::Net::StreamSocket &socket, std::size_t bytes)
+    {
+        std::size_t total = 0;
+        std::vector<char> buffer(64U << 10);
+        try {
+            while (total < bytes) {
+                const int received = socket.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+                if (received <= 0) {
+                    return false;
+                }
+                total += static_cast<std::size_t>(received);
+            }
+        } catch (const Poco::Exception &) {
+            return false;
+        }
+        return true;
+    }
     double metric(const std::string &name) const
     {
         const auto text = request(metricsPort_, "GET", "/metrics").body;
@@ -203,3 +226,52 @@
     EXPECT_EQ(upload("large", bodyBytes).status, 413);
     EXPECT_EQ(upload("small", 1000).status, 200);
 }
+
+// Guards against answers that fill the memory while their callers do not read, and are kept for another attempt.
+TEST_F(HeldBytes, AnswersOfAllCallsStayWithinTheMemory)
+{
+    constexpr std::size_t answerBytes = 3U << 20;
+    constexpr std::size_t callers = 100;
+    constexpr std::uint64_t limitMb = 64;
+    memoryMb_ = limitMb;
+    StalledReader slow(answerBytes);
+    startWith(slow);
+    std::vector<Poco::Net::StreamSocket> sockets;
+    sockets.reserve(callers);
+    for (std::size_t i = 0; i < callers; ++i) {
+        sockets.push_back(open(uploadId(i), "Content-Length: 1", "b", "/i/x"));
+    }
+    std::uint64_t peakKb = 0;
+    std::atomic<std::size_t> complete = 0;
+    slow.release();
+    std::vector<std::thread> readers;
+    for (auto &socket : sockets) {
+        // All answers are under way before the first is read.
+        EXPECT_TRUE(socket.poll(Poco::Timespan(30, 0), Poco::Net::Socket::SELECT_READ));
+        peakKb = std::max(peakKb, anonymousKb(*daemons_["entry-1"]));
+    }
+    for (auto &socket : sockets) {
+        readers.emplace_back([&] { complete += readsAnswer(socket, answerBytes) ? 1U : 0U; });
+    }
+    for (auto &reader : readers) {
+        reader.join();
+        peakKb = std::max(peakKb, anonymousKb(*daemons_["entry-1"]));
+    }
+    EXPECT_EQ(complete, callers);
+    EXPECT_LE(peakKb, limitMb << 10U);
+}
+
+// Guards against a refusal that a caller cannot read, as it is still sending its body when the connection is closed.
+TEST_F(HeldBytes, RefusalReachesACallerThatSendsSlowly)
+{
+    memoryMb_ = 16;
+    startWithSlowEndpoint();
+    auto socket = open("slow-sender", "Content-Length: " + std::to_string(bodyBytes), "");
+    constexpr int parts = 16;
+    const std::string part(bodyBytes / parts, 'b');
+    for (int i = 0; i < parts; ++i) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+        ASSERT_NO_THROW(socket.sendBytes(part.data(), static_cast<int>(part.size()))) << i;
+    }
+    EXPECT_TRUE(statusLine(socket).starts_with("HTTP/1.1 413"));
+}
--- a/tests/support/stalled_reader.h
+++ b/tests/support/stalled_reader.h
@@ -22,8 +22,10 @@
 class StalledReader
 {
 public:
-    StalledReader()
-        : thread_([this] { acceptAll(); })
+    /// `answerBytes`: size of the body of its answers.
+    explicit StalledReader(std::size_t answerBytes = 4)
+        : answerBytes_(answerBytes)
+        , thread_([this] { acceptAll(); })
     {
     }
     ~StalledReader()
@@ -122,8 +124,13 @@
         ++executions_[id];
         lock.unlock();
         const auto answer = "HTTP/1.1 200 OK\r\nX-Anvilscale-Request-Id: " + id
-                            + "\r\nX-Anvilscale-Server-Signature: s\r\nContent-Length: 4\r\n\r\ndone";
-        socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+                            + "\r\nX-Anvilscale-Server-Signature: s\r\nContent-Length: " + std::to_string(answerBytes_)
+                            + "\r\n\r\n" + std::string(answerBytes_, 'a');
+        std::size_t sent = 0;
+        while (sent < answer.size()) {
+            sent += static_cast<std::size_t>(
+                socket.sendBytes(answer.data() + sent, static_cast<int>(answer.size() - sent)));
+        }
         return true;
     }
 
@@ -147,6 +154,7 @@
         return at == std::string::npos ? "0" : head.substr(at + name.size(), head.find('\r', at) - at - name.size());
     }
 
+    const std::size_t answerBytes_;
     Poco::Net::ServerSocket listener_ = listen();
     mutable std::mutex mutex_;
     std::condition_variable changed_;
