Answers leave no copies behind, and refused callers can read why

An entry of 64 MB used 160,524 kB for 100 answers of 3 MiB whose callers did not read: the assignment of an empty string keeps the buffer of the old one, and an answer's parts were appended to a buffer that kept its size. Buffers are now freed, and parts of an answer go to the output at once. A refused caller that still sends its body is drained as long as it goes on, within the time of a body, as a reset would discard the refusal.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -1,6 +1,8 @@
 // State machine of a caller's connection.
 #include "caller_connection.h"
 
+#include "release_buffer.h"
+
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/SocketImpl.h>
@@ -23,10 +25,11 @@
 constexpr int writeMode = Poco::Net::PollSet::POLL_WRITE;
 constexpr int errorMode = Poco::Net::PollSet::POLL_ERROR;
 
-void releaseBuffer(std::string &buffer)
+// Keeps the buffer for the next message if it is small.
+void clearBuffer(std::string &buffer)
 {
     if (buffer.capacity() > maxKeptBytes) {
-        buffer = std::string();
+        releaseBuffer(buffer);
     } else {
         buffer.clear();
     }
@@ -102,7 +105,11 @@
         onDisconnected(FailureReason::CallerGone);
         return;
     }
-    if (state_ == State::Draining || state_ == State::Closing) {
+    if (state_ == State::Draining) {
+        extendLinger();
+        return;
+    }
+    if (state_ == State::Closing) {
         return;
     }
     input_.append(buffer.data(), static_cast<std::size_t>(received));
@@ -119,12 +126,20 @@
         return;
     }
     if (input_.empty()) {
-        releaseBuffer(input_);
+        clearBuffer(input_);
     }
     inputRoom_.resize(input_.size());
     outputRoom_.resize(output_.size() + (answer_ ? answer_->heldBytes() : 0));
 }
 
+// A caller that still sends the body of a refused request reads the refusal after it.
+void CallerConnection::extendLinger()
+{
+    if (EventLoop::now() + lingerTimeout < bodyDeadline_) {
+        setDeadline(lingerTimeout, HttpError::None);
+    }
+}
+
 void CallerConnection::processInput()
 {
     bool hasMore = true;
@@ -250,6 +265,7 @@
         return !hasRoom && reserveBody(bodyPieceBytes);
     }
     request_->bodyRoom.resize(request_->body.size());
+    bodyDeadline_ = TimePoint{};
     dispatchRequest();
     return false;
 }
@@ -296,7 +312,7 @@
         output_.swap(answer_->output());
     } else {
         output_.append(answer_->output());
-        answer_->output().clear();
+        releaseBuffer(answer_->output());
     }
     unsentBodyBytes_ += answer_->takeForwardedBytes();
     answerEnd_ = answer_->end();
@@ -337,10 +353,10 @@
 void CallerConnection::discardWritten()
 {
     if (writtenBytes_ == output_.size()) {
-        releaseBuffer(output_);
+        clearBuffer(output_);
         writtenBytes_ = 0;
     } else if (writtenBytes_ >= output_.size() / 2 && writtenBytes_ > maxKeptBytes) {
-        output_ = output_.substr(writtenBytes_);
+        output_.substr(writtenBytes_).swap(output_);
         writtenBytes_ = 0;
     }
     outputRoom_.resize(output_.size() + (answer_ ? answer_->heldBytes() : 0));
@@ -391,7 +407,7 @@
     state_ = State::Closing;
     request_.reset();
     roomWait_ = MemoryAccount::Wait();
-    input_ = std::string();
+    releaseBuffer(input_);
     inputRoom_.resize(0);
     writeOutput();
 }
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -70,6 +70,7 @@
     void onRoom();
     void beginReading();
     void countHeldBytes();
+    void extendLinger();
     void discardWritten();
     void dispatchRequest();
     void onAnswerChanged();
@@ -95,7 +96,7 @@
     std::uint64_t unsentBodyBytes_ = 0; // body bytes of the response that are not yet written to the socket
     std::optional<HttpRequestData> request_;
     MemoryAccount::Wait roomWait_; // set if and only if state_ is Room
-    TimePoint bodyDeadline_{}; // of the whole body
+    TimePoint bodyDeadline_{}; // of the whole body, while it is not complete
     bool awaitsContinue_ = false; // the caller sends its body once it is told to
     MemoryHold inputRoom_; // covers input_
     MemoryHold outputRoom_; // covers output_
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -1,6 +1,8 @@
 // Formatting of responses to callers.
 #include "http_answer.h"
 
+#include "release_buffer.h"
+
 #include <Poco/Net/HTTPResponse.h>
 
 #include <charconv>
@@ -64,15 +66,17 @@
     if (!hasBegun_ || end_ != AnswerEnd::Open) {
         return;
     }
-    heldBody_.append(data);
     if (!isEventStream_) {
-        if (isForwarding_ || heldBody_.size() > maxHeldBytes_) {
+        if (isForwarding_ || heldBody_.size() + data.size() > maxHeldBytes_) {
             startForwarding();
-            forward(heldBody_);
-            heldBody_.clear();
+            forward(std::exchange(heldBody_, {}));
+            forward(data);
+        } else {
+            heldBody_.append(data);
         }
         return;
     }
+    heldBody_.append(data);
     const auto forwardableBytes = heldBody_.size() > maxHeldBytes_ ? heldBody_.size() : findLastEventEnd(heldBody_);
     forward(std::string_view(heldBody_).substr(0, forwardableBytes));
     heldBody_.erase(0, forwardableBytes);
@@ -211,7 +215,7 @@
 
 void HttpAnswer::close(AnswerEnd end)
 {
-    heldBody_.clear();
+    releaseBuffer(heldBody_);
     end_ = end;
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,4 +1,6 @@
 // HTTP client: non-blocking connections to one address, reused for a short time, with one exchange at a time each.
+#include "release_buffer.h"
+
 #include "anvilscale/net.h"
 
 #include <Poco/Net/NetException.h>
@@ -67,7 +69,7 @@
 // Gives back the memory of a request that has been sent or is given up.
 void releaseRequest(Connection &connection)
 {
-    connection.output = std::string();
+    releaseBuffer(connection.output);
     connection.body = SharedBody();
     connection.writtenBytes = 0;
 }
@@ -442,7 +444,7 @@
     const auto consumed = body.read(connection.input, data);
     connection.input.erase(0, consumed);
     if (connection.input.empty()) {
-        connection.input = std::string(); // many slow answers must not keep a buffer each
+        releaseBuffer(connection.input); // many slow answers must not keep a buffer each
     }
     if (connection.events) {
         connection.events->read(data);
@@ -517,7 +519,7 @@
     connection.isPaused = false;
     connection.idleSince = EventLoop::now();
     connection.maxIdleTime = readMaxIdleTime(connection.response);
-    connection.input = std::string();
+    releaseBuffer(connection.input);
     connection.response = HttpResponseHead{};
     idleKeys.push_back(connection.key);
     updatePollModes(connection);
--- a/tests/support/stalled_reader.h
+++ b/tests/support/stalled_reader.h
@@ -66,6 +66,7 @@
     }
 
 private:
+    static constexpr int backlog = 1024; // of connections that come at once
     static constexpr int smallBuffer = 64 << 10; // the kernel takes little of a body that is not read
 
     static Poco::Net::ServerSocket listen()
@@ -73,7 +74,7 @@
         Poco::Net::ServerSocket socket;
         socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
         socket.setReceiveBufferSize(smallBuffer);
-        socket.listen();
+        socket.listen(backlog);
         return socket;
     }
 
