--- a/tests/support/stalled_reader.h
+++ b/tests/support/stalled_reader.h
@@ -22,8 +22,10 @@
 class StalledReader
 {
 public:
-    StalledReader()
-        : thread_([this] { acceptAll(); })
+    /// `answerBytes`: size of the body of its answers.
+    explicit StalledReader(std::size_t answerBytes = 4)
+        : answerBytes_(answerBytes)
+        , thread_([this] { acceptAll(); })
     {
     }
     ~StalledReader()
@@ -64,6 +66,7 @@
     }
 
 private:
+    static constexpr int backlog = 1024; // of connections that come at once
     static constexpr int smallBuffer = 64 << 10; // the kernel takes little of a body that is not read
 
     static Poco::Net::ServerSocket listen()
@@ -71,7 +74,7 @@
         Poco::Net::ServerSocket socket;
         socket.bind(Poco::Net::SocketAddress("127.0.0.1", 0));
         socket.setReceiveBufferSize(smallBuffer);
-        socket.listen();
+        socket.listen(backlog);
         return socket;
     }
 
@@ -122,8 +125,13 @@
         ++executions_[id];
         lock.unlock();
         const auto answer = "HTTP/1.1 200 OK\r\nX-Anvilscale-Request-Id: " + id
-                            + "\r\nX-Anvilscale-Server-Signature: s\r\nContent-Length: 4\r\n\r\ndone";
-        socket.sendBytes(answer.data(), static_cast<int>(answer.size()));
+                            + "\r\nX-Anvilscale-Server-Signature: s\r\nContent-Length: " + std::to_string(answerBytes_)
+                            + "\r\n\r\n" + std::string(answerBytes_, 'a');
+        std::size_t sent = 0;
+        while (sent < answer.size()) {
+            sent += static_cast<std::size_t>(
+                socket.sendBytes(answer.data() + sent, static_cast<int>(answer.size() - sent)));
+        }
         return true;
     }
 
@@ -147,6 +155,7 @@
         return at == std::string::npos ? "0" : head.substr(at + name.size(), head.find('\r', at) - at - name.size());
     }
 
+    const std::size_t answerBytes_;
     Poco::Net::ServerSocket listener_ = listen();
     mutable std::mutex mutex_;
     std::condition_variable changed_;
