A process reads its settings after it has blocked its signals, and reads an incomplete file again

What was seen: a SIGTERM or SIGHUP before the settings were read ended the process with a signal's status (129 in the test); a settings file that was being written at the start ended it with status 2; a file that was replaced during the start was not applied until it changed again.

Cause: the signals were blocked only after the settings had been read; an incomplete file was taken for a wrong one; the text to compare later reads with was read a second time, after the one in effect. The three faults have one place, the order of the start, and so one commit.

Fix: runDaemon() blocks the signals, reads the file, for up to 2 s again while it is unreadable or no JSON (a part of a JSON object is never valid), and keeps that text as the one in effect. A file that was rejected at a reload is checked every 250 ms instead of 5 s. A failed read is reported as unreadable and no longer taken for an empty file.

--- a/include/anvilscale/daemon.h
+++ b/include/anvilscale/daemon.h
@@ -66,8 +66,9 @@
 constexpr int exitUsage = 1;
 constexpr int exitRejected = 2; ///< invalid settings, or an address or lock that is in use
 
-/// Runs a daemon until it has drained after SIGTERM or SIGINT. Reloads the settings on SIGHUP and when the settings
-/// file changes; an invalid file is logged and has no effect. No other code may handle these signals.
-int runDaemon(const settings::Settings &settings, const std::string &settingsFile);
+/// Runs a daemon with the settings of a file until it has drained after SIGTERM or SIGINT. Reloads the settings on
+/// SIGHUP and when the settings file changes; an invalid file is logged and has no effect. At the start a file that is
+/// incomplete is read again for a short time. No other code may handle these signals. Returns the exit code.
+int runDaemon(const std::string &settingsFile);
 
 } // namespace anvilscale
--- a/include/anvilscale/settings.h
+++ b/include/anvilscale/settings.h
@@ -39,6 +39,8 @@
 /// error found.
 tl::expected<settings::Settings, SettingsError> parseSettings(std::string_view json);
 tl::expected<settings::Settings, SettingsError> readSettings(const std::string &file);
+/// Returns the text of a settings file, which need not be valid.
+tl::expected<std::string, SettingsError> readSettingsText(const std::string &file);
 bool isRole(std::string_view role);
 /// Returns the default settings of a role as JSON.
 std::string printDefaults(std::string_view role);
--- a/src/daemon/run_daemon.cpp
+++ b/src/daemon/run_daemon.cpp
@@ -5,8 +5,8 @@
 
 #include <pthread.h>
 
+#include <chrono>
 #include <csignal>
-#include <fstream>
 #include <thread>
 
 namespace anvilscale {
@@ -17,6 +17,10 @@
 constexpr int stopSignal = SIGUSR2;
 // Interval of checks for a changed settings file.
 constexpr timespec fileCheckInterval{5, 0};
+constexpr timespec rejectedCheckInterval{0, 250'000'000};
+// Longest time at the start for which a settings file is incomplete, and the interval of reading it.
+constexpr auto maxWritingTime = std::chrono::seconds(2);
+constexpr auto rereadInterval = std::chrono::milliseconds(50);
 
 sigset_t handledSignals()
 {
@@ -29,51 +33,102 @@
     return set;
 }
 
-std::string readFile(const std::string &file)
+struct ReadSettings
 {
-    std::ifstream in(file);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    settings::Settings settings;
+    std::string text; // they were parsed from
+};
+
+tl::expected<ReadSettings, SettingsError> readWithText(const std::string &file)
+{
+    auto text = readSettingsText(file);
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    auto settings = parseSettings(*text);
+    if (!settings) {
+        return tl::unexpected(settings.error());
+    }
+    return ReadSettings{std::move(*settings), std::move(*text)};
+}
+
+/// Reads a file again while it may still be being written: a part of it is not valid JSON.
+tl::expected<ReadSettings, SettingsError> readWhenComplete(const std::string &file)
+{
+    const auto end = std::chrono::steady_clock::now() + maxWritingTime;
+    while (true) {
+        auto result = readWithText(file);
+        const bool isIncomplete = !result
+                                  && (result.error().kind == SettingsErrorKind::Unreadable
+                                      || result.error().kind == SettingsErrorKind::BadJson);
+        if (!isIncomplete || std::chrono::steady_clock::now() >= end) {
+            return result;
+        }
+        std::this_thread::sleep_for(rereadInterval);
+    }
 }
 
 /// Reloads the settings file when it has changed.
 class SettingsFile
 {
 public:
-    explicit SettingsFile(std::string file)
+    /// `text`: of the settings in effect.
+    SettingsFile(std::string file, std::string text)
         : file_(std::move(file))
-        , lastText_(readFile(file_))
+        , lastText_(std::move(text))
     {
     }
 
     void reload(Daemon &daemon, bool isForced)
     {
-        auto text = readFile(file_);
-        if (text == lastText_ && !isForced) {
+        auto text = readSettingsText(file_);
+        if (!text) {
+            if (isForced || isInEffect_) {
+                reject(text.error());
+            }
             return;
         }
-        lastText_ = std::move(text);
+        if (*text == lastText_ && !isForced) {
+            // Settings that could not be read for a time are the ones in effect if they are valid.
+            isInEffect_ = isInEffect_ || parseSettings(lastText_).has_value();
+            return;
+        }
+        lastText_ = std::move(*text);
         const auto settings = parseSettings(lastText_);
         if (!settings) {
-            const auto &error = settings.error();
-            logEvent(Event::ReloadRejected,
-                     {{"kind", std::string(toString(error.kind))}, {"path", error.path}, {"detail", error.detail}});
+            reject(settings.error());
             return;
         }
+        isInEffect_ = true;
         logEvent(Event::SettingsReloaded, {{"signal", isForced}});
         setLogLevel(fromString<LogLevel>(settings->log().level()).value_or(LogLevel::Info));
         daemon.reload(*settings);
     }
+    /// Returns the time to the next check for changes. A file that was rejected may still be being written.
+    timespec checkInterval() const
+    {
+        return isInEffect_ ? fileCheckInterval : rejectedCheckInterval;
+    }
 
 private:
+    void reject(const SettingsError &error)
+    {
+        isInEffect_ = false;
+        logEvent(Event::ReloadRejected,
+                 {{"kind", std::string(toString(error.kind))}, {"path", error.path}, {"detail", error.detail}});
+    }
+
     std::string file_;
     std::string lastText_; // content at the last read
+    bool isInEffect_ = true; // the file was valid when it was last read
 };
 
 void waitForSignals(Daemon &daemon, SettingsFile &file)
 {
     const auto set = handledSignals();
     while (true) {
-        const int signal = sigtimedwait(&set, nullptr, &fileCheckInterval);
+        const auto interval = file.checkInterval();
+        const int signal = sigtimedwait(&set, nullptr, &interval);
         switch (signal) {
         case stopSignal:
             return;
@@ -98,14 +153,21 @@
 
 } // namespace
 
-int runDaemon(const settings::Settings &settings, const std::string &settingsFile)
+int runDaemon(const std::string &settingsFile)
 {
-    // All threads inherit the mask, so only the signal thread receives the signals. A write to a closed connection
-    // returns an error instead of terminating the process.
+    // All threads inherit the mask, so only the signal thread receives the signals, also those that come before it
+    // runs. A write to a closed connection returns an error instead of terminating the process.
     const auto set = handledSignals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
+    auto source = readWhenComplete(settingsFile);
+    if (!source) {
+        const auto &error = source.error();
+        printError("anvilscaled: " + std::string(toString(error.kind)) + ": " + error.path + ": " + error.detail);
+        return exitRejected;
+    }
+    const auto &settings = source->settings;
     initLog(logInit(settings));
     auto daemon = Daemon::create(settings);
     if (!daemon) {
@@ -116,7 +178,7 @@
         shutdownLog();
         return exitRejected;
     }
-    SettingsFile file(settingsFile);
+    SettingsFile file(settingsFile, std::move(source->text));
     std::thread signals([&] { waitForSignals(**daemon, file); });
     (*daemon)->start();
     (*daemon)->wait();
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -270,14 +270,23 @@
     return result;
 }
 
-tl::expected<Settings, SettingsError> readSettings(const std::string &file)
+tl::expected<std::string, SettingsError> readSettingsText(const std::string &file)
 {
     std::ifstream in(file);
     std::ostringstream text;
     if (!in || !(text << in.rdbuf())) {
         return tl::unexpected(SettingsError{SettingsErrorKind::Unreadable, "", file});
     }
-    return parseSettings(text.str());
+    return text.str();
+}
+
+tl::expected<Settings, SettingsError> readSettings(const std::string &file)
+{
+    const auto text = readSettingsText(file);
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    return parseSettings(*text);
 }
 
 bool isRole(std::string_view role)
--- a/tools/anvilscaled.cpp
+++ b/tools/anvilscaled.cpp
@@ -36,15 +36,15 @@
         return anvilscale::exitUsage;
     }
     const auto settingsPath = options["settings"].as<std::string>();
+    if (options.count("check") == 0) {
+        return anvilscale::runDaemon(settingsPath);
+    }
     const auto settings = anvilscale::readSettings(settingsPath);
     if (!settings) {
         return printSettingsError(settings.error());
     }
-    if (options.count("check") != 0) {
-        std::cout << "the settings are valid\n";
-        return anvilscale::exitDone;
-    }
-    return anvilscale::runDaemon(*settings, settingsPath);
+    std::cout << "the settings are valid\n";
+    return anvilscale::exitDone;
 }
 
 } // namespace
