--- /dev/null
+++ b/tests/process/drain_test.cpp
@@ -0,0 +1,144 @@
+// Calls that are in the listener's queue, wait, or are being answered when an entry ends.
+#include "direct_fleet.h"
+#include "support/scripted_endpoint.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <future>
+
+namespace fleet {
+namespace {
+
+constexpr int callCount = 12; // more than the slots of both plain endpoints
+constexpr int queuedCount = 150; // more than an entry accepts at once
+constexpr std::size_t answerBytes = 24U << 20; // more than the sockets and the entry hold
+constexpr auto balancerDelay = std::chrono::milliseconds(2600); // from SIGTERM to the end of the listener
+
+/// A connection of a caller that sends and reads at its own pace.
+class SlowCaller
+{
+public:
+    explicit SlowCaller(unsigned port)
+        : socket_(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(port)))
+    {
+    }
+    void send(const std::string &path, const std::string &id)
+    {
+        const auto text = "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
+                          + "\r\nX-Anvilscale-Deadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody";
+        socket_.sendBytes(text.data(), static_cast<int>(text.size()));
+    }
+    bool hasInput()
+    {
+        return socket_.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    }
+    /// Returns all bytes up to the end of the connection.
+    std::string read()
+    {
+        std::string bytes;
+        std::vector<char> buffer(256U << 10);
+        try {
+            while (true) {
+                const int got = socket_.receiveBytes(buffer.data(), static_cast<int>(buffer.size()));
+                if (got <= 0) {
+                    return bytes;
+                }
+                bytes.append(buffer.data(), static_cast<std::size_t>(got));
+            }
+        } catch (const Poco::Exception &) {
+            return bytes; // reset
+        }
+    }
+
+private:
+    Poco::Net::StreamSocket socket_;
+};
+
+class Drain : public Direct
+{
+protected:
+    bool hasLogged(const std::string &event) const
+    {
+        return readLog("entry-1").find("\"" + event + "\"") != std::string::npos;
+    }
+    void expectCleanExit()
+    {
+        ASSERT_TRUE(eventually([&] { return !daemons_.at("entry-1")->isRunning(); }));
+        EXPECT_EQ(daemons_.at("entry-1")->wait(), 0);
+    }
+};
+
+// Guards against requests that were sent before the listener was closed, but whose connections are closed unread.
+TEST_F(Drain, RequestsInTheQueueOfTheListenerAreAnswered)
+{
+    start();
+    const auto &entry = *daemons_.at("entry-1");
+    entry.signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] { return hasLogged("drain_started"); }));
+    entry.signal(SIGSTOP);
+    std::vector<SlowCaller> callers;
+    for (int i = 0; i < queuedCount; ++i) {
+        callers.emplace_back(httpPort_).send("/i/", "queued-" + std::to_string(i));
+    }
+    std::this_thread::sleep_for(balancerDelay);
+    entry.signal(SIGCONT);
+    for (auto &caller : callers) {
+        EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 200 "));
+    }
+    expectCleanExit();
+}
+
+// Guards against calls that wait or are at an endpoint when the grace period ends and get no answer.
+TEST_F(Drain, CallsThatAreOpenAtTheEndAreAnswered)
+{
+    graceMs_ = 4000;
+    start();
+    for (const auto port : plainPorts_) {
+        controlStandin(port, R"({"fault":"mute","times":100})");
+    }
+    std::vector<std::future<Answer>> answers;
+    for (int i = 0; i < callCount; ++i) {
+        answers.push_back(
+            std::async(std::launch::async, [this, i] { return call("/i/", "open-" + std::to_string(i)); }));
+    }
+    ASSERT_TRUE(eventually([&] {
+        return request(metricsPort_, "GET", "/metrics").body.find("anvilscale_http_connections_open 12")
+               != std::string::npos;
+    }));
+    daemons_.at("entry-1")->signal(SIGTERM);
+    for (auto &answer : answers) {
+        const auto status = answer.get().status;
+        EXPECT_TRUE(status == 502 || status == 503 || status == 504) << status;
+    }
+    expectCleanExit();
+}
+
+// Guards against an answer that is cut although its caller still reads it before the process is killed.
+TEST_F(Drain, AnswerIsWrittenUpToTheEndOfTheGracePeriod)
+{
+    const anvilscale::test::ScriptedEndpoint endpoint([](const anvilscale::test::ScriptedRequest &request) {
+        return anvilscale::test::ScriptedEndpoint::answer(
+            "200 OK",
+            "X-Anvilscale-Request-Id: " + request.id + "\r\nX-Anvilscale-Server-Signature: sig." + request.id + "\r\n",
+            std::string(answerBytes, 'x'));
+    });
+    for (const std::string id : {"p-1", "p-2"}) {
+        putKey("servers/" + id, record("plain", endpoint.address()));
+    }
+    graceMs_ = 4000;
+    start();
+    SlowCaller caller(httpPort_);
+    caller.send("/i/", "slow");
+    ASSERT_TRUE(eventually([&] { return caller.hasInput(); }));
+    daemons_.at("entry-1")->signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] { return hasLogged("drain_finished"); }));
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 "));
+    EXPECT_GT(answer.size(), answerBytes);
+    expectCleanExit();
+}
+
+} // namespace
+} // namespace fleet
