A connection is read before it is closed as idle

Cause: connections that were accepted while the listener was closed, beyond the 64 of one turn, were looked at for idleness before the loop had read them; what was in their sockets did not count. The same held for the time-out of an idle connection.

Fix: closeIfIdle() reads what has arrived first, and the idle time-out uses it.

--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -313,9 +313,13 @@
 
 void CallerConnection::closeIfIdle()
 {
-    const bool isIdle = state_ == State::Head && input_.empty();
-    if (isIdle) {
+    if (state_ == State::Head) {
+        readAvailable(); // a request may have arrived that the loop has not reported yet
+    }
+    if (state_ == State::Head && input_.empty()) {
         close();
+    }
+    if (state_ == State::Closed) {
         context_.onClosed(id_); // destroys this
     }
 }
@@ -353,6 +357,11 @@
 void CallerConnection::onDeadline()
 {
     deadline_ = TimerHandle{};
+    if (state_ == State::Head && input_.empty()) {
+        clearDeadline();
+        closeIfIdle();
+        return;
+    }
     const bool hasPartialRequest = state_ == State::Body || !input_.empty();
     if (deadlineError_ != HttpError::None && hasPartialRequest) {
         rejectMessage(deadlineError_);
