Answers that have begun are written almost to the end of the grace period

Cause: one step ended all calls, and the connections were closed with it.

Fix: 600 ms before the end only calls without a beginning of an answer get theirs (503, or 502 if they may have run); answers that have begun go on and are cut 250 ms before the end.

--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -66,11 +66,18 @@
         callServer_->closeAfterAnswers();
         callServer_->loop().post([this, done = std::move(done)] {
             auto isFinished = std::make_shared<bool>(false);
-            const auto finish = [this, isFinished, done] {
+            auto isDone = std::make_shared<bool>(false);
+            const auto endUnanswered = [this, isFinished] {
                 if (!std::exchange(*isFinished, true)) {
                     const auto calls = relay_.calls();
                     logEvent(Event::DrainFinished,
                              {{"openCalls", calls.open}, {"callsAtEndpoints", calls.atEndpoints}});
+                    relay_.endUnansweredCalls();
+                }
+            };
+            const auto finish = [this, endUnanswered, isDone, done] {
+                endUnanswered();
+                if (!std::exchange(*isDone, true)) {
                     relay_.endCalls();
                     callServer_->loop().post(done); // after the answers have been written
                 }
@@ -79,6 +86,8 @@
             timers.subscribe(EventLoop::now() + balancerDelay,
                              [this, finish](TimePoint) { callServer_->drain(finish); });
             const auto grace = Milliseconds(settings_.direct().grace_ms());
+            timers.subscribe(EventLoop::now() + grace - shutdownTime - writingTime,
+                             [endUnanswered](TimePoint) { endUnanswered(); });
             timers.subscribe(EventLoop::now() + grace - shutdownTime, [finish](TimePoint) { finish(); });
         });
     }
@@ -136,7 +145,9 @@
     // The load balancer probes once a second and removes a process after two answers other than 200.
     static constexpr Duration balancerDelay = Milliseconds(2600);
     // Part of the grace period reserved for shutdown.
-    static constexpr Duration shutdownTime = Milliseconds(600);
+    static constexpr Duration shutdownTime = Milliseconds(250);
+    // Before it, in which callers read the rest of answers that have begun.
+    static constexpr Duration writingTime = Milliseconds(350);
     static constexpr std::uint32_t statusUnavailable = 503;
 
     DirectEntry(const settings::Settings &settings, const DirectPolicy &policy)
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -163,23 +163,18 @@
                                        toString(action.reason), Duration(0)));
     }
 
-    /// Answers all calls in progress, and refuses new ones. For a process that is about to end: callers take a
-    /// connection that is closed without an answer for one whose request was not read, and send it again.
+    /// Answers all calls whose answers have not begun, and refuses new ones. For a process that is about to end:
+    /// callers take a connection that is closed without an answer for one whose request was not read, and send it
+    /// again.
+    void endUnansweredCalls()
+    {
+        endCallsIf([](const RelayedCall &call) { return !call.isForwarding; });
+    }
+
+    /// The same, and cuts the answers that have begun.
     void endCalls()
     {
-        isEnding_ = true;
-        std::vector<std::uint64_t> exchanges;
-        exchanges.reserve(calls_.size());
-        for (const auto &[exchange, call] : calls_) {
-            exchanges.push_back(exchange);
-        }
-        for (const auto exchange : exchanges) {
-            const auto &call = calls_.at(exchange);
-            const bool mayHaveRun = call.mayHaveRun || call.client != nullptr;
-            finish(CallHandle{exchange},
-                   mayHaveRun ? errorReply(statusBadGateway, toString(FailureReason::ProcessStopped), Duration(0))
-                              : leavingReply());
-        }
+        endCallsIf([](const RelayedCall &) { return true; });
     }
 
     /// Closes all connections to endpoints. Must be called before the event loop of the server is destroyed.
@@ -274,6 +269,25 @@
         return reply;
     }
 
+    template<class Condition>
+    void endCallsIf(Condition condition)
+    {
+        isEnding_ = true;
+        std::vector<std::uint64_t> exchanges;
+        for (const auto &[exchange, call] : calls_) {
+            if (condition(call)) {
+                exchanges.push_back(exchange);
+            }
+        }
+        for (const auto exchange : exchanges) {
+            const auto &call = calls_.at(exchange);
+            const bool mayHaveRun = call.mayHaveRun || call.client != nullptr;
+            finish(CallHandle{exchange},
+                   mayHaveRun ? errorReply(statusBadGateway, toString(FailureReason::ProcessStopped), Duration(0))
+                              : leavingReply());
+        }
+    }
+
     static HttpReply leavingReply()
     {
         auto reply = errorReply(statusUnavailable, toString(RefusalReason::Leaving), leavingRetryAfter);
