--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -99,6 +99,7 @@
         controlStandin(port, R"({"fault":"mute","times":100})");
     }
     std::vector<std::future<Answer>> answers;
+    answers.reserve(callCount);
     for (int i = 0; i < callCount; ++i) {
         answers.push_back(
             std::async(std::launch::async, [this, i] { return call("/i/", "open-" + std::to_string(i)); }));
