An entry listens on IPv6 addresses

What was seen: an entry whose HTTP address is [::1]:PORT, which the settings accept, ended at its start with status 2. Cause: the brackets stayed part of the address, which was then looked up as a host name. They are taken off where the address is split. Starts.EntryListensOnAddressesOfVersionSix failed before and passes with this, one run each.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -149,7 +149,11 @@
     if (colon == std::string::npos) {
         return;
     }
-    listen.set_address(listen.at().substr(0, colon));
+    auto address = listen.at().substr(0, colon);
+    if (address.starts_with('[') && address.ends_with(']')) {
+        address = address.substr(1, address.size() - 2); // IPv6
+    }
+    listen.set_address(address);
     listen.set_port(static_cast<std::uint32_t>(std::stoul(listen.at().substr(colon + 1))));
 }
 
