--- a/tests/process/ends_test.cpp
+++ b/tests/process/ends_test.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned seed = 69;
 constexpr auto maxEndTime = std::chrono::seconds(12); // well above each grace period
 constexpr int shortGraceMs = 1500;
+constexpr int signalIntervalUs = 200;
 constexpr int maxDelayMs = 400; // from the start of a process to its first signal
 
 class Ends : public Direct
@@ -122,6 +123,26 @@
     expectCleanExits("side-1");
 }
 
+// Guards against a reload that reaches parts of the process which its shutdown has ended.
+TEST_F(Ends, SignalsUpToTheEndOfAProcessDoNoHarm)
+{
+    graceMs_ = shortGraceMs;
+    for (int round = 0; round < roundCount; ++round) {
+        for (const std::string name : {"entry-1", "side-1"}) {
+            startRole(name);
+            auto &process = *daemons_.at(name);
+            ASSERT_TRUE(eventually([&] { return hasBlocked(process, SIGTERM) || !process.isRunning(); }));
+            process.signal(SIGTERM);
+            const auto end = std::chrono::steady_clock::now() + maxEndTime;
+            while (process.isRunning() && std::chrono::steady_clock::now() < end) {
+                process.signal(SIGHUP);
+                std::this_thread::sleep_for(std::chrono::microseconds(signalIntervalUs));
+            }
+            ASSERT_NO_FATAL_FAILURE(expectCleanExit(name, "round " + std::to_string(round)));
+        }
+    }
+}
+
 // Guards against processes that wait for a store which is away when they end.
 TEST_F(Ends, ProcessesEndWhileTheStoreIsAway)
 {
