--- a/include/anvilscale/daemon.h
+++ b/include/anvilscale/daemon.h
@@ -73,10 +73,11 @@
     std::uint32_t memoryMb = 0; ///< 0: as in the file
 };
 
-/// Runs a daemon until it has drained after SIGTERM or SIGINT. Reloads the settings on SIGHUP and when the settings
-/// file changes; an invalid file is logged and has no effect. No other code may handle these signals.
+/// Runs a daemon with the settings of a file until it has drained after SIGTERM or SIGINT. Reloads the settings on
+/// SIGHUP and when the settings file changes; an invalid file is logged and has no effect. At the start a file that is
+/// incomplete is read again for a short time. No other code may handle these signals. Returns the exit code.
 ///
 /// `overrides`: applied to the settings, also when they are read again.
-int runDaemon(settings::Settings settings, const std::string &settingsFile, const SettingsOverrides &overrides = {});
+int runDaemon(const std::string &settingsFile, const SettingsOverrides &overrides = {});
 
 } // namespace anvilscale
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -149,7 +149,11 @@
     if (colon == std::string::npos) {
         return;
     }
-    listen.set_address(listen.at().substr(0, colon));
+    auto address = listen.at().substr(0, colon);
+    if (address.starts_with('[') && address.ends_with(']')) {
+        address = address.substr(1, address.size() - 2); // IPv6
+    }
+    listen.set_address(address);
     listen.set_port(static_cast<std::uint32_t>(std::stoul(listen.at().substr(colon + 1))));
 }
 
@@ -270,14 +274,23 @@
     return result;
 }
 
-tl::expected<Settings, SettingsError> readSettings(const std::string &file)
+tl::expected<std::string, SettingsError> readSettingsText(const std::string &file)
 {
     std::ifstream in(file);
     std::ostringstream text;
     if (!in || !(text << in.rdbuf())) {
         return tl::unexpected(SettingsError{SettingsErrorKind::Unreadable, "", file});
     }
-    return parseSettings(text.str());
+    return text.str();
+}
+
+tl::expected<Settings, SettingsError> readSettings(const std::string &file)
+{
+    const auto text = readSettingsText(file);
+    if (!text) {
+        return tl::unexpected(text.error());
+    }
+    return parseSettings(*text);
 }
 
 bool isRole(std::string_view role)
--- a/tools/anvilscaled.cpp
+++ b/tools/anvilscaled.cpp
@@ -57,20 +57,20 @@
         return anvilscale::exitUsage;
     }
     const auto settingsPath = options["settings"].as<std::string>();
-    const auto settings = anvilscale::readSettings(settingsPath);
-    if (!settings) {
-        return printSettingsError(settings.error());
-    }
-    if (options.count("check") != 0) {
-        std::cout << "the settings are valid\n";
-        return anvilscale::exitDone;
-    }
     const auto overrides = readOverrides(options);
     if (!overrides) {
         std::cerr << "anvilscaled: --memory-mb is no number from " << minMemoryMb << " to " << maxMemoryMb << "\n";
         return anvilscale::exitUsage;
     }
-    return anvilscale::runDaemon(*settings, settingsPath, *overrides);
+    if (options.count("check") == 0) {
+        return anvilscale::runDaemon(settingsPath, *overrides);
+    }
+    const auto settings = anvilscale::readSettings(settingsPath);
+    if (!settings) {
+        return printSettingsError(settings.error());
+    }
+    std::cout << "the settings are valid\n";
+    return anvilscale::exitDone;
 }
 
 } // namespace
