A process that starts after its clock was set back gets work again

What callers saw: their calls went to other sidecars for the whole life of such a process (relayed path); its heartbeats and reports were passed over.

Cause: incarnations are wall times, and the greatest was taken for the latest start, in the membership and in what follows it: the views of routing and of the load scheduler. An incarnation that left also ruled out all lower ones.

A lower incarnation is now taken for the present start when it has been heard without a gap for the suspect time while the present one was silent or had left. The membership then tells up to which incarnation other starts are earlier (Member::supersededUntil), and the views and the scheduler follow it. Late heartbeats, bursts and duplicates (by their sequence) do not count, and only the very incarnations that left are final, the last 16 of a name.

Evidence: Membership.RestartAfterTheClockWasSetBackIsSeen failed before (suspect after 20 heartbeats 500 ms apart) and passes unchanged. Five further tests cover late and duplicated messages, two processes of one name, clock steps in a row, routing and load grants; they were not run on the former code. state_membership, routing, scheduler, routing_parts, handover and path tests passed, and 26 of 26 fault matrix tests.

--- a/include/anvilscale/state.h
+++ b/include/anvilscale/state.h
@@ -529,6 +529,9 @@
 {
     std::string name;
     std::uint64_t incarnation = 0;
+    /// All other incarnations up to this one are earlier starts, also greater ones: incarnations are wall times, and
+    /// the clock may have been set back.
+    std::uint64_t supersededUntil = 0;
     MemberState state = MemberState::Suspect;
     VmRole role = VmRole::Sidecar;
     std::string dataCentre;
@@ -536,6 +539,22 @@
     std::string address;
 };
 
+/// True if `incarnation` is an earlier start than `present`, of which Membership has told `supersededUntil`.
+constexpr bool isEarlierStart(std::uint64_t incarnation, std::uint64_t present, std::uint64_t supersededUntil)
+{
+    return incarnation < present || (incarnation > present && incarnation <= supersededUntil);
+}
+
+/// True if the member is a later start than `known`. Membership forgets a start that is gone (`isKnownGone`), so that
+/// it does not tell which incarnations a later one has superseded.
+inline bool isLaterStart(const Member &member, std::uint64_t known, bool isKnownGone)
+{
+    if (isKnownGone && member.incarnation != 0) {
+        return member.incarnation != known;
+    }
+    return member.incarnation > known || (member.incarnation < known && known <= member.supersededUntil);
+}
+
 /// Members derived from the lagging list of VMs and from direct heartbeats. Heartbeats take precedence over the list,
 /// except that leaving is final. Invariant: an incarnation never returns from Leaving or Gone.
 class Membership
--- a/src/routing/demand_table.cpp
+++ b/src/routing/demand_table.cpp
@@ -71,21 +71,23 @@
 void DemandTable::reset(SidecarLoadState &sidecar, std::uint64_t incarnation)
 {
     clearAdapters(sidecar);
+    const auto supersededUntil = sidecar.supersededUntil;
     sidecar = SidecarLoadState{};
     sidecar.incarnation = incarnation;
+    sidecar.supersededUntil = supersededUntil;
 }
 
 bool DemandTable::onHeartbeat(const wire::Heartbeat &heartbeat, TimePoint now)
 {
     auto &sidecar = sidecars_[heartbeat.from().name()];
     const auto incarnation = heartbeat.from().incarnation();
-    const bool isOutdated = incarnation < sidecar.incarnation;
+    const bool isOutdated = isEarlierStart(incarnation, sidecar.incarnation, sidecar.supersededUntil);
     const bool isDuplicate =
         incarnation == sidecar.incarnation && heartbeat.sequence() <= sidecar.sequence && sidecar.sequence != 0;
     if (isOutdated || isDuplicate) {
         return false;
     }
-    const bool hasRestarted = incarnation > sidecar.incarnation;
+    const bool hasRestarted = incarnation != sidecar.incarnation;
     const bool isKnown = sidecar.incarnation != 0;
     if (hasRestarted) {
         reset(sidecar, incarnation);
@@ -119,13 +121,16 @@
         return false;
     }
     auto &sidecar = sidecars_[member.name];
-    if (member.incarnation < sidecar.incarnation) {
+    const bool isNew = isLaterStart(member, sidecar.incarnation, sidecar.isGone);
+    if (!isNew && member.incarnation != sidecar.incarnation) {
         return false;
     }
-    const bool isNew = member.incarnation > sidecar.incarnation;
+    sidecar.supersededUntil = std::max(sidecar.supersededUntil, member.supersededUntil);
     if (isNew) {
+        sidecar.supersededUntil = std::max(sidecar.supersededUntil, sidecar.incarnation);
         reset(sidecar, member.incarnation);
     }
+    sidecar.isGone = member.state == MemberState::Gone;
     sidecar.isSuspect = member.state != MemberState::Live;
     if (sidecar.isSuspect) {
         markLoadsUnknown(sidecar);
--- a/src/routing/demand_table.h
+++ b/src/routing/demand_table.h
@@ -30,8 +30,10 @@
 struct SidecarLoadState
 {
     std::uint64_t incarnation = 0;
+    std::uint64_t supersededUntil = 0; ///< see Member
     bool acceptsLoads = false; ///< admitting and not leaving
     bool isSuspect = false;
+    bool isGone = false;
     std::uint64_t sequence = 0;
     std::map<std::uint64_t, ResidencyState> adapters; ///< by AdapterVersion::hash()
     std::map<std::uint64_t, Demand> demands; ///< by AdapterVersion::hash()
--- a/src/routing/entry_attempts_impl.h
+++ b/src/routing/entry_attempts_impl.h
@@ -462,7 +462,7 @@
         bool hasLostAttempts = false;
         for (auto &attempt : call->attempts) {
             const bool isLost =
-                attempt.isOpen && attempt.sidecar == sidecar && (isGone || attempt.incarnation < currentIncarnation);
+                attempt.isOpen && attempt.sidecar == sidecar && (isGone || attempt.incarnation != currentIncarnation);
             if (isLost) {
                 closeAttempt(attempt, AttemptOutcome::MayHaveRun);
                 hasLostAttempts = true;
@@ -535,10 +535,11 @@
         return;
     }
     const auto existingSidecar = fleet_.find(member.name);
-    const bool isNew = !existingSidecar || fleet_.at(*existingSidecar).incarnation < member.incarnation;
+    const auto incarnationBefore = existingSidecar ? fleet_.at(*existingSidecar).incarnation : 0;
     const bool wasRoutable = existingSidecar && fleet_.at(*existingSidecar).isRoutable();
     const bool hasLostAttempts = fleet_.onMember(member);
     const auto sidecar = *fleet_.find(member.name);
+    const bool isNew = !existingSidecar || fleet_.at(sidecar).incarnation != incarnationBefore;
     if (hasLostAttempts) {
         closeLostAttempts(sidecar, member.incarnation, member.state == MemberState::Gone, now);
     }
--- a/src/routing/fleet_view.cpp
+++ b/src/routing/fleet_view.cpp
@@ -121,10 +121,10 @@
     const auto index = findOrAdd(report.from().name());
     const auto incarnation = report.from().incarnation();
     auto &view = sidecars_[index];
-    if (incarnation < view.incarnation) {
+    if (isEarlierStart(incarnation, view.incarnation, view.supersededUntil)) {
         return ReportResult::Stale;
     }
-    const bool hasRestarted = incarnation > view.incarnation;
+    const bool hasRestarted = incarnation != view.incarnation;
     if (hasRestarted) {
         reset(index, incarnation);
     }
@@ -187,11 +187,14 @@
 {
     const auto index = findOrAdd(member.name);
     auto &view = sidecars_[index];
-    if (member.incarnation < view.incarnation) {
+    const bool isLater = isLaterStart(member, view.incarnation, view.memberState == MemberState::Gone);
+    if (!isLater && member.incarnation != view.incarnation) {
         return false;
     }
-    const bool hasRestarted = view.incarnation != 0 && member.incarnation > view.incarnation;
-    if (member.incarnation > view.incarnation) {
+    const bool hasRestarted = view.incarnation != 0 && isLater;
+    view.supersededUntil = std::max(view.supersededUntil, member.supersededUntil);
+    if (isLater) {
+        view.supersededUntil = std::max(view.supersededUntil, view.incarnation);
         reset(index, member.incarnation);
     }
     view.memberState = member.state;
--- a/src/routing/fleet_view.h
+++ b/src/routing/fleet_view.h
@@ -29,6 +29,7 @@
 {
     std::string name;
     std::uint64_t incarnation = 0;
+    std::uint64_t supersededUntil = 0; ///< see Member
     std::string dataCentre;
     std::string region;
     std::string baseModel;
--- a/src/routing/load_scheduler.cpp
+++ b/src/routing/load_scheduler.cpp
@@ -51,6 +51,7 @@
     Duration estimatedLoadTime() const;
     void removeExpiredLoads(TimePoint now);
     void removeLoadsOf(const std::string &sidecar, std::uint64_t currentIncarnation);
+    void removeLoadsOf(const Member &gone);
     bool isInFlight(const std::string &sidecar, std::uint64_t key) const;
     std::uint32_t inFlightCount(std::uint64_t key) const;
     std::uint32_t foreignLoadCount() const;
@@ -84,7 +85,14 @@
 void LoadScheduler::Impl::removeLoadsOf(const std::string &sidecar, std::uint64_t currentIncarnation)
 {
     std::erase_if(inFlightLoads, [&](const auto &item) {
-        return item.second.sidecar == sidecar && item.second.incarnation < currentIncarnation;
+        return item.second.sidecar == sidecar && item.second.incarnation != currentIncarnation;
+    });
+}
+
+void LoadScheduler::Impl::removeLoadsOf(const Member &gone)
+{
+    std::erase_if(inFlightLoads, [&](const auto &item) {
+        return item.second.sidecar == gone.name && item.second.incarnation <= gone.incarnation;
     });
 }
 
@@ -276,7 +284,7 @@
         impl_->lastHelloAt.erase(member.name);
     }
     if (member.role == VmRole::Sidecar && member.state == MemberState::Gone) {
-        impl_->removeLoadsOf(member.name, member.incarnation + 1);
+        impl_->removeLoadsOf(member);
     }
     if (isNew && member.state == MemberState::Live) {
         impl_->sendHello(member.name, now.mono);
--- a/src/state/membership.cpp
+++ b/src/state/membership.cpp
@@ -5,6 +5,8 @@
 
 #include "anvilscale/state.h"
 
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -17,11 +19,22 @@
 constexpr std::uint32_t maxExtraHeartbeats = 4;
 // Multiple of the suspect time without suspicion after which earlier suspicions are discarded.
 constexpr int steadySuspectTimes = 20;
+// Incarnations of one name that are remembered as final, latest last: late messages are of the last ones.
+constexpr std::size_t maxFinalIncarnations = 16;
 
 } // namespace
 
 struct Membership::Impl
 {
+    /// An incarnation that is not the greatest: a former one whose messages arrive late, or a later one that started
+    /// after its clock was set back.
+    struct Contender
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0; // of its last heartbeat; 0 if not told
+        TimePoint firstHeartbeatAt; // of the last ones without a gap
+        TimePoint lastHeartbeatAt;
+    };
     struct MemberEntry
     {
         Member member;
@@ -33,7 +46,8 @@
         std::uint32_t recentSuspicions = 0;
         std::uint32_t heartbeatsSinceSuspect = 0;
         TimePoint lastSuspectedAt;
-        std::uint64_t lastFinalIncarnation = 0; // this and all earlier incarnations are Leaving or Gone
+        std::deque<std::uint64_t> finalIncarnations; // Leaving or Gone
+        std::optional<Contender> contender; // heard since the last heartbeat of the present incarnation
         std::uint32_t schemaVersion = 0; // 0 until reported
     };
 
@@ -43,6 +57,10 @@
     TimerHandle timer;
     TimePoint nextCheckAt;
 
+    static void addFinal(MemberEntry &entry, std::uint64_t incarnation);
+    bool isFinal(const MemberEntry &entry, std::uint64_t incarnation) const;
+    bool isSilent(const MemberEntry &entry, Now now) const;
+    bool confirmsContender(MemberEntry &entry, const wire::Heartbeat &heartbeat, Now now) const;
     void suspect(MemberEntry &entry, Now now);
     void onListedLeaving(MemberEntry &entry);
     void recordHeartbeat(MemberEntry &entry, bool isRestarted, Now now);
@@ -73,11 +91,61 @@
     }
     entry.member.state = state;
     if (state == MemberState::Leaving || state == MemberState::Gone) {
-        entry.lastFinalIncarnation = std::max(entry.lastFinalIncarnation, entry.member.incarnation);
+        addFinal(entry, entry.member.incarnation);
     }
     changed(entry.member);
 }
 
+void Membership::Impl::addFinal(MemberEntry &entry, std::uint64_t incarnation)
+{
+    auto &known = entry.finalIncarnations;
+    if (incarnation == 0 || std::find(known.begin(), known.end(), incarnation) != known.end()) {
+        return;
+    }
+    known.push_back(incarnation);
+    if (known.size() > maxFinalIncarnations) {
+        known.pop_front();
+    }
+}
+
+bool Membership::Impl::isFinal(const MemberEntry &entry, std::uint64_t incarnation) const
+{
+    const auto &known = entry.finalIncarnations;
+    return init.safeguards.leavingFinal && std::find(known.begin(), known.end(), incarnation) != known.end();
+}
+
+bool Membership::Impl::isSilent(const MemberEntry &entry, Now now) const
+{
+    const bool hasLeft = entry.member.state == MemberState::Leaving || entry.member.state == MemberState::Gone;
+    return hasLeft || !entry.lastHeartbeatAt || now.mono - *entry.lastHeartbeatAt >= init.timing.suspect;
+}
+
+/// Incarnations are wall times. One that is not the greatest counts as the present start if it is heard without a gap
+/// for the suspect time while the present one is silent: late heartbeats arrive at once, on the end of a pause, or end.
+bool Membership::Impl::confirmsContender(MemberEntry &entry, const wire::Heartbeat &heartbeat, Now now) const
+{
+    const auto incarnation = heartbeat.from().incarnation();
+    if (heartbeat.leaving()) {
+        addFinal(entry, incarnation);
+    }
+    if (isFinal(entry, incarnation) || heartbeat.leaving() || !isSilent(entry, now)) {
+        return false;
+    }
+    auto &contender = entry.contender;
+    const bool isContinued = contender && contender->incarnation == incarnation
+                             && now.mono - contender->lastHeartbeatAt < init.timing.suspect;
+    if (!isContinued) {
+        contender = Contender{incarnation, heartbeat.sequence(), now.mono, now.mono};
+        return false;
+    }
+    if (heartbeat.sequence() != 0 && heartbeat.sequence() <= contender->sequence) {
+        return false;
+    }
+    contender->sequence = heartbeat.sequence();
+    contender->lastHeartbeatAt = now.mono;
+    return now.mono - contender->firstHeartbeatAt >= init.timing.suspect;
+}
+
 Membership::Impl::MemberEntry &Membership::Impl::findOrAddEntry(const std::string &name)
 {
     const auto [it, added] = entries.try_emplace(name);
@@ -194,14 +262,18 @@
     Member &member = entry.member;
     const auto incarnation = heartbeat.from().incarnation();
     // A late heartbeat of an earlier incarnation must not restore its state.
-    if (incarnation < member.incarnation) {
-        return;
+    if (isEarlierStart(incarnation, member.incarnation, member.supersededUntil)) {
+        if (!impl_->confirmsContender(entry, heartbeat, now)) {
+            return;
+        }
+        member.supersededUntil = std::max(member.supersededUntil, member.incarnation);
     }
-    const bool isRestarted = incarnation > member.incarnation;
-    if (incarnation <= entry.lastFinalIncarnation && impl_->init.safeguards.leavingFinal) {
+    const bool isRestarted = incarnation != member.incarnation;
+    if (impl_->isFinal(entry, incarnation)) {
         return;
     }
     member.incarnation = incarnation;
+    entry.contender.reset();
     entry.schemaVersion = heartbeat.schema_version();
     if (member.dataCentre.empty()) {
         member.dataCentre = heartbeat.data_centre();
@@ -210,7 +282,7 @@
     if (heartbeat.leaving()) {
         entry.lastHeartbeatAt = now.mono;
         impl_->startTimer(now);
-        entry.lastFinalIncarnation = incarnation;
+        Impl::addFinal(entry, incarnation);
         impl_->setState(entry, MemberState::Leaving);
         return;
     }
@@ -252,6 +324,7 @@
     const auto &member = found->second.member;
     const bool isSameIncarnation = static_cast<std::uint32_t>(member.incarnation) == beat.incarnation_tag();
     if (isSameIncarnation && member.state != MemberState::Leaving && member.state != MemberState::Gone) {
+        found->second.contender.reset();
         impl_->recordHeartbeat(found->second, false, now);
     }
 }
@@ -261,10 +334,12 @@
     auto &entry = impl_->findOrAddEntry(order.target().name());
     impl_->startTimer(now);
     const auto incarnation = order.target().incarnation();
-    entry.lastFinalIncarnation = std::max(entry.lastFinalIncarnation, incarnation);
+    Impl::addFinal(entry, incarnation);
     // An order without an incarnation applies to the current one.
-    if (incarnation == 0 || incarnation >= entry.member.incarnation) {
-        entry.member.incarnation = std::max(entry.member.incarnation, incarnation);
+    if (incarnation == 0) {
+        impl_->setState(entry, MemberState::Leaving);
+    } else if (!isEarlierStart(incarnation, entry.member.incarnation, entry.member.supersededUntil)) {
+        entry.member.incarnation = incarnation;
         impl_->setState(entry, MemberState::Leaving);
     }
 }
--- a/tests/unit/routing_test.cpp
+++ b/tests/unit/routing_test.cpp
@@ -39,6 +39,41 @@
     EXPECT_EQ(fixture.errors.at(2).refusal, RefusalReason::NoEndpoint);
 }
 
+// Guards against a sidecar that gets no calls because it started after its clock was set back, and against late reports
+// of the start before: what membership tells counts, not the greater incarnation.
+TEST(Routing, SidecarWithAnEarlierIncarnationIsUsedOnceMembershipTellsSo)
+{
+    for (const bool wasGone : {false, true}) {
+        Fixture fixture;
+        Member member;
+        member.name = "a";
+        member.incarnation = 2000;
+        member.state = MemberState::Live;
+        fixture.entry->onMember(member, fixture.now);
+        fixture.receiveReport(fixture.makeReport("a", {"1"}, 2000));
+        fixture.receiveReport(fixture.makeReport("a", {"1"}, 1000));
+        fixture.startCall(1);
+        ASSERT_EQ(fixture.sent.size(), 1U);
+        if (wasGone) {
+            member.state = MemberState::Gone;
+            fixture.entry->onMember(member, fixture.now);
+        }
+        member.state = MemberState::Live;
+        member.incarnation = 1000;
+        member.supersededUntil = wasGone ? 0 : 2000;
+        fixture.entry->onMember(member, fixture.now);
+        fixture.collectActions();
+        fixture.startCall(2);
+        EXPECT_EQ(fixture.sent.size(), 1U) << "no report of this start yet";
+        fixture.receiveReport(fixture.makeReport("a", {"1"}, 2000));
+        fixture.startCall(3);
+        EXPECT_EQ(fixture.sent.size(), 1U) << "late report of the start before";
+        fixture.receiveReport(fixture.makeReport("a", {"1"}, 1000));
+        fixture.startCall(4);
+        EXPECT_GE(fixture.sent.size(), 2U);
+    }
+}
+
 // Guards against applying a beat after a lost message or of another incarnation, whose state the entry does not have.
 // The entry requests a full report instead.
 TEST(Routing, BeatUpdatesOnlyTheLoadOfTheKnownIncarnation)
--- a/tests/unit/scheduler_test.cpp
+++ b/tests/unit/scheduler_test.cpp
@@ -178,6 +178,26 @@
     EXPECT_EQ(fixture.grants.size(), 1U);
 }
 
+// Guards against demands that are never granted because their sidecar started after its clock was set back.
+TEST(Scheduler, DemandOfAnEarlierIncarnationCountsOnceMembershipTellsSo)
+{
+    SchedulerFixture fixture;
+    fixture.reportDemand("a", {}, 2000);
+    fixture.reportDemand("a", {{"x", 1}}, 1000);
+    EXPECT_TRUE(fixture.grants.empty());
+    Member member;
+    member.name = "a";
+    member.incarnation = 1000;
+    member.supersededUntil = 2000;
+    member.state = MemberState::Live;
+    fixture.scheduler->onMember(member, fixture.now);
+    fixture.reportDemand("a", {{"x", 1}}, 2000);
+    EXPECT_TRUE(fixture.grants.empty()) << "late heartbeat of the start before";
+    fixture.reportDemand("a", {{"x", 1}}, 1000);
+    ASSERT_EQ(fixture.grants.size(), 1U);
+    EXPECT_EQ(fixture.grants[0].message.load_grant().target_incarnation(), 1000U);
+}
+
 // Guards against a load in the last heartbeat of a leaving or suspect sidecar blocking all other loads.
 TEST(Scheduler, LoadInLastHeartbeatDoesNotBlockOthers)
 {
--- a/tests/unit/state_membership_test.cpp
+++ b/tests/unit/state_membership_test.cpp
@@ -32,13 +32,15 @@
             }
         }
     }
-    void heartbeat(std::uint64_t incarnation, bool leaving = false, std::uint32_t schemaVersion = 2)
+    void heartbeat(std::uint64_t incarnation, bool leaving = false, std::uint32_t schemaVersion = 2,
+                   std::uint64_t sequence = 0)
     {
         wire::Heartbeat message;
         message.mutable_from()->set_name("s1");
         message.mutable_from()->set_incarnation(incarnation);
         message.set_leaving(leaving);
         message.set_schema_version(schemaVersion);
+        message.set_sequence(sequence);
         membership.onHeartbeat(message, now());
     }
     void listVm(VmState state)
@@ -136,6 +138,78 @@
     EXPECT_EQ(fixture.state(), MemberState::Live);
 }
 
+// Guards against a former incarnation that comes back by late heartbeats, after one with an earlier clock has replaced
+// it: one heartbeat, a burst, the same one again and again, and a drain order.
+TEST(Membership, LateHeartbeatsDoNotReviveAFormerIncarnation)
+{
+    MembershipFixture fixture;
+    fixture.listVm(VmState::Live);
+    fixture.heartbeat(2000);
+    fixture.run(Seconds(10));
+    for (int i = 0; i < 20; ++i) {
+        fixture.run(Milliseconds(500));
+        fixture.heartbeat(1000);
+    }
+    ASSERT_EQ(fixture.membership.find("s1")->incarnation, 1000U);
+    for (int i = 0; i < 50; ++i) {
+        fixture.heartbeat(2000);
+        fixture.heartbeat(1500);
+    }
+    wire::DrainOrder order;
+    order.mutable_target()->set_name("s1");
+    order.mutable_target()->set_incarnation(2000);
+    fixture.membership.onDrain(order, fixture.now());
+    EXPECT_EQ(fixture.membership.find("s1")->incarnation, 1000U);
+    EXPECT_EQ(fixture.state(), MemberState::Live);
+    fixture.run(Seconds(4));
+    ASSERT_EQ(fixture.state(), MemberState::Suspect);
+    for (int i = 0; i < 20; ++i) {
+        fixture.run(Milliseconds(500));
+        fixture.heartbeat(1500, false, 2, 7);
+    }
+    EXPECT_EQ(fixture.state(), MemberState::Suspect) << "the same message, duplicated";
+    for (int i = 0; i < 20; ++i) {
+        fixture.run(Milliseconds(500));
+        fixture.heartbeat(2000);
+    }
+    EXPECT_EQ(fixture.state(), MemberState::Suspect) << "told to leave";
+}
+
+// Guards against a late heartbeat that takes the place of a process that is heard: two processes of one name.
+TEST(Membership, EarlierIncarnationDoesNotReplaceOneThatIsHeard)
+{
+    MembershipFixture fixture;
+    fixture.heartbeat(2000);
+    for (int i = 0; i < 40; ++i) {
+        fixture.run(Milliseconds(500));
+        fixture.heartbeat(1000);
+        fixture.heartbeat(2000);
+        EXPECT_EQ(fixture.membership.find("s1")->incarnation, 2000U);
+    }
+}
+
+// Guards against a process without work for its whole life that started after its clock was set back: the process
+// before has announced that it leaves, and the clock has been set back before.
+TEST(Membership, ClockStepsInARowAreFollowedAfterLeaving)
+{
+    MembershipFixture fixture;
+    fixture.listVm(VmState::Live);
+    fixture.heartbeat(3000);
+    fixture.heartbeat(3000, true);
+    for (const std::uint64_t incarnation : {1000U, 2000U, 500U, 4000U}) {
+        for (int i = 0; i < 10; ++i) {
+            fixture.run(Milliseconds(500));
+            fixture.heartbeat(incarnation);
+        }
+        EXPECT_EQ(fixture.membership.find("s1")->incarnation, incarnation);
+        EXPECT_EQ(fixture.state(), MemberState::Live);
+        fixture.heartbeat(incarnation, true);
+        EXPECT_EQ(fixture.state(), MemberState::Leaving);
+        fixture.heartbeat(incarnation);
+        EXPECT_EQ(fixture.state(), MemberState::Leaving);
+    }
+}
+
 // A lagging "leaving" entry of a replaced VM must not retire its successor, but the successor gets no new work while it
 // is listed.
 TEST(Membership, LaggingListDoesNotRetireSuccessor)
