--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -148,7 +148,7 @@
         engines_ = 2;
         EXPECT_TRUE(eventually([&] { return hasEngines("entry-1"); }));
         for (int i = 0; i < 50; ++i) {
-            const auto id = "r-" + std::to_string(i);
+            auto id = "r-" + std::to_string(i);
             if (beginStream(id)) {
                 return id;
             }
@@ -410,15 +410,17 @@
     const auto stoppedAt = std::chrono::steady_clock::now();
     const auto began = beginStreamAtJoinedVersion();
     std::vector<std::future<Answer>> resumed;
+    constexpr std::size_t calls = 6;
+    resumed.reserve(calls);
     std::this_thread::sleep_until(stoppedAt + std::chrono::milliseconds(3900));
-    for (int i = 0; i < 6; ++i) {
+    for (std::size_t i = 0; i < calls; ++i) {
         resumed.push_back(std::async(std::launch::async,
                                      [this, i, began] { return resumeStream("again-" + std::to_string(i), began); }));
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(100));
     daemons_["entry-2"]->signal(SIGCONT);
-    for (int i = 0; i < 6; ++i) {
-        EXPECT_EQ(resumed[static_cast<std::size_t>(i)].get().status, 200);
+    for (std::size_t i = 0; i < calls; ++i) {
+        EXPECT_EQ(resumed[i].get().status, 200);
         EXPECT_EQ(runCount(true, "again-" + std::to_string(i)), 1);
     }
 }
--- a/tests/unit/store_confirmation_test.cpp
+++ b/tests/unit/store_confirmation_test.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 using test::StoreCondition;
-using test::VirtualLoop;
 using test::WatchedStore;
 
 constexpr TimePoint start{Seconds(100)};
