--- a/tests/process/held_bytes_test.cpp
+++ b/tests/process/held_bytes_test.cpp
@@ -245,6 +245,7 @@
     std::atomic<std::size_t> complete = 0;
     slow.release();
     std::vector<std::thread> readers;
+    readers.reserve(callers);
     for (auto &socket : sockets) {
         // All answers are under way before the first is read.
         EXPECT_TRUE(socket.poll(Poco::Timespan(30, 0), Poco::Net::Socket::SELECT_READ));
