--- a/tests/process/held_bytes_test.cpp
+++ b/tests/process/held_bytes_test.cpp
@@ -276,3 +276,23 @@
     }
     EXPECT_TRUE(statusLine(socket).starts_with("HTTP/1.1 413"));
 }
+
+// Guards against a memory limit of the platform that the process does not use, or that an empty option replaces.
+TEST_F(HeldBytes, LimitOfTheCommandLineGoesFirst)
+{
+    constexpr double settingsLimit = 160U << 20;
+    startWithSlowEndpoint();
+    const auto restartWith = [this](const std::string &option) {
+        daemons_.erase("entry-1");
+        daemons_["entry-1"] =
+            std::make_unique<Process>(std::vector<std::string>{buildFolder() + "/bin/anvilscaled", "--settings",
+                                                               fleet_.settingsFile("entry-1"), option},
+                                      fleet_.logFile("entry-1"));
+        EXPECT_TRUE(eventually([&] { return metric("anvilscale_memory_limit_bytes") > 0; }));
+        return metric("anvilscale_memory_limit_bytes");
+    };
+    EXPECT_GT(restartWith("--memory-mb=400"), settingsLimit);
+    const auto limit = restartWith("--memory-mb=");
+    EXPECT_LT(limit, settingsLimit);
+    EXPECT_GT(limit, settingsLimit / 2);
+}
