A process that shuts down is no longer reloaded

What was seen: a SIGHUP, or a change of the settings file, while an entry shut down ended it with status 134 instead of 0.

Cause: the signal thread runs until the shutdown has ended, and a reload posts to the event loop of the callers' server, which is gone by then.

Fix: Daemon::reload() does nothing once the drain is done, under the mutex that also guards that state, so that the shutdown begins after a reload in progress.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -85,6 +85,11 @@
 
 void Daemon::reload(const settings::Settings &settings)
 {
+    // Held meanwhile, as the shutdown that follows isDone ends the parts that a reload uses.
+    const std::lock_guard lock(impl_->mutex);
+    if (impl_->isDone) {
+        return;
+    }
     std::visit(
         [&settings](auto &role) {
             if constexpr (requires { role->reload(settings); }) {
