A server that is shut down keeps its event loops

What was seen: a process that shuts down could end with status 139, as the control thread and the messenger's thread post tasks and answers to the callers' server until they are stopped, which is after the server's shutdown.

Cause: shutdown() destroyed the workers, and loop() and every call on an exchange take the first or the exchange's worker out of an empty list.

Fix: the workers stay until the server is destroyed. What is posted to a stopped loop does not run. HttpServerTest.CallsAfterTheShutdownHaveNoEffect ended with status 139 before and passes with this, one run each.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -79,6 +79,7 @@
     SpareDescriptor spare; // first worker's thread only
     std::optional<DescriptorShortage> shortage; // first worker's thread only; set while listening
     std::function<void()> onDrained;
+    bool isShutDown = false; // thread of the owner only
 
     void addWorker(std::uint64_t index);
     /// Result of an attempt to accept a connection.
@@ -368,7 +369,7 @@
 
 void HttpServer::shutdown()
 {
-    if (impl_->workers.empty()) {
+    if (std::exchange(impl_->isShutDown, true)) {
         return;
     }
     for (auto &worker : impl_->workers) {
@@ -384,7 +385,7 @@
         done.get_future().wait();
         worker->loop->stop();
     }
-    impl_->workers.clear();
+    // The workers stay: other threads may still post to their loops, without effect.
 }
 
 void HttpServer::reply(HttpExchange exchange, HttpReply reply)
