A sidecar creates its clients before its other threads start

Suspected, not seen in a test: a message that arrives between the start of the messenger and the task that creates the clients leads to a task that uses them. The order of the start now excludes it.

--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -45,8 +45,7 @@
 
     void start()
     {
-        control_.start();
-        messenger_->start();
+        // First, as tasks of the other threads use what it creates.
         loop_.post([this] {
             HttpClientInit init;
             init.address = settings_.direct().endpoint().substr(std::string_view("http://").size());
@@ -57,6 +56,8 @@
             startFencing();
             startSharedWatch();
         });
+        control_.start();
+        messenger_->start();
         control_.post([this](Now) { requestReport(); });
         logEvent(Event::ProcessStarted, {{"role", settings_.role()}, {"incarnation", incarnation_}});
     }
