--- a/include/anvilscale/endpoint.h
+++ b/include/anvilscale/endpoint.h
@@ -111,7 +111,7 @@
         std::function<void(EngineReport)> onReport;
         std::function<void()> onUnreachable;
     };
-    Endpoint(EndpointInit init, Handlers handlers);
+    Endpoint(const EndpointInit &init, Handlers handlers);
     ~Endpoint();
     Endpoint(const Endpoint &) = delete;
     Endpoint &operator=(const Endpoint &) = delete;
--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -431,7 +431,7 @@
 class HttpClient
 {
 public:
-    HttpClient(EventLoop &loop, HttpClientInit init);
+    HttpClient(EventLoop &loop, const HttpClientInit &init);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -76,10 +76,10 @@
     }
 };
 
-Endpoint::Endpoint(EndpointInit init, Handlers handlers)
+Endpoint::Endpoint(const EndpointInit &init, Handlers handlers)
     : impl_(std::make_unique<Impl>())
 {
-    impl_->init = std::move(init);
+    impl_->init = init;
     impl_->handlers = std::move(handlers);
     for (std::uint32_t i = 0; i < std::max<std::uint32_t>(1, impl_->init.threadCount); ++i) {
         impl_->addWorker();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -65,9 +65,9 @@
 
 struct HttpClient::Impl
 {
-    Impl(EventLoop &eventLoop, HttpClientInit parameters)
+    Impl(EventLoop &eventLoop, const HttpClientInit &parameters)
         : loop(eventLoop)
-        , init(std::move(parameters))
+        , init(parameters)
         , address(socketAddress(init.address))
     {
     }
@@ -108,8 +108,8 @@
     TimerHandle expiryTimer; // closes expired idle connections
 };
 
-HttpClient::HttpClient(EventLoop &loop, HttpClientInit init)
-    : impl_(std::make_unique<Impl>(loop, std::move(init)))
+HttpClient::HttpClient(EventLoop &loop, const HttpClientInit &init)
+    : impl_(std::make_unique<Impl>(loop, init))
 {
 }
 
