A full endpoint costs a sidecar bounded memory, however many slots it declares

When an endpoint refused a call as full, the sidecar that leases its slots made one lease for each slot that the endpoint declares and the sidecar had not granted.

Such leases stand for a share of the slots now, at most 256 of them an endpoint; up to 256 free slots nothing changes. Slots in use are counted in 64 bits, and a reported run time is bounded by the longest lease, since its conversion could leave the range of a Duration.

--- a/src/direct/slot_table.cpp
+++ b/src/direct/slot_table.cpp
@@ -15,6 +15,8 @@
 constexpr Duration maxWait = Seconds(10);
 // Bounds the work of a decision. Further calls are refused as if they could not get a slot in time.
 constexpr std::size_t maxWaiting = 512;
+// Bounds the leases of calls that the table has not granted, of one endpoint.
+constexpr std::uint64_t maxForeignLeases = 256;
 // Later retries are not spread any further: most callers do not wait that long.
 constexpr Duration maxRetryAfter = Seconds(5);
 // Time after which an unused service or endpoint is forgotten.
@@ -134,7 +136,7 @@
 void SlotTable::Impl::endLease(std::map<CallKey, Lease>::iterator lease)
 {
     auto &service = services.at(lease->second.service);
-    --service.endpoints.at(lease->second.endpointId).inUse;
+    service.endpoints.at(lease->second.endpointId).inUse -= lease->second.slots;
     if (lease->second.workspace) {
         const auto count = service.inUse.find(*lease->second.workspace);
         if (--count->second == 0) {
@@ -154,25 +156,28 @@
         endpoint.failed.add(message.failed() ? 1 : 0, now);
     }
     if (!message.failed() && !message.not_sent() && message.run_us() != 0) {
-        const double run = static_cast<double>(message.run_us()) / 1000;
+        const double run = milliseconds(fromMicroseconds(message.run_us(), maxLease));
         endpoint.runMs = smoothed(endpoint.runMs, run);
         service.runMs = smoothed(service.runMs, run);
     }
 }
 
 // The endpoint is full with calls that this table has not granted, such as those of entries that use another sidecar.
-// They are counted until they have probably ended, one after the other.
+// They are counted until they have probably ended, one after the other. An endpoint declares its slots itself, so that
+// the work does not grow with their number: many slots become free in equal steps.
 void SlotTable::Impl::occupyFreeSlots(const Lease &lease, TimePoint now)
 {
     auto &service = services.at(lease.service);
     auto &endpoint = service.endpoints.at(lease.endpointId);
     const auto unknown = endpoint.slots > endpoint.inUse ? endpoint.slots - endpoint.inUse : 0;
+    const auto steps = std::min(unknown, maxForeignLeases);
     const auto run = fromMilliseconds(runMs(service, endpoint));
-    for (std::uint32_t i = 1; i <= unknown; ++i) {
+    for (std::uint64_t i = 1; i <= steps; ++i) {
         const CallKey key{PeerHandle{}, ++lastForeign};
-        const auto expiresAt = now + run * i / unknown;
-        ++endpoint.inUse;
-        leases[key] = Lease{lease.service, lease.endpointId, std::nullopt, expiresAt};
+        const auto expiresAt = now + run * i / steps;
+        const auto count = unknown * i / steps - unknown * (i - 1) / steps;
+        endpoint.inUse += count;
+        leases[key] = Lease{lease.service, lease.endpointId, std::nullopt, expiresAt, count};
         expiries.emplace(expiresAt, key);
     }
 }
--- a/src/direct/slot_table.h
+++ b/src/direct/slot_table.h
@@ -20,8 +20,8 @@
     struct Endpoint
     {
         std::uint32_t slots = 0; // declared
-        std::uint32_t inUse = 0; // leases
-        std::uint32_t expected = 0; // waiting calls that are expected here, valid during assign()
+        std::uint64_t inUse = 0; // slots of leases
+        std::uint64_t expected = 0; // waiting calls that are expected here, valid during assign()
         double runMs = 0; // smoothed; 0 if not measured
         DecayedCount ended{failureLifetime};
         DecayedCount failed{failureLifetime};
@@ -53,6 +53,7 @@
         std::string endpointId;
         std::optional<std::string> workspace; // empty for a call that the table has not granted
         TimePoint expiresAt;
+        std::uint64_t slots = 1; // more than one only of calls that the table has not granted
     };
     struct Service
     {
--- a/tests/unit/slot_table_test.cpp
+++ b/tests/unit/slot_table_test.cpp
@@ -60,6 +60,25 @@
     EXPECT_FALSE(messages[0].answer.endpoint_id().empty());
 }
 
+// Guards against a sidecar that uses up its memory because an endpoint that is full declares very many slots.
+TEST_F(Slots, FullEndpointWithVeryManySlotsCostsLittle)
+{
+    endpoints_ = {"p-1"};
+    auto request = makeAsk(1);
+    request.mutable_endpoints(0)->set_slots(3'000'000);
+    ask(entryOne, request);
+    table_.takeMessages();
+    giveBack(entryOne, 1, false, true);
+    EXPECT_LE(table_.stats().leases, 1000U);
+    request.set_call(2);
+    ask(entryOne, request);
+    const auto messages = table_.takeMessages();
+    ASSERT_EQ(messages.size(), 1U);
+    EXPECT_TRUE(messages[0].answer.queued()) << "all slots are in use, and the first ones become free soon";
+    advance(Seconds(31));
+    EXPECT_EQ(table_.stats().leases, 1U) << "of the second call";
+}
+
 // Guards against calls that are held until their callers leave, and against refused callers that return all at once.
 TEST_F(Slots, CallWithoutASlotInTimeIsRefusedAtOnceAndRetriesAreSpread)
 {
