--- a/tests/process/odd_records_test.cpp
+++ b/tests/process/odd_records_test.cpp
@@ -66,6 +66,7 @@
         constexpr int callsPerCaller = 10;
         std::atomic<int> failed = 0;
         std::vector<std::thread> threads;
+        threads.reserve(callers);
         for (int caller = 0; caller < callers; ++caller) {
             threads.emplace_back([this, caller, &failed] {
                 for (int i = 0; i < callsPerCaller; ++i) {
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -64,11 +64,16 @@
                + std::to_string(freePort()) + R"(},"direct":{)" + direct + R"(},"log":{"file":"-"}})";
     };
     const std::string ready = R"(,"ready":{"at":"127.0.0.1:)" + std::to_string(freePort()) + R"("})";
-    const std::string store = R"("store":"http://127.0.0.1:9")";
+    const std::string store = R"(,"store":"http://127.0.0.1:9")";
+    const auto member = [](const std::string &name, const std::string &url) {
+        std::ostringstream out;
+        out << '"' << name << R"(":")" << url << '"';
+        return out.str();
+    };
     for (const std::string url : {"http://[::1]:9", "http://127.0.0.1:9/path", "http://0.0.0.0:9"}) {
-        EXPECT_EQ(runDaemon(settings("entry", R"("store":")" + url + '"' + ready)), 2) << output();
+        EXPECT_EQ(runDaemon(settings("entry", member("store", url).append(ready))), 2) << output();
         EXPECT_NE(output().find("direct.store"), std::string::npos) << output();
-        EXPECT_EQ(runDaemon(settings("sidecar", store + R"(,"endpoint":")" + url + '"')), 2) << output();
+        EXPECT_EQ(runDaemon(settings("sidecar", member("endpoint", url).append(store))), 2) << output();
         EXPECT_NE(output().find("direct.endpoint"), std::string::npos) << output();
     }
 }
--- a/tests/support/virtual_store.h
+++ b/tests/support/virtual_store.h
@@ -256,9 +256,9 @@
 class VirtualClient
 {
 public:
-    VirtualClient(VirtualLoop &loop, HttpClientInit init)
+    VirtualClient(VirtualLoop &loop, const HttpClientInit &init)
         : loop_(loop)
-        , init_(std::move(init))
+        , init_(init)
     {
         loop_.onChange.emplace_back([this] { onStoreChanged(); });
     }
