A reload that fails ends neither the signal thread nor a process that starts

The guard around a reload was lost in the merge of two changes of this file, and the signal thread ran before the daemon had started: a SIGHUP then, with another store in the file, used a watcher that did not exist. The thread starts after the daemon; signals that come before are pending. Found by review, by reading; neither was seen, and no test provokes either. ends_test and settings_file_test pass.

--- a/src/daemon/run_daemon.cpp
+++ b/src/daemon/run_daemon.cpp
@@ -150,7 +150,7 @@
             daemon.drain(); // further signals have no effect; calls in progress still finish
             break;
         default: // SIGHUP or the interval for checking the file
-            file.reload(daemon, signal == SIGHUP);
+            runGuarded(ErrorPlace::SettingsReload, [&] { file.reload(daemon, signal == SIGHUP); });
         }
     }
 }
@@ -196,8 +196,9 @@
         return exitRejected;
     }
     SettingsFile file(settingsFile, std::move(source->text), overrides);
-    std::thread signals([&] { waitForSignals(**daemon, file); });
     (*daemon)->start();
+    // After the start: a reload uses what it creates. Signals that came before are pending.
+    std::thread signals([&] { waitForSignals(**daemon, file); });
     (*daemon)->wait();
     pthread_kill(signals.native_handle(), stopSignal);
     signals.join();
