Texts in messages may hold any bytes

What callers could see: resumed streams refused and adapters not loaded, for as long as another caller's id or adapter that is no UTF-8 was in the same message between an entry and a sidecar. Cause: protobuf's string fields must be UTF-8. A receiver drops the whole message, and the sender writes a line of its own for each to standard error.

--- a/tests/unit/outside_messages_test.cpp
+++ b/tests/unit/outside_messages_test.cpp
@@ -218,4 +218,20 @@
     }
 }
 
+// Guards against a message that is dropped whole, with what it carries for others, as the bytes of one caller in it are
+// no UTF-8.
+TEST(OutsideMessagesToSidecars, BytesOfCallersThatAreNotUtf8Arrive)
+{
+    for (const std::string bytes : {"\xff\xfe", "\xc0\xaf"}) {
+        wire::Envelope report;
+        report.mutable_origin_report()->add_origins()->set_request(bytes);
+        wire::Envelope demand;
+        demand.mutable_direct_demand()->add_wishes()->set_adapter(bytes);
+        for (const auto &message : {report, demand}) {
+            wire::Envelope received;
+            EXPECT_TRUE(received.ParseFromString(message.SerializeAsString()));
+        }
+    }
+}
+
 } // namespace anvilscale
