Callers without a key wait in turn for room of their bodies

Each freed piece of room went to a caller without a key, since their bytes were not counted; bodies of workspaces were refused after 500 ms. They are one group in the order now, without a bound on its part. MemoryAccountTest.AnonymousGroupGoesAfterGroupsThatHoldLess fails where their bytes are not counted. Found by review.

--- a/include/anvilscale/memory_account.h
+++ b/include/anvilscale/memory_account.h
@@ -82,6 +82,8 @@
 public:
     /// Identifies those who share a part of the room, e.g. callers with the same key; 0: no group.
     using Group = std::uint64_t;
+    /// Those without a key: in turn with the other groups, but without a bound on their part.
+    static constexpr Group anonymousGroup = UINT64_MAX;
     using Granted = std::function<void()>;
 
     /// A reservation that waits for room; destroying it ends the wait.
--- a/src/net/memory_account.cpp
+++ b/src/net/memory_account.cpp
@@ -29,6 +29,11 @@
 constexpr std::uint64_t ownDecay = 16;
 constexpr std::uint64_t shortShare = 8; // less than one part in this many left is short
 
+bool hasShare(MemoryAccount::Group group)
+{
+    return group != 0 && group != MemoryAccount::anonymousGroup;
+}
+
 } // namespace
 
 std::uint64_t MemoryAccountStats::totalBytes() const
@@ -122,7 +127,7 @@
     if (bytes > limit || total > limit - bytes) {
         return false;
     }
-    return isSmallOne || group == 0 || groupBytes(group) + bytes <= groupLimit();
+    return isSmallOne || !hasShare(group) || groupBytes(group) + bytes <= groupLimit();
 }
 
 std::uint64_t MemoryHold::State::groupBytes(MemoryAccount::Group group) const
@@ -165,7 +170,7 @@
             continue;
         }
         const bool isOverShare =
-            !isSmallOne && waiter.group != 0 && groupBytes(waiter.group) + waiter.bytes > groupLimit();
+            !isSmallOne && hasShare(waiter.group) && groupBytes(waiter.group) + waiter.bytes > groupLimit();
         if (isOverShare) {
             continue;
         }
--- a/tests/unit/memory_account_test.cpp
+++ b/tests/unit/memory_account_test.cpp
@@ -115,6 +115,20 @@
     EXPECT_TRUE(other.take());
 }
 
+// Guards against callers without a key who take each piece of room that is given back before those with one.
+TEST(MemoryAccountTest, AnonymousGroupGoesAfterGroupsThatHoldLess)
+{
+    MemoryAccount account(makeInit());
+    Reservations anonymous(account);
+    while (anonymous.add(largeBytes, MemoryAccount::anonymousGroup)) {
+    }
+    const Waiter next(account, largeBytes, MemoryAccount::anonymousGroup);
+    Waiter keyed(account, largeBytes, 7);
+    anonymous.holds.pop_front();
+    EXPECT_TRUE(keyed.take());
+    EXPECT_FALSE(next.isGranted);
+}
+
 // Guards against a large body that waits for ever because others overtake it.
 TEST(MemoryAccountTest, LargeReservationsAreGrantedInOrder)
 {
