An exchange without a connection can be aborted

Without a free descriptor, an exchange ended by a task that nothing could take back: it reached an owner that had aborted the exchange, started another one or been destroyed. The end is now looked up by its number when the task runs. HttpClientTest.AbortEndsAnExchangeWithoutAConnection fails without the lookup (two ends). Found by review.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -94,6 +94,7 @@
     Connection *takeIdleConnection();
     Connection *openConnection();
     ExchangeId start(const EndpointRequest &request, Duration timeout, ExchangeHandlers handlers);
+    ExchangeId failStart(std::function<void(ExchangeEnd)> end);
     void cancel(ExchangeId id);
     void abort(ExchangeId id);
     void pause(ExchangeId id, bool isPaused);
@@ -123,6 +124,9 @@
     std::uint64_t lastKey = 0;
     // Keyed by a number that changes with each exchange, so that a late callback never reaches the next exchange.
     std::map<std::uint64_t, std::unique_ptr<Connection>> connections;
+    // Ends of exchanges without a connection that have not been reported yet, by key.
+    std::shared_ptr<std::map<std::uint64_t, std::function<void(ExchangeEnd)>>> failedStarts =
+        std::make_shared<std::map<std::uint64_t, std::function<void(ExchangeEnd)>>>();
     std::deque<std::uint64_t> idleKeys; // keys of idle connections, least recently used first
     TimerHandle expiryTimer; // closes expired idle connections
 };
@@ -210,8 +214,7 @@
         connection = openConnection();
     }
     if (connection == nullptr) {
-        loop.post([end = std::move(handlers.end)] { end(ExchangeEnd::Unreachable); });
-        return 0;
+        return failStart(std::move(handlers.end));
     }
     if (isReused) {
         // Each exchange gets a new key.
@@ -251,6 +254,23 @@
     return key;
 }
 
+// Reports the end from the loop, as for any other exchange, unless it is aborted or the client is destroyed before.
+ExchangeId HttpClient::Impl::failStart(std::function<void(ExchangeEnd)> end)
+{
+    const auto key = ++lastKey;
+    failedStarts->emplace(key, std::move(end));
+    loop.post([starts = std::weak_ptr(failedStarts), key] {
+        const auto pending = starts.lock();
+        if (!pending) {
+            return;
+        }
+        if (auto node = pending->extract(key)) {
+            node.mapped()(ExchangeEnd::Unreachable);
+        }
+    });
+    return key;
+}
+
 void HttpClient::Impl::cancel(ExchangeId id)
 {
     const auto found = connections.find(id);
@@ -279,6 +299,7 @@
 
 void HttpClient::Impl::abort(ExchangeId id)
 {
+    failedStarts->erase(id);
     const auto found = connections.find(id);
     if (found != connections.end() && found->second->step != Step::Idle) {
         // After a plain close, a request queued during a network partition would still be delivered later and run for a
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 #include <future>
 #include <map>
@@ -105,6 +106,26 @@
     ExchangeId id_ = 0;
 };
 
+// Guards against the end of an exchange that is reported after its abort, to an owner that may be gone: no descriptor
+// was free for its connection.
+TEST_F(HttpClientTest, AbortEndsAnExchangeWithoutAConnection)
+{
+    rlimit before{};
+    ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &before), 0);
+    int ends = 0;
+    runOnLoop([&] {
+        const rlimit none{0, before.rlim_max};
+        ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none), 0);
+        ExchangeHandlers handlers;
+        handlers.end = [&ends](ExchangeEnd) { ++ends; };
+        client_->abort(client_->start(EndpointRequest(), Duration(0), handlers));
+        client_->start(EndpointRequest(), Duration(0), handlers);
+        ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &before), 0);
+    });
+    runOnLoop([] {});
+    EXPECT_EQ(ends, 1);
+}
+
 // Guards against a request that is queued during a network partition and delivered after its caller has left: an
 // abort must reset the connection.
 TEST_F(HttpClientTest, AbortResetsConnection)
