An error in one turn does not end the turns after it

An exception is caught at the task, timer or event, but the ticks of an entry, the reports of a sidecar and the reads of the store start their next turn last: one error would have left a process that is ready, and follows nothing. The next turn is arranged first, or after a guarded step; actions are performed one by one. A store answer that cannot be applied is read again, with all records. StoreWatcher.GoesOnAfterAnAnswerThatCannotBeApplied fails without the guard (the exception leaves the loop). The ticks and reports have no test of their own. Found by review.

--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -238,7 +238,7 @@
         handlers.bodyGroup = [](const HttpRequestData &request) {
             // Callers with the same key belong to the same workspace.
             const auto *key = findHeader(request.headers, "Authorization");
-            return key == nullptr ? MemoryAccount::Group{0} : hash64(*key);
+            return key == nullptr ? MemoryAccount::anonymousGroup : hash64(*key);
         };
         return handlers;
     }
@@ -596,6 +596,8 @@
     void onTick()
     {
         const auto now = EventLoop::now();
+        // First, so that a turn that fails does not end all later ones.
+        control_.timers().subscribe(now + directTickInterval, [this](TimePoint) { onTick(); });
         calls_.tick(now);
         writeSoftwareVersions(now);
         if (now >= nextSelectionAt_) {
@@ -609,7 +611,6 @@
             updateMemory();
             renderMetrics();
         }
-        control_.timers().subscribe(now + directTickInterval, [this](TimePoint) { onTick(); });
     }
 
     void writeSoftwareVersions(TimePoint now)
@@ -649,7 +650,9 @@
         reportCrashes();
         std::vector<DirectAction> trafficActions;
         for (auto &action : actions) {
-            if (!sendMessage(action)) {
+            bool isMessage = true; // also one that could not be sent
+            runGuarded(ErrorPlace::ControlActions, [&] { isMessage = sendMessage(action); });
+            if (!isMessage) {
                 trafficActions.push_back(std::move(action));
             }
         }
@@ -659,7 +662,7 @@
         }
         callServer_->loop().post([this, trafficActions = std::move(trafficActions)] {
             for (const auto &action : trafficActions) {
-                performTraffic(action);
+                runGuarded(ErrorPlace::LoopTask, [&] { performTraffic(action); });
             }
         });
     }
--- a/src/daemon/direct_sidecar.h
+++ b/src/daemon/direct_sidecar.h
@@ -403,19 +403,9 @@
         sendRequest(Dialect::reportRequest(), answerTimeout,
                     [this](Now now, const std::optional<HttpResponseHead> &head, const std::string &body) {
                         isReadingReport_ = false;
-                        const auto report =
-                            head && head->status == 200 ? Dialect::readReport(*head, body) : std::nullopt;
-                        setReachable(report.has_value());
-                        if (report) {
-                            controller_.applyReport(*report, now.mono);
-                            reading_.applyEngine(controller_, now.mono);
-                            applyOwnLimit(report->requestsPerSecond, now.mono);
-                            logMeasurements(now.mono);
-                        } else {
-                            controller_.onReportFailed(now.mono);
-                        }
-                        const bool isBusy =
-                            report && (!report->pending.empty() || report->busy || controller_.isAwaitingEffect());
+                        bool isBusy = false;
+                        // A report that cannot be applied does not end all later ones.
+                        runGuarded(ErrorPlace::ControlEvent, [&] { isBusy = applyReport(now, head, body); });
                         control_.timers().subscribe(now.mono + (isBusy ? busyReportInterval : idleReportInterval),
                                                     [this](TimePoint) {
                                                         if (!isReadingReport_) {
@@ -425,6 +415,22 @@
                     });
     }
 
+    /// Returns whether a load or an order is in progress.
+    bool applyReport(Now now, const std::optional<HttpResponseHead> &head, const std::string &body)
+    {
+        const auto report = head && head->status == 200 ? Dialect::readReport(*head, body) : std::nullopt;
+        setReachable(report.has_value());
+        if (!report) {
+            controller_.onReportFailed(now.mono);
+            return false;
+        }
+        controller_.applyReport(*report, now.mono);
+        reading_.applyEngine(controller_, now.mono);
+        applyOwnLimit(report->requestsPerSecond, now.mono);
+        logMeasurements(now.mono);
+        return !report->pending.empty() || report->busy || controller_.isAwaitingEffect();
+    }
+
     void logMeasurements(TimePoint now)
     {
         if (now < nextLoadLogAt_) {
--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -499,11 +499,28 @@
                 onFailure(storeFailureOf(end));
                 return;
             }
-            onStatus(Dialect::storeStatus(answerStatus_), onDone);
+            onAnswer(onDone);
         };
         currentExchange_ = client_.start(request, Duration(0), std::move(handlers));
     }
 
+    /// An answer that cannot be applied is repeated like one that cannot be read: without a next call, the store would
+    /// never be read again.
+    void onAnswer(const std::function<void(const std::string &)> &onDone)
+    {
+        const bool isApplied =
+            runGuarded(ErrorPlace::LoopTask, [&] { onStatus(Dialect::storeStatus(answerStatus_), onDone); });
+        if (!isApplied) {
+            client_.abort(currentExchange_); // the next call may have been started
+            loop_.timers().cancel(timeoutTimer_);
+            isReading_ = true; // records of the answer may not have been reported
+            for (auto &[id, revision] : reported_) {
+                revision = 0;
+            }
+            onFailure(StoreFailureKind::Unreadable);
+        }
+    }
+
     void extendTimeout()
     {
         timeoutAt_ = std::min(loop_.now() + init_.times.retrySilenceTimeout, callStartedAt_ + maxTransferTime);
--- a/tests/support/watched_store.h
+++ b/tests/support/watched_store.h
@@ -39,6 +39,8 @@
     }
 
     VirtualLoop loop;
+    /// Called with each reported record before it is recorded. May throw.
+    std::function<void(const StoreRecord &)> beforeRecord;
 
     void contradictRecord()
     {
@@ -108,6 +110,9 @@
     {
         StoreWatcherHandlers result;
         result.record = [this](const StoreRecord &record) {
+            if (beforeRecord) {
+                beforeRecord(record);
+            }
             if (const auto *endpoint = std::get_if<EndpointRecord>(&record)) {
                 hasRegressed_ = hasRegressed_ || endpoint->revision < lastRevisions_[endpoint->id];
                 lastRevisions_[endpoint->id] = endpoint->revision;
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -57,6 +57,25 @@
     }
 }
 
+// Guards against an entry that never reads the store again after an answer that could not be applied.
+TEST(StoreWatcher, GoesOnAfterAnAnswerThatCannotBeApplied)
+{
+    WatchedStore entry;
+    bool hasFailed = false;
+    entry.beforeRecord = [&](const StoreRecord &) {
+        if (!std::exchange(hasFailed, true)) {
+            throw std::bad_alloc();
+        }
+    };
+    entry.loop.change("c", false);
+    entry.loop.run(Seconds(10));
+    EXPECT_TRUE(hasFailed);
+    EXPECT_EQ(entry.presentIds().count("c"), 1U);
+    entry.loop.change("c", false, true);
+    entry.loop.run(Seconds(10));
+    EXPECT_EQ(entry.presentIds().count("c"), 0U);
+}
+
 // Guards against adding the grown retry delay to the timeout of an unanswered call.
 TEST(StoreWatcher, ReportsLeavingEndpointInTimeAfterRefusedAndUnansweredCalls)
 {
