A confirmation of the store whose end is lost is followed by the next

Calls that needed one would all have waited out their time. StoreConfirmations.OneThatIsLostIsFollowedByTheNext fails without the bound. Found by review; no loss was seen.

--- a/src/direct/store_confirmations.cpp
+++ b/src/direct/store_confirmations.cpp
@@ -9,6 +9,8 @@
 
 // Least time between the starts of two confirmations: the store limits the reads of all entries together.
 constexpr Duration minStartInterval = Milliseconds(250);
+// A confirmation whose end has not been reported by then is lost.
+constexpr Duration maxConfirmationTime = Seconds(12);
 
 } // namespace
 
@@ -25,17 +27,21 @@
     }
     isInProgress_ = true;
     startedAt_ = now;
-    served_ = std::exchange(waiting_, {});
     ++stats_.started;
-    stats_.shared += served_.size() - 1;
+    stats_.shared += waiting_.size() - 1;
+    served_.insert(served_.end(), waiting_.begin(), waiting_.end()); // beside the calls of one that was lost
+    waiting_.clear();
     return ConfirmStore{++lastNumber_};
 }
 
 std::optional<TimePoint> StoreConfirmations::nextStartAt() const
 {
-    if (isInProgress_ || waiting_.empty()) {
+    if (waiting_.empty()) {
         return std::nullopt;
     }
+    if (isInProgress_) {
+        return startedAt_ + maxConfirmationTime;
+    }
     return lastNumber_ == 0 ? TimePoint{} : startedAt_ + minStartInterval;
 }
 
--- a/src/direct/store_confirmations.h
+++ b/src/direct/store_confirmations.h
@@ -16,9 +16,10 @@
 {
 public:
     void add(CallHandle call);
-    /// Starts a confirmation if calls wait for one, none is in progress and the last one was started a while ago.
+    /// Starts a confirmation if calls wait for one, the last one was started a while ago, and its end has been reported
+    /// or is long overdue.
     std::optional<ConfirmStore> start(TimePoint now);
-    /// Time of the next start(); empty if no calls wait, or if one is in progress.
+    /// Time of the next start(); empty if no calls wait.
     std::optional<TimePoint> nextStartAt() const;
     /// Returns the calls that waited for this confirmation; none if another one is in progress.
     std::vector<CallHandle> finish(std::uint64_t number, bool isConfirmed);
