Records that are put aside and routes that have moved end the proof of a sole version

(1) The record of an engine that restarted with its clock set back is put aside until its sidecar reports the process; its version did not count. (2) The proof looked at the services of the present route only; a route that had moved within the last minute gave streams of the service before to the new one. An entry that starts after the move still does not know it. RestartedVersions.VersionOfARecordWithAnEarlierStartCounts and ResumedCalls.StreamOfUnknownOriginIsNotAssumedAfterItsRouteMoved each fail without the change. Also: while the store is read anew, an unknown origin may be known later, so that the refusal has a Retry-After.

--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -76,8 +76,10 @@
     if (!impl_->config) {
         impl_->configuredAt = now;
     }
+    const auto routesBefore = impl_->config ? std::move(impl_->config->routes) : std::vector<DirectRoute>();
+    const auto tableBefore = std::exchange(impl_->routes, RouteTable(config.routes));
     impl_->config = config;
-    impl_->routes = RouteTable(config.routes);
+    impl_->recordMovedRoutes(routesBefore, tableBefore, now);
     impl_->streamLimits = findStreamLimits(config);
     impl_->updateResumableServices();
     std::set<std::string> services;
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -155,6 +155,8 @@
     OriginClient origins;
     StoreConfirmations confirmations;
     VersionHistory versionHistory;
+    // Last change of the services that serve the paths of a route, by host and prefix; of the last maxStreamAge.
+    std::map<std::pair<std::string, std::string>, TimePoint> routeMovedAt;
     std::set<std::string> resumableServices; // with streams that may be resumed, by the configuration
     std::uint32_t knownEntries = 0; // number of entries, as reported by sidecars; 0 if unknown
     std::optional<PoolClient> endpointCredit; // for calls to endpoints that have announced a rate limit
@@ -233,6 +235,9 @@
     void updateResumableServices();
     /// The only software version that can have begun the stream, as far as the store has been read.
     std::optional<std::string> soleVersion(const DirectCall &call, TimePoint now) const;
+    void recordMovedRoutes(const std::vector<DirectRoute> &routesBefore, const RouteTable &tableBefore, TimePoint now);
+    bool hasMovedLately(const DirectRoute &route, TimePoint now) const;
+    bool mayOriginBeKnownLater(const DirectCall &call) const;
     /// Makes the call wait for a confirmation of the store before its next step.
     void confirmStore(CallHandle handle, DirectCall &call, ConfirmedStep next, TimePoint now);
     void startConfirmation(TimePoint now);
--- a/src/direct/endpoint_updates.cpp
+++ b/src/direct/endpoint_updates.cpp
@@ -23,6 +23,9 @@
     if (hasNewVersion) {
         versionHistory.onVersionEnded(known->record, now);
     }
+    if (known != nullptr && known->undecidedRecord) {
+        versionHistory.onVersionEnded(*known->undecidedRecord, now);
+    }
     const auto effect = endpoints.applyRecord(record, now);
     if (effect != RecordEffect::Stale && (record.leaving || hasNewVersion)) {
         rerouteWaiting(*endpoints.find(record.id), now);
@@ -71,6 +74,9 @@
         versionHistory.onUnknownVersionEnded(entry.record.service, now);
     }
     versionHistory.onVersionEnded(entry.record, now);
+    if (entry.undecidedRecord) {
+        versionHistory.onVersionEnded(*entry.undecidedRecord, now);
+    }
     endpoints.remove(std::string(entry.record.id), now);
 }
 
--- a/src/direct/resumed_calls.cpp
+++ b/src/direct/resumed_calls.cpp
@@ -133,7 +133,7 @@
         if (soleVersion(call, now)) {
             confirmStore(result.call, call, ConfirmedStep::Assume, now);
         } else {
-            refuseUnknownOrigin(result.call, !call.hasAllOriginAnswers, now);
+            refuseUnknownOrigin(result.call, mayOriginBeKnownLater(call), now);
         }
     }
     stats.origins.timeouts = origins.timeouts();
@@ -147,10 +147,47 @@
 std::optional<std::string> DirectCalls::Impl::soleVersion(const DirectCall &call, TimePoint now) const
 {
     const auto *route = routes.find(call.info.host, call.info.path);
-    const bool hasOneService = route != nullptr && route->services.size() == 1;
+    const bool hasOneService = route != nullptr && route->services.size() == 1 && !hasMovedLately(*route, now);
     return hasOneService ? versionHistory.soleVersion(call.service, endpoints, now) : std::nullopt;
 }
 
+namespace {
+
+std::set<std::string> serviceNames(const DirectRoute &route)
+{
+    std::set<std::string> names;
+    for (const auto &share : route.services) {
+        names.insert(share.service);
+    }
+    return names;
+}
+
+} // namespace
+
+void DirectCalls::Impl::recordMovedRoutes(const std::vector<DirectRoute> &routesBefore, const RouteTable &tableBefore,
+                                          TimePoint now)
+{
+    const auto compare = [&](const DirectRoute *before, const DirectRoute *after) {
+        if (before != nullptr && after != nullptr && serviceNames(*before) != serviceNames(*after)) {
+            routeMovedAt[{after->host, after->prefix}] = now;
+        }
+    };
+    for (const auto &route : config->routes) {
+        compare(tableBefore.find(route.host, route.prefix), &route);
+    }
+    for (const auto &route : routesBefore) {
+        compare(&route, routes.find(route.host, route.prefix));
+    }
+    std::erase_if(routeMovedAt, [&](const auto &item) { return now - item.second >= maxStreamAge; });
+}
+
+// A stream that began before was run by another service.
+bool DirectCalls::Impl::hasMovedLately(const DirectRoute &route, TimePoint now) const
+{
+    const auto found = routeMovedAt.find({route.host, route.prefix});
+    return found != routeMovedAt.end() && now - found->second < maxStreamAge;
+}
+
 void DirectCalls::Impl::confirmStore(CallHandle handle, DirectCall &call, ConfirmedStep next, TimePoint now)
 {
     call.step = CallStep::Confirmation;
@@ -216,7 +253,7 @@
 {
     const auto version = soleVersion(call, now);
     if (!version) {
-        refuseUnknownOrigin(handle, !call.hasAllOriginAnswers, now);
+        refuseUnknownOrigin(handle, mayOriginBeKnownLater(call), now);
         return;
     }
     ++stats.origins.assumed;
@@ -224,6 +261,13 @@
     continueStream(handle, call, {call.service, *version}, now);
 }
 
+// Sidecars that have not answered may, and while the store is read anew its records may prove a sole version a moment
+// later.
+bool DirectCalls::Impl::mayOriginBeKnownLater(const DirectCall &call) const
+{
+    return !call.hasAllOriginAnswers || !versionHistory.isKnown();
+}
+
 void DirectCalls::Impl::refuseUnknownOrigin(CallHandle handle, bool mayBeKnownLater, TimePoint now)
 {
     refuse(handle, statusUnavailable, RefusalReason::OriginUnknown, mayBeKnownLater ? defaultRetryAfter : Duration(0),
--- a/src/direct/version_history.cpp
+++ b/src/direct/version_history.cpp
@@ -58,6 +58,11 @@
     servedUntil_[service][std::string()] = now; // differs from each known version
 }
 
+bool VersionHistory::isKnown() const
+{
+    return knownSince_.has_value();
+}
+
 Duration VersionHistory::knownFor(TimePoint now) const
 {
     return knownSince_ ? now - *knownSince_ : Duration(0);
@@ -77,6 +82,9 @@
         if (entry.record.service == service) {
             versions.insert(entry.record.softwareVersion);
         }
+        if (entry.undecidedRecord && entry.undecidedRecord->service == service) {
+            versions.insert(entry.undecidedRecord->softwareVersion);
+        }
     }
     if (const auto served = servedUntil_.find(service); served != servedUntil_.end()) {
         for (const auto &[version, until] : served->second) {
--- a/src/direct/version_history.h
+++ b/src/direct/version_history.h
@@ -21,6 +21,8 @@
     void onVersionEnded(const EndpointRecord &record, TimePoint now);
     /// A process of the service has ended whose version never became known.
     void onUnknownVersionEnded(const std::string &service, TimePoint now);
+    /// False until the store has been read, and while it is read again.
+    bool isKnown() const;
     /// Time since which all changes of the store have been known; 0 before that.
     Duration knownFor(TimePoint now) const;
     /// The only version that endpoints of the service have run for maxStreamAge. Empty if there were several, or if
--- a/tests/support/stream_fleet.h
+++ b/tests/support/stream_fleet.h
@@ -63,6 +63,15 @@
             each->removeEndpoint(engineId(engine), now_);
         }
     }
+    /// Applies a configuration in which this service serves the streams.
+    void routeStreamsTo(const std::string &service)
+    {
+        streamService_ = service;
+        ++configVersion_;
+        for (auto &each : entries_) {
+            each->applyConfig(streamConfig(), now_);
+        }
+    }
     void restartSidecar(std::size_t engine)
     {
         engines_.at(engine).origins = OriginTable();
@@ -150,14 +159,19 @@
         bool serves = true;
     };
 
+    DirectConfig streamConfig() const
+    {
+        auto config = makeConfig(configVersion_);
+        config.routes.front().resumable = true;
+        config.routes.front().services = {{streamService_, 1}};
+        return config;
+    }
     std::unique_ptr<DirectCalls> makeEntry()
     {
         DirectCallsInit init;
         init.dataCentre = "dc";
         auto result = std::make_unique<DirectCalls>(init);
-        auto config = makeConfig(1);
-        config.routes.front().resumable = true;
-        result->applyConfig(config, now_);
+        result->applyConfig(streamConfig(), now_);
         readStore(*result);
         return result;
     }
@@ -296,6 +310,8 @@
     }
 
     TimePoint now_{Seconds(100)};
+    std::string streamService_ = engineService;
+    std::uint64_t configVersion_ = 1;
     bool isStoreWritable_;
     std::vector<Engine> engines_;
     std::map<std::string, SoftwareVersionRecord> versionRecords_; // in the store, by key
--- a/tests/unit/restarted_versions_test.cpp
+++ b/tests/unit/restarted_versions_test.cpp
@@ -71,6 +71,17 @@
         info.adapter = "a1";
         info.resumed = ResumedStream{"2", firstId};
         calls_.onCall(CallHandle{lastCall_}, info, now_);
+        auto outcome = performActions();
+        for (auto due = calls_.nextAnswerCheckAt(); outcome.empty() && due; due = calls_.nextAnswerCheckAt()) {
+            now_ = std::max(now_, *due);
+            calls_.checkAnswers(now_);
+            outcome = performActions();
+        }
+        return outcome;
+    }
+    /// Returns the endpoint to which a call is sent, or the reason of a refusal; empty if there is neither.
+    std::string performActions()
+    {
         std::string outcome;
         for (auto actions = calls_.takeActions(); !actions.empty(); actions = calls_.takeActions()) {
             for (const auto &action : actions) {
@@ -103,6 +114,20 @@
     EXPECT_EQ(resumeStream(stream), toString(RefusalReason::SoftwareVersionGone));
 }
 
+// Guards against a stream that goes on at a version that is taken for the only one, while a record of another one is
+// not applied yet: the endpoint's clock was set back, and its sidecar has not reported the new process.
+TEST_F(RestartedVersions, VersionOfARecordWithAnEarlierStartCounts)
+{
+    calls_.applySoftwareVersion({"v1", engineService, "v1", 1}, now_);
+    calls_.onStoreCurrent(now_);
+    EXPECT_EQ(resumeStream("unknown"), "e-1");
+    applyRecord(firstStartMs - 9000, "v2");
+    EXPECT_EQ(resumeStream("unknown"), toString(RefusalReason::OriginUnknown));
+    calls_.removeEndpoint("e-1", now_);
+    applyRecord(secondStartMs, "v1", "e-2", addressTwo);
+    EXPECT_EQ(resumeStream("unknown"), toString(RefusalReason::OriginUnknown));
+}
+
 // Guards against refusing resumed streams at an endpoint that has restarted with its version.
 TEST_F(RestartedVersions, StreamsAreResumedThereAgainOnceItsRecordIsRead)
 {
--- a/tests/unit/resumed_calls_test.cpp
+++ b/tests/unit/resumed_calls_test.cpp
@@ -252,6 +252,19 @@
     EXPECT_EQ(fleet.resumeStream(1, "one"), std::nullopt);
 }
 
+// Guards against a stream that another service began, and that goes on at the service to which its route has moved.
+TEST(ResumedCalls, StreamOfUnknownOriginIsNotAssumedAfterItsRouteMoved)
+{
+    StreamFleet fleet(2, {"v1", "v1"});
+    fleet.advance(Seconds(1));
+    fleet.routeStreamsTo(plainService);
+    fleet.advance(Seconds(66));
+    fleet.routeStreamsTo(engineService);
+    EXPECT_EQ(fleet.resumeStream(1, "one"), std::nullopt);
+    fleet.advance(Seconds(66));
+    EXPECT_EQ(fleet.resumeStream(1, "two"), "v1");
+}
+
 // Guards against a version that came and went while the entry read no changes, and of which the store has no record.
 TEST(ResumedCalls, LostHistoryEndsTheKnowledgeOfASoleVersion)
 {
