A pause of the entry is not part of the times that it measures

Callers were refused at once with 503 deadline_unreachable though endpoints were idle.

Cause: the entry stood still for 2.6 s (SIGSTOP) with one call at an endpoint, and took these 2.6 s as the endpoint's run time. As the only sample it was the median, so that each further call behind two others was taken for hopeless. The same time went to the sidecars, as run time of the endpoint and as reading time of the engine. Other places that restart their timers after a pause were right.

Ruled out: requests that are lost with the listener (all were answered, with 503); descriptors and memory (no such refusal).

Now a time is taken only if no tick was late since its start.

Three tests failed before: Calls.PauseOfTheEntryIsNotPartOfARun, SlotCalls.RunThatSpansAPauseHasNoTime, Turns.FirstByteAfterAPauseHasNoTime.

--- a/src/direct/call_learning.cpp
+++ b/src/direct/call_learning.cpp
@@ -12,29 +12,41 @@
 
 } // namespace
 
+std::optional<Duration> DirectCalls::Impl::attemptTime(const DirectCall &call, TimePoint now) const
+{
+    return pauses.hasPausedSince(call.stepStartedAt, now) ? std::nullopt : std::optional(now - call.stepStartedAt);
+}
+
 void DirectCalls::Impl::recordFirstByte(const DirectCall &call, EndpointEntry &entry, TimePoint now)
 {
+    const auto elapsed = attemptTime(call, now);
+    if (!elapsed) {
+        return;
+    }
     auto &service = estimates[call.service];
-    const auto elapsed = now - call.stepStartedAt;
-    service.firstByteMs.add(milliseconds(elapsed));
+    service.firstByteMs.add(milliseconds(*elapsed));
     if (!call.isEngine) {
         return;
     }
-    entry.recordFirstByte(elapsed, call.readingTime, now);
+    entry.recordFirstByte(*elapsed, call.readingTime, now);
     // With much other work ahead, the time does not show the reading speed of one prompt.
     const bool isUndisturbed = call.tokensAhead <= call.uncachedTokens;
     if (isUndisturbed && init.policy.has(Mechanism::LearnedReading)) {
-        service.reading.add(call.tokensAhead + call.uncachedTokens, call.uncachedTokens, elapsed);
+        service.reading.add(call.tokensAhead + call.uncachedTokens, call.uncachedTokens, *elapsed);
     }
 }
 
 void DirectCalls::Impl::recordRun(const DirectCall &call, TimePoint now)
 {
+    const auto elapsed = attemptTime(call, now);
+    if (!elapsed) {
+        return;
+    }
     auto &service = estimates[call.service];
     if (call.isEngine) {
-        service.runMs.add(milliseconds(now - call.stepStartedAt));
+        service.runMs.add(milliseconds(*elapsed));
     } else if (call.wasOnlyCall) {
-        service.plainRunMs.add(milliseconds(now - call.stepStartedAt));
+        service.plainRunMs.add(milliseconds(*elapsed));
     }
 }
 
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -5,6 +5,7 @@
 #include "endpoint_choice.h"
 #include "endpoint_table.h"
 #include "origin_client.h"
+#include "pause_watch.h"
 #include "pool_client.h"
 #include "reading_turns.h"
 #include "request_quarantine.h"
@@ -189,6 +190,7 @@
         crashReports; // of crashes that crashWatch has confirmed, since the last takeCrashReports()
     DirectCallsStats stats;
     TimePoint storeAnsweredAt{};
+    PauseWatch pauses;
     std::map<std::string, TimePoint> avoidedWatchAddresses; // addresses, and until when each is avoided
 
     /// Returns the capacity of an engine of the service; nullptr for a plain or unknown service.
@@ -206,6 +208,8 @@
     std::uint32_t computeRank(const DirectCall &call, TimePoint now);
     /// Number of engines whose own reading speed is used in place of their service's.
     std::uint64_t countOwnSpeeds() const;
+    /// Time since the call was sent to its endpoint. Empty if this process may have stood still meanwhile.
+    std::optional<Duration> attemptTime(const DirectCall &call, TimePoint now) const;
     void recordFirstByte(const DirectCall &call, EndpointEntry &entry, TimePoint now);
     void recordRun(const DirectCall &call, TimePoint now);
     void updateRetryShare(TimePoint now);
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -24,6 +24,7 @@
 
 void DirectCalls::tick(TimePoint now)
 {
+    impl_->pauses.onTick(now);
     impl_->updateRetryShare(now);
     impl_->checkDeadlines(now);
     impl_->leaveStoppedEngines(now);
--- a/src/direct/reading_reports.cpp
+++ b/src/direct/reading_reports.cpp
@@ -116,7 +116,7 @@
         auto &end = *update->add_ends();
         end.set_call(call.reading.number);
         end.set_stage(wire::READING_READ);
-        end.set_elapsed_us(toMicroseconds(now - call.stepStartedAt));
+        end.set_elapsed_us(toMicroseconds(attemptTime(call, now).value_or(Duration(0)))); // 0: not measured
     }
 }
 
--- a/src/direct/slot_calls.cpp
+++ b/src/direct/slot_calls.cpp
@@ -196,7 +196,7 @@
     }
     wire::SlotReturn message;
     message.set_failed(isFailure(result));
-    message.set_run_us(toMicroseconds(now - call.stepStartedAt));
+    message.set_run_us(toMicroseconds(attemptTime(call, now).value_or(Duration(0)))); // 0: not measured
     message.set_not_sent(result.end == AttemptEnd::Refused || result.end == AttemptEnd::Unreachable);
     message.set_full(result.end == AttemptEnd::Refused && result.refusal == EndpointRefusal::Full);
     returnSlot(call, std::move(message));
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -85,7 +85,8 @@
     std::this_thread::sleep_for(balancerDelay);
     entry.signal(SIGCONT);
     for (auto &caller : callers) {
-        EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 200 "));
+        const auto answer = caller.read();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
     }
     expectCleanExit();
 }
--- a/tests/unit/direct_calls_test.cpp
+++ b/tests/unit/direct_calls_test.cpp
@@ -481,4 +481,27 @@
     EXPECT_EQ(ended[0].parts, failed[0].parts);
 }
 
+// Guards against calls that are refused as hopeless because all measured runs of their endpoints span pauses of the
+// entry.
+TEST_F(Calls, PauseOfTheEntryIsNotPartOfARun)
+{
+    addPlainEndpoints();
+    for (const bool isTickFirst : {false, true}) {
+        advance(directTickInterval);
+        startCall("/i/x");
+        const auto send = takeSentCall();
+        now_ += Seconds(3);
+        if (isTickFirst) {
+            calls_.tick(now_);
+        }
+        calls_.onAnswerStarted(send.call, send.attempt, now_);
+        endAttempt(send, AttemptEnd::Answered);
+    }
+    advance(directTickInterval);
+    for (int i = 0; i < 12; ++i) {
+        startCall("/i/x");
+    }
+    EXPECT_EQ(takeActions<SendCall>().size(), 12U);
+}
+
 } // namespace anvilscale::test
--- a/tests/unit/direct_slots_test.cpp
+++ b/tests/unit/direct_slots_test.cpp
@@ -58,6 +58,19 @@
     }
 }
 
+// Guards against a pause of the entry that the sidecar counts as the run time of an endpoint.
+TEST_F(SlotCalls, RunThatSpansAPauseHasNoTime)
+{
+    makeContended();
+    const auto send = grant(askSlot(), "p-1");
+    now_ += Seconds(1);
+    endAttempt(send, AttemptEnd::Answered);
+    const auto returns = takeActions<ReturnSlot>();
+    ASSERT_EQ(returns.size(), 1U);
+    EXPECT_FALSE(returns[0].message.failed());
+    EXPECT_EQ(returns[0].message.run_us(), 0U);
+}
+
 // Guards against failures that no other entry hears of.
 TEST_F(SlotCalls, FailedCallIsReported)
 {
--- a/tests/unit/direct_turns_test.cpp
+++ b/tests/unit/direct_turns_test.cpp
@@ -90,6 +90,23 @@
     EXPECT_EQ(ends_.front().stage(), wire::READING_READ);
 }
 
+// Guards against a pause of the entry that the sidecar counts as the reading time of its engine.
+TEST_F(Turns, FirstByteAfterAPauseHasNoTime)
+{
+    addContended("e-1", addressOne);
+    advance(directTickInterval);
+    startCall("/s/x", "a1");
+    takeAll();
+    ASSERT_EQ(sent_.size(), 1U);
+    const auto send = sent_.front();
+    now_ += Seconds(1);
+    calls_.onAnswerStarted(send.call, send.attempt, now_);
+    takeAll();
+    ASSERT_EQ(ends_.size(), 1U);
+    EXPECT_EQ(ends_.front().stage(), wire::READING_READ);
+    EXPECT_EQ(ends_.front().elapsed_us(), 0U);
+}
+
 // Guards against the eviction of an adapter whose only call waits for a turn.
 TEST_F(Turns, WaitingCallKeepsItsAdapterInTheDemand)
 {
