Calls that write to the store have longer after the store was silent

Callers of streams were refused for as long as the store answered later than 0.4 of the bound on changes (0.8 s of 2 s): the sidecar never got a fencing number, so that its engine got no orders and loaded nothing.

The sidecar logged fencing_number_failed (silent) once and repeated the call for a minute with the same time-out, while reads of the store have longer after a silent call. Records of software versions and crash reports go the same way.

Now such a call has the longer time-out of reads too, until one succeeds. It stays below the bound on changes, so that a store that returns is found as before. Repeated calls do no harm: a number is skipped.

Fencing.SlowStoreGivesANumber failed before.

--- a/src/daemon/store_caller.h
+++ b/src/daemon/store_caller.h
@@ -24,7 +24,8 @@
 };
 
 /// Makes one call at a time, each on a connection of its own and with a timeout. After a failure the next call is due
-/// after a pause with jitter, which doubles with each further failure. Use from the loop's thread only.
+/// after a pause with jitter, which doubles with each further failure, and has longer to be answered if the store was
+/// silent. Use from the loop's thread only.
 template<class Dialect, class Loop, StoreClient Client>
 class StoreCaller
 {
@@ -38,6 +39,7 @@
         , handlers_(std::move(handlers))
         , random_(init.seed)
         , client_(loop, clientInit(init))
+        , silenceTimeout_(init.times.retrySilenceTimeout)
         , retryDelay_(init.times.initialRetryDelay)
     {
     }
@@ -64,7 +66,7 @@
         request.maxAnswerBytes = maxAnswerBytes;
         head_ = HttpResponseHead{};
         body_.clear();
-        timeoutTimer_ = loop_.timers().subscribe(loop_.now() + times_.retrySilenceTimeout, [this](TimePoint) {
+        timeoutTimer_ = loop_.timers().subscribe(loop_.now() + silenceTimeout_, [this](TimePoint) {
             client_.abort(currentExchange_);
             fail(StoreFailureKind::Silent);
         });
@@ -80,12 +82,14 @@
     void fail(StoreFailureKind kind)
     {
         handlers_.failed(kind, head_.status, !std::exchange(isFailing_, true));
+        silenceTimeout_ = kind == StoreFailureKind::Silent ? times_.maxSilenceTimeout : silenceTimeout_;
         schedule(random_.jitter(retryDelay_));
         retryDelay_ = std::min(2 * retryDelay_, times_.maxRetryDelay);
     }
     /// Ends a series of failures.
     void succeeded()
     {
+        silenceTimeout_ = times_.retrySilenceTimeout;
         retryDelay_ = times_.initialRetryDelay;
         isFailing_ = false;
     }
@@ -126,6 +130,7 @@
     Client client_;
     TimerHandle dueTimer_;
     TimerHandle timeoutTimer_; // of the current call
+    Duration silenceTimeout_; // of the next call
     Duration retryDelay_;
     bool isFailing_ = false; // calls have failed since the last success
     HttpResponseHead head_; // of the current answer
--- a/tests/unit/fencing_client_test.cpp
+++ b/tests/unit/fencing_client_test.cpp
@@ -151,6 +151,14 @@
 
 } // namespace
 
+// Guards against an engine that gets no orders for as long as the store answers later than a first call may take.
+TEST_F(Fencing, SlowStoreGivesANumber)
+{
+    loop_.answerTime = Milliseconds(1000);
+    EXPECT_NE(numberOfStart(Seconds(6)), 0U);
+    EXPECT_NE(numberOfStart(Seconds(6)), 0U);
+}
+
 // Guards against equal numbers of two starts at the same moment.
 TEST_F(Fencing, StartsAtOneMomentGetDifferentNumbers)
 {
