Later pages of a read of the store have as long as the first one

An entry that started while the store answered later than 0.4 of the bound on changes knew the records of the first page only, for a minute and more: calls to the others were refused.

Cause: a page that was answered reset the time-out of the next one to the short value; after a failure the read begins anew at its first page. So a read of two pages or more ended only by chance. The log of the process test shows key_value_down and key_value_back in turns, 2.8 s each, and no record of a later page.

Now the longer time-out holds until the read has ended.

--- a/src/daemon/store_watcher.h
+++ b/src/daemon/store_watcher.h
@@ -603,7 +603,9 @@
             availableSince_ = now;
         }
         retryDelay_ = isHistoryGone_ ? retryDelay_ : init_.times.initialRetryDelay;
-        retryTimeout_ = init_.times.retrySilenceTimeout;
+        if (!isReading_) { // a failure begins the read anew, so that its other pages have as long as this one
+            retryTimeout_ = init_.times.retrySilenceTimeout;
+        }
         handlers_.answered(now - std::exchange(lastAnswerAt_, now), isRecovery);
     }
 
--- a/tests/process/starts_test.cpp
+++ b/tests/process/starts_test.cpp
@@ -1,5 +1,6 @@
 // Starts of entries and sidecars after a kill, without a store, at other addresses and with a wrong clock.
 #include "direct_fleet.h"
+#include "support/delaying_proxy.h"
 
 namespace fleet {
 namespace {
@@ -8,6 +9,7 @@
 constexpr std::size_t entryCount = 6;
 constexpr int connectionCount = 20;
 constexpr auto storeOutage = std::chrono::seconds(2);
+constexpr auto storeDelay = std::chrono::milliseconds(900); // of all answers
 
 class Starts : public Direct
 {
@@ -64,6 +66,20 @@
     expectService("after-");
 }
 
+// Guards against processes that end, or never begin to serve, while the store's answers are late.
+TEST_F(Starts, ProcessesServeWithASlowStore)
+{
+    anvilscale::test::DelayingProxy store(std::exchange(storePort_, 0));
+    store.setDelay(storeDelay);
+    storePort_ = store.port();
+    startSidecar();
+    startEntry();
+    expectService("slow-");
+    for (const auto *name : {"entry-1", "side-1"}) {
+        EXPECT_TRUE(daemons_.at(name)->isRunning()) << readLog(name);
+    }
+}
+
 // Guards against an entry that does not start, or is not reached, at the address for all interfaces.
 TEST_F(Starts, EntryListensOnAllInterfaces)
 {
--- a/tests/unit/store_watcher_test.cpp
+++ b/tests/unit/store_watcher_test.cpp
@@ -318,6 +318,18 @@
     EXPECT_TRUE(entry.removalTime("a"));
 }
 
+// Guards against a read that begins anew for ever, as its later pages are given less time than its first one.
+TEST(StoreWatcher, ReadOfSeveralPagesEndsAtASlowStore)
+{
+    const auto prepare = [](VirtualLoop &loop) {
+        loop.store.pageSize = 1;
+        loop.answerTime = Milliseconds(1000);
+    };
+    WatchedStore entry(2000, 1, prepare);
+    entry.loop.run(Seconds(10));
+    EXPECT_EQ(entry.presentIds(), (std::set<std::string>{"a", "b"}));
+}
+
 // Guards against more calls to the store than the pause between answers allows, with and without changes.
 TEST(StoreWatcher, CallsNoMoreOftenThanThePauseAllows)
 {
