--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -26,8 +26,17 @@
     }
     void send(const std::string &path, const std::string &id)
     {
-        const auto text = "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
-                          + "\r\nX-Anvilscale-Deadline-Ms: 6000\r\nContent-Length: 4\r\n\r\nbody";
+        sendHead(path, id);
+        sendText("body");
+    }
+    /// Sends a request without its body of 4 bytes.
+    void sendHead(const std::string &path, const std::string &id)
+    {
+        sendText("POST " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: " + id
+                 + "\r\nX-Anvilscale-Deadline-Ms: 6000\r\nContent-Length: 4\r\n\r\n");
+    }
+    void sendText(const std::string &text)
+    {
         socket_.sendBytes(text.data(), static_cast<int>(text.size()));
     }
     bool hasInput()
@@ -91,6 +100,32 @@
     expectCleanExit();
 }
 
+// Guards against requests that are discarded half read when an entry begins to drain, and against an entry that waits
+// beyond its grace period for the rest of another.
+TEST_F(Drain, RequestsThatAreHalfReadEndWithTheGracePeriod)
+{
+    graceMs_ = 4000;
+    start();
+    SlowCaller caller(httpPort_);
+    SlowCaller silent(httpPort_);
+    caller.sendHead("/i/", "half");
+    silent.sendHead("/i/", "silent");
+    silent.sendText("bo");
+    ASSERT_TRUE(eventually([&] {
+        return request(metricsPort_, "GET", "/metrics").body.find("anvilscale_http_connections_open 2")
+               != std::string::npos;
+    }));
+    daemons_.at("entry-1")->signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] { return hasLogged("drain_started"); }));
+    caller.sendText("body");
+    const auto answer = caller.read();
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    const auto other = silent.read();
+    EXPECT_FALSE(other.starts_with("HTTP/1.1 200 ")) << other;
+    EXPECT_EQ(plainExecutionCount("silent"), 0);
+    expectCleanExit();
+}
+
 // Guards against calls that wait or are at an endpoint when the grace period ends and get no answer.
 TEST_F(Drain, CallsThatAreOpenAtTheEndAreAnswered)
 {
