Test of an incomplete settings file waits until each part of it has been read

Trace, by its log: the rejection of the empty file was there already when the test looked for that of the half one, so that it wrote the whole file before the half one had been read; the second rejection names an empty file too. What was then read was the text in effect, for which nothing is reloaded, as designed.

Now each round waits for its own kind of rejection (unreadable, bad_json).

--- a/tests/process/settings_file_test.cpp
+++ b/tests/process/settings_file_test.cpp
@@ -72,10 +72,12 @@
     start();
     std::ifstream in(fleet_.settingsFile("entry-1"));
     const std::string settings{std::istreambuf_iterator<char>(in), {}};
-    for (const std::size_t length : {std::size_t{0}, settings.size() / 2}) {
+    // Each part has been read before the next one is written: settings that come back unread are not read anew.
+    for (const auto &[length, kind] : {std::pair(std::size_t{0}, "unreadable"), {settings.size() / 2, "bad_json"}}) {
         std::ofstream(fleet_.settingsFile("entry-1")) << settings.substr(0, length);
         daemons_.at("entry-1")->signal(SIGHUP);
-        ASSERT_TRUE(eventually([&] { return hasLogged("reload_rejected"); }));
+        const std::string rejection = kind;
+        ASSERT_TRUE(eventually([&] { return hasLogged("reload_rejected") && hasLogged(rejection); })) << rejection;
         ASSERT_EQ(call("/i/", "during-" + std::to_string(length)).status, 200);
     }
     std::ofstream(fleet_.settingsFile("entry-1")) << settings;
