A response without a valid status line is no response

Callers saw: the answer of a replica in trouble with the status 000 reached them as "HTTP/1.1 0 ???", 20 as "HTTP/1.1 20 ???", 099, 600 and 999 as they were, and answers in HTTP/2.0, HTTP/9.9 or ICY as 200. A status line of this kind also carried refusals: callers of requests that must not be repeated were told 503 by "HTTP/2.0 503" and "HTTP/1.1 1421".

Cause: parseResponseHead took getStatus() of POCO's HTTPResponse as it came. POCO reads any text as a number and any first word as a version; isStrictHead looked at the field lines only.

Change: the first line has to be "HTTP/1.", one digit, a space and three digits from 100 to 599, then the end or a space. All that follows a broken line is not looked at, so that no refusal, notice or rate limit is taken from it; the exchange ends as broken. Both readers of answers (HttpClient, and HttpConnection for store and VM list) use the parser.

Choices, by RFC 9112 and 9110: codes from 600 to 999 are invalid, and a client should treat them like a 5xx. A broken answer is that: a request that may be repeated goes elsewhere, any other ends with 502. A higher minor version of HTTP/1 is read as the highest known one. A missing reason phrase is accepted, with or without the space before it, as no doubt remains.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -262,7 +262,8 @@
 /// Parses a complete head, including the final empty line. Rejects ambiguous heads, which allow request smuggling.
 tl::expected<std::pair<HttpRequestData, HttpBodyReader>, HttpError> parseRequestHead(std::string_view head,
                                                                                      std::uint64_t maxBodyBytes);
-/// `isHeadRequest`: the response to a HEAD request, which has no body.
+/// Parses the head of a response in HTTP/1 with a status from 100 to 599; any other is no response, and nothing that it
+/// says counts. `isHeadRequest`: the response to a HEAD request, which has no body.
 tl::expected<HttpResponseHead, HttpError> parseResponseHead(std::string_view head, bool isHeadRequest);
 /// Formats the head of a request with a body of `bodyBytes` bytes.
 std::string formatRequestHead(std::string_view method, std::string_view target, std::string_view host,
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -17,10 +17,21 @@
 constexpr std::size_t maxChunkLineBytes = 256;
 constexpr std::size_t maxTrailerBytes = 8192;
 constexpr std::string_view headEnd = "\r\n\r\n";
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view statusLineForm = "HTTP/1.# ###"; // up to the reason
+constexpr char anyDigit = '#';
+constexpr std::size_t statusDigits = 3;
+constexpr std::uint64_t minStatus = 100;
+constexpr std::uint64_t maxStatus = 599;
+
+bool isDigit(char c)
+{
+    return c >= '0' && c <= '9';
+}
 
 bool isTokenCharacter(char c)
 {
-    const bool isAlphanumeric = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+    const bool isAlphanumeric = isDigit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
     return isAlphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
 }
 
@@ -90,6 +101,25 @@
     return number;
 }
 
+/// Returns the status code of a response head; nullopt if its first line is no status line. The reason may be missing,
+/// with the space before it: some servers send none. Codes from 600 on are not valid; a client has to treat them like a
+/// failure of the server, which a broken response is.
+std::optional<std::uint32_t> parseStatusLine(std::string_view head)
+{
+    const auto line = head.substr(0, head.find(lineEnd));
+    const auto begin = line.substr(0, statusLineForm.size());
+    const auto reason = line.substr(begin.size());
+    const bool hasForm =
+        std::equal(begin.begin(), begin.end(), statusLineForm.begin(), statusLineForm.end(),
+                   [](char c, char expected) { return expected == anyDigit ? isDigit(c) : c == expected; });
+    if (!hasForm || (!reason.empty() && reason[0] != ' ')) {
+        return std::nullopt;
+    }
+    const auto status = parseNumber(begin.substr(begin.size() - statusDigits), 10).value_or(0);
+    const bool isValid = status >= minStatus && status <= maxStatus;
+    return isValid ? std::optional(static_cast<std::uint32_t>(status)) : std::nullopt;
+}
+
 /// Returns the body framing that the headers give; nullopt if they give none.
 tl::expected<std::optional<HttpBodyReader>, HttpError> readFraming(const HttpHeaders &headers)
 {
@@ -304,7 +334,8 @@
 
 tl::expected<HttpResponseHead, HttpError> parseResponseHead(std::string_view head, bool isHeadRequest)
 {
-    if (!isStrictHead(head)) {
+    const auto status = parseStatusLine(head);
+    if (!status || !isStrictHead(head)) {
         return tl::unexpected(HttpError::BadHead);
     }
     Poco::Net::HTTPResponse response;
@@ -315,7 +346,7 @@
         return tl::unexpected(HttpError::BadHead);
     }
     HttpResponseHead result;
-    result.status = static_cast<std::uint32_t>(response.getStatus());
+    result.status = *status;
     result.headers = copyHeaders(response);
     result.keepAlive = response.getKeepAlive();
     const bool hasNoBody = isHeadRequest || result.status == 204 || result.status == 304 || result.status / 100 == 1;
--- /dev/null
+++ b/tests/process/broken_answers_at_entry_test.cpp
@@ -0,0 +1,70 @@
+// Endpoints that send bytes that are no answer: what the callers of a real entry get of them.
+#include "direct_fleet.h"
+#include "support/scripted_endpoint.h"
+
+namespace {
+
+using namespace fleet;
+using anvilscale::test::ScriptedEndpoint;
+using anvilscale::test::ScriptedRequest;
+
+constexpr int statusBadGateway = 502;
+
+/// A head without its empty line.
+std::string signedHead(const std::string &statusLine, const std::string &id)
+{
+    return statusLine + "\r\nX-Anvilscale-Request-Id: " + id + "\r\nX-Anvilscale-Server-Signature: sig." + id + "\r\n";
+}
+
+/// A request id selects its answer: "o-3-n" the one with the fourth status line.
+class BrokenAnswersAtAnEntry : public Direct
+{
+protected:
+    void serve(const std::vector<std::string> &statusLines, const std::string &headers = {})
+    {
+        endpoint_ = std::make_unique<ScriptedEndpoint>([statusLines, headers](const ScriptedRequest &request) {
+            const auto number = std::stoul(request.id.substr(request.id.find('-') + 1));
+            return signedHead(statusLines.at(number), request.id) + headers + "Content-Length: 2\r\n\r\nok";
+        });
+        for (const std::string id : {"p-1", "p-2"}) {
+            putKey("servers/" + id, record("plain", endpoint_->address()));
+        }
+        start();
+    }
+    void expectBadGateway(std::size_t number, const std::string &statusLine)
+    {
+        for (const std::string path : {"/n/", "/i/"}) {
+            const auto id = "o-" + std::to_string(number) + "-" + path.substr(1, 1);
+            EXPECT_EQ(call(path, id).status, statusBadGateway) << statusLine << " on " << path;
+        }
+    }
+
+    std::unique_ptr<ScriptedEndpoint> endpoint_;
+};
+
+} // namespace
+
+// Guards against a signed answer whose status line is none and reaches callers, with its status or as a success.
+TEST_F(BrokenAnswersAtAnEntry, OddStatusLinesDoNotReachCallers)
+{
+    const std::vector<std::string> lines{"HTTP/1.1 000 None", "HTTP/1.1 20 OK",  "HTTP/1.1 099 Odd", "HTTP/1.1 600 Odd",
+                                         "HTTP/1.1 999 Odd",  "HTTP/2.0 200 OK", "ICY 200 OK"};
+    serve(lines);
+    for (std::size_t i = 0; i < lines.size(); ++i) {
+        expectBadGateway(i, lines[i]);
+    }
+}
+
+// Guards against a refusal whose status line is none and by which a caller takes its request for one that has not run.
+TEST_F(BrokenAnswersAtAnEntry, OddStatusLinesProveNothing)
+{
+    std::vector<std::string> lines{"HTTP/1.1 000 None", "HTTP/1.1 1421 Misdirected", "HTTP/9.9 421 Misdirected",
+                                   "HTTP/2.0 503 Unavailable", "HTTP/1.1 999 Odd"};
+    const auto oddLines = lines.size();
+    lines.emplace_back("HTTP/1.1 429");
+    serve(lines, "X-Anvilscale-Not-Executed: 1\r\n");
+    for (std::size_t i = 0; i < oddLines; ++i) {
+        expectBadGateway(i, lines[i]);
+    }
+    EXPECT_EQ(call("/n/", "o-" + std::to_string(oddLines) + "-n").status, 503) << "a sound refusal";
+}
