A change of protocol that was not requested is no interim response

Callers saw: the bytes behind a 101 of their replica as its answer.

Cause: each status of 1xx counted as interim, and what follows as the next head. After a 101 the connection speaks another protocol.

Change: a head with 101 is no response: no request of ours carries Upgrade, which is hop-by-hop and never forwarded. Other interim responses are passed over as before.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t statusDigits = 3;
 constexpr std::uint64_t minStatus = 100;
 constexpr std::uint64_t maxStatus = 599;
+constexpr std::uint32_t statusSwitchingProtocols = 101;
 
 bool isDigit(char c)
 {
@@ -335,7 +336,8 @@
 tl::expected<HttpResponseHead, HttpError> parseResponseHead(std::string_view head, bool isHeadRequest)
 {
     const auto status = parseStatusLine(head);
-    if (!status || !isStrictHead(head)) {
+    // No request offers another protocol. What follows a change to one is no HTTP.
+    if (!status || *status == statusSwitchingProtocols || !isStrictHead(head)) {
         return tl::unexpected(HttpError::BadHead);
     }
     Poco::Net::HTTPResponse response;
--- a/tests/process/broken_answers_at_entry_test.cpp
+++ b/tests/process/broken_answers_at_entry_test.cpp
@@ -48,7 +48,7 @@
 TEST_F(BrokenAnswersAtAnEntry, OddStatusLinesDoNotReachCallers)
 {
     const std::vector<std::string> lines{"HTTP/1.1 000 None", "HTTP/1.1 20 OK",  "HTTP/1.1 099 Odd", "HTTP/1.1 600 Odd",
-                                         "HTTP/1.1 999 Odd",  "HTTP/2.0 200 OK", "ICY 200 OK"};
+                                         "HTTP/1.1 999 Odd",  "HTTP/2.0 200 OK", "ICY 200 OK",       "HTTP/1.1 101 Up"};
     serve(lines);
     for (std::size_t i = 0; i < lines.size(); ++i) {
         expectBadGateway(i, lines[i]);
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -163,5 +163,14 @@
     expectAnswer("HTTP/1.9 200 OK" + soundRest, 200);
 }
 
+// Guards against a connection that has changed to another protocol, whose bytes are read as the next answer.
+TEST_F(BrokenAnswers, UnrequestedUpgradeIsNoInterimAnswer)
+{
+    expectNoAnswer("HTTP/1.1 101 Switching Protocols\r\n\r\n" + soundAnswer);
+    expectNoAnswer("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + soundAnswer);
+    expectNoAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 Switching Protocols\r\n\r\n" + soundAnswer);
+    expectAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + soundAnswer, 200);
+}
+
 } // namespace
 } // namespace anvilscale::test
