A response of HTTP/1.0 with Transfer-Encoding is faulty

Callers saw: an answer of HTTP/1.0 as complete whose framing is unknown.

Cause: Transfer-Encoding was read in each version. HTTP/1.0 has none, so that the header may come from a hop that did not understand it; RFC 9112, section 6.1, has the framing treated as faulty.

Change: such a head ends the exchange as broken. Requests of callers are read as before.

--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -351,6 +351,10 @@
     result.status = *status;
     result.headers = copyHeaders(response);
     result.keepAlive = response.getKeepAlive();
+    const bool isHttp10 = response.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+    if (isHttp10 && countHeader(result.headers, "Transfer-Encoding") != 0) {
+        return tl::unexpected(HttpError::UnsupportedEncoding); // HTTP/1.0 has none: the framing is faulty
+    }
     const bool hasNoBody = isHeadRequest || result.status == 204 || result.status == 304 || result.status / 100 == 1;
     if (hasNoBody) {
         return result;
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -172,5 +172,12 @@
     expectAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + soundAnswer, 200);
 }
 
+// Guards against chunks in an answer of HTTP/1.0, which has none: the framing is not the one that the endpoint meant.
+TEST_F(BrokenAnswers, ChunksInHttp10AreNoAnswer)
+{
+    expectNoAnswer("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    expectAnswer(chunkedHead + "2\r\nok\r\n0\r\n\r\n", 200);
+}
+
 } // namespace
 } // namespace anvilscale::test
