Garbled trailers and chunk sizes break a body

Callers saw: a chunked answer as complete whose last lines were garbled.

Cause: trailer lines were counted and dropped unread, and a chunk size was read up to its extension, whatever came behind.

Change: a trailer has to be a field line as in a head, and a line of the framing with a control byte breaks the body. This holds for bodies of callers too, who get the 400 of any other broken framing.

Evidence: 20 of 20 trailers and 8 of 8 chunk sizes of BrokenAnswers.BodyWithBrokenTrailersIsNotComplete and BodyWithControlBytesInChunkSizesIsNotComplete were taken before.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -194,6 +194,7 @@
     };
     std::size_t readLine(std::string_view in);
     void processLine();
+    void processTrailer();
 
     Framing framing_ = Framing::Length;
     Step step_ = Step::Done;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -36,6 +36,12 @@
     return isAlphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
 }
 
+bool hasControlCharacter(std::string_view line)
+{
+    return std::any_of(line.begin(), line.end(),
+                       [](char c) { return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f; });
+}
+
 bool isHeaderLine(std::string_view line)
 {
     const auto colon = line.find(':');
@@ -58,10 +64,7 @@
         }
         const auto line = head.substr(at, end - 1 - at);
         at = end + 1;
-        const bool hasControlCharacter = std::any_of(line.begin(), line.end(), [](char c) {
-            return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
-        });
-        if (hasControlCharacter) {
+        if (hasControlCharacter(line)) {
             return false;
         }
         if (line.empty()) {
@@ -251,13 +254,16 @@
         return;
     }
     line_.resize(line_.size() - 2);
+    if (hasControlCharacter(line_)) {
+        step_ = Step::Broken;
+        return;
+    }
     if (step_ == Step::DataEnd) {
         step_ = line_.empty() ? Step::Size : Step::Broken;
         return;
     }
     if (step_ == Step::Trailer) {
-        trailerBytes_ += line_.size();
-        step_ = line_.empty() ? Step::Done : trailerBytes_ > maxTrailerBytes ? Step::Broken : Step::Trailer;
+        processTrailer();
         return;
     }
     const auto size = parseNumber(std::string_view(line_).substr(0, line_.find(';')), 16);
@@ -269,6 +275,16 @@
     step_ = remainingBytes_ == 0 ? Step::Trailer : Step::Data;
 }
 
+void HttpBodyReader::processTrailer()
+{
+    trailerBytes_ += line_.size();
+    if (line_.empty()) {
+        step_ = Step::Done;
+    } else if (trailerBytes_ > maxTrailerBytes || !isHeaderLine(line_)) {
+        step_ = Step::Broken;
+    }
+}
+
 bool HttpBodyReader::isDone() const
 {
     return step_ == Step::Done;
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -179,5 +179,27 @@
     expectAnswer(chunkedHead + "2\r\nok\r\n0\r\n\r\n", 200);
 }
 
+// Guards against trailers that are none and end a body, so that a cut or garbled answer counts as complete.
+TEST_F(BrokenAnswers, BodyWithBrokenTrailersIsNotComplete)
+{
+    const std::string body = chunkedHead + "2\r\nok\r\n0\r\n";
+    for (const std::string_view trailer : {"Bad Name: x", "nocolon", ": x", "X\x01: y", "X: y\x01", "X\x7f: y", " X: y",
+                                           "X : y", "X: y\r", "HTTP/1.1 200 OK"}) {
+        expectBrokenBody(join({body, trailer, "\r\n\r\n"}));
+        expectBrokenBody(join({body, "X-Sound: 1\r\n", trailer, "\r\n\r\n"}));
+    }
+    expectAnswer(body + "X-Sound: 1\r\nX-Other:\t2\r\n\r\n", 200);
+}
+
+// Guards against garbled chunk sizes that are read as sound ones.
+TEST_F(BrokenAnswers, BodyWithControlBytesInChunkSizesIsNotComplete)
+{
+    for (const std::string_view extension : {";x=\x01", ";\x7f", ";x=y\r", ";x\b=y"}) {
+        expectBrokenBody(join({chunkedHead, "2", extension, "\r\nok\r\n0\r\n\r\n"}));
+        expectBrokenBody(join({chunkedHead, "2\r\nok\r\n0", extension, "\r\n\r\n"}));
+    }
+    expectAnswer(chunkedHead + "2;x=\"y\";\tz\r\nok\r\n0;last\r\n\r\n", 200);
+}
+
 } // namespace
 } // namespace anvilscale::test
