Test: a head with a broken field name is no answer

Reported from other systems: an answer in whose head a field name holds a blank or a control byte reaches the client. It does not happen here: 20 names and lines, each in two places of the head, were rejected by both readers on the code before this work. The test is kept.

--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -201,5 +201,20 @@
     expectAnswer(chunkedHead + "2;x=\"y\";\tz\r\nok\r\n0;last\r\n\r\n", 200);
 }
 
+// Guards against a line with a broken field name that is passed on to a caller, or that hides the framing of a body.
+TEST_F(BrokenAnswers, BrokenFieldNamesAreNoAnswer)
+{
+    const std::string nul(1, '\0');
+    const std::vector<std::string> lines{"X Bad: 1",    "X\x01: 1",        "X" + nul + ": 1", "X\x7f: 1",
+                                         "X(: 1",       "X\": 1",          "X\x80: 1",        "X\xc3\xa9: 1",
+                                         "X : 1",       "X\t: 1",          " X: 1",           "\tX: 1",
+                                         ": 1",         "nocolon",         "X\rY: 1",         "X: 1\rY: 2",
+                                         "X: 1\nY : 2", "X: 1\r\n folded", "X: 1" + nul,      "Content-Length : 1"};
+    for (const auto &line : lines) {
+        expectNoAnswer(join({"HTTP/1.1 200 OK\r\n", line, soundRest}));
+        expectNoAnswer(join({"HTTP/1.1 200 OK\r\nX-Sound: 1\r\n", line, soundRest}));
+    }
+}
+
 } // namespace
 } // namespace anvilscale::test
