--- a/tests/process/broken_answers_at_entry_test.cpp
+++ b/tests/process/broken_answers_at_entry_test.cpp
@@ -2,6 +2,10 @@
 #include "direct_fleet.h"
 #include "support/scripted_endpoint.h"
 
+#include <Poco/Net/ServerSocket.h>
+
+#include <future>
+
 namespace {
 
 using namespace fleet;
@@ -9,6 +13,10 @@
 using anvilscale::test::ScriptedRequest;
 
 constexpr int statusBadGateway = 502;
+constexpr std::size_t uploadBytes = 24U << 20; // more than the sockets hold
+constexpr auto fillTime = std::chrono::milliseconds(200); // the entry writes until the sockets are full, and waits
+constexpr auto stopTime = std::chrono::milliseconds(20); // until all threads of a process have stopped
+constexpr int pollIntervalUs = 20'000;
 
 /// A head without its empty line.
 std::string signedHead(const std::string &statusLine, const std::string &id)
@@ -68,3 +76,42 @@
     }
     EXPECT_EQ(call("/n/", "o-" + std::to_string(oddLines) + "-n").status, 503) << "a sound refusal";
 }
+
+// Guards against a part of an answer that a caller gets as complete: its endpoint has answered without a length before
+// the upload was read, and reset the connection while the entry stood still.
+TEST_F(BrokenAnswersAtAnEntry, AnswerThatIsResetDuringTheUploadDoesNotLookComplete)
+{
+    Poco::Net::ServerSocket endpoint(Poco::Net::SocketAddress("127.0.0.1", 0));
+    for (const std::string id : {"p-1", "p-2"}) {
+        putKey("servers/" + id, record("plain", endpoint.address().toString()));
+    }
+    putKey("op/config", config(2, "/n/", {}, R"({"max_body_bytes":)" + std::to_string(uploadBytes) + "}"));
+    start();
+    const auto &entry = *daemons_.at("entry-1");
+    for (const std::string path : {"/n/", "/i/"}) {
+        const auto id = "up-" + path.substr(1, 1);
+        auto answer = std::async(std::launch::async, [&] {
+            return request(
+                httpPort_, "POST", path, std::string(uploadBytes, 'x'),
+                {{"Host", "h.example"}, {"X-Anvilscale-Request-Id", id}, {"X-Anvilscale-Deadline-Ms", "20000"}});
+        });
+        const auto text = signedHead("HTTP/1.1 200 OK", id) + "\r\na part";
+        int attempts = 0;
+        while (answer.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+            if (!endpoint.poll(Poco::Timespan(0, pollIntervalUs), Poco::Net::Socket::SELECT_READ)) {
+                continue;
+            }
+            auto connection = endpoint.acceptConnection();
+            ++attempts;
+            std::this_thread::sleep_for(fillTime);
+            entry.signal(SIGSTOP);
+            std::this_thread::sleep_for(stopTime);
+            connection.sendBytes(text.data(), static_cast<int>(text.size()));
+            connection.setLinger(true, 0);
+            connection.close();
+            entry.signal(SIGCONT);
+        }
+        EXPECT_GE(attempts, 1) << path;
+        EXPECT_EQ(answer.get().status, statusBadGateway) << path;
+    }
+}
--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -97,7 +97,8 @@
     }
 
     /// `workspaces`: text of a further member of the configuration, beginning with a comma.
-    static std::string config(unsigned version, const std::string &plainPrefix, const std::string &workspaces = {})
+    static std::string config(unsigned version, const std::string &plainPrefix, const std::string &workspaces = {},
+                              const std::string &limits = "{}")
     {
         const auto route = [](const std::string &prefix, const std::string &type, const std::string &service) {
             return R"({"name":")" + prefix + R"(","hostname":"h.example","prefix":")" + prefix + R"(","type":")" + type
@@ -107,7 +108,7 @@
                + "," + route("/i/", "idempotent", "plain") + "," + route(plainPrefix, "non_idempotent", "plain") + "]"
                + workspaces
                + R"(,"services":[{"name":"engines","engine":{"adapter_slots":2,"weights_mb":1000,"models":)"
-               + R"([{"name":"base","weights_mb":800,"adapter_mb":50}]}},{"name":"plain"}],"limits":{}})";
+               + R"([{"name":"base","weights_mb":800,"adapter_mb":50}]}},{"name":"plain"}],"limits":)" + limits + "}";
     }
     static std::string record(const std::string &service, const std::string &address,
                               const std::string &state = "ready")
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -17,6 +17,7 @@
 using Poco::Net::StreamSocket;
 
 constexpr auto maxWait = std::chrono::seconds(20);
+constexpr std::size_t uploadBytes = 48U << 20; // more than the sockets hold
 
 class HttpClientTest : public testing::Test
 {
@@ -88,6 +89,30 @@
         socket.setLinger(true, 0);
         socket.close();
     }
+    /// Starts a long upload. The endpoint reads `readBytes` of it, sends `answer` while the client's thread stands
+    /// still, and ends the connection with `finish`, so that the client's next write fails before it reads the answer.
+    template<class Finish>
+    ExchangeEnd answerDuringUpload(const std::string &answer, std::size_t readBytes, Finish finish)
+    {
+        auto end = start(std::string(uploadBytes, 'x'));
+        auto socket = acceptConnection();
+        std::vector<char> buffer(readBytes);
+        for (std::size_t got = 0; got < readBytes;) {
+            const int received = socket.receiveBytes(buffer.data(), static_cast<int>(readBytes - got));
+            got += static_cast<std::size_t>(std::max(received, 1));
+        }
+        std::promise<void> standsStill;
+        std::promise<void> goesOn;
+        loop_.post([&] {
+            standsStill.set_value();
+            goesOn.get_future().wait();
+        });
+        standsStill.get_future().wait();
+        send(socket, answer);
+        finish(socket);
+        goesOn.set_value();
+        return waitForEnd(end);
+    }
     static ExchangeEnd waitForEnd(std::future<ExchangeEnd> &future)
     {
         EXPECT_EQ(future.wait_for(maxWait), std::future_status::ready);
@@ -205,6 +230,36 @@
     EXPECT_EQ(connectionCount(), 2U);
 }
 
+// Guards against a part of an answer that counts as complete: the failed write takes the error of the connection, and
+// the read after it meets an ordinary end.
+TEST_F(HttpClientTest, UnframedResponseOfAConnectionThatBrokeDuringTheUploadIsNotComplete)
+{
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\n\r\na part", "HTTP/1.0 200 OK\r\n\r\na part", "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: a\n\n", "HTTP/1.1 200 OK\r\n"};
+    const auto closeUnread = [](StreamSocket &socket) { socket.close(); };
+    for (const auto &answer : answers) {
+        for (const std::size_t readBytes : {1U, 64U << 10, 700U << 10}) {
+            EXPECT_EQ(answerDuringUpload(answer, readBytes, reset), ExchangeEnd::Broken) << answer << readBytes;
+            EXPECT_EQ(answerDuringUpload(answer, readBytes, closeUnread), ExchangeEnd::Broken) << answer << readBytes;
+        }
+    }
+}
+
+// Guards against answers that are discarded although they are complete, and against the reuse of their connections.
+TEST_F(HttpClientTest, CompleteResponseDuringAnUploadIsDelivered)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n";
+    const std::string withLength = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nKeep-Alive: timeout=30\r\n\r\nall";
+    const auto before = connectionCount();
+    EXPECT_EQ(answerDuringUpload(withLength, 1, reset), ExchangeEnd::Complete);
+    EXPECT_EQ(answerDuringUpload(chunked, 1, reset), ExchangeEnd::Complete);
+    // An endpoint that ends its answer in order may go on reading.
+    const auto shutDown = [](StreamSocket &socket) { socket.shutdownSend(); };
+    EXPECT_EQ(answerDuringUpload("HTTP/1.1 200 OK\r\n\r\nall", 1, shutDown), ExchangeEnd::Complete);
+    EXPECT_EQ(connectionCount() - before, 3U);
+}
+
 // Guards against sending a request on a connection that the endpoint is about to close, which would leave its outcome
 // unknown.
 TEST_F(HttpClientTest, KeepAliveTimeoutIsHonoured)
