An entry checks the status that a sidecar passes on

Found while looking at each place that reads answers. On the relayed path the status comes to the entry in a message; a sidecar of an earlier version that runs beside a new entry, or hands over an answer that it kept, passes on the 000 of its endpoint.

Change: an answer whose first frame has no status from 200 to 599 is broken: none of it is delivered, and the call ends as one that may have run. Frames of the fixtures of the routing tests carry a status now, as those of sidecars do.

Evidence: with the check switched off AnswerAssembler.StatusOutsideTheProtocolIsBroken fails for all 9 statuses.

--- a/src/routing/answer_assembler.cpp
+++ b/src/routing/answer_assembler.cpp
@@ -8,11 +8,22 @@
 // Bounds the memory of a call: a sender within its credit never runs this far ahead.
 constexpr std::size_t maxEarlyFrames = 4096;
 
+/// True for the status of a response that is not an interim one.
+bool isFinalStatus(std::uint32_t status)
+{
+    return status >= 200 && status <= 599;
+}
+
 } // namespace
 
 FrameResult AnswerAssembler::add(wire::CallFrame frame, std::vector<wire::CallFrame> &ready)
 {
     const auto sequence = frame.sequence();
+    // Sidecars of earlier versions pass on whatever status their endpoint has sent.
+    hasBrokenHead_ = hasBrokenHead_ || (sequence == 0 && !isFinalStatus(frame.status()));
+    if (hasBrokenHead_) {
+        return FrameResult::Dropped;
+    }
     if (sequence < nextSequence_ || earlyFrames_.contains(sequence) || sequence - nextSequence_ > maxEarlyFrames) {
         return FrameResult::Dropped;
     }
@@ -36,6 +47,9 @@
     if (!endFrame_) {
         return AnswerState::Open;
     }
+    if (hasBrokenHead_) {
+        return AnswerState::Broken;
+    }
     if (!checkDigest) {
         return AnswerState::Whole;
     }
--- a/src/routing/answer_assembler.h
+++ b/src/routing/answer_assembler.h
@@ -13,7 +13,7 @@
 
 enum class FrameResult : std::uint8_t {
     Accepted, ///< in order, or buffered until the preceding frames arrive
-    Dropped, ///< duplicate, or too far ahead of the next expected frame
+    Dropped, ///< duplicate, too far ahead of the next expected frame, or of an answer with a broken head
     Count
 };
 template<>
@@ -25,7 +25,7 @@
 enum class AnswerState : std::uint8_t {
     Open, ///< frames or the end frame are missing
     Whole,
-    Broken, ///< frame count or digest differ from the end frame
+    Broken, ///< frame count or digest differ from the end frame, or the first frame has no status of a response
     Count
 };
 template<>
@@ -53,6 +53,7 @@
     std::map<std::uint32_t, wire::CallFrame> earlyFrames_;
     std::uint32_t nextSequence_ = 0;
     Digest digest_;
+    bool hasBrokenHead_ = false;
     std::optional<wire::CallEnd> endFrame_;
 };
 
--- a/tests/unit/routing_parts_test.cpp
+++ b/tests/unit/routing_parts_test.cpp
@@ -48,6 +48,7 @@
 {
     wire::CallFrame frame;
     frame.set_sequence(sequence);
+    frame.set_status(sequence == 0 ? 200 : 0);
     frame.set_data(data);
     return frame;
 }
@@ -111,6 +112,27 @@
     }
 }
 
+// Guards against a status that is none and reaches a caller by way of a sidecar that does not check it.
+TEST(AnswerAssembler, StatusOutsideTheProtocolIsBroken)
+{
+    for (const std::uint32_t status : {0U, 20U, 99U, 100U, 101U, 199U, 600U, 999U, UINT32_MAX}) {
+        AnswerAssembler assembler;
+        std::vector<wire::CallFrame> ready;
+        auto first = frameOf(0, "a");
+        first.set_status(status);
+        EXPECT_EQ(assembler.add(first, ready), FrameResult::Dropped) << status;
+        EXPECT_EQ(assembler.add(frameOf(1, "b"), ready), FrameResult::Dropped) << status;
+        EXPECT_TRUE(ready.empty()) << status;
+        Digest digest;
+        digest.add("ab");
+        wire::CallEnd end;
+        end.set_frames(2);
+        end.set_digest(digest.value());
+        assembler.setEnd(end);
+        EXPECT_EQ(assembler.state(true), AnswerState::Broken) << status;
+    }
+}
+
 TEST(RetryBudget, KeepsRetriesUnderTheShareOfFirstExecutions)
 {
     RetryBudget budget;
