Tests: heads of many answers and an endless relayed answer are bounded

Reported from other systems: bytes without end in a head or a body, which the machine that had called kept until it ran out of memory. Bodies and single heads have tests (EndlessAnswers, EndlessRelay, EndlessRelayedAnswers, HeldBytes). Two places had none: the heads of many calls together, which are outside of the account of memory, and the answer that a sidecar of the relayed path keeps.

An endless relayed answer holds what is kept for late listeners and one window, at each pace of its listener.

--- a/tests/process/held_bytes_test.cpp
+++ b/tests/process/held_bytes_test.cpp
@@ -1,10 +1,12 @@
 // The memory of an entry that holds large bodies for endpoints that do not read them.
 #include "direct_fleet.h"
+#include "support/scripted_endpoint.h"
 #include "support/stalled_reader.h"
 
 namespace {
 
 using namespace fleet;
+using anvilscale::test::ScriptedEndpoint;
 using anvilscale::test::StalledReader;
 
 constexpr std::size_t callerCount = 47;
@@ -262,6 +264,43 @@
     EXPECT_LE(peakKb, limitMb << 10U);
 }
 
+// Guards against heads that never end and fill the memory together, each of them within its own limit.
+TEST_F(HeldBytes, HeadsOfAllAnswersStayWithinTheMemory)
+{
+    constexpr std::size_t callers = 370; // connections that a replica accepts
+    constexpr std::size_t lineCount = 600; // just below the limit of a head
+    std::atomic<std::size_t> sent = 0;
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (std::size_t i = 0; i < lineCount; ++i) {
+        head += "X-Filler: " + std::string(90, 'y') + "\r\n";
+    }
+    const ScriptedEndpoint endpoint([&](const anvilscale::test::ScriptedRequest & /*request*/) {
+        ++sent;
+        return head;
+    });
+    controlStandin(storePort_, R"({"deletes":["servers/p-1","servers/p-2"]})");
+    putKey("servers/p-3", record("plain", endpoint.address()));
+    start();
+    std::vector<Poco::Net::StreamSocket> sockets;
+    sockets.reserve(callers);
+    for (std::size_t i = 0; i < callers; ++i) {
+        sockets.push_back(open(uploadId(i), "Content-Length: 1", "b"));
+    }
+    std::uint64_t peakKb = 0;
+    EXPECT_TRUE(eventually([&] {
+        peakKb = std::max(peakKb, anonymousKb(*daemons_["entry-1"]));
+        return std::all_of(sockets.begin(), sockets.end(), [](const auto &socket) {
+            return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+        });
+    }));
+    for (auto &socket : sockets) {
+        EXPECT_TRUE(statusLine(socket).starts_with("HTTP/1.1 50"));
+    }
+    EXPECT_GE(sent, callers / 2);
+    EXPECT_LE(peakKb, memoryLimitKb);
+    EXPECT_EQ(readinessStatus(), 200);
+}
+
 // Guards against a refusal that a caller cannot read, as it is still sending its body when the connection is closed.
 TEST_F(HeldBytes, RefusalReachesACallerThatSendsSlowly)
 {
--- a/tests/unit/endpoint_test.cpp
+++ b/tests/unit/endpoint_test.cpp
@@ -117,6 +117,27 @@
     EXPECT_FALSE(answer.completeBody());
 }
 
+// Guards against a sidecar that exceeds its memory by answers without end, also where their callers read them at once.
+TEST(AnswerBufferTest, EndlessAnswerHoldsABoundedPart)
+{
+    constexpr std::size_t keptBytes = 1U << 20;
+    constexpr std::size_t windowBytes = 256U << 10;
+    constexpr std::size_t readBytes = 64U << 10;
+    const std::string part(readBytes, 'x');
+    const AnswerBuffer::Send send = [](PeerHandle, const wire::Envelope &) {};
+    for (const std::uint64_t credit : {std::uint64_t{0}, std::uint64_t{readBytes}, std::uint64_t{1} << 40U}) {
+        AnswerBuffer answer(keptBytes, windowBytes);
+        answer.setHead(200, {});
+        wire::AttemptId id;
+        answer.addListener(AnswerListener{PeerHandle{1}, id, credit, 0, false});
+        for (int i = 0; i < 4096 && !answer.isFull(); ++i) {
+            answer.append(part);
+            answer.pump(send);
+            ASSERT_LE(answer.bufferedBody().size(), keptBytes + windowBytes + readBytes) << credit;
+        }
+    }
+}
+
 TEST(AnswerBufferTest, SlowListenerPausesReading)
 {
     ListenerRecorder listeners;
