Late requests of a planned stop are answered in time or refused at once

Callers saw: a request that came late in the grace period of an entry was sent to an endpoint and ended with 502 at the end of the period, also where it must not be repeated. A refusal at once would have been a proof, and another entry would have served it.

Cause: an entry that drains decided as always. It knows when it ends all calls and how long calls of a service take, and compared the two nowhere.

Change: a call is refused at once as not run (503, leaving) if the run time of its service, with its wait before it is sent, does not fit into the time that is left. The run time is the 95th percentile of the last attempts that were answered, now kept for plain services too; the time limit of the call bounds it. Of a service without measured runs only the limit is known: its calls are accepted while the listener is open and its queue is read, since a refused caller may return to this entry, and refused then if the limit lies beyond the end. Calls that wait are looked at every 50 ms, and a further attempt that begins too late is not sent. Calls at endpoints go on as before. Nothing is held back by a fixed time: a call of 0.1 s is sent until 0.2 s before the end.

Not concerned: an entry of the relayed path has no grace period of its own and ends with its last call; sidecars of the direct path carry no calls.

--- a/include/anvilscale/direct.h
+++ b/include/anvilscale/direct.h
@@ -925,6 +925,11 @@
     void onStreamStarted(CallHandle call, const StreamOrigin &origin, TimePoint now);
     void onAttemptEnded(CallHandle call, std::uint32_t attempt, const AttemptResult &result, TimePoint now);
     void onCallerGone(CallHandle call, TimePoint now);
+    /// The process is about to end: a call that is not expected to end before `callsEndAt` is refused from now on,
+    /// unless it is at an endpoint already.
+    void beginDrain(TimePoint callsEndAt, TimePoint now);
+    /// No further connections are accepted.
+    void onListenerClosed(TimePoint now);
     /// Checks deadlines and waiting calls and sends demand to sidecars. Called every directTickInterval.
     void tick(TimePoint now);
 
@@ -951,6 +956,9 @@
     std::unique_ptr<Impl> impl_;
 };
 
+/// Retry-After of an entry that is about to end: other entries serve callers that return to the load balancer.
+constexpr Duration leavingRetryAfter = Milliseconds(50);
+
 /// Interval of DirectCalls::tick; short against the load time of an adapter (about 250 ms).
 constexpr Duration directTickInterval = Milliseconds(50);
 
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -87,12 +87,16 @@
                 }
             };
             auto &timers = callServer_->loop().timers();
-            timers.subscribe(EventLoop::now() + balancerDelay,
-                             [this, finish](TimePoint) { callServer_->drain(finish); });
-            const auto grace = Milliseconds(settings_.direct().grace_ms());
-            timers.subscribe(EventLoop::now() + grace - shutdownTime - writingTime,
-                             [endUnanswered](TimePoint) { endUnanswered(); });
-            timers.subscribe(EventLoop::now() + grace - shutdownTime, [finish](TimePoint) { finish(); });
+            const auto start = EventLoop::now();
+            timers.subscribe(start + balancerDelay, [this, finish](TimePoint) {
+                callServer_->drain(finish);
+                control_.post([this](Now now) { calls_.onListenerClosed(now.mono); });
+            });
+            const auto answersEndAt = start + Milliseconds(settings_.direct().grace_ms()) - shutdownTime;
+            const auto callsEndAt = answersEndAt - writingTime;
+            control_.post([this, callsEndAt](Now now) { calls_.beginDrain(callsEndAt, now.mono); });
+            timers.subscribe(callsEndAt, [endUnanswered](TimePoint) { endUnanswered(); });
+            timers.subscribe(answersEndAt, [finish](TimePoint) { finish(); });
         });
     }
 
--- a/src/daemon/direct_relay.h
+++ b/src/daemon/direct_relay.h
@@ -222,8 +222,6 @@
     static constexpr std::uint32_t statusBadGateway = 502;
     static constexpr std::uint32_t statusUnavailable = 503;
     static constexpr std::uint32_t statusGatewayTimeout = 504;
-    // Other entries serve callers that return to the load balancer.
-    static constexpr Duration leavingRetryAfter = Milliseconds(50);
     // Maximum of answer bytes read from an endpoint and not yet sent to the caller.
     static constexpr std::size_t maxUnsentBytes = 256U << 10;
     // The same while little memory is left, and the size beyond which a successful answer is then forwarded.
--- a/src/direct/call_learning.cpp
+++ b/src/direct/call_learning.cpp
@@ -43,9 +43,8 @@
         return;
     }
     auto &service = estimates[call.service];
-    if (call.isEngine) {
-        service.runMs.add(milliseconds(*elapsed));
-    } else if (call.wasOnlyCall) {
+    service.runMs.add(milliseconds(*elapsed));
+    if (!call.isEngine && call.wasOnlyCall) {
         service.plainRunMs.add(milliseconds(*elapsed));
     }
 }
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -195,7 +195,8 @@
 {
     endReading(call);
     returnUnusedSlot(call);
-    if (stopIfQuarantined(handle, call, now) || requestSlot(handle, call, now)) {
+    if (stopIfQuarantined(handle, call, now) || stopIfUnending(handle, call, Duration(0), now)
+        || requestSlot(handle, call, now)) {
         return;
     }
     updateListening(now);
@@ -224,6 +225,11 @@
         refuseUnreachable(handle, call, choice->firstByte, now);
         return;
     }
+    // The measured runs contain the reading of the prompt.
+    const auto wait = std::max(Duration(0), choice->confirmedFirstByte - choice->readingTime);
+    if (call.isEngine && stopIfUnending(handle, call, wait, now)) {
+        return;
+    }
     placeCall(handle, call, *choice, now);
 }
 
--- a/src/direct/direct_calls_impl.h
+++ b/src/direct/direct_calls_impl.h
@@ -192,6 +192,8 @@
     TimePoint storeAnsweredAt{};
     PauseWatch pauses;
     std::map<std::string, TimePoint> avoidedWatchAddresses; // addresses, and until when each is avoided
+    std::optional<TimePoint> callsEndAt; // when the process ends all calls, once it drains
+    TimePoint refusesUnmeasuredFrom = TimePoint::max(); // calls to services without measured runs, once it drains
 
     /// Returns the capacity of an engine of the service; nullptr for a plain or unknown service.
     const EngineLimits *findEngine(const std::string &service) const;
@@ -258,6 +260,12 @@
     void continueStream(CallHandle handle, DirectCall &call, const StreamOrigin &origin, TimePoint now);
     /// True for a resumed stream that no endpoint can continue.
     bool isVersionGone(const DirectCall &call, TimePoint now) const;
+    /// False if the process is expected to end before a call that is sent after `wait`.
+    bool canEndInTime(const DirectCall &call, Duration wait, TimePoint now);
+    /// Refuses a call that cannot end in time; returns false for any other.
+    bool stopIfUnending(CallHandle handle, DirectCall &call, Duration wait, TimePoint now);
+    /// Refuses the calls that are at no endpoint and cannot end in time.
+    void refuseUnendingCalls(TimePoint now);
     void beginCall(CallHandle handle, DirectCall &call, TimePoint now);
     void routeCall(CallHandle handle, DirectCall &call, TimePoint now);
     /// The sidecar at this address has sent a whole state, or a delta that results in it.
--- a/src/direct/direct_waits.cpp
+++ b/src/direct/direct_waits.cpp
@@ -27,6 +27,7 @@
     impl_->pauses.onTick(now);
     impl_->updateRetryShare(now);
     impl_->checkDeadlines(now);
+    impl_->refuseUnendingCalls(now);
     impl_->leaveStoppedEngines(now);
     impl_->checkWaitingCalls(now);
     impl_->checkTurns(now);
--- a/src/direct/estimates.h
+++ b/src/direct/estimates.h
@@ -71,7 +71,7 @@
 struct ServiceEstimates
 {
     ReadingSpeed reading; // engines
-    RecentSamples runMs{64}; // engines: how long a call occupies its slot
+    RecentSamples runMs{64}; // from the start of an attempt to the end of its answer
     RecentSamples plainRunMs{64}; // plain endpoints: duration of calls without other calls of this entry
     RecentSamples firstByteMs{128};
     double loadMs = 0; // adapter load from the weight store, as last reported by a sidecar; 0 if unknown
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -177,5 +177,59 @@
     expectCleanExit();
 }
 
+// Guards against late requests that are sent to an endpoint although the process ends before the answer, so that their
+// outcome is unknown, and against the refusal of those that can be answered in time.
+TEST_F(Drain, LateRequestsAreAnsweredInTimeOrRefusedAtOnce)
+{
+    constexpr auto workTime = std::chrono::milliseconds(1500);
+    std::atomic<int> lateRuns = 0;
+    const anvilscale::test::ScriptedEndpoint endpoint([&](const anvilscale::test::ScriptedRequest &request) {
+        lateRuns += request.id.starts_with("late-") ? 1 : 0;
+        std::this_thread::sleep_for(workTime);
+        return anvilscale::test::ScriptedEndpoint::success(request.id);
+    });
+    for (const std::string id : {"p-1", "p-2"}) {
+        putKey("servers/" + id, record("plain", endpoint.address()));
+    }
+    graceMs_ = 6600;
+    start();
+    const std::vector<std::string> paths{"/i/", "/n/"};
+    for (const auto &path : paths) {
+        EXPECT_EQ(call(path, "measured" + path.substr(1, 1)).status, 200);
+    }
+    std::vector<SlowCaller> inTime;
+    std::vector<SlowCaller> late;
+    for (const auto &path : paths) {
+        inTime.emplace_back(httpPort_).sendHead(path, "in-time-" + path.substr(1, 1));
+        late.emplace_back(httpPort_).sendHead(path, "late-" + path.substr(1, 1));
+    }
+    ASSERT_TRUE(eventually([&] {
+        return request(metricsPort_, "GET", "/metrics").body.find("anvilscale_http_connections_open 4")
+               != std::string::npos;
+    }));
+    daemons_.at("entry-1")->signal(SIGTERM);
+    ASSERT_TRUE(eventually([&] { return hasLogged("drain_started"); }));
+    std::this_thread::sleep_for(balancerDelay);
+    for (auto &caller : inTime) {
+        caller.sendText("body");
+    }
+    for (auto &caller : inTime) {
+        const auto answer = caller.read();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer;
+    }
+    // Less than the time of a call is left.
+    std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+    for (auto &caller : late) {
+        caller.sendText("body");
+    }
+    for (auto &caller : late) {
+        const auto answer = caller.read();
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+        EXPECT_NE(answer.find("Retry-After"), std::string::npos) << answer;
+    }
+    EXPECT_EQ(lateRuns, 0);
+    expectCleanExit();
+}
+
 } // namespace
 } // namespace fleet
