--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -49,7 +49,7 @@
     bool isHeadRequest = false;
     bool isReused = false; // has served an earlier exchange
     bool isPaused = false;
-    bool hasBroken = false; // a write has failed, and has taken the error: a read meets an ordinary end
+    bool hasWriteFailed = false; // and has taken the error of the connection: a read meets an ordinary end
     bool hasDeadline = false; // the timer bounds the whole exchange, not only connecting
     int pollModes = 0;
     TimerHandle timer;
@@ -372,7 +372,7 @@
         const auto sentBytes = trySend(connection.socket, unsent);
         if (!sentBytes) {
             // The endpoint may have responded before it closed the connection, so the response is still read.
-            connection.hasBroken = true;
+            connection.hasWriteFailed = true;
             connection.step = Step::Head;
             receive(connection);
             return;
@@ -504,7 +504,7 @@
         return;
     }
     // The end of a broken connection is not the end of a response: the endpoint may have been about to send more.
-    const bool isComplete = !connection.hasBroken && connection.step == Step::Body
+    const bool isComplete = !connection.hasWriteFailed && connection.step == Step::Body
                             && connection.response.body.framing() == HttpBodyReader::Framing::UntilClose
                             && !connection.response.body.isDone();
     finish(connection, isComplete ? completeEnd(connection) : ExchangeEnd::Broken);
