--- a/src/direct/draining.cpp
+++ b/src/direct/draining.cpp
@@ -54,6 +54,9 @@
 
 void DirectCalls::Impl::refuseUnendingCalls(TimePoint now)
 {
+    if (!callsEndAt) {
+        return;
+    }
     std::vector<CallHandle> unending;
     for (const auto &[handle, call] : calls) {
         if (call.step != CallStep::Sent && !canEndInTime(call, Duration(0), now)) {
