Tests: one copy of what three of them wrote again

A task on the thread of an event loop was run by the same nine lines in http_client_test, endless_answers_test and the new broken_answers_test; both plain endpoints were put at an address of the test by the same loop in five places; the wait for open connections stood three times in drain_test. Each is one function now. A parameter of EntryFixture::receiveFrame that no test set is gone, and comments say "invalid" in place of words of our own. The assertions are the same.

--- a/tests/process/broken_answers_at_entry_test.cpp
+++ b/tests/process/broken_answers_at_entry_test.cpp
@@ -1,4 +1,4 @@
-// Endpoints that send bytes that are no answer: what the callers of a real entry get of them.
+// Endpoints that send bytes that are no HTTP response: what the callers of a real entry get of them.
 #include "direct_fleet.h"
 #include "support/scripted_endpoint.h"
 
@@ -34,9 +34,7 @@
             const auto number = std::stoul(request.id.substr(request.id.find('-') + 1));
             return signedHead(statusLines.at(number), request.id) + headers + "Content-Length: 2\r\n\r\nok";
         });
-        for (const std::string id : {"p-1", "p-2"}) {
-            putKey("servers/" + id, record("plain", endpoint_->address()));
-        }
+        setPlainEndpoints(endpoint_->address());
         start();
     }
     void expectBadGateway(std::size_t number, const std::string &statusLine)
@@ -52,7 +50,7 @@
 
 } // namespace
 
-// Guards against a signed answer whose status line is none and reaches callers, with its status or as a success.
+// Guards against a signed answer with an invalid status line that reaches callers, with its status or as a success.
 TEST_F(BrokenAnswersAtAnEntry, OddStatusLinesDoNotReachCallers)
 {
     const std::vector<std::string> lines{"HTTP/1.1 000 None", "HTTP/1.1 20 OK",  "HTTP/1.1 099 Odd", "HTTP/1.1 600 Odd",
@@ -63,7 +61,7 @@
     }
 }
 
-// Guards against a refusal whose status line is none and by which a caller takes its request for one that has not run.
+// Guards against a refusal with an invalid status line, by which a caller takes its request for one that has not run.
 TEST_F(BrokenAnswersAtAnEntry, OddStatusLinesProveNothing)
 {
     std::vector<std::string> lines{"HTTP/1.1 000 None", "HTTP/1.1 1421 Misdirected", "HTTP/9.9 421 Misdirected",
@@ -82,9 +80,7 @@
 TEST_F(BrokenAnswersAtAnEntry, AnswerThatIsResetDuringTheUploadDoesNotLookComplete)
 {
     Poco::Net::ServerSocket endpoint(Poco::Net::SocketAddress("127.0.0.1", 0));
-    for (const std::string id : {"p-1", "p-2"}) {
-        putKey("servers/" + id, record("plain", endpoint.address().toString()));
-    }
+    setPlainEndpoints(endpoint.address().toString());
     putKey("op/config", config(2, "/n/", {}, R"({"max_body_bytes":)" + std::to_string(uploadBytes) + "}"));
     start();
     const auto &entry = *daemons_.at("entry-1");
--- a/tests/process/direct_fleet.h
+++ b/tests/process/direct_fleet.h
@@ -129,6 +129,13 @@
         body.stringify(text);
         controlStandin(storePort_, text.str());
     }
+    /// Puts a stand-in of the test in the place of both plain endpoints.
+    void setPlainEndpoints(const std::string &address) const
+    {
+        for (const std::string id : {"p-1", "p-2"}) {
+            putKey("servers/" + id, record("plain", address));
+        }
+    }
     static void controlStandin(unsigned port, const std::string &body, const std::string &address = "127.0.0.1")
     {
         EXPECT_EQ(requestAt(address, port, "POST", "/standin", body).status, 200);
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -72,6 +72,11 @@
     {
         return readLog("entry-1").find("\"" + event + "\"") != std::string::npos;
     }
+    bool hasOpenConnections(int count) const
+    {
+        const auto line = "anvilscale_http_connections_open " + std::to_string(count);
+        return request(metricsPort_, "GET", "/metrics").body.find(line) != std::string::npos;
+    }
     void expectCleanExit()
     {
         ASSERT_TRUE(eventually([&] { return !daemons_.at("entry-1")->isRunning(); }));
@@ -111,10 +116,7 @@
     caller.sendHead("/i/", "half");
     silent.sendHead("/i/", "silent");
     silent.sendText("bo");
-    ASSERT_TRUE(eventually([&] {
-        return request(metricsPort_, "GET", "/metrics").body.find("anvilscale_http_connections_open 2")
-               != std::string::npos;
-    }));
+    ASSERT_TRUE(eventually([&] { return hasOpenConnections(2); }));
     daemons_.at("entry-1")->signal(SIGTERM);
     ASSERT_TRUE(eventually([&] { return hasLogged("drain_started"); }));
     caller.sendText("body");
@@ -140,10 +142,7 @@
         answers.push_back(
             std::async(std::launch::async, [this, i] { return call("/i/", "open-" + std::to_string(i)); }));
     }
-    ASSERT_TRUE(eventually([&] {
-        return request(metricsPort_, "GET", "/metrics").body.find("anvilscale_http_connections_open 12")
-               != std::string::npos;
-    }));
+    ASSERT_TRUE(eventually([&] { return hasOpenConnections(12); }));
     daemons_.at("entry-1")->signal(SIGTERM);
     for (auto &answer : answers) {
         const auto status = answer.get().status;
@@ -161,9 +160,7 @@
             "X-Anvilscale-Request-Id: " + request.id + "\r\nX-Anvilscale-Server-Signature: sig." + request.id + "\r\n",
             std::string(answerBytes, 'x'));
     });
-    for (const std::string id : {"p-1", "p-2"}) {
-        putKey("servers/" + id, record("plain", endpoint.address()));
-    }
+    setPlainEndpoints(endpoint.address());
     graceMs_ = 4000;
     start();
     SlowCaller caller(httpPort_);
@@ -188,9 +185,7 @@
         std::this_thread::sleep_for(workTime);
         return anvilscale::test::ScriptedEndpoint::success(request.id);
     });
-    for (const std::string id : {"p-1", "p-2"}) {
-        putKey("servers/" + id, record("plain", endpoint.address()));
-    }
+    setPlainEndpoints(endpoint.address());
     graceMs_ = 6600;
     start();
     const std::vector<std::string> paths{"/i/", "/n/"};
@@ -203,10 +198,7 @@
         inTime.emplace_back(httpPort_).sendHead(path, "in-time-" + path.substr(1, 1));
         late.emplace_back(httpPort_).sendHead(path, "late-" + path.substr(1, 1));
     }
-    ASSERT_TRUE(eventually([&] {
-        return request(metricsPort_, "GET", "/metrics").body.find("anvilscale_http_connections_open 4")
-               != std::string::npos;
-    }));
+    ASSERT_TRUE(eventually([&] { return hasOpenConnections(4); }));
     daemons_.at("entry-1")->signal(SIGTERM);
     ASSERT_TRUE(eventually([&] { return hasLogged("drain_started"); }));
     std::this_thread::sleep_for(balancerDelay);
--- a/tests/process/slow_body_test.cpp
+++ b/tests/process/slow_body_test.cpp
@@ -34,9 +34,7 @@
 TEST_F(SlowBody, TimeOfTheBodyIsPartOfTheTimeOfTheCall)
 {
     Poco::Net::ServerSocket endpoint(Poco::Net::SocketAddress("127.0.0.1", 0));
-    for (const std::string id : {"p-1", "p-2"}) {
-        putKey("servers/" + id, record("plain", endpoint.address().toString()));
-    }
+    setPlainEndpoints(endpoint.address().toString());
     start();
     Poco::Net::StreamSocket caller(Poco::Net::SocketAddress("127.0.0.1", static_cast<Poco::UInt16>(httpPort_)));
     const std::string head = "POST /i/ HTTP/1.1\r\nHost: h.example\r\nX-Anvilscale-Request-Id: slow\r\n"
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -1,6 +1,7 @@
-// Tests of both readers of HTTP answers against bytes that are no answer by RFC 9112.
+// Tests of both readers of HTTP responses against bytes that are not valid by RFC 9112.
 #include "platform/http_connection.h"
 #include "support/cutting_server.h"
+#include "support/run_on_loop.h"
 
 #include <gtest/gtest.h>
 
@@ -40,7 +41,7 @@
     BrokenAnswers()
         : loop_("test")
     {
-        runOnLoop([this] {
+        runOnLoop(loop_, [this] {
             HttpClientInit init;
             init.address = NetAddress::parse(server_.address()).value();
             init.connectTimeout = timeout;
@@ -49,7 +50,7 @@
     }
     ~BrokenAnswers() override
     {
-        runOnLoop([this] { client_.reset(); });
+        runOnLoop(loop_, [this] { client_.reset(); });
         loop_.stop();
     }
 
@@ -58,7 +59,7 @@
         setAnswer(answer);
         std::promise<ReadAnswer> promise;
         auto read = std::make_shared<ReadAnswer>();
-        runOnLoop([&] {
+        runOnLoop(loop_, [&] {
             EndpointRequest request;
             request.needsNewConnection = true;
             ExchangeHandlers handlers;
@@ -106,16 +107,6 @@
     }
 
 private:
-    template<class Task>
-    void runOnLoop(Task task)
-    {
-        std::promise<void> done;
-        loop_.post([&] {
-            task();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
     void setAnswer(const std::string &answer)
     {
         const std::scoped_lock lock(mutex_);
@@ -134,7 +125,7 @@
     std::unique_ptr<HttpClient> client_;
 };
 
-// Guards against a status that is none and reaches a caller as the status of its answer.
+// Guards against an invalid status code that reaches a caller as the status of its answer.
 TEST_F(BrokenAnswers, StatusOutsideTheProtocolIsNoAnswer)
 {
     for (const std::string_view status :
@@ -179,7 +170,7 @@
     expectAnswer(chunkedHead + "2\r\nok\r\n0\r\n\r\n", 200);
 }
 
-// Guards against trailers that are none and end a body, so that a cut or garbled answer counts as complete.
+// Guards against invalid trailers that end a body, so that a cut or garbled answer counts as complete.
 TEST_F(BrokenAnswers, BodyWithBrokenTrailersIsNotComplete)
 {
     const std::string body = chunkedHead + "2\r\nok\r\n0\r\n";
--- a/tests/unit/endless_answers_test.cpp
+++ b/tests/unit/endless_answers_test.cpp
@@ -5,6 +5,7 @@
 #include "daemon/shared_store_watch.h"
 #include "site_dialect.h"
 #include "support/endless_server.h"
+#include "support/run_on_loop.h"
 
 #include <gtest/gtest.h>
 
@@ -25,31 +26,20 @@
     OnLoop(Create create, Start start)
         : loop_("test")
     {
-        run([&] {
+        runOnLoop(loop_, [&] {
             client_ = create(loop_);
             start(*client_);
         });
     }
     ~OnLoop()
     {
-        run([this] { client_.reset(); });
+        runOnLoop(loop_, [this] { client_.reset(); });
         loop_.stop();
     }
     OnLoop(const OnLoop &) = delete;
     OnLoop &operator=(const OnLoop &) = delete;
 
 private:
-    template<class Task>
-    void run(Task task)
-    {
-        std::promise<void> done;
-        loop_.post([&] {
-            task();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
-
     EventLoop loop_;
     std::unique_ptr<Client> client_;
 };
--- a/tests/unit/http_client_test.cpp
+++ b/tests/unit/http_client_test.cpp
@@ -1,4 +1,6 @@
 // Tests of the HTTP client against a server of raw sockets: outcomes of exchanges and reuse of connections.
+#include "support/run_on_loop.h"
+
 #include "anvilscale/net.h"
 
 #include <Poco/Net/NetException.h>
@@ -15,6 +17,7 @@
 namespace {
 
 using Poco::Net::StreamSocket;
+using test::runOnLoop;
 
 constexpr auto maxWait = std::chrono::seconds(20);
 constexpr std::size_t uploadBytes = 48U << 20; // more than the sockets hold
@@ -26,7 +29,7 @@
         : server_(Poco::Net::SocketAddress("127.0.0.1", 0))
         , loop_("test")
     {
-        runOnLoop([this] {
+        runOnLoop(loop_, [this] {
             HttpClientInit init;
             init.address = NetAddress::parse(server_.address().toString()).value();
             init.connectTimeout = Seconds(5);
@@ -37,24 +40,14 @@
     }
     ~HttpClientTest() override
     {
-        runOnLoop([this] { client_.reset(); });
+        runOnLoop(loop_, [this] { client_.reset(); });
         loop_.stop();
     }
-    template<class Task>
-    void runOnLoop(Task task)
-    {
-        std::promise<void> done;
-        loop_.post([&] {
-            task();
-            done.set_value();
-        });
-        done.get_future().wait();
-    }
     std::future<ExchangeEnd> start(const std::string &body = {})
     {
         auto end = std::make_shared<std::promise<ExchangeEnd>>();
         auto result = end->get_future();
-        runOnLoop([&] {
+        runOnLoop(loop_, [&] {
             EndpointRequest request;
             request.method = "POST";
             request.body = body;
@@ -121,7 +114,7 @@
     std::uint64_t connectionCount()
     {
         std::uint64_t count = 0;
-        runOnLoop([&] { count = client_->counts().connections; });
+        runOnLoop(loop_, [&] { count = client_->counts().connections; });
         return count;
     }
 
@@ -138,7 +131,7 @@
     rlimit before{};
     ASSERT_EQ(::getrlimit(RLIMIT_NOFILE, &before), 0);
     int ends = 0;
-    runOnLoop([&] {
+    runOnLoop(loop_, [&] {
         const rlimit none{0, before.rlim_max};
         ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &none), 0);
         ExchangeHandlers handlers;
@@ -147,7 +140,7 @@
         client_->start(EndpointRequest(), Duration(0), handlers);
         ASSERT_EQ(::setrlimit(RLIMIT_NOFILE, &before), 0);
     });
-    runOnLoop([] {});
+    runOnLoop(loop_, [] {});
     EXPECT_EQ(ends, 1);
 }
 
@@ -158,7 +151,7 @@
     auto end = start("body");
     auto socket = acceptConnection();
     readRequest(socket);
-    runOnLoop([this] { client_->abort(id_); });
+    runOnLoop(loop_, [this] { client_->abort(id_); });
     std::array<char, 16> buffer{};
     EXPECT_THROW(
         {
--- a/tests/unit/routing_fixture.h
+++ b/tests/unit/routing_fixture.h
@@ -156,12 +156,12 @@
         collectActions();
     }
     void receiveFrame(const std::string &sidecar, const wire::AttemptId &id, std::uint32_t sequence,
-                      const std::string &data, std::uint32_t status = 200)
+                      const std::string &data)
     {
         wire::Envelope message;
         *message.mutable_call_frame()->mutable_id() = id;
         message.mutable_call_frame()->set_sequence(sequence);
-        message.mutable_call_frame()->set_status(sequence == 0 ? status : 0);
+        message.mutable_call_frame()->set_status(sequence == 0 ? 200 : 0);
         message.mutable_call_frame()->set_data(data);
         receiveMessage(sidecar, message);
     }
--- a/tests/unit/routing_parts_test.cpp
+++ b/tests/unit/routing_parts_test.cpp
@@ -112,7 +112,7 @@
     }
 }
 
-// Guards against a status that is none and reaches a caller by way of a sidecar that does not check it.
+// Guards against an invalid status code that reaches a caller by way of a sidecar that does not check it.
 TEST(AnswerAssembler, StatusOutsideTheProtocolIsBroken)
 {
     for (const std::uint32_t status : {0U, 20U, 99U, 100U, 101U, 199U, 600U, 999U, UINT32_MAX}) {
