Drain: a waiting call is judged once; comments in usual terms

refuseUnendingCalls looked at each call again after it had taken it from its endpoint, through a function that may leave it where it is. It refuses the calls that it has found. The times of a drain are computed before they are used, and a comment says why plain services add no wait.

--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -263,8 +263,8 @@
 /// Parses a complete head, including the final empty line. Rejects ambiguous heads, which allow request smuggling.
 tl::expected<std::pair<HttpRequestData, HttpBodyReader>, HttpError> parseRequestHead(std::string_view head,
                                                                                      std::uint64_t maxBodyBytes);
-/// Parses the head of a response in HTTP/1 with a status from 100 to 599; any other is no response, and nothing that it
-/// says counts. `isHeadRequest`: the response to a HEAD request, which has no body.
+/// Parses a complete head of an HTTP/1 response. Rejects ambiguous heads and those whose status is not from 100 to 599.
+/// `isHeadRequest`: the response to a HEAD request, which has no body.
 tl::expected<HttpResponseHead, HttpError> parseResponseHead(std::string_view head, bool isHeadRequest);
 /// Formats the head of a request with a body of `bodyBytes` bytes.
 std::string formatRequestHead(std::string_view method, std::string_view target, std::string_view host,
--- a/src/daemon/direct_entry.h
+++ b/src/daemon/direct_entry.h
@@ -86,15 +86,15 @@
                     callServer_->loop().post(done); // after the answers have been written
                 }
             };
-            auto &timers = callServer_->loop().timers();
             const auto start = EventLoop::now();
+            const auto answersEndAt = start + Milliseconds(settings_.direct().grace_ms()) - shutdownTime;
+            const auto callsEndAt = answersEndAt - writingTime;
+            control_.post([this, callsEndAt](Now now) { calls_.beginDrain(callsEndAt, now.mono); });
+            auto &timers = callServer_->loop().timers();
             timers.subscribe(start + balancerDelay, [this, finish](TimePoint) {
                 callServer_->drain(finish);
                 control_.post([this](Now now) { calls_.onListenerClosed(now.mono); });
             });
-            const auto answersEndAt = start + Milliseconds(settings_.direct().grace_ms()) - shutdownTime;
-            const auto callsEndAt = answersEndAt - writingTime;
-            control_.post([this, callsEndAt](Now now) { calls_.beginDrain(callsEndAt, now.mono); });
             timers.subscribe(callsEndAt, [endUnanswered](TimePoint) { endUnanswered(); });
             timers.subscribe(answersEndAt, [finish](TimePoint) { finish(); });
         });
--- a/src/direct/direct_calls.cpp
+++ b/src/direct/direct_calls.cpp
@@ -225,7 +225,7 @@
         refuseUnreachable(handle, call, choice->firstByte, now);
         return;
     }
-    // The measured runs contain the reading of the prompt.
+    // Measured runs include the reading of prompts, and at plain services the wait at the endpoint.
     const auto wait = std::max(Duration(0), choice->confirmedFirstByte - choice->readingTime);
     if (call.isEngine && stopIfUnending(handle, call, wait, now)) {
         return;
--- a/src/direct/draining.cpp
+++ b/src/direct/draining.cpp
@@ -66,7 +66,7 @@
     for (const auto handle : unending) {
         auto &call = calls.at(handle);
         detachFromEndpoint(handle, call, false, now);
-        stopIfUnending(handle, call, Duration(0), now);
+        refuseOrAbandon(handle, call, RefusalReason::Leaving, leavingRetryAfter, now);
     }
 }
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -49,7 +49,7 @@
     bool isHeadRequest = false;
     bool isReused = false; // has served an earlier exchange
     bool isPaused = false;
-    bool hasWriteFailed = false; // and has taken the error of the connection: a read meets an ordinary end
+    bool hasWriteFailed = false; // which consumed the error of the socket: reads report an orderly end
     bool hasDeadline = false; // the timer bounds the whole exchange, not only connecting
     int pollModes = 0;
     TimerHandle timer;
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -105,9 +105,9 @@
     return number;
 }
 
-/// Returns the status code of a response head; nullopt if its first line is no status line. The reason may be missing,
-/// with the space before it: some servers send none. Codes from 600 on are not valid; a client has to treat them like a
-/// failure of the server, which a broken response is.
+/// Returns the status code of a response head; nullopt if its status line is invalid. Some servers omit the reason, or
+/// the space before it too. Codes from 600 on are invalid: clients treat them as a server error, which a broken
+/// response is as well.
 std::optional<std::uint32_t> parseStatusLine(std::string_view head)
 {
     const auto line = head.substr(0, head.find(lineEnd));
@@ -352,7 +352,7 @@
 tl::expected<HttpResponseHead, HttpError> parseResponseHead(std::string_view head, bool isHeadRequest)
 {
     const auto status = parseStatusLine(head);
-    // No request offers another protocol. What follows a change to one is no HTTP.
+    // No request offers an upgrade, and what follows one is not HTTP.
     if (!status || *status == statusSwitchingProtocols || !isStrictHead(head)) {
         return tl::unexpected(HttpError::BadHead);
     }
