Test of requests that were taken back: it begins when the entry has stopped

Traced: SIGSTOP reaches the threads of a process one after the other, and on a busy machine some run on after kill() has returned. Requests that were sent then came to an entry that was not paused, which sent them on while their callers were still there.

The test waits for that now; what it asks of the entry is the same.

--- a/tests/process/run_once_test.cpp
+++ b/tests/process/run_once_test.cpp
@@ -71,6 +71,16 @@
 class RunOnce : public Direct
 {
 protected:
+    /// True once all threads of the process have stopped: on a busy machine some run on for a while after the signal.
+    static bool hasStopped(pid_t process)
+    {
+        const auto tasks = std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/task");
+        return std::all_of(begin(tasks), end(tasks), [](const auto &task) {
+            std::ifstream stat(task.path() / "stat");
+            const std::string line{std::istreambuf_iterator<char>(stat), {}};
+            return line.find(") T ") != std::string::npos;
+        });
+    }
     void startSecondEntry()
     {
         startEntry("entry-2", "127.0.0.3", secondPorts_);
@@ -110,6 +120,7 @@
             ASSERT_EQ(callers.back()->receiveStatus(), 200);
         }
         daemons_["entry-1"]->signal(SIGSTOP);
+        ASSERT_TRUE(eventually([&] { return hasStopped(daemons_["entry-1"]->pid()); }));
         for (int i = 0; i < callersPerRound / 2; ++i) {
             callers.push_back(std::make_unique<CallerSocket>(httpPort_)); // the kernel accepts it
         }
