--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -369,7 +369,7 @@
         for (const int connection : connections_) {
             const linger reset{1, 0};
             ::setsockopt(connection, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-            ::shutdown(connection, SHUT_RDWR);
+            ::shutdown(connection, SHUT_RD); // ends the reader; the close that follows resets
         }
     }
     unsigned port() const
