Heads: fields are read from the bytes that are checked, and passed on unchanged

Cause: a head was checked on its bytes by isStrictHead and then read by POCO's parser, which decodes encoded words, line ends included, and has bounds of its own for names, values, the number of fields, the target, the method and the reason. Nothing checked what came out of it. Responses of endpoints and of the store were read in the same way, and fields that frame a message (a length or an encoding in an encoded word) took effect in their decoded form.

Change: the walk that checks the lines of a head also yields the fields. The start line is split at its two spaces, as it has to be. Heads are written without POCO's list of fields, whose insertion walks the list and groups equal names. Control characters in a value become spaces there, and a field whose name is no token is left out: values also come from store records, configurations and peers.

--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -1,12 +1,12 @@
 // Formatting of responses to callers.
 #include "http_answer.h"
 
+#include "http_fields.h"
 #include "release_buffer.h"
 
 #include <Poco/Net/HTTPResponse.h>
 
 #include <charconv>
-#include <sstream>
 
 namespace anvilscale {
 
@@ -167,24 +167,20 @@
 
 void HttpAnswer::writeHead(std::optional<std::size_t> length)
 {
-    Poco::Net::HTTPResponse response(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status_));
-    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    for (const auto &[name, value] : headers_) {
-        if (!isHopByHop(name)) {
-            response.add(name, value);
-        }
-    }
+    using Poco::Net::HTTPResponse;
+    const auto status = static_cast<HTTPResponse::HTTPStatus>(status_);
+    output_.append("HTTP/1.1 ").append(std::to_string(status_)).append(" ");
+    output_.append(HTTPResponse::getReasonForStatus(status)).append("\r\n");
+    appendFields(output_, headers_);
     const bool hasNoBody = status_ == 204 || status_ == 304;
     if (length && !hasNoBody) {
-        response.setContentLength64(static_cast<Poco::Int64>(*length));
+        appendField(output_, "Content-Length", std::to_string(*length));
     } else if (!hasNoBody && acceptsChunked_) {
-        response.setChunkedTransferEncoding(true);
+        appendField(output_, "Transfer-Encoding", "chunked");
     }
     const bool isKeptAlive = keepAlive_ && (length.has_value() || acceptsChunked_);
-    response.set("Connection", isKeptAlive ? "keep-alive" : "close");
-    std::ostringstream stream;
-    response.write(stream);
-    output_.append(stream.str());
+    appendField(output_, "Connection", isKeptAlive ? "keep-alive" : "close");
+    output_.append("\r\n");
 }
 
 void HttpAnswer::forward(std::string_view data)
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -1,14 +1,12 @@
-// HTTP heads, parsed by POCO, and body framing; shared by server and client.
-#include "anvilscale/net.h"
+// HTTP heads and body framing; shared by server and client. Heads are parsed here and not by POCO, whose parser decodes
+// encoded words (RFC 2047) and bounds names, values and the number of fields: the fields that are checked have to be
+// those that are passed on.
+#include "http_fields.h"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/String.h>
+#include "anvilscale/net.h"
 
 #include <algorithm>
 #include <charconv>
-#include <sstream>
 
 namespace anvilscale {
 
@@ -18,6 +16,8 @@
 constexpr std::size_t maxTrailerBytes = 8192;
 constexpr std::string_view headEnd = "\r\n\r\n";
 constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view versionHttp10 = "HTTP/1.0";
+constexpr std::string_view versionHttp11 = "HTTP/1.1";
 constexpr std::string_view statusLineForm = "HTTP/1.# ###"; // up to the reason
 constexpr char anyDigit = '#';
 constexpr std::size_t statusDigits = 3;
@@ -36,19 +36,45 @@
     return isAlphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
 }
 
+bool isToken(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
+}
+
+// Tabs may stand in a field value.
+bool isControlCharacter(char c)
+{
+    return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
+}
+
 bool hasControlCharacter(std::string_view line)
 {
-    return std::any_of(line.begin(), line.end(),
-                       [](char c) { return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f; });
+    return std::any_of(line.begin(), line.end(), isControlCharacter);
+}
+
+char lowerCase(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+bool equalsIgnoreCase(std::string_view a, std::string_view b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](char x, char y) { return lowerCase(x) == lowerCase(y); });
+}
+
+std::string_view trimSpace(std::string_view text)
+{
+    constexpr std::string_view space = " \t";
+    const auto begin = text.find_first_not_of(space);
+    return begin == std::string_view::npos ? std::string_view()
+                                           : text.substr(begin, text.find_last_not_of(space) - begin + 1);
 }
 
 bool isHeaderLine(std::string_view line)
 {
     const auto colon = line.find(':');
-    if (colon == std::string_view::npos || colon == 0) {
-        return false;
-    }
-    return std::all_of(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(colon), isTokenCharacter);
+    return colon != std::string_view::npos && isToken(line.substr(0, colon));
 }
 
 // Accepts unambiguous heads only. With a lenient parser, two processes may disagree on where a message ends, so that
@@ -78,21 +104,49 @@
     return false;
 }
 
-HttpHeaders copyHeaders(const Poco::Net::MessageHeader &message)
+/// Reads the fields of a strict head. Values are taken as they are, without the space around them.
+HttpHeaders readFields(std::string_view head)
 {
     HttpHeaders headers;
-    headers.reserve(message.size());
-    for (const auto &[name, value] : message) {
-        headers.emplace_back(name, value);
+    headers.reserve(static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n')));
+    auto rest = head.substr(head.find(lineEnd) + lineEnd.size());
+    while (!rest.starts_with(lineEnd)) {
+        const auto line = rest.substr(0, rest.find(lineEnd));
+        const auto colon = line.find(':');
+        headers.emplace_back(line.substr(0, colon), trimSpace(line.substr(colon + 1)));
+        rest.remove_prefix(line.size() + lineEnd.size());
     }
     return headers;
 }
 
 std::size_t countHeader(const HttpHeaders &headers, std::string_view name)
 {
-    return static_cast<std::size_t>(std::count_if(headers.begin(), headers.end(), [&](const auto &header) {
-        return Poco::icompare(header.first, std::string(name)) == 0;
-    }));
+    return static_cast<std::size_t>(std::count_if(
+        headers.begin(), headers.end(), [&](const auto &header) { return equalsIgnoreCase(header.first, name); }));
+}
+
+/// True if the Connection fields list the option.
+bool hasConnectionOption(const HttpHeaders &headers, std::string_view option)
+{
+    for (const auto &[name, value] : headers) {
+        if (!equalsIgnoreCase(name, "Connection")) {
+            continue;
+        }
+        std::string_view rest = value;
+        while (!rest.empty()) {
+            const auto item = rest.substr(0, rest.find(','));
+            rest.remove_prefix(std::min(rest.size(), item.size() + 1));
+            if (equalsIgnoreCase(trimSpace(item), option)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool isKeptAlive(const HttpHeaders &headers, bool isHttp10)
+{
+    return !hasConnectionOption(headers, "close") && (!isHttp10 || hasConnectionOption(headers, "keep-alive"));
 }
 
 std::optional<std::uint64_t> parseNumber(std::string_view text, int base)
@@ -124,6 +178,31 @@
     return isValid ? std::optional(static_cast<std::uint32_t>(status)) : std::nullopt;
 }
 
+struct RequestLine
+{
+    std::string_view method;
+    std::string_view target;
+    bool isHttp10 = false;
+};
+
+/// Returns the parts of a request line; nullopt if it is invalid.
+std::optional<RequestLine> readRequestLine(std::string_view line)
+{
+    const auto methodEnd = line.find(' ');
+    const auto targetEnd = line.rfind(' ');
+    if (methodEnd == targetEnd) {
+        return std::nullopt;
+    }
+    const auto version = line.substr(targetEnd + 1);
+    RequestLine result{line.substr(0, methodEnd), {}, version == versionHttp10};
+    if ((!result.isHttp10 && version != versionHttp11) || !isToken(result.method)) {
+        return std::nullopt;
+    }
+    result.target = line.substr(methodEnd + 1, targetEnd - methodEnd - 1);
+    const bool hasSpace = result.target.find_first_of(" \t") != std::string_view::npos;
+    return result.target.starts_with('/') && !hasSpace ? std::optional(result) : std::nullopt;
+}
+
 /// Returns the body framing that the headers give; nullopt if they give none.
 tl::expected<std::optional<HttpBodyReader>, HttpError> readFraming(const HttpHeaders &headers)
 {
@@ -133,7 +212,7 @@
         return tl::unexpected(HttpError::BadHead);
     }
     if (encodingCount != 0) {
-        if (Poco::icompare(*findHeader(headers, "Transfer-Encoding"), "chunked") != 0) {
+        if (!equalsIgnoreCase(*findHeader(headers, "Transfer-Encoding"), "chunked")) {
             return tl::unexpected(HttpError::UnsupportedEncoding);
         }
         return HttpBodyReader(HttpBodyReader::Framing::Chunked, 0);
@@ -152,9 +231,8 @@
 
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
 {
-    const std::string nameText(name);
     for (const auto &header : headers) {
-        if (Poco::icompare(header.first, nameText) == 0) {
+        if (equalsIgnoreCase(header.first, name)) {
             return &header.second;
         }
     }
@@ -163,11 +241,32 @@
 
 bool isHopByHop(std::string_view name)
 {
-    static constexpr std::array<std::string_view, 10> names{
+    static constexpr std::array<std::string_view, 11> names{
         "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te",
-        "trailer",    "upgrade",    "transfer-encoding",  "content-length",      "host"};
-    const auto lower = Poco::toLower(std::string(name));
-    return std::find(names.begin(), names.end(), lower) != names.end() || lower == "expect";
+        "trailer",    "upgrade",    "transfer-encoding",  "content-length",      "host",
+        "expect"};
+    return std::any_of(names.begin(), names.end(),
+                       [name](std::string_view hopByHop) { return equalsIgnoreCase(name, hopByHop); });
+}
+
+void appendField(std::string &head, std::string_view name, std::string_view value)
+{
+    if (!isToken(name)) {
+        return;
+    }
+    head.append(name).append(": ");
+    std::transform(value.begin(), value.end(), std::back_inserter(head),
+                   [](char c) { return isControlCharacter(c) ? ' ' : c; });
+    head.append(lineEnd);
+}
+
+void appendFields(std::string &head, const HttpHeaders &headers)
+{
+    for (const auto &[name, value] : headers) {
+        if (!isHopByHop(name)) {
+            appendField(head, name, value);
+        }
+    }
 }
 
 struct SharedBody::Body
@@ -312,26 +411,17 @@
     if (!isStrictHead(head)) {
         return tl::unexpected(HttpError::BadHead);
     }
-    Poco::Net::HTTPRequest request;
-    std::istringstream stream{std::string(head)};
-    try {
-        request.read(stream);
-    } catch (const Poco::Exception &) {
-        return tl::unexpected(HttpError::BadHead);
-    }
-    const bool isHttp11 = request.getVersion() == Poco::Net::HTTPMessage::HTTP_1_1;
-    if (!isHttp11 && request.getVersion() != Poco::Net::HTTPMessage::HTTP_1_0) {
+    const auto line = readRequestLine(head.substr(0, head.find(lineEnd)));
+    if (!line) {
         return tl::unexpected(HttpError::BadHead);
     }
     HttpRequestData data;
-    data.method = request.getMethod();
-    data.target = request.getURI();
-    data.headers = copyHeaders(request);
-    data.keepAlive = request.getKeepAlive();
-    data.acceptsChunked = isHttp11;
-    const bool hasValidHost = !isHttp11 || countHeader(data.headers, "Host") == 1;
-    if (data.target.empty() || data.target[0] != '/' || !hasValidHost
-        || !std::all_of(data.method.begin(), data.method.end(), isTokenCharacter)) {
+    data.method = line->method;
+    data.target = line->target;
+    data.headers = readFields(head);
+    data.keepAlive = isKeptAlive(data.headers, line->isHttp10);
+    data.acceptsChunked = !line->isHttp10;
+    if (!line->isHttp10 && countHeader(data.headers, "Host") != 1) {
         return tl::unexpected(HttpError::BadHead);
     }
     const auto framing = readFraming(data.headers);
@@ -343,7 +433,7 @@
         return tl::unexpected(HttpError::BodyTooLarge);
     }
     const auto *expect = findHeader(data.headers, "Expect");
-    if (expect != nullptr && Poco::icompare(*expect, "100-continue") != 0) {
+    if (expect != nullptr && !equalsIgnoreCase(*expect, "100-continue")) {
         return tl::unexpected(HttpError::ExpectationFailed);
     }
     return std::pair(std::move(data), framing->value_or(HttpBodyReader()));
@@ -356,18 +446,11 @@
     if (!status || *status == statusSwitchingProtocols || !isStrictHead(head)) {
         return tl::unexpected(HttpError::BadHead);
     }
-    Poco::Net::HTTPResponse response;
-    std::istringstream stream{std::string(head)};
-    try {
-        response.read(stream);
-    } catch (const Poco::Exception &) {
-        return tl::unexpected(HttpError::BadHead);
-    }
     HttpResponseHead result;
     result.status = *status;
-    result.headers = copyHeaders(response);
-    result.keepAlive = response.getKeepAlive();
-    const bool isHttp10 = response.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+    result.headers = readFields(head);
+    const bool isHttp10 = head.starts_with(versionHttp10);
+    result.keepAlive = isKeptAlive(result.headers, isHttp10);
     if (isHttp10 && countHeader(result.headers, "Transfer-Encoding") != 0) {
         return tl::unexpected(HttpError::UnsupportedEncoding); // HTTP/1.0 has none: the framing is faulty
     }
@@ -389,20 +472,16 @@
 std::string formatRequestHead(std::string_view method, std::string_view target, std::string_view host,
                               const HttpHeaders &headers, std::size_t bodyBytes, bool keepAlive)
 {
-    Poco::Net::HTTPRequest request(std::string(method), std::string(target), Poco::Net::HTTPMessage::HTTP_1_1);
-    request.setHost(std::string(host));
-    for (const auto &[name, value] : headers) {
-        if (!isHopByHop(name)) {
-            request.add(name, value);
-        }
-    }
+    std::string head;
+    head.append(method).append(" ").append(target).append(" ").append(versionHttp11).append(lineEnd);
+    appendField(head, "Host", host);
+    appendFields(head, headers);
     if (bodyBytes != 0 || method == "POST" || method == "PUT" || method == "PATCH") {
-        request.setContentLength64(static_cast<Poco::Int64>(bodyBytes));
+        appendField(head, "Content-Length", std::to_string(bodyBytes));
     }
-    request.setKeepAlive(keepAlive);
-    std::ostringstream stream;
-    request.write(stream);
-    return stream.str();
+    appendField(head, "Connection", keepAlive ? "Keep-Alive" : "Close");
+    head.append(lineEnd);
+    return head;
 }
 
 } // namespace anvilscale
--- a/tests/support/scripted_endpoint.h
+++ b/tests/support/scripted_endpoint.h
@@ -23,6 +23,7 @@
     std::string id; ///< of the X-Anvilscale-Request-Id header
     std::uint64_t connection = 0;
     std::size_t number = 0; ///< on its connection, from 1
+    std::string head; ///< without its empty line
     std::string body;
 };
 
@@ -111,7 +112,8 @@
             const auto head = input.find(headEnd);
             const auto bodyBytes = head == std::string::npos ? 0 : contentLength(input.substr(0, head));
             if (head != std::string::npos && input.size() >= head + headEnd.size() + bodyBytes) {
-                request.id = header(input.substr(0, head), "x-anvilscale-request-id");
+                request.head = input.substr(0, head);
+                request.id = header(request.head, "x-anvilscale-request-id");
                 request.body = input.substr(head + headEnd.size(), bodyBytes);
                 ++request.number;
                 input.erase(0, head + headEnd.size() + bodyBytes);
