Engine limits: room for all lost orders that an engine may carry out one after the other

Cause: an order without an answer may be accepted at any later time at which the engine's sequence is the one that it expects; a restart begins the sequence anew. The controller kept one slot free if a lost load expected the number after the next one, and only before a load into a free slot.

Change: an order is sent if the engine stays within slots and memory after it, whatever it accepts of the lost orders from then on: those that expect consecutive numbers follow each other, and each number in between takes an order from here, which can free one adapter. So room for a chain is made while orders are left for it. Where a replacement isn't safe, the old version is unloaded. A chain from the first number on has to fit into an empty engine, since no order can come between. Orders to another id are refused by the engine and keep no slot free any more. An unknown answer to an order no longer counts as a refusal.

--- a/src/direct/adapter_controller.cpp
+++ b/src/direct/adapter_controller.cpp
@@ -166,9 +166,6 @@
     unconfirmedOrder.reset();
     ++engineRestarts;
     loadTimes.onEngineRestarted();
-    for (auto &lost : lostLoads) {
-        lost.isFromEarlierIncarnation = true;
-    }
 }
 
 void AdapterController::Impl::recordLoads(const EngineStateReport &newReport, TimePoint now)
@@ -233,20 +230,20 @@
     return nullptr;
 }
 
-double AdapterController::Impl::usedMb() const
+AdapterController::Impl::EngineLoad AdapterController::Impl::heldLoad() const
 {
-    double sum = 0;
+    EngineLoad load{report->adapters.size() + report->pending.size(), 0};
     for (const auto &model : report->models) {
         const auto *size = findModelSize(model);
-        sum += size == nullptr ? 0 : size->weights_mb();
+        load.mb += size == nullptr ? 0 : size->weights_mb();
     }
     for (const auto *list : {&report->adapters, &report->pending}) {
         for (const auto &adapter : *list) {
             const auto *size = findModelSize(adapter.model);
-            sum += size == nullptr ? 0 : size->adapter_mb();
+            load.mb += size == nullptr ? 0 : size->adapter_mb();
         }
     }
-    return sum;
+    return load;
 }
 
 std::map<AdapterController::Impl::AdapterKey, bool> AdapterController::Impl::findAwaitedAdapters() const
--- a/src/direct/adapter_controller_impl.h
+++ b/src/direct/adapter_controller_impl.h
@@ -22,12 +22,21 @@
         TimePoint lastUsedAt{};
         double callRate = 0; // exponentially decayed number of started calls
     };
-    struct LostLoad
+    struct LostOrder
     {
-        std::uint64_t expectedSequence = 0;
+        EngineOrder order;
         TimePoint sentAt{};
-        bool isFromEarlierIncarnation = false; // the engine has restarted since
     };
+    /// What an engine holds, or what orders add to that.
+    struct EngineLoad
+    {
+        std::uint64_t slots = 0;
+        double mb = 0;
+
+        void raiseTo(const EngineLoad &other);
+        bool operator==(const EngineLoad &) const = default;
+    };
+    using LoadsBySequence = std::map<std::uint64_t, EngineLoad>;
     struct PromptTokens
     {
         std::uint64_t unread = 0; // in progress at the engine
@@ -50,7 +59,7 @@
     const HeldAdapter *findHeld(const AdapterKey &key) const;
     bool isPending(const AdapterKey &key) const;
     bool hasModel(const std::string &model) const;
-    double usedMb() const;
+    EngineLoad heldLoad() const;
     const wire::EngineModel *findModelSize(const std::string &model) const;
 
     // Orders.
@@ -60,11 +69,21 @@
     EngineOrder makeOrder(EngineOrderKind kind, const AdapterKey &key);
     void onOrderEnded(OrderHandle id, EngineOrderResult result, const std::string &incarnation, TimePoint now);
     void onOrderAccepted(const EngineOrder &order, TimePoint now);
-    void onOrderLost(const EngineOrder &order, TimePoint now);
-    bool mayLostLoadApply(TimePoint now) const;
     std::size_t maxConcurrentLoads() const;
     Duration orderTimeout() const;
 
+    // Limits of the engine.
+    void onOrderLost(const EngineOrder &order, TimePoint now);
+    bool isWithinLimits(const EngineLoad &load) const;
+    EngineLoad loadOf(const EngineOrder &order) const;
+    bool isHeldOrPending(const EngineOrder &order) const;
+    EngineLoad loadAfter(const EngineOrder &order) const;
+    LoadsBySequence lostLoadsAfter(const EngineOrder &order, TimePoint now) const;
+    bool staysWithinLimits(const EngineOrder &order, TimePoint now) const;
+    bool fitsAfterRestart(const EngineOrder &order, TimePoint now) const;
+    /// True if the engine stays within its limits whether or not it accepts the order, and later the lost ones.
+    bool isSafe(const EngineOrder &order, TimePoint now) const;
+
     // State for the entries.
     wire::DirectState state(TimePoint now) const;
     void addAdapters(wire::DirectState &state, TimePoint now) const;
@@ -92,7 +111,7 @@
     TimePoint orderSentAt{}; // of the pending order
     RecentSamples answerTimesMs{32}; // answer times of orders
     std::optional<EngineOrder> unconfirmedOrder; // accepted, but not yet visible in a report
-    std::vector<LostLoad> lostLoads; // without an answer; the engine may apply them seconds later
+    std::vector<LostOrder> lostOrders; // without an answer; the engine may apply them seconds later
     TimePoint nextOrderAt{}; // backoff after a failed order
     LoadTimes loadTimes;
     std::uint64_t lastOrderId = 0;
--- a/src/direct/adapter_controller_orders.cpp
+++ b/src/direct/adapter_controller_orders.cpp
@@ -20,9 +20,6 @@
 constexpr Duration usageLifetime = Seconds(60); // older calls contribute less than a thousandth
 // Keeps a newly loaded adapter until entries have received its state and sent the first call.
 constexpr Duration settleTime = Milliseconds(300);
-// Time for which an unanswered order is treated as possibly still to be applied; the platform gives no bound.
-// Longer than any delay that was seen.
-constexpr Duration lostOrderLifetime = Seconds(30);
 // Ratio to the usual answer time from which an answer counts as lost.
 constexpr double timeoutFactor = 8;
 constexpr Duration minOrderTimeout = Milliseconds(15); // covers scheduling delays of the process
@@ -111,13 +108,13 @@
 std::optional<EngineOrder> AdapterController::Impl::selectOrder(const AdapterKey &key, const AdapterDemand &demand,
                                                                 TimePoint now)
 {
+    const auto ifSafe = [this, now](EngineOrderKind kind, const AdapterKey &subject) {
+        const auto order = makeOrder(kind, subject);
+        return isSafe(order, now) ? std::optional(order) : std::nullopt;
+    };
+    const auto *size = findModelSize(key.first);
     if (!hasModel(key.first)) {
-        const auto *size = findModelSize(key.first);
-        const bool fits = size != nullptr && usedMb() + size->weights_mb() <= plan.weights_mb();
-        if (report->busy || !fits) {
-            return std::nullopt;
-        }
-        return makeOrder(EngineOrderKind::Load, {key.first, ""});
+        return report->busy || size == nullptr ? std::nullopt : ifSafe(EngineOrderKind::Load, {key.first, ""});
     }
     if (key.second.empty() || isPending(key)) {
         return std::nullopt;
@@ -132,21 +129,21 @@
     if (present != nullptr) {
         // A newer version replaces the old one in its slot. The engine would wait for running calls on the old
         // version and accept no other order, so that nothing is ordered while there are any.
-        return demand.running == 0 ? std::optional(makeOrder(EngineOrderKind::Load, key)) : std::nullopt;
+        if (demand.running != 0) {
+            return std::nullopt;
+        }
+        const auto replacement = ifSafe(EngineOrderKind::Load, key);
+        return replacement ? replacement : ifSafe(EngineOrderKind::Unload, key);
     }
     if (demand.waiting == 0) {
         return std::nullopt;
     }
-    const auto *size = findModelSize(key.first);
-    const std::size_t needed = mayLostLoadApply(now) ? 2 : 1;
-    const bool slotFree = report->adapters.size() + report->pending.size() + needed <= plan.adapter_slots();
-    const double most = plan.weights_mb();
-    const bool fits = size != nullptr && usedMb() + static_cast<double>(needed) * size->adapter_mb() <= most;
-    if (slotFree && fits) {
-        return makeOrder(EngineOrderKind::Load, key);
+    const auto load = size == nullptr ? std::nullopt : ifSafe(EngineOrderKind::Load, key);
+    if (load) {
+        return load;
     }
     const auto out = selectVictim(now);
-    return out ? std::optional(makeOrder(EngineOrderKind::Unload, *out)) : std::nullopt;
+    return out ? ifSafe(EngineOrderKind::Unload, *out) : std::nullopt;
 }
 
 std::optional<EngineOrder> AdapterController::Impl::nextOrder(TimePoint now)
@@ -220,6 +217,8 @@
         return;
     case EngineOrderResult::Rejected:
     case EngineOrderResult::Count:
+        // An unknown answer does not prove that the order has been refused.
+        onOrderLost(order, now);
         nextOrderAt = now + rejectionBackoff;
         return;
     }
@@ -239,23 +238,4 @@
     loadTimes.onLoadStarted(key, totalDemand(key).minVersion, now);
 }
 
-void AdapterController::Impl::onOrderLost(const EngineOrder &order, TimePoint now)
-{
-    std::erase_if(lostLoads, [now](const LostLoad &lost) { return now - lost.sentAt > lostOrderLifetime; });
-    if (order.kind == EngineOrderKind::Load) {
-        lostLoads.push_back({order.expectedSequence, now});
-    }
-}
-
-// True if a lost load from before a restart could be accepted after the next order. Within one incarnation the
-// expected sequence excludes this, but after a restart the sequence reaches the same number again. One slot stays
-// free then, which prevents overloading and crashing a full engine.
-bool AdapterController::Impl::mayLostLoadApply(TimePoint now) const
-{
-    return std::any_of(lostLoads.begin(), lostLoads.end(), [&](const LostLoad &lost) {
-        return lost.isFromEarlierIncarnation && lost.expectedSequence == report->sequence + 1
-               && now - lost.sentAt <= lostOrderLifetime;
-    });
-}
-
 } // namespace anvilscale
