Engine limits: another adapter makes room for a replaced version

The change before unloaded the old version itself where a replacement wasn't safe. Now the least used other adapter makes room, and the old version only if there is none.

--- a/src/direct/adapter_controller_impl.h
+++ b/src/direct/adapter_controller_impl.h
@@ -65,7 +65,7 @@
     // Orders.
     std::optional<EngineOrder> nextOrder(TimePoint now);
     std::optional<EngineOrder> selectOrder(const AdapterKey &key, const AdapterDemand &demand, TimePoint now);
-    std::optional<AdapterKey> selectVictim(TimePoint now) const;
+    std::optional<AdapterKey> selectVictim(const AdapterKey &wanted, TimePoint now) const;
     EngineOrder makeOrder(EngineOrderKind kind, const AdapterKey &key);
     void onOrderEnded(OrderHandle id, EngineOrderResult result, const std::string &incarnation, TimePoint now);
     void onOrderAccepted(const EngineOrder &order, TimePoint now);
--- a/src/direct/adapter_controller_orders.cpp
+++ b/src/direct/adapter_controller_orders.cpp
@@ -64,9 +64,10 @@
     return order;
 }
 
-// Selects the least used adapter that has no running or waiting calls. One in use is never evicted: the engine would
-// wait for its calls to end and refuse all other orders meanwhile.
-std::optional<AdapterController::Impl::AdapterKey> AdapterController::Impl::selectVictim(TimePoint now) const
+// Selects the least used adapter, other than the wanted one, that has no running or waiting calls. One in use is never
+// evicted: the engine would wait for its calls to end and refuse all other orders meanwhile.
+std::optional<AdapterController::Impl::AdapterKey> AdapterController::Impl::selectVictim(const AdapterKey &wanted,
+                                                                                         TimePoint now) const
 {
     std::optional<AdapterKey> worst;
     double least = 0;
@@ -75,7 +76,7 @@
         const auto demand = totalDemand(key);
         const auto use = usages.find(key);
         const bool settling = use != usages.end() && now - use->second.lastUsedAt < settleTime;
-        if (demand.running != 0 || demand.waiting != 0 || settling) {
+        if (key == wanted || demand.running != 0 || demand.waiting != 0 || settling) {
             continue;
         }
         const double rate = use == usages.end() ? 0 : decayed(use->second.callRate, use->second.lastUsedAt, now);
@@ -126,24 +127,21 @@
     if (report->pending.size() >= maxConcurrentLoads()) {
         return std::nullopt;
     }
-    if (present != nullptr) {
-        // A newer version replaces the old one in its slot. The engine would wait for running calls on the old
-        // version and accept no other order, so that nothing is ordered while there are any.
-        if (demand.running != 0) {
-            return std::nullopt;
-        }
-        const auto replacement = ifSafe(EngineOrderKind::Load, key);
-        return replacement ? replacement : ifSafe(EngineOrderKind::Unload, key);
-    }
-    if (demand.waiting == 0) {
+    // A newer version replaces the old one in its slot. The engine would wait for running calls on the old version and
+    // accept no other order, so that nothing is ordered while there are any.
+    const bool isLoadable = present == nullptr ? demand.waiting != 0 : demand.running == 0;
+    if (!isLoadable) {
         return std::nullopt;
     }
-    const auto load = size == nullptr ? std::nullopt : ifSafe(EngineOrderKind::Load, key);
+    const bool hasKnownSize = size != nullptr || present != nullptr;
+    const auto load = hasKnownSize ? ifSafe(EngineOrderKind::Load, key) : std::nullopt;
     if (load) {
         return load;
     }
-    const auto out = selectVictim(now);
-    return out ? ifSafe(EngineOrderKind::Unload, *out) : std::nullopt;
+    if (const auto out = selectVictim(key, now)) {
+        return ifSafe(EngineOrderKind::Unload, *out);
+    }
+    return present == nullptr ? std::nullopt : ifSafe(EngineOrderKind::Unload, key);
 }
 
 std::optional<EngineOrder> AdapterController::Impl::nextOrder(TimePoint now)
