Heads: many short fields take no more memory or time than before

Since the number of fields is no longer bounded by the parser, a head of 16 KB could hold 4,000 of them, at 64 bytes each in memory. What follows from that:

- Callers: a head with more than 128 fields takes room from the memory account for as long as its request is kept, and is refused at once (503, not run) if there is none.
- Answers: the bound of 64 KB counts 32 bytes for each field beside its text, as HTTP/2 does.
An answer keeps its fields as text until its head is written, and the client drops its list once the head has been handed over.

--- a/include/anvilscale/memory_account.h
+++ b/include/anvilscale/memory_account.h
@@ -11,7 +11,7 @@
 
 /// What held bytes are.
 enum class HeldKind : std::uint8_t {
-    CallerInput, ///< read from callers and not parsed yet: heads and pipelined requests
+    CallerInput, ///< heads and pipelined requests that are not parsed yet, and heads with very many fields
     RequestBodies, ///< from the reservation of their room until no attempt can need them
     HeldAnswers, ///< received, and not forwarded while another attempt may follow
     CallerOutput, ///< not written to callers yet
--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -236,6 +236,7 @@
     bool keepAlive = true;
     bool acceptsChunked = true; ///< true for HTTP/1.1 requests
     MemoryHold bodyRoom; ///< covers `body`
+    MemoryHold headRoom; ///< covers `headers` of an unusually large number
 };
 
 /// A body with its room, shared by all that may still send it.
--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t maxReadBytes = 16U << 10;
+// A head with more fields has room of its own.
+constexpr std::size_t usualFields = 128;
 // Room of a body without a length grows by this much. Not less than can be read at once.
 constexpr std::uint64_t bodyPieceBytes = 64U << 10;
 // A written buffer of up to this size is kept for the next message.
@@ -173,7 +175,23 @@
     }
     request_ = std::move(parsed->first);
     bodyReader_ = parsed->second;
-    return startBody();
+    return reserveHead(length) && startBody();
+}
+
+// Many short fields take several times the memory of their bytes.
+bool CallerConnection::reserveHead(std::size_t headBytes)
+{
+    const auto &headers = request_->headers;
+    if (headers.size() <= usualFields) {
+        return true;
+    }
+    auto &memory = *context_.init->memory;
+    request_->headRoom = memory.makeHold(HeldKind::CallerInput);
+    if (memory.tryGrow(request_->headRoom, headBytes + headers.size() * sizeof(HttpHeaders::value_type))) {
+        return true;
+    }
+    rejectMessage(HttpError::MemoryShort);
+    return false;
 }
 
 bool CallerConnection::startBody()
--- a/src/net/caller_connection.h
+++ b/src/net/caller_connection.h
@@ -65,6 +65,7 @@
     void processInput();
     bool processHead();
     bool processBody();
+    bool reserveHead(std::size_t headBytes);
     bool startBody();
     bool reserveBody(std::uint64_t bytes);
     void onRoom();
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -40,22 +40,22 @@
 {
     hasBegun_ = true;
     status_ = reply.status;
-    headers_ = reply.headers;
+    setFields(reply.headers);
     heldBody_ = reply.body;
     keepAlive_ = keepAlive_ && !reply.closesConnection;
     isEventStream_ = false;
     finish();
 }
 
-void HttpAnswer::begin(std::uint32_t status, HttpHeaders headers)
+void HttpAnswer::begin(std::uint32_t status, const HttpHeaders &headers)
 {
     if (hasBegun_) {
         return;
     }
     hasBegun_ = true;
     status_ = status;
-    headers_ = std::move(headers);
-    isEventStream_ = anvilscale::isEventStream(headers_);
+    setFields(headers);
+    isEventStream_ = anvilscale::isEventStream(headers);
     if (isEventStream_) {
         startForwarding();
     }
@@ -156,6 +156,13 @@
     return std::exchange(forwardedBytes_, 0);
 }
 
+// As text, fields take no more memory than their bytes.
+void HttpAnswer::setFields(const HttpHeaders &headers)
+{
+    fields_.clear();
+    appendFields(fields_, headers);
+}
+
 void HttpAnswer::startForwarding()
 {
     if (isForwarding_) {
@@ -171,7 +178,8 @@
     const auto status = static_cast<HTTPResponse::HTTPStatus>(status_);
     output_.append("HTTP/1.1 ").append(std::to_string(status_)).append(" ");
     output_.append(HTTPResponse::getReasonForStatus(status)).append("\r\n");
-    appendFields(output_, headers_);
+    output_.append(fields_);
+    releaseBuffer(fields_);
     const bool hasNoBody = status_ == 204 || status_ == 304;
     if (length && !hasNoBody) {
         appendField(output_, "Content-Length", std::to_string(*length));
--- a/src/net/http_answer.h
+++ b/src/net/http_answer.h
@@ -26,7 +26,7 @@
     HttpAnswer(bool keepAlive, bool acceptsChunked, bool isHeadRequest, std::size_t maxHeldBytes);
 
     void reply(const HttpReply &reply);
-    void begin(std::uint32_t status, HttpHeaders headers);
+    void begin(std::uint32_t status, const HttpHeaders &headers);
     void send(std::string_view data);
     void finish();
     void fail(const HttpReply &reply);
@@ -43,6 +43,7 @@
     bool hasFailedOpen() const;
 
 private:
+    void setFields(const HttpHeaders &headers);
     void writeHead(std::optional<std::size_t> length);
     void forward(std::string_view data);
     void startForwarding();
@@ -57,7 +58,7 @@
     bool isForwarding_ = false; // the head is in the output, so the status can no longer change
     bool isEventStream_ = false;
     std::uint32_t status_ = 0;
-    HttpHeaders headers_;
+    std::string fields_; // of the head, until it is written
     std::string heldBody_; // body bytes not yet forwarded
     std::string output_;
     std::uint64_t forwardedBytes_ = 0;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::size_t maxReadBytes = 64U << 10;
 constexpr std::size_t maxHeadBytes = 64U << 10; // of a response, with its interim responses
+constexpr std::size_t fieldOverheadBytes = 32; // counted for each field (as in RFC 9113, 6.5.2)
 constexpr int readMode = Poco::Net::PollSet::POLL_READ;
 constexpr int writeMode = Poco::Net::PollSet::POLL_WRITE;
 constexpr int errorMode = Poco::Net::PollSet::POLL_ERROR;
@@ -445,7 +446,7 @@
     connection.headBytes = headBytes;
     auto parsed = parseResponseHead(std::string_view(connection.input).substr(0, length), connection.isHeadRequest);
     connection.input.erase(0, length);
-    if (!parsed) {
+    if (!parsed || headBytes + parsed->headers.size() * fieldOverheadBytes > maxHeadBytes) {
         finish(connection, ExchangeEnd::Broken);
         return false;
     }
@@ -458,12 +459,17 @@
     if (isEventStream(connection.response.headers)) {
         connection.events.emplace();
     }
+    connection.maxIdleTime = readMaxIdleTime(connection.response);
     connection.step = Step::Body;
     const auto key = connection.key;
     if (connection.handlers.head) {
         connection.handlers.head(connection.response);
     }
-    return connections.count(key) != 0;
+    if (connections.count(key) == 0) {
+        return false;
+    }
+    HttpHeaders().swap(connection.response.headers); // not needed while the body comes
+    return true;
 }
 
 void HttpClient::Impl::readBody(Connection &connection)
@@ -548,7 +554,6 @@
     connection.step = Step::Idle;
     connection.isPaused = false;
     connection.idleSince = EventLoop::now();
-    connection.maxIdleTime = readMaxIdleTime(connection.response);
     releaseBuffer(connection.input);
     connection.response = HttpResponseHead{};
     idleKeys.push_back(connection.key);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -402,9 +402,8 @@
 
 void HttpServer::begin(HttpExchange exchange, std::uint32_t status, HttpHeaders headers)
 {
-    impl_->updateAnswer(exchange, [status, headers = std::move(headers)](HttpAnswer &answer) mutable {
-        answer.begin(status, std::move(headers));
-    });
+    impl_->updateAnswer(exchange,
+                        [status, headers = std::move(headers)](HttpAnswer &answer) { answer.begin(status, headers); });
 }
 
 void HttpServer::send(HttpExchange exchange, std::string data)
--- a/tests/unit/broken_answers_test.cpp
+++ b/tests/unit/broken_answers_test.cpp
@@ -125,6 +125,22 @@
     std::unique_ptr<HttpClient> client_;
 };
 
+// Guards against answers that are refused for a long field or many fields, and against those that fill the memory with
+// fields.
+TEST_F(BrokenAnswers, OnlyTheSizeOfAHeadIsBounded)
+{
+    const auto answerWith = [](std::size_t fields) {
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        for (std::size_t i = 0; i < fields; ++i) {
+            text += "a:\r\n";
+        }
+        return text + soundRest.substr(2);
+    };
+    expectAnswer(answerWith(1000), 200);
+    expectAnswer("HTTP/1.1 200 OK\r\nX-Long: " + std::string(50'000, 'v') + soundRest, 200);
+    EXPECT_EQ(readByClient(answerWith(12'000)).end, ExchangeEnd::Broken);
+}
+
 // Guards against an invalid status code that reaches a caller as the status of its answer.
 TEST_F(BrokenAnswers, StatusOutsideTheProtocolIsNoAnswer)
 {
