Heads: own fields of a message are POCO's again, the ones passed on are text

The style asks for POCO's message types. They hold the start line and the fields that this side sets, and the fields that are passed on follow as they came. Same text but for the order of the fields. One linter warning in the engine limits (a const local that prevents a move).

--- a/src/direct/adapter_controller_orders.cpp
+++ b/src/direct/adapter_controller_orders.cpp
@@ -134,7 +134,7 @@
         return std::nullopt;
     }
     const bool hasKnownSize = size != nullptr || present != nullptr;
-    const auto load = hasKnownSize ? ifSafe(EngineOrderKind::Load, key) : std::nullopt;
+    auto load = hasKnownSize ? ifSafe(EngineOrderKind::Load, key) : std::nullopt;
     if (load) {
         return load;
     }
--- a/src/net/http_answer.cpp
+++ b/src/net/http_answer.cpp
@@ -159,8 +159,7 @@
 // As text, fields take no more memory than their bytes.
 void HttpAnswer::setFields(const HttpHeaders &headers)
 {
-    fields_.clear();
-    appendFields(fields_, headers);
+    fields_ = formatFields(headers);
 }
 
 void HttpAnswer::startForwarding()
@@ -174,21 +173,18 @@
 
 void HttpAnswer::writeHead(std::optional<std::size_t> length)
 {
-    using Poco::Net::HTTPResponse;
-    const auto status = static_cast<HTTPResponse::HTTPStatus>(status_);
-    output_.append("HTTP/1.1 ").append(std::to_string(status_)).append(" ");
-    output_.append(HTTPResponse::getReasonForStatus(status)).append("\r\n");
-    output_.append(fields_);
-    releaseBuffer(fields_);
+    Poco::Net::HTTPResponse response(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status_));
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
     const bool hasNoBody = status_ == 204 || status_ == 304;
     if (length && !hasNoBody) {
-        appendField(output_, "Content-Length", std::to_string(*length));
+        response.setContentLength64(static_cast<Poco::Int64>(*length));
     } else if (!hasNoBody && acceptsChunked_) {
-        appendField(output_, "Transfer-Encoding", "chunked");
+        response.setChunkedTransferEncoding(true);
     }
     const bool isKeptAlive = keepAlive_ && (length.has_value() || acceptsChunked_);
-    appendField(output_, "Connection", isKeptAlive ? "keep-alive" : "close");
-    output_.append("\r\n");
+    response.set("Connection", isKeptAlive ? "keep-alive" : "close");
+    output_.append(formatHead(response, fields_));
+    releaseBuffer(fields_);
 }
 
 void HttpAnswer::forward(std::string_view data)
--- a/src/net/http_fields.h
+++ b/src/net/http_fields.h
@@ -3,12 +3,17 @@
 
 #include "anvilscale/net.h"
 
+#include <Poco/Net/HTTPMessage.h>
+
 namespace anvilscale {
 
-/// Appends one field. Control characters of the value become spaces (RFC 9110, 5.5): a value may come from outside, and
-/// a line end in it would begin another message. A field whose name is not a token is left out.
-void appendField(std::string &head, std::string_view name, std::string_view value);
-/// Appends all fields but the hop-by-hop ones.
-void appendFields(std::string &head, const HttpHeaders &headers);
+/// Returns the value with spaces in the place of control characters (RFC 9110, 5.5): it may come from outside, and a
+/// line end in it would begin another message.
+std::string fieldValue(std::string_view value);
+/// Formats the fields that are passed on, in their order: all but the hop-by-hop ones and those whose name is not a
+/// token. POCO's list of fields is not used for them: it groups equal names, and each insertion walks it.
+std::string formatFields(const HttpHeaders &headers);
+/// Formats a head of POCO's with these fields after its own.
+std::string formatHead(const Poco::Net::HTTPMessage &message, std::string_view fields);
 
 } // namespace anvilscale
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -5,8 +5,11 @@
 
 #include "anvilscale/net.h"
 
+#include <Poco/Net/HTTPRequest.h>
+
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 
 namespace anvilscale {
 
@@ -249,24 +252,31 @@
                        [name](std::string_view hopByHop) { return equalsIgnoreCase(name, hopByHop); });
 }
 
-void appendField(std::string &head, std::string_view name, std::string_view value)
+std::string fieldValue(std::string_view value)
 {
-    if (!isToken(name)) {
-        return;
-    }
-    head.append(name).append(": ");
-    std::transform(value.begin(), value.end(), std::back_inserter(head),
-                   [](char c) { return isControlCharacter(c) ? ' ' : c; });
-    head.append(lineEnd);
+    std::string text(value);
+    std::replace_if(text.begin(), text.end(), isControlCharacter, ' ');
+    return text;
 }
 
-void appendFields(std::string &head, const HttpHeaders &headers)
+std::string formatFields(const HttpHeaders &headers)
 {
+    std::string text;
     for (const auto &[name, value] : headers) {
-        if (!isHopByHop(name)) {
-            appendField(head, name, value);
+        if (isToken(name) && !isHopByHop(name)) {
+            text.append(name).append(": ").append(fieldValue(value)).append(lineEnd);
         }
     }
+    return text;
+}
+
+std::string formatHead(const Poco::Net::HTTPMessage &message, std::string_view fields)
+{
+    std::ostringstream stream;
+    message.write(stream);
+    auto head = stream.str();
+    head.insert(head.size() - lineEnd.size(), fields);
+    return head;
 }
 
 struct SharedBody::Body
@@ -472,16 +482,13 @@
 std::string formatRequestHead(std::string_view method, std::string_view target, std::string_view host,
                               const HttpHeaders &headers, std::size_t bodyBytes, bool keepAlive)
 {
-    std::string head;
-    head.append(method).append(" ").append(target).append(" ").append(versionHttp11).append(lineEnd);
-    appendField(head, "Host", host);
-    appendFields(head, headers);
+    Poco::Net::HTTPRequest request(std::string(method), std::string(target), Poco::Net::HTTPMessage::HTTP_1_1);
+    request.setHost(fieldValue(host));
     if (bodyBytes != 0 || method == "POST" || method == "PUT" || method == "PATCH") {
-        appendField(head, "Content-Length", std::to_string(bodyBytes));
+        request.setContentLength64(static_cast<Poco::Int64>(bodyBytes));
     }
-    appendField(head, "Connection", keepAlive ? "Keep-Alive" : "Close");
-    head.append(lineEnd);
-    return head;
+    request.setKeepAlive(keepAlive);
+    return formatHead(request, formatFields(headers));
 }
 
 } // namespace anvilscale
