--- a/include/anvilscale/net.h
+++ b/include/anvilscale/net.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -124,6 +125,9 @@
 
 /// Returns the value of a header, matched case-insensitively; nullptr if it is absent.
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
+/// Returns the options that the Connection headers list, in lower case: "close", "keep-alive" and names of headers that
+/// are hop-by-hop too.
+std::set<std::string> connectionOptions(const HttpHeaders &headers);
 /// True for hop-by-hop headers, which are never forwarded.
 bool isHopByHop(std::string_view name);
 
--- a/src/net/http_message.cpp
+++ b/src/net/http_message.cpp
@@ -128,28 +128,10 @@
         headers.begin(), headers.end(), [&](const auto &header) { return equalsIgnoreCase(header.first, name); }));
 }
 
-/// True if the Connection fields list the option.
-bool hasConnectionOption(const HttpHeaders &headers, std::string_view option)
-{
-    for (const auto &[name, value] : headers) {
-        if (!equalsIgnoreCase(name, "Connection")) {
-            continue;
-        }
-        std::string_view rest = value;
-        while (!rest.empty()) {
-            const auto item = rest.substr(0, rest.find(','));
-            rest.remove_prefix(std::min(rest.size(), item.size() + 1));
-            if (equalsIgnoreCase(trimSpace(item), option)) {
-                return true;
-            }
-        }
-    }
-    return false;
-}
-
 bool isKeptAlive(const HttpHeaders &headers, bool isHttp10)
 {
-    return !hasConnectionOption(headers, "close") && (!isHttp10 || hasConnectionOption(headers, "keep-alive"));
+    const auto options = connectionOptions(headers);
+    return options.count("close") == 0 && (!isHttp10 || options.count("keep-alive") != 0);
 }
 
 std::optional<std::uint64_t> parseNumber(std::string_view text, int base)
@@ -242,6 +224,25 @@
     return nullptr;
 }
 
+std::set<std::string> connectionOptions(const HttpHeaders &headers)
+{
+    std::set<std::string> options;
+    for (const auto &[name, value] : headers) {
+        if (!equalsIgnoreCase(name, "Connection")) {
+            continue;
+        }
+        std::string_view rest = value;
+        while (!rest.empty()) {
+            const auto item = rest.substr(0, rest.find(','));
+            rest.remove_prefix(std::min(rest.size(), item.size() + 1));
+            std::string option(trimSpace(item));
+            std::transform(option.begin(), option.end(), option.begin(), lowerCase);
+            options.insert(std::move(option));
+        }
+    }
+    return options;
+}
+
 bool isHopByHop(std::string_view name)
 {
     static constexpr std::array<std::string_view, 11> names{
