--- a/tests/unit/lost_orders_test.cpp
+++ b/tests/unit/lost_orders_test.cpp
@@ -58,7 +58,7 @@
     wish.set_least_version(version);
 }
 
-/// Engine in virtual time. Carries each order out that expects its sequence; holds too much if it is told to.
+/// Engine in virtual time. Carries out each order that expects its sequence, also beyond its limits.
 class Engine
 {
 public:
